--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Plain targets; README.md names demo and test.
+GO      ?= go
+TOOLS    = $(GO) tool -modfile=tools/go.mod
+PACKAGES = ./...
+DEPLOYMENT ?= pindan
+
+.PHONY: build demo test fmt lint unit fuzz-seeds clean
+
+build:
+	$(GO) build -o bin/hawthornferry .
+	$(GO) build -o bin/standin ./standin
+
+demo: build
+	script/demo.sh $(DEPLOYMENT)
+
+test: lint unit
+
+fmt:
+	$(TOOLS) gofumpt -l -w .
+	$(TOOLS) goimports -l -w -local hawthornferry .
+
+lint:
+	@out=$$($(TOOLS) gofumpt -l .); if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
+	@out=$$($(TOOLS) goimports -l -local hawthornferry .); if [ -n "$$out" ]; then echo "goimports: $$out"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(TOOLS) staticcheck $(PACKAGES)
+
+unit:
+	$(GO) test -race -count=1 $(PACKAGES)
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/core/process/trail/trail.go
@@ -0,0 +1,56 @@
+// Package trail defines the decision log: one record for each routing,
+// placement, admission, transfer and configuration decision. Processes write
+// the records as JSON lines; the replay command reads them back.
+package trail
+
+import "time"
+
+// Area says which part of the system took a decision.
+type Area string
+
+// The areas of decision.
+const (
+	AreaRouting   Area = "routing"
+	AreaAdmission Area = "admission"
+	AreaCall      Area = "call"
+	AreaPlacement Area = "placement"
+	AreaTransfer  Area = "transfer"
+	AreaConfig    Area = "config"
+	AreaMember    Area = "member"
+)
+
+// Left is a candidate that a decision left out, and why.
+type Left struct {
+	Name   string `json:"name"`
+	Reason string `json:"reason"`
+}
+
+// Decision is one record of the log. Fields that do not apply are empty.
+type Decision struct {
+	Time     time.Time `json:"time"`
+	Process  string    `json:"process"`
+	Boot     string    `json:"boot"`
+	Area     Area      `json:"area"`
+	Action   string    `json:"action"`
+	Request  string    `json:"request,omitempty"`
+	Customer string    `json:"customer,omitempty"`
+	Service  string    `json:"service,omitempty"`
+	Subject  string    `json:"subject,omitempty"`
+	Choice   string    `json:"choice,omitempty"`
+	Outcome  string    `json:"outcome,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	Revision uint64    `json:"revision,omitempty"`
+	Left     []Left    `json:"left,omitempty"`
+}
+
+// Log takes decisions. Implementations fill Time, Process and Boot, must be
+// safe for concurrent use and must not block on a slow reader.
+type Log interface {
+	Decide(d Decision)
+}
+
+// Discard drops every decision.
+type Discard struct{}
+
+// Decide does nothing.
+func (Discard) Decide(Decision) {}
--- /dev/null
+++ b/core/version/chunk/manifest.go
@@ -0,0 +1,108 @@
+// Package chunk describes the weights of one model version as content-named
+// chunks.
+package chunk
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of a manifest.
+const (
+	MaxChunkSize = 16 << 20
+	MaxChunks    = 1 << 16
+)
+
+// digestPrefix starts every digest and names its algorithm.
+const digestPrefix = "sha256:"
+
+// Digest names content: "sha256:" and 64 hexadecimal digits.
+type Digest string
+
+// Sum returns the digest of b.
+func Sum(b []byte) Digest {
+	s := sha256.Sum256(b)
+	return Digest(digestPrefix + hex.EncodeToString(s[:]))
+}
+
+// Check reports whether d has the form of a digest.
+func (d Digest) Check() error {
+	rest, ok := strings.CutPrefix(string(d), digestPrefix)
+	if !ok {
+		return errors.Newf("digest %q: want prefix %s", string(d), digestPrefix)
+	}
+	if len(rest) != hex.EncodedLen(sha256.Size) {
+		return errors.Newf("digest %q: want 64 hexadecimal digits", string(d))
+	}
+	if _, err := hex.DecodeString(rest); err != nil {
+		return errors.Newf("digest %q: not hexadecimal", string(d))
+	}
+	return nil
+}
+
+// Ref is one chunk of a manifest: its digest and its size in bytes.
+type Ref struct {
+	Digest Digest `json:"digest" msgpack:"digest"`
+	Size   int64  `json:"size" msgpack:"size"`
+}
+
+// Manifest lists the chunks of a version in the order of its bytes. Size is
+// the sum of the chunks' sizes; Whole is the digest of all bytes.
+type Manifest struct {
+	Model   string `json:"model" msgpack:"model"`
+	Version string `json:"version" msgpack:"version"`
+	Size    int64  `json:"size" msgpack:"size"`
+	Whole   Digest `json:"whole" msgpack:"whole"`
+	Chunks  []Ref  `json:"chunks" msgpack:"chunks"`
+}
+
+// Encode returns the canonical bytes of m; their digest pins the version in
+// an environment document.
+func (m Manifest) Encode() ([]byte, error) {
+	b, err := json.Marshal(m)
+	return b, errors.Wrap(err, "encode manifest")
+}
+
+// Decode reads the canonical bytes of a manifest, checks that they have the
+// pinned digest and that the manifest adds up.
+func Decode(b []byte, pinned Digest) (Manifest, error) {
+	if got := Sum(b); got != pinned {
+		return Manifest{}, errors.Newf("manifest has digest %s, want %s", got, pinned)
+	}
+	var m Manifest
+	if err := json.Unmarshal(b, &m); err != nil {
+		return Manifest{}, errors.Wrap(err, "decode manifest")
+	}
+	return m, m.Check()
+}
+
+// Check reports the first reason why the manifest does not add up.
+func (m Manifest) Check() error {
+	if m.Model == "" || m.Version == "" {
+		return errors.New("manifest: model or version is empty")
+	}
+	if len(m.Chunks) == 0 || len(m.Chunks) > MaxChunks {
+		return errors.Newf("manifest: %d chunks, want 1 to %d", len(m.Chunks), MaxChunks)
+	}
+	if err := m.Whole.Check(); err != nil {
+		return errors.Wrap(err, "manifest: whole")
+	}
+	var sum int64
+	for i, c := range m.Chunks {
+		if c.Size <= 0 || c.Size > MaxChunkSize {
+			return errors.Newf("manifest: chunk %d has %d bytes, want 1 to %d", i, c.Size, MaxChunkSize)
+		}
+		if err := c.Digest.Check(); err != nil {
+			return errors.Wrapf(err, "manifest: chunk %d", i)
+		}
+		sum += c.Size
+	}
+	if sum != m.Size {
+		return errors.Newf("manifest: chunks add up to %d bytes, want %d", sum, m.Size)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/conn/link/link.go
@@ -0,0 +1,156 @@
+// Package link opens and accepts connections between processes of the
+// system. The first message each way is a Hello; its purpose selects who
+// handles the connection, so that bulk transfers never share a connection
+// with calls.
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/io/conn/frame"
+)
+
+// Purpose says what a connection is for.
+type Purpose string
+
+// The purposes of a connection.
+const (
+	PurposeCalls   Purpose = "calls"
+	PurposeWeights Purpose = "weights"
+	PurposeConfig  Purpose = "config"
+)
+
+// HelloTimeout bounds the wait for the peer's Hello.
+const HelloTimeout = 5 * time.Second
+
+// Hello is the first message each way. Boot is drawn anew by each start of a
+// process, so that a replaced process is never taken for the old one.
+type Hello struct {
+	Purpose Purpose  `msgpack:"purpose"`
+	Boot    string   `msgpack:"boot"`
+	VM      fleet.VM `msgpack:"vm"`
+}
+
+// Kind names the message.
+func (*Hello) Kind() frame.Kind { return "hello" }
+
+// Check reports the first field that is out of its domain.
+func (h *Hello) Check() error {
+	switch h.Purpose {
+	case PurposeCalls, PurposeWeights, PurposeConfig:
+	default:
+		return errors.Newf("hello: unknown purpose %q", h.Purpose)
+	}
+	if h.Boot == "" {
+		return errors.New("hello: boot is empty")
+	}
+	return h.VM.Check()
+}
+
+// Self is what a process tells its peers of itself. Revision is the highest
+// configuration revision held; it is raised as documents arrive.
+type Self struct {
+	VM       fleet.VM
+	Boot     string
+	Revision atomic.Uint64
+}
+
+// Conn is one connection after both Hellos. Send is safe for concurrent use,
+// Receive is for one goroutine.
+type Conn struct {
+	Peer Hello
+
+	self *Self
+	nc   net.Conn
+	w    *frame.Writer
+	r    *frame.Reader
+	// PeerRevision is the highest revision that the peer has shown.
+	PeerRevision atomic.Uint64
+}
+
+// Send writes one message.
+func (c *Conn) Send(m frame.Message) error {
+	err := c.w.Write(m, c.self.Revision.Load())
+	return fault.At("send "+string(m.Kind()), c.Peer.VM.Name, err)
+}
+
+// Receive returns the next message.
+func (c *Conn) Receive() (frame.Message, error) {
+	m, h, err := c.r.Read()
+	if err != nil {
+		return nil, fault.At("receive", c.Peer.VM.Name, err)
+	}
+	if h.Revision > c.PeerRevision.Load() {
+		c.PeerRevision.Store(h.Revision)
+	}
+	return m, nil
+}
+
+// SetReadDeadline bounds the next Receive; the zero time removes the bound.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.nc.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the next Send; the zero time removes the bound.
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.nc.SetWriteDeadline(t) }
+
+// Close closes the connection; a blocked Receive returns.
+func (c *Conn) Close() error { return c.nc.Close() }
+
+// Dial connects to the process at addr for purpose and exchanges Hellos.
+// kinds are the messages that the caller accepts.
+func Dial(ctx context.Context, self *Self, addr netip.AddrPort, purpose Purpose, kinds frame.Kinds) (*Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fault.At("dial", addr.String(), err)
+	}
+	c := newConn(self, nc, kinds)
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	if err := c.greet(purpose); err != nil {
+		nc.Close()
+		return nil, fault.At("greet", addr.String(), err)
+	}
+	if err := c.awaitHello(); err != nil {
+		nc.Close()
+		return nil, fault.At("await hello", addr.String(), err)
+	}
+	return c, nil
+}
+
+func newConn(self *Self, nc net.Conn, kinds frame.Kinds) *Conn {
+	all := frame.Kinds{}
+	for k, f := range kinds {
+		all[k] = f
+	}
+	all.Register(func() frame.Message { return &Hello{} })
+	return &Conn{self: self, nc: nc, w: frame.NewWriter(nc), r: frame.NewReader(nc, all)}
+}
+
+func (c *Conn) greet(p Purpose) error {
+	return c.w.Write(&Hello{Purpose: p, Boot: c.self.Boot, VM: c.self.VM}, c.self.Revision.Load())
+}
+
+func (c *Conn) awaitHello() error {
+	if err := c.nc.SetReadDeadline(time.Now().Add(HelloTimeout)); err != nil {
+		return err
+	}
+	m, h, err := c.r.Read()
+	if err != nil {
+		return err
+	}
+	hello, ok := m.(*Hello)
+	if !ok {
+		return errors.Newf("first message is %s, want hello", m.Kind())
+	}
+	c.Peer = *hello
+	c.PeerRevision.Store(h.Revision)
+	return c.nc.SetReadDeadline(time.Time{})
+}
