--- /dev/null
+++ b/io/conn/sessn/stream.go
@@ -0,0 +1,122 @@
+package sessn
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/io/conn/frame"
+)
+
+// Stream is the side's end of one call on one connection. Write waits for
+// the entry's credit, so a slow caller holds up its own call alone.
+type Stream struct {
+	// Start is what the entry asked for, nil for a Query.
+	Start *Start
+	// Body is the whole request body.
+	Body []byte
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	conn    *sideConn
+	channel Channel
+
+	mu     sync.Mutex
+	credit int
+	more   chan struct{}
+
+	position int
+	want     int
+}
+
+func newStream(ctx context.Context, c *sideConn, id Channel) *Stream {
+	s := &Stream{conn: c, channel: id, credit: Window, more: make(chan struct{}, 1)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+// Context ends when the entry cancels the call or the connection is lost.
+func (s *Stream) Context() context.Context { return s.ctx }
+
+// Peer is the name of the entry's VM.
+func (s *Stream) Peer() string { return s.conn.link.Peer.VM.Name }
+
+// Head sends the status and header of the answer.
+func (s *Stream) Head(h Head) error {
+	h.Channel = s.channel
+	return s.conn.send(&h)
+}
+
+// Write sends a part of the answer's body. It waits for credit.
+func (s *Stream) Write(b []byte) (int, error) {
+	sent := 0
+	for sent < len(b) {
+		n, err := s.take(min(len(b)-sent, BlockSize))
+		if err != nil {
+			return sent, err
+		}
+		m := &Data{Channel: s.channel, Position: s.position, Data: b[sent : sent+n]}
+		if err := s.conn.send(m); err != nil {
+			return sent, err
+		}
+		s.position += n
+		sent += n
+	}
+	return sent, nil
+}
+
+// take waits until there is credit and takes up to n bytes of it.
+func (s *Stream) take(n int) (int, error) {
+	for {
+		s.mu.Lock()
+		n = min(n, s.credit)
+		s.credit -= n
+		s.mu.Unlock()
+		if n > 0 {
+			return n, nil
+		}
+		n = BlockSize
+		select {
+		case <-s.more:
+		case <-s.ctx.Done():
+			return 0, errors.Wrap(s.ctx.Err(), "wait for credit")
+		}
+	}
+}
+
+func (s *Stream) addCredit(n int) {
+	s.mu.Lock()
+	s.credit = min(s.credit+n, Window)
+	s.mu.Unlock()
+	select {
+	case s.more <- struct{}{}:
+	default:
+	}
+}
+
+// End says that the answer is whole.
+func (s *Stream) End() error {
+	return s.last(&End{Channel: s.channel, Size: s.position})
+}
+
+// Refuse ends the call without a whole answer.
+func (s *Stream) Refuse(r Refusal) error {
+	r.Channel = s.channel
+	return s.last(&r)
+}
+
+// Verdict answers a query. With an answer to come the call stays open.
+func (s *Stream) Verdict(v Verdict, open bool) error {
+	v.Channel = s.channel
+	if open {
+		return s.conn.send(&v)
+	}
+	return s.last(&v)
+}
+
+func (s *Stream) last(m frame.Message) error {
+	s.conn.forget(s.channel)
+	s.cancel()
+	return s.conn.send(m)
+}
