--- /dev/null
+++ b/io/request/front/once.go
@@ -0,0 +1,250 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/calls"
+	"hawthornferry/io/conn/sessn"
+)
+
+// once carries a call that may run at most once. A free call that certainly
+// did not run goes to another target under a new ID.
+func (f *Front) once(ctx context.Context, w http.ResponseWriter, k *work) {
+	k.bind = calls.BindFree
+	last := ending{outcome: calls.NotRun, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
+	for n := 1; ; n++ {
+		m, err := f.choose(k)
+		if err != nil {
+			last.reason = or(last.reason, err.Error())
+			break
+		}
+		o := f.tryOnce(ctx, m, k)
+		f.pool.release(m)
+		if o.answer != nil {
+			f.deliver(w, k, o)
+			return
+		}
+		last = o.ending
+		if o.outcome != calls.NotRun || n >= f.Limits.Attempts || ctx.Err() != nil {
+			break
+		}
+		k.req.Avoid = append(k.req.Avoid, m.client.VM.Name)
+	}
+	f.fail(w, k, last)
+}
+
+// onceAnswer is what became of one attempt.
+type onceAnswer struct {
+	ending
+	answer *onceRelay
+}
+
+// onceRelay collects the answer of a once-call. It is passed on when it is
+// whole, so that a connection that fails in its middle cuts nothing.
+type onceRelay struct {
+	head *sessn.Head
+	body []byte
+}
+
+// deliver passes a whole answer on to the caller.
+func (f *Front) deliver(w http.ResponseWriter, k *work, o onceAnswer) {
+	out := newCallerWriter(w, f.Limits.WriteTimeout)
+	copyHeader(w.Header(), o.answer.head.Header)
+	w.Header().Set(headerOutcome, string(calls.Done))
+	w.Header().Set("Content-Length", strconv.Itoa(len(o.answer.body)))
+	if o.ticket != "" {
+		w.Header().Set(headerTicket, o.ticket)
+	}
+	f.finish(k, ending{outcome: calls.Done})
+	w.WriteHeader(o.answer.head.Status)
+	_ = out.send(o.answer.body)
+}
+
+// newTicket names the attempt at the member's side.
+func (f *Front) newTicket(m *member, k *work, start *sessn.Start) calls.Ticket {
+	if k.ticket != nil && k.ticket.Bind == calls.BindTicket {
+		return *k.ticket
+	}
+	return calls.Ticket{
+		Call:    calls.ID(uuid.NewString()),
+		Bind:    k.bind,
+		Service: k.req.Service,
+		Side:    m.client.VM.Name,
+		Issued:  start.Echo,
+	}
+}
+
+// tryOnce makes one attempt at one side and does not return before its
+// outcome is settled.
+func (f *Front) tryOnce(ctx context.Context, m *member, k *work) onceAnswer {
+	t := &onceTry{front: f, member: m, work: k, attempt: calls.NewAttempt(k.bind)}
+	start, err := f.start(ctx, m, k)
+	if err != nil {
+		t.attempt.On(calls.EventUnsent)
+		return t.settled(ctx)
+	}
+	ticket := f.newTicket(m, k, start)
+	k.ticket = &ticket
+	start.Ticket = &ticket
+	call, err := m.client.Start(start, k.body)
+	switch {
+	case errors.Is(err, sessn.ErrUnsent):
+		t.attempt.On(calls.EventUnsent)
+		return t.settled(ctx)
+	case err != nil:
+		t.ask(ctx, calls.EventLost)
+		return t.settled(ctx)
+	}
+	t.attempt.On(calls.EventSent)
+	t.follow(ctx, call)
+	return t.settled(ctx)
+}
+
+// onceTry drives the state machine of one attempt.
+type onceTry struct {
+	front   *Front
+	member  *member
+	work    *work
+	attempt calls.Attempt
+
+	relay   onceRelay
+	refusal *sessn.Refusal
+}
+
+// follow takes an attempt's messages in until it is settled.
+func (t *onceTry) follow(ctx context.Context, call *sessn.Call) {
+	step, ended := t.read(ctx, call)
+	call.Close(ended)
+	if step == calls.StepAsk {
+		t.ask(ctx, "")
+	}
+}
+
+func (t *onceTry) read(ctx context.Context, call *sessn.Call) (calls.Step, bool) {
+	t.relay = onceRelay{}
+	for {
+		msg, err := call.Next(ctx)
+		if err != nil {
+			return t.failed(ctx), false
+		}
+		switch msg := msg.(type) {
+		case *sessn.Verdict:
+			if t.attempt.OnVerdict(msg.State) == calls.StepSettle {
+				return calls.StepSettle, true
+			}
+		case *sessn.Head:
+			t.relay.head = msg
+		case *sessn.Data:
+			if len(t.relay.body)+len(msg.Data) > sessn.MaxAnswer {
+				return t.attempt.On(calls.EventGiveUp), false
+			}
+			t.relay.body = append(t.relay.body, msg.Data...)
+		case *sessn.Refusal:
+			t.refusal = msg
+			return t.attempt.OnRefused(msg.Outcome), true
+		case *sessn.End:
+			if t.relay.head == nil {
+				return t.attempt.On(calls.EventLost), true
+			}
+			return t.attempt.On(calls.EventAnswered), true
+		}
+	}
+}
+
+func (t *onceTry) failed(ctx context.Context) calls.Step {
+	if ctx.Err() != nil {
+		return t.attempt.On(calls.EventGiveUp)
+	}
+	return t.attempt.On(calls.EventLost)
+}
+
+// ask asks the side over a new connection what became of the call, until it
+// answers, is gone, or the wait has passed its bound.
+func (t *onceTry) ask(ctx context.Context, e calls.Event) {
+	if e != "" {
+		t.attempt.On(e)
+	}
+	t.note("ask")
+	asking, cancel := context.WithTimeout(ctx, t.front.Limits.AskFor)
+	defer cancel()
+	for {
+		call, err := t.member.client.Query(&sessn.Query{Ticket: *t.work.ticket, Mark: true})
+		if err == nil {
+			t.follow(ctx, call)
+			return
+		}
+		if !t.wait(asking) {
+			return
+		}
+	}
+}
+
+// wait waits for the session to change; it settles the attempt and returns
+// false when there is nothing more to wait for.
+func (t *onceTry) wait(ctx context.Context) bool {
+	next := t.member.client.Next()
+	s := t.member.client.Status()
+	if s.Connected {
+		return true
+	}
+	if s.Refused || !t.front.pool.isListed(t.member) {
+		t.attempt.On(calls.EventGone)
+		return false
+	}
+	select {
+	case <-next:
+		return true
+	case <-ctx.Done():
+		t.attempt.On(calls.EventGiveUp)
+		return false
+	}
+}
+
+func (t *onceTry) note(action string) {
+	t.front.Log.Decide(trail.Decision{
+		Area: trail.AreaCall, Action: action, Request: t.work.req.ID, Service: t.work.req.Service,
+		Subject: string(t.work.ticket.Call), Choice: t.member.client.VM.Name,
+		Revision: t.front.Self.Revision.Load(),
+	})
+}
+
+// settled says how the attempt ended.
+func (t *onceTry) settled(ctx context.Context) onceAnswer {
+	e := ending{outcome: t.attempt.Outcome}
+	if t.work.ticket != nil {
+		e.ticket, _ = t.work.ticket.Encode()
+	}
+	if e.outcome == calls.Done && t.relay.head != nil && t.refusal == nil {
+		return onceAnswer{ending: e, answer: &t.relay}
+	}
+	if t.refusal != nil {
+		r := endingOfRefusal(t.refusal)
+		r.ticket = e.ticket
+		return onceAnswer{ending: onceEnding(r)}
+	}
+	if ctx.Err() != nil {
+		g := gaveUp(ctx, e.outcome)
+		g.ticket = e.ticket
+		return onceAnswer{ending: onceEnding(g)}
+	}
+	e.status, e.retryAfter = http.StatusBadGateway, 0
+	e.reason = "the side could not tell"
+	if e.outcome == calls.NotRun {
+		e.status, e.retryAfter, e.reason = http.StatusServiceUnavailable, retryAfter, "the call was not sent"
+	}
+	return onceAnswer{ending: onceEnding(e)}
+}
+
+// onceEnding lets a caller ask again only for what did not run.
+func onceEnding(e ending) ending {
+	if e.outcome != calls.NotRun {
+		e.retryAfter = 0
+	}
+	return e
+}
--- /dev/null
+++ b/io/request/front/outcome.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/request/calls"
+)
+
+// OutcomeCount is how many calls of a customer to a service had an outcome.
+type OutcomeCount struct {
+	Customer string        `json:"customer"`
+	Service  string        `json:"service"`
+	Outcome  calls.Outcome `json:"outcome"`
+	Count    int64         `json:"count"`
+}
+
+// maxCounted bounds the table of outcomes; what comes beyond it is counted
+// under otherName.
+const (
+	maxCounted = 4096
+	otherName  = "other"
+)
+
+type outcomeKey struct {
+	customer string
+	service  string
+	outcome  calls.Outcome
+}
+
+type outcomes struct {
+	metrics tally.Scope
+
+	mu     sync.Mutex
+	counts map[outcomeKey]int64
+}
+
+func newOutcomes(m tally.Scope) *outcomes {
+	return &outcomes{metrics: m, counts: map[outcomeKey]int64{}}
+}
+
+func (o *outcomes) add(k outcomeKey) {
+	o.metrics.Counter("calls." + string(k.outcome)).Inc(1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.counts[k]; !ok && len(o.counts) >= maxCounted {
+		k.customer, k.service = otherName, otherName
+	}
+	o.counts[k]++
+}
+
+func (o *outcomes) list() []OutcomeCount {
+	o.mu.Lock()
+	out := make([]OutcomeCount, 0, len(o.counts))
+	for k, n := range o.counts {
+		out = append(out, OutcomeCount{Customer: k.customer, Service: k.service, Outcome: k.outcome, Count: n})
+	}
+	o.mu.Unlock()
+	slices.SortFunc(out, func(a, b OutcomeCount) int {
+		return cmp.Or(
+			cmp.Compare(a.Customer, b.Customer),
+			cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Outcome, b.Outcome),
+		)
+	})
+	return out
+}
--- /dev/null
+++ b/io/request/front/routes.go
@@ -0,0 +1,194 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/request/calls"
+)
+
+const servicePrefix = "/v1/services/"
+
+// router maps the paths of callers.
+func (f *Front) router() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/v1/chat/completions", f.guard(f.chat)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/tickets", f.guard(f.issueTicket)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/tickets/{id}", f.guard(f.askTicket)).Methods(http.MethodGet)
+	r.HandleFunc(servicePrefix+"{service}/{path:.*}", f.guard(f.service))
+	r.NotFoundHandler = http.HandlerFunc(f.notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(f.notAllowed)
+	return r
+}
+
+// retryAfter is what a refused caller is told to wait.
+const retryAfter = time.Second
+
+// guard refuses what the entry may not take now and bounds what it takes.
+func (f *Front) guard(next http.HandlerFunc) http.HandlerFunc {
+	places := make(chan struct{}, f.Limits.MaxInFlight)
+	return func(w http.ResponseWriter, r *http.Request) {
+		if f.draining.Load() {
+			w.Header().Set("Connection", "close")
+			f.reject(w, http.StatusServiceUnavailable, "the entry is leaving", retryAfter)
+			return
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			f.reject(w, http.StatusServiceUnavailable, "too many calls in flight", retryAfter)
+			return
+		}
+		defer func() { <-places }()
+		next(w, r)
+	}
+}
+
+// reject ends a request that never became a call.
+func (f *Front) reject(w http.ResponseWriter, status int, detail string, after time.Duration) {
+	f.Metrics.Counter("rejected").Inc(1)
+	Problem{
+		Status: status, Detail: detail, Outcome: calls.NotRun,
+		RequestID: uuid.NewString(), RetryAfter: after,
+	}.write(w)
+}
+
+func (f *Front) notFound(w http.ResponseWriter, _ *http.Request) {
+	f.reject(w, http.StatusNotFound, "no such path", 0)
+}
+
+func (f *Front) notAllowed(w http.ResponseWriter, _ *http.Request) {
+	f.reject(w, http.StatusMethodNotAllowed, "method is not allowed here", 0)
+}
+
+// readBody reads a request's body within the bounds of size and time. It
+// answers the caller itself when it fails.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(f.Limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.Limits.MaxBody)))
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		f.reject(w, http.StatusRequestEntityTooLarge, "the body is too large", 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		f.reject(w, http.StatusRequestTimeout, "the body came too slowly", 0)
+	default:
+		f.reject(w, http.StatusBadRequest, "the body could not be read", 0)
+	}
+	return nil, false
+}
+
+// lookup returns the service of the document in force.
+func (f *Front) lookup(w http.ResponseWriter, name string, kind envdoc.Kind) (envdoc.Service, bool) {
+	d := f.Source.Current().Document
+	if d == nil {
+		f.reject(w, http.StatusServiceUnavailable, "no document is in force yet", retryAfter)
+		return envdoc.Service{}, false
+	}
+	s, ok := d.ServiceByName(name)
+	if !ok || s.Kind != kind {
+		f.reject(w, http.StatusNotFound, "no such service", 0)
+		return envdoc.Service{}, false
+	}
+	return s, true
+}
+
+// chatRequest is the part of a chat completion that the entry reads.
+type chatRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+const chatPath = "/v1/chat/completions"
+
+// chat serves a chat completion; its model names the service.
+func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
+	body, ok := f.readBody(w, r)
+	if !ok {
+		return
+	}
+	var q chatRequest
+	if err := json.Unmarshal(body, &q); err != nil {
+		f.reject(w, http.StatusBadRequest, "the body is not a chat completion", 0)
+		return
+	}
+	s, ok := f.lookup(w, q.Model, envdoc.KindEngine)
+	if !ok {
+		return
+	}
+	k, err := f.newWork(r, s)
+	if err != nil {
+		f.reject(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	k.path, k.body, k.stream = chatPath, body, q.Stream
+	f.serve(w, r, k, f.repeat)
+}
+
+// service passes a call through to a plain service.
+func (f *Front) service(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["service"]
+	s, ok := f.lookup(w, name, envdoc.KindPlain)
+	if !ok {
+		return
+	}
+	path, err := servicePath(r, name)
+	if err != nil {
+		f.reject(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	body, ok := f.readBody(w, r)
+	if !ok {
+		return
+	}
+	k, err := f.newWork(r, s)
+	if err != nil {
+		f.reject(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	k.path, k.body = path, body
+	if repeatable(s, r.Method, path) {
+		f.serve(w, r, k, f.repeat)
+		return
+	}
+	f.serve(w, r, k, f.once)
+}
+
+// servicePath is the path and query that the target gets.
+func servicePath(r *http.Request, service string) (string, error) {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+service)
+	for part := range strings.SplitSeq(path, "/") {
+		if part == ".." || part == "." {
+			return "", errors.New("the path has a dot segment")
+		}
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path, nil
+}
+
+// serve runs a call under its deadline.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, k *work, run func(context.Context, http.ResponseWriter, *work)) {
+	w.Header().Set(headerRequest, k.req.ID)
+	ctx, cancel := clockwork.WithTimeout(r.Context(), f.Clock, k.timeout)
+	defer cancel()
+	run(ctx, w, k)
+}
--- /dev/null
+++ b/io/request/front/world_test.go
@@ -0,0 +1,211 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/process/view"
+	"hawthornferry/core/request/calls"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/conn/sessn"
+	"hawthornferry/io/request/gate"
+)
+
+// fastTiming keeps the tests short; no verdict depends on it.
+var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: 2 * time.Second, Redial: 10 * time.Millisecond}
+
+// world is a fleet on loopback: entries and sides over real sockets, with
+// test servers as targets.
+type world struct {
+	t      *testing.T
+	ctx    context.Context
+	cancel context.CancelFunc
+	// limits, when set before a side is added, are its ledger's.
+	limits calls.Limits
+
+	mu      sync.Mutex
+	view    view.View
+	changed chan struct{}
+}
+
+func newWorld(t *testing.T) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{t: t, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	w.view.Document = &envdoc.Document{
+		Revision: 1,
+		Zones:    []envdoc.Zone{{Name: "z", Region: "r"}},
+		Services: []envdoc.Service{
+			{Name: "booking", Kind: envdoc.KindPlain, Timeout: 10 * time.Second, Repeatable: []string{"POST /search"}},
+			{Name: "helper", Kind: envdoc.KindEngine, Timeout: 10 * time.Second},
+		},
+	}
+	t.Cleanup(cancel)
+	return w
+}
+
+func (w *world) Current() view.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+func (w *world) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// setVM adds or replaces a VM of the list.
+func (w *world) setVM(vm fleet.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var vms []fleet.VM
+	for _, old := range w.view.VMs {
+		if old.Name != vm.Name {
+			vms = append(vms, old)
+		}
+	}
+	w.view.VMs = append(vms, vm)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// side is one side process with its target.
+type side struct {
+	vm     fleet.VM
+	gate   *gate.Gate
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (w *world) addSide(name, service string, target http.Handler) *side {
+	w.t.Helper()
+	ts := httptest.NewServer(target)
+	w.t.Cleanup(ts.Close)
+	return w.runSide(name, service, netip.MustParseAddrPort(ts.Listener.Addr().String()), "127.0.0.1:0")
+}
+
+// runSide starts a side process of a new boot on listen.
+func (w *world) runSide(name, service string, target netip.AddrPort, listen string) *side {
+	w.t.Helper()
+	nl, err := net.Listen("tcp", listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &side{done: make(chan struct{})}
+	s.vm = fleet.VM{
+		Name: name, Role: fleet.RoleSide, Zone: "z", Region: "r", Service: service,
+		Address: netip.MustParseAddrPort(nl.Addr().String()), State: fleet.StateLive,
+	}
+	self := &link.Self{VM: s.vm, Boot: name + "-" + time.Now().Format("150405.000000000")}
+	s.gate = &gate.Gate{
+		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
+		Source: w, Target: target, Service: service, Timing: fastTiming, Limits: w.limits,
+	}
+	l := &link.Listener{Self: self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeCalls: s.gate.Handler()}}
+	ctx, cancel := context.WithCancel(w.ctx)
+	s.cancel = cancel
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.gate.Run(ctx) })
+	wg.Go(func() { _ = l.Run(ctx) })
+	go func() { wg.Wait(); close(s.done) }()
+	w.setVM(s.vm)
+	return s
+}
+
+// kill ends the side's process: its listener and connections are gone.
+func (s *side) kill() {
+	s.cancel()
+	<-s.done
+}
+
+// entry is one entry process.
+type entry struct {
+	front *Front
+	url   string
+}
+
+func (w *world) addEntry(name string) *entry {
+	w.t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	self := &link.Self{Boot: name + "-boot", VM: fleet.VM{
+		Name: name, Role: fleet.RoleEntry, Zone: "z", Region: "r",
+		Address: netip.MustParseAddrPort(nl.Addr().String()), State: fleet.StateLive,
+	}}
+	f := &Front{
+		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
+		Source: w, Net: nl, Timing: fastTiming,
+	}
+	f.Limits.Subset = 4
+	done := make(chan struct{})
+	go func() { _ = f.Run(w.ctx); close(done) }()
+	w.t.Cleanup(func() { w.cancel(); <-done })
+	return &entry{front: f, url: "http://" + nl.Addr().String()}
+}
+
+// ready waits until the entry may send to n targets of the service.
+func (w *world) ready(e *entry, service string, n int) {
+	w.t.Helper()
+	for {
+		count := 0
+		for _, t := range e.front.Targets() {
+			if t.VM.Service == service && t.Standing == "ready" {
+				count++
+			}
+		}
+		if count == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	Status  int
+	Header  http.Header
+	Body    string
+	Problem Problem
+	// Cut is set when the answer ended before it was whole.
+	Cut bool
+}
+
+func (w *world) call(e *entry, method, path, body string, header http.Header) reply {
+	w.t.Helper()
+	req, err := http.NewRequest(method, e.url+path, bytes.NewBufferString(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{Cut: true}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	r := reply{Status: res.StatusCode, Header: res.Header, Body: string(b), Cut: err != nil}
+	if res.Header.Get("Content-Type") == problemMedia {
+		_ = json.Unmarshal(b, &r.Problem)
+	}
+	return r
+}
