conf: read the settings of a process from INI and flags

The demonstration generates one settings file a process and the commands assemble from them, so the keys have to be fixed first. Each setting is declared once, as tags of a struct field (key, unit, default, bounds, role, help), and the reader, the flags and the help share that declaration; a table of closures was weighed and needs the same facts twice.

--- /dev/null
+++ b/io/process/conf/load.go
@@ -0,0 +1,178 @@
+package conf
+
+import (
+	"os"
+	"strings"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/inidoc"
+	"hawthornferry/core/process/opt"
+)
+
+// Flag is one setting that was given on the command line.
+type Flag struct {
+	Section string
+	Key     string
+	Value   string
+}
+
+// section is a section's name and where its settings are kept.
+type section struct {
+	name string
+	ptr  any
+}
+
+func (s *Settings) sections() []section {
+	return []section{
+		{name: "process", ptr: &s.Process},
+		{name: "listen", ptr: &s.Listen},
+		{name: "platform", ptr: &s.Platform},
+		{name: "peers", ptr: &s.Peers},
+		{name: "target", ptr: &s.Target},
+		{name: "links", ptr: &s.Links},
+		{name: "limits", ptr: &s.Limits},
+		{name: "log", ptr: &s.Log},
+	}
+}
+
+// Load reads the settings of a process of the given role from the file at
+// path. The flags go over the file's values. An error that is inidoc.Flaws
+// lists all faults.
+func Load(path string, role fleet.Role, flags []Flag) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fault.At("read settings", path, err)
+	}
+	return Parse(path, b, role, flags)
+}
+
+// Parse is Load for a text; name stands for the file in errors.
+func Parse(name string, b []byte, role fleet.Role, flags []Flag) (Settings, error) {
+	var s Settings
+	r := reader{file: inidoc.Parse(name, b), role: role, flags: flags}
+	for _, sec := range s.sections() {
+		r.section(sec)
+	}
+	r.unknown(s.sections())
+	if s.Process.Role != "" && s.Process.Role != role {
+		r.reject("process", "role", string(s.Process.Role), "the command is "+string(role))
+	}
+	return s, r.file.Flaws.Err()
+}
+
+type reader struct {
+	file  *inidoc.File
+	role  fleet.Role
+	flags []Flag
+}
+
+func (r *reader) section(sec section) {
+	in := r.file.Section(sec.name)
+	for _, f := range opt.Fields(sec.ptr) {
+		if f.Role == "" || f.Role == string(r.role) {
+			r.field(sec.name, in, f)
+		}
+	}
+	if in != nil {
+		in.Close()
+	}
+}
+
+func (r *reader) field(name string, in *inidoc.Section, f opt.Field) {
+	text, given := "", false
+	if in != nil {
+		text, given = in.Take(f.Key)
+	}
+	where := r.file.Name
+	if flag, ok := r.flag(name, f.Key); ok {
+		text, given = flag, true
+		where = "--" + name + "-" + f.Key
+	}
+	if !given && f.Need {
+		r.reject(name, f.Key, "", "missing")
+		return
+	}
+	if !given {
+		text = f.Default
+	}
+	if !given && text == "" {
+		return
+	}
+	if err := f.Set(text); err != nil {
+		flaw := inidoc.Flaw{File: where, Section: name, Key: f.Key, Value: text, Reason: err.Error()}
+		r.file.Flaws = append(r.file.Flaws, flaw)
+	}
+}
+
+func (r *reader) flag(name, key string) (string, bool) {
+	for _, f := range r.flags {
+		if f.Section == name && f.Key == key {
+			return f.Value, true
+		}
+	}
+	return "", false
+}
+
+func (r *reader) unknown(known []section) {
+	for _, in := range r.file.Sections {
+		if !hasSection(known, in.Name) {
+			in.Reject("", "", "unknown section, want one of "+sectionNames(known))
+		}
+	}
+}
+
+func (r *reader) reject(name, key, value, reason string) {
+	flaw := inidoc.Flaw{File: r.file.Name, Section: name, Key: key, Value: value, Reason: reason}
+	r.file.Flaws = append(r.file.Flaws, flaw)
+}
+
+func hasSection(known []section, name string) bool {
+	for _, s := range known {
+		if s.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func sectionNames(known []section) string {
+	names := make([]string, 0, len(known))
+	for _, s := range known {
+		names = append(names, s.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// Option is the description of one setting, for help and documentation.
+type Option struct {
+	Section string
+	opt.Field
+}
+
+// Options lists the settings that a process of the given role reads.
+func Options(role fleet.Role) []Option {
+	var s Settings
+	var out []Option
+	for _, sec := range s.sections() {
+		for _, f := range opt.Fields(sec.ptr) {
+			if f.Role == "" || f.Role == string(role) {
+				out = append(out, Option{Section: sec.name, Field: f})
+			}
+		}
+	}
+	return out
+}
+
+// VM returns the process's own entry, as its peers are told of it.
+func (s *Settings) VM() fleet.VM {
+	return fleet.VM{
+		Name:    s.Process.Name,
+		Role:    s.Process.Role,
+		Zone:    s.Process.Zone,
+		Region:  s.Process.Region,
+		Service: s.Target.Service,
+		Address: s.Listen.Peers,
+		State:   fleet.StateLive,
+	}
+}
