--- a/core/process/envdoc/doc.go
+++ b/core/process/envdoc/doc.go
@@ -10,11 +10,14 @@
 
 // Document is a checked environment document. Revision is the one that the
 // configuration service gave it; a higher one always replaces a lower one.
+// Its lists are sorted by name, so that the same sections give the same
+// document whichever way they came.
 type Document struct {
 	Revision  uint64
 	Name      string
 	Stage     Stage
 	Weigh     Weigh
+	Origin    Origin
 	Regions   []Region
 	Zones     []Zone
 	Models    []Model
@@ -41,6 +44,14 @@
 	WeighTime   Weigh = "time"
 )
 
+// Origin is where the weights are drawn from. Region is empty when it lies in
+// none of the document's regions. Copies is how many whole copies of a new
+// version may be drawn from it during one rollout.
+type Origin struct {
+	Region string
+	Copies int
+}
+
 // Region is a set of zones behind one shared link. Link is the rate to other
 // regions in bytes a second each way.
 type Region struct {
