--- /dev/null
+++ b/io/process/watch/fake_test.go
@@ -0,0 +1,119 @@
+package watch
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hawthornferry/core/process/fleet"
+)
+
+// platform is a configuration service and a VM list on one address.
+type platform struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	revision uint64
+	texts    map[uint64]string
+	vms      []fleet.VM
+	down     bool
+	reads    int
+}
+
+func newPlatform(t *testing.T) (*platform, netip.AddrPort) {
+	t.Helper()
+	p := &platform{changed: make(chan struct{}), texts: map[uint64]string{}}
+	srv := httptest.NewServer(p)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return p, netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+}
+
+// change applies f and wakes the readers that wait.
+func (p *platform) change(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *platform) promote(revision uint64, text string) {
+	p.change(func() {
+		p.revision = revision
+		p.texts[revision] = text
+	})
+}
+
+func (p *platform) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.reads++
+	down := p.down
+	p.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.URL.Path == "/v1/vms":
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(p.vms)
+	default:
+		p.document(w, r)
+	}
+}
+
+func (p *platform) document(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	end := time.After(wait)
+	for {
+		p.mu.Lock()
+		revision, text, changed := p.revision, p.texts[p.revision], p.changed
+		p.mu.Unlock()
+		if revision > after {
+			w.Header().Set("X-Revision", fmt.Sprint(revision))
+			_, _ = w.Write([]byte(text))
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-end:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+// document returns a small sound document whose service times out after d.
+func document(d time.Duration) string {
+	return fmt.Sprintf(`[environment]
+name = pindan
+stage = trial
+[region.r]
+link = 25Mbit
+[zone.z1]
+region = r
+[zone.z2]
+region = r
+[service.booking]
+kind = plain
+timeout = %v
+replicas.z1 = 1
+`, d)
+}
