cmds: bind commands to flaggy by struct tags

The commands entry, side and replay are written beside this part, so the way a command is declared is fixed first: a struct whose tagged fields are its options, registered in the init of its file, with run(ctx, output) error. Bad input (flaws, a missing file, a port in use) gives exit code 2, any other error 1.

--- a/core/process/opt/opt.go
+++ b/core/process/opt/opt.go
@@ -12,12 +12,14 @@
 //	min, max bounds, in the text form of the value
 //	oneof    the allowed strings, parted by commas
 //	role     the only role for which the option is read
+//	arg      place among the arguments, from 1, for one that is no flag
 package opt
 
 import (
 	"net/netip"
 	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +38,8 @@
 	OneOf   string
 	Role    string
 	Need    bool
+	// Arg is the place among the arguments, 0 for a flag.
+	Arg int
 
 	value reflect.Value
 }
@@ -67,12 +71,34 @@
 		Need:    tag.Get("need") == "true",
 		value:   v,
 	}
+	f.Arg, _ = strconv.Atoi(tag.Get("arg"))
 	if f.Unit == "" {
 		f.Unit = unitOf(v)
 	}
 	return f
 }
 
+// Describe returns the help line with unit, default and bounds.
+func (f Field) Describe() string {
+	parts := []string{f.Unit}
+	if f.OneOf != "" {
+		parts = []string{"one of " + f.OneOf}
+	}
+	if f.IsBool() {
+		parts = nil
+	}
+	if f.Min != "" || f.Max != "" {
+		parts = append(parts, f.Min+" to "+f.Max)
+	}
+	if f.Default != "" {
+		parts = append(parts, "default "+f.Default)
+	}
+	if len(parts) == 0 {
+		return f.Help
+	}
+	return f.Help + " (" + strings.Join(parts, "; ") + ")"
+}
+
 // IsBool reports whether the option is a switch without a value.
 func (f Field) IsBool() bool { return f.value.Kind() == reflect.Bool }
 
--- /dev/null
+++ b/io/process/cmds/bind.go
@@ -0,0 +1,111 @@
+package cmds
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"hawthornferry/core/process/inidoc"
+	"hawthornferry/core/process/opt"
+)
+
+const exitHelp = "Exit codes: 0 done, 1 failed, 2 bad input (settings, document, flags, a port in use)."
+
+// optioner is a runner whose options are not all fields of its own struct.
+type optioner interface {
+	options() []opt.Field
+}
+
+// bound is an option and the text that the command line gave for it.
+type bound struct {
+	opt.Field
+	text string
+}
+
+// parseArgs finds the command that args name and fills its options. For
+// --help, --version and unknown flags flaggy prints and ends the process.
+func parseArgs(args []string) (runner, error) {
+	if err := checkName(args); err != nil {
+		return nil, err
+	}
+	p := flaggy.NewParser("hawthornferry")
+	p.Version = Version
+	p.Description = "distributes model weights in bursts and carries callers' requests to the targets that serve them"
+	p.AdditionalHelpAppend = exitHelp
+	p.ShowCompletion = false
+	runners := make([]runner, len(registry))
+	options := make([][]*bound, len(registry))
+	subs := make([]*flaggy.Subcommand, len(registry))
+	for i, c := range registry {
+		runners[i] = c.make()
+		subs[i] = flaggy.NewSubcommand(c.name)
+		subs[i].Description = c.help
+		subs[i].AdditionalHelpAppend = exitHelp
+		options[i] = bind(subs[i], runners[i])
+		p.AttachSubcommand(subs[i], 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return nil, errors.Mark(err, errInput)
+	}
+	for i, s := range subs {
+		if s.Used {
+			return runners[i], assign(options[i])
+		}
+	}
+	return nil, errors.Mark(errors.Newf("no command given, want one of %s; see --help", commandNames()), errInput)
+}
+
+// checkName reports a first argument that is neither a flag nor a command.
+func checkName(args []string) error {
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") {
+		return nil
+	}
+	known := func(c command) bool { return c.name == args[0] }
+	if slices.ContainsFunc(registry, known) {
+		return nil
+	}
+	return errors.Mark(errors.Newf("unknown command %q, want one of %s; see --help", args[0], commandNames()), errInput)
+}
+
+// bind declares the options of r at its subcommand.
+func bind(s *flaggy.Subcommand, r runner) []*bound {
+	fields := opt.Fields(r)
+	if o, ok := r.(optioner); ok {
+		fields = append(fields, o.options()...)
+	}
+	var out []*bound
+	for _, f := range fields {
+		b := &bound{Field: f}
+		switch {
+		case f.Arg > 0:
+			s.AddPositionalValue(&b.text, f.Key, f.Arg, f.Need, f.Describe())
+		case f.IsBool():
+			s.Bool(f.Bool(), "", f.Key, f.Describe())
+			continue
+		default:
+			s.String(&b.text, "", f.Key, f.Describe())
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// assign parses the texts into the options and lists every fault.
+func assign(options []*bound) error {
+	var flaws inidoc.Flaws
+	for _, b := range options {
+		text := b.text
+		if text == "" {
+			text = b.Default
+		}
+		if text == "" {
+			continue
+		}
+		if err := b.Set(text); err != nil {
+			flaws = append(flaws, inidoc.Flaw{File: "command line", Key: "--" + b.Key, Value: text, Reason: err.Error()})
+		}
+	}
+	return flaws.Err()
+}
--- a/io/process/watch/fake_test.go
+++ b/io/process/watch/fake_test.go
@@ -53,12 +53,6 @@
 	})
 }
 
-func (p *platform) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads
-}
-
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.reads++
