trace: write decisions as JSON lines without blocking

A stuck reader of the log must not stall the caller whose request is being decided. A second queue of typed records was weighed; one queue of finished lines keeps decisions and ordinary messages in order.

--- /dev/null
+++ b/io/process/trace/log.go
@@ -0,0 +1,88 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/trail"
+)
+
+// Log is a trail.Log that writes through Logger. Set the exported fields
+// before the first decision.
+type Log struct {
+	Process string
+	Boot    string
+	Clock   clockwork.Clock
+	Logger  *logrus.Logger
+}
+
+var _ trail.Log = (*Log)(nil)
+
+// decisionField is the logrus field that holds the trail.Decision of a line.
+const decisionField = "decision"
+
+// Decide writes one decision.
+func (l *Log) Decide(d trail.Decision) {
+	d.Time = l.Clock.Now()
+	d.Process = l.Process
+	d.Boot = l.Boot
+	l.Logger.WithField(decisionField, d).WithTime(d.Time).Info(d.Action)
+}
+
+// NewLogger returns a logger of JSON lines at the given least level, one of
+// debug, info, warning and error. Decisions have the level info.
+func NewLogger(w io.Writer, level string) (*logrus.Logger, error) {
+	least, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fault.At("set log level", "", err)
+	}
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(least)
+	l.SetFormatter(&formatter{})
+	return l, nil
+}
+
+// formatter writes a decision with its own tags, so that the replay command
+// decodes it into the same type, and anything else as logrus does.
+type formatter struct {
+	plain logrus.JSONFormatter
+}
+
+// line is a decision as it is written. Fields of Decision keep their names.
+type line struct {
+	Level string `json:"level"`
+	trail.Decision
+}
+
+// Format returns one line.
+func (f *formatter) Format(e *logrus.Entry) ([]byte, error) {
+	d, ok := e.Data[decisionField].(trail.Decision)
+	if !ok {
+		return f.plain.Format(e)
+	}
+	var b bytes.Buffer
+	err := json.NewEncoder(&b).Encode(line{Level: e.Level.String(), Decision: d})
+	return b.Bytes(), err
+}
+
+// dropped is the line that stands for lines that were dropped.
+type dropped struct {
+	Level   string `json:"level"`
+	Message string `json:"msg"`
+	Lines   uint64 `json:"lines"`
+}
+
+func droppedLine(n uint64) []byte {
+	d := dropped{Level: logrus.WarnLevel.String(), Message: "log lines dropped: the output is too slow", Lines: n}
+	b, err := json.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return append(b, '\n')
+}
--- /dev/null
+++ b/io/process/trace/trace_test.go
@@ -0,0 +1,57 @@
+package trace
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+)
+
+// The operator sees the log stand still and then one line that says how many
+// lines are gone: the reader of the output is stuck, the queue of two lines
+// fills, and the third decision must return at once, because its caller is
+// on the path of a request.
+func TestStuckOutputDropsAndCounts(t *testing.T) {
+	var out bytes.Buffer
+	sink := &Sink{Out: &out, Buffer: 2}
+	logger, err := NewLogger(sink, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC))
+	log := &Log{Process: "a", Boot: "b", Clock: clock, Logger: logger}
+	for _, action := range []string{"one", "two", "three", "four"} {
+		log.Decide(trail.Decision{Area: trail.AreaConfig, Action: action})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := sink.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 3 {
+		t.Fatalf("got %d lines, want 3:\n%s", len(lines), &out)
+	}
+	var gone dropped
+	if err := json.Unmarshal([]byte(lines[0]), &gone); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(uint64(2), gone.Lines); diff != "" {
+		t.Errorf("dropped lines (-want +got):\n%s", diff)
+	}
+	var got trail.Decision
+	if err := json.Unmarshal([]byte(lines[1]), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := trail.Decision{Time: clock.Now(), Process: "a", Boot: "b", Area: trail.AreaConfig, Action: "one"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("decision (-want +got):\n%s", diff)
+	}
+}
