admin: answer health, readiness, metrics and status

The balancer asks /readyz, operators ask /v1/status, and both must answer while callers burst, so the API has its own address and its own bounds. Status is one type for the server, the status command and the tests.

--- /dev/null
+++ b/io/process/admin/fetch.go
@@ -0,0 +1,38 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
+)
+
+// maxStatus is the most bytes of a status that Fetch takes.
+const maxStatus = 32 << 20
+
+// Fetch reads the status of the process whose administration API is at addr.
+func Fetch(ctx context.Context, addr netip.AddrPort) (Status, error) {
+	const step = "fetch status"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/v1/status", nil)
+	if err != nil {
+		return Status{}, fault.At(step, addr.String(), err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Status{}, fault.At(step, addr.String(), err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, fault.At(step, addr.String(), errors.Newf("status %d", resp.StatusCode))
+	}
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s); err != nil {
+		return Status{}, fault.At(step, addr.String(), err)
+	}
+	return s, fault.At(step, addr.String(), s.Check())
+}
--- /dev/null
+++ b/io/process/admin/meter.go
@@ -0,0 +1,30 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricsInterval is how often the scope hands its counts to the reporter.
+const metricsInterval = time.Second
+
+// metricsPrefix starts the name of each metric.
+const metricsPrefix = "hawthornferry"
+
+// NewMetrics returns the scope of the process's metrics, the handler that
+// shows them and what to close at the end. There is one for each process.
+func NewMetrics() (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricsPrefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
