inidoc: pass sections from process to process

Processes will be told of changed sections by their peers, so a document has to be put together from sections as well as read whole. A section travels as its keys and values and not as INI text: writing a value with quotes or a comment sign as INI and reading it again need not give the same value. Sections are bounded at 32 KiB so that each fits one message.

--- a/core/process/envdoc/parse.go
+++ b/core/process/envdoc/parse.go
@@ -43,7 +43,16 @@
 // Parse reads the INI text of a document and checks it. name stands for the
 // text in errors. An error is inidoc.Flaws and lists every fault.
 func Parse(name string, revision uint64, text []byte) (*Document, error) {
-	p := &parser{file: inidoc.Parse(name, text), doc: &Document{Revision: revision}}
+	return fromFile(inidoc.Parse(name, text), revision)
+}
+
+// Assemble is Parse for sections that came one by one.
+func Assemble(name string, revision uint64, contents []inidoc.Content) (*Document, error) {
+	return fromFile(inidoc.Assemble(name, contents), revision)
+}
+
+func fromFile(f *inidoc.File, revision uint64) (*Document, error) {
+	p := &parser{file: f, doc: &Document{Revision: revision}}
 	p.environment()
 	for _, s := range p.file.Sections {
 		p.section(s)
--- a/core/process/inidoc/file.go
+++ b/core/process/inidoc/file.go
@@ -13,6 +13,10 @@
 // configuration service.
 const MaxBytes = 1 << 20
 
+// MaxSection is the most bytes that the keys and values of one section may
+// hold; sections go from process to process one by one, each in one message.
+const MaxSection = 32 << 10
+
 // File is a parsed text. Flaws grows while its sections are read.
 type File struct {
 	Name     string
@@ -25,13 +29,61 @@
 	Name string
 
 	file *File
-	keys []pair
+	keys []Pair
 	used map[string]bool
 }
 
-type pair struct {
-	key   string
-	value string
+// Pair is one key of a section with the text of its value.
+type Pair struct {
+	Key   string `json:"k"`
+	Value string `json:"v"`
+}
+
+// Content is a section apart from its file, as it goes from process to
+// process. A value keeps its exact text, which writing it as INI and reading
+// it again would not promise for quotes and comment signs.
+type Content struct {
+	Name string
+	Keys []Pair
+}
+
+func (c Content) size() int {
+	n := 0
+	for _, p := range c.Keys {
+		n += len(p.Key) + len(p.Value)
+	}
+	return n
+}
+
+// Assemble makes a file of sections that came one by one. name stands for
+// the text in flaws.
+func Assemble(name string, contents []Content) *File {
+	f := &File{Name: name}
+	for _, c := range contents {
+		f.addContent(c)
+	}
+	return f
+}
+
+// Contents returns the sections of the file.
+func (f *File) Contents() []Content {
+	out := make([]Content, 0, len(f.Sections))
+	for _, s := range f.Sections {
+		out = append(out, Content{Name: s.Name, Keys: s.keys})
+	}
+	return out
+}
+
+func (f *File) addContent(c Content) {
+	if f.Section(c.Name) != nil {
+		f.add(Flaw{Section: c.Name, Reason: "section appears twice"})
+		return
+	}
+	if c.size() > MaxSection {
+		f.add(Flaw{Section: c.Name, Reason: "section is longer than 32 KiB"})
+	}
+	s := &Section{Name: c.Name, file: f, keys: c.Keys, used: map[string]bool{}}
+	f.Sections = append(f.Sections, s)
 }
 
 // Parse reads an INI text. name stands for the text in flaws. A text that is
@@ -73,28 +125,15 @@
 		}
 		return
 	}
-	if f.has(s.Name()) {
-		f.add(Flaw{Section: s.Name(), Reason: "section appears twice"})
-		return
-	}
-	sec := &Section{Name: s.Name(), file: f, used: map[string]bool{}}
+	c := Content{Name: s.Name()}
 	for _, k := range s.Keys() {
 		all := k.ValueWithShadows()
 		if len(all) > 1 {
-			sec.Reject(k.Name(), all[len(all)-1], "key appears twice")
-		}
-		sec.keys = append(sec.keys, pair{key: k.Name(), value: k.Value()})
-	}
-	f.Sections = append(f.Sections, sec)
-}
-
-func (f *File) has(section string) bool {
-	for _, s := range f.Sections {
-		if s.Name == section {
-			return true
+			f.add(Flaw{Section: c.Name, Key: k.Name(), Value: all[len(all)-1], Reason: "key appears twice"})
 		}
+		c.Keys = append(c.Keys, Pair{Key: k.Name(), Value: k.Value()})
 	}
-	return false
+	f.addContent(c)
 }
 
 func (f *File) add(flaw Flaw) {
@@ -124,8 +163,8 @@
 func (s *Section) Take(key string) (string, bool) {
 	s.used[key] = true
 	for _, p := range s.keys {
-		if p.key == key {
-			return p.value, true
+		if p.Key == key {
+			return p.Value, true
 		}
 	}
 	return "", false
@@ -136,7 +175,7 @@
 func (s *Section) Prefixed(prefix string) []string {
 	var out []string
 	for _, p := range s.keys {
-		if rest, ok := strings.CutPrefix(p.key, prefix); ok {
+		if rest, ok := strings.CutPrefix(p.Key, prefix); ok {
 			out = append(out, rest)
 		}
 	}
@@ -146,8 +185,8 @@
 // Close records a flaw for each key that nothing has taken.
 func (s *Section) Close() {
 	for _, p := range s.keys {
-		if !s.used[p.key] {
-			s.Reject(p.key, p.value, "unknown key")
+		if !s.used[p.Key] {
+			s.Reject(p.Key, p.Value, "unknown key")
 		}
 	}
 }
