link: count the bytes of a connection

A node may spend 27 KB a second on control, which has to be measured where the bytes pass. A counting net.Conn under the frames needs no change in the callers of the package. go test -race ./io/conn/link passes.

--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -69,7 +69,7 @@
 	Peer Hello
 
 	self *Self
-	nc   net.Conn
+	nc   *counted
 	w    *frame.Writer
 	r    *frame.Reader
 	// PeerRevision is the highest revision that the peer has shown.
@@ -131,7 +131,8 @@
 		all[k] = f
 	}
 	all.Register(func() frame.Message { return &Hello{} })
-	return &Conn{self: self, nc: nc, w: frame.NewWriter(nc), r: frame.NewReader(nc, all)}
+	cc := &counted{Conn: nc}
+	return &Conn{self: self, nc: cc, w: frame.NewWriter(cc), r: frame.NewReader(cc, all)}
 }
 
 func (c *Conn) greet(p Purpose) error {
