gossip, watch: push configuration between peers

Every process read the service itself, so reads grew with the fleet. Now three processes of a zone read, picked by rendezvous for turns of 30 s, and the rest are told: each process keeps three connections in its zone and one to another, says once a second and at each change what it holds, and pulls what is above. The document goes as changed sections, the VM list as changed VMs; both results must have the digest that was announced. A process that hears of no live reader of its zone steps in, because the list that would tell of their death is read by them. Chord-like neighbours were weighed: a VM that comes or goes moves more connections than with ranked ones. go test -race ./io/process/watch passes with 16 processes in two zones.

--- /dev/null
+++ b/core/process/gossip/document.go
@@ -0,0 +1,37 @@
+package gossip
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/inidoc"
+)
+
+// EncodeDocument returns the state of a document: its sections, each an item
+// of its own, under the revision of the service.
+func EncodeDocument(revision uint64, contents []inidoc.Content) (State, error) {
+	items := make([]Item, 0, len(contents))
+	for _, c := range contents {
+		b, err := json.Marshal(c.Keys)
+		if err != nil {
+			return State{}, errors.Wrapf(err, "encode section %s", c.Name)
+		}
+		items = append(items, NewItem(c.Name, b))
+	}
+	return NewState(revision, items)
+}
+
+// DecodeDocument returns the checked document of a state.
+func DecodeDocument(name string, s State) (*envdoc.Document, error) {
+	contents := make([]inidoc.Content, 0, len(s.Items))
+	for _, it := range s.Items {
+		c := inidoc.Content{Name: it.Name}
+		if err := json.Unmarshal(it.Body, &c.Keys); err != nil {
+			return nil, errors.Wrapf(err, "decode section %s", it.Name)
+		}
+		contents = append(contents, c)
+	}
+	return envdoc.Assemble(name, s.Mark.Version, contents)
+}
--- /dev/null
+++ b/core/process/gossip/vms.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fleet"
+)
+
+// maxShrink is how many answers in a row must lack more than half of the
+// held VMs before they are believed.
+const maxShrink = 3
+
+// Observer turns answers of the platform's VM list into versions of it. It
+// is for one goroutine.
+type Observer struct {
+	shrunk int
+}
+
+// Observe returns the state that follows held when the platform answers with
+// vms, and false when nothing is to change.
+//
+// A list that has just restarted answers with few VMs or none. Believed at
+// once, it would take every target from every entry; it must lack them three
+// times running. A VM that was leaving stays so until it has left the list:
+// readers see the list with different lags, and an older answer would
+// otherwise send new work to a VM that is about to go.
+func (o *Observer) Observe(held State, vms []fleet.VM) (State, bool, error) {
+	if len(vms)*2 < len(held.Items) && o.shrunk+1 < maxShrink {
+		o.shrunk++
+		return State{}, false, nil
+	}
+	o.shrunk = 0
+	known, err := DecodeVMs(held)
+	if err != nil {
+		return State{}, false, err
+	}
+	items, err := encodeVMs(keepLeaving(known, vms))
+	if err != nil {
+		return State{}, false, err
+	}
+	next, err := NewState(held.Mark.Version+1, items)
+	if err != nil {
+		return State{}, false, err
+	}
+	return next, next.Mark.Sum != held.Mark.Sum, nil
+}
+
+func keepLeaving(known, vms []fleet.VM) []fleet.VM {
+	leaving := map[string]fleet.VM{}
+	for _, v := range known {
+		if v.State == fleet.StateLeaving {
+			leaving[v.Name] = v
+		}
+	}
+	out := make([]fleet.VM, 0, len(vms))
+	for _, v := range vms {
+		if old, ok := leaving[v.Name]; ok && old.Address == v.Address {
+			v.State = fleet.StateLeaving
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func encodeVMs(vms []fleet.VM) ([]Item, error) {
+	items := make([]Item, 0, len(vms))
+	for _, v := range vms {
+		if err := v.Check(); err != nil {
+			return nil, err
+		}
+		b, err := json.Marshal(v)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode VM %s", v.Name)
+		}
+		items = append(items, NewItem(v.Name, b))
+	}
+	return items, nil
+}
+
+// DecodeVMs returns the checked VMs of a state, sorted by name.
+func DecodeVMs(s State) ([]fleet.VM, error) {
+	vms := make([]fleet.VM, 0, len(s.Items))
+	for _, it := range s.Items {
+		var v fleet.VM
+		if err := json.Unmarshal(it.Body, &v); err != nil {
+			return nil, errors.Wrapf(err, "decode VM %s", it.Name)
+		}
+		if err := v.Check(); err != nil {
+			return nil, err
+		}
+		if v.Name != it.Name {
+			return nil, errors.Newf("VM %s stands under the name %s", v.Name, it.Name)
+		}
+		vms = append(vms, v)
+	}
+	return vms, nil
+}
--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -37,22 +37,21 @@
 
 // Config says which configuration is in force and how it gets here. Refused
 // is the highest revision that was read and not taken, with its Fault.
-// Conflict is a revision that peers hold with another content. Readers are
-// the processes of this zone that read the platform.
+// Conflict is the revision in force when it was given to other content too.
+// Service is the highest revision that this process has read itself; Reader
+// says whether it reads the platform for its zone now.
 type Config struct {
-	Environment string   `json:"environment"`
-	Stage       string   `json:"stage"`
-	Revision    uint64   `json:"revision"`
-	Highest     uint64   `json:"highest"`
-	Service     uint64   `json:"service"`
-	Refused     uint64   `json:"refused,omitempty"`
-	Fault       string   `json:"fault,omitempty"`
-	Conflict    uint64   `json:"conflict,omitempty"`
-	Reader      bool     `json:"reader"`
-	Readers     []string `json:"readers"`
-	Peers       int      `json:"peers"`
-	ListVersion uint64   `json:"listVersion"`
-	VMs         int      `json:"vms"`
+	Environment string `json:"environment"`
+	Stage       string `json:"stage"`
+	Revision    uint64 `json:"revision"`
+	Service     uint64 `json:"service"`
+	Refused     uint64 `json:"refused,omitempty"`
+	Fault       string `json:"fault,omitempty"`
+	Conflict    uint64 `json:"conflict,omitempty"`
+	Reader      bool   `json:"reader"`
+	Peers       int    `json:"peers"`
+	ListVersion uint64 `json:"listVersion"`
+	VMs         int    `json:"vms"`
 }
 
 // Rollout is the progress of one model's version to the replicas that are to
--- /dev/null
+++ b/io/process/watch/act.go
@@ -0,0 +1,135 @@
+package watch
+
+import (
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/gossip"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/process/view"
+)
+
+// perform carries out what the node wants done.
+func (w *Watcher) perform(actions []gossip.Action) {
+	for _, a := range actions {
+		w.act(a)
+	}
+}
+
+func (w *Watcher) act(a gossip.Action) {
+	switch a := a.(type) {
+	case gossip.SendMarks:
+		w.send(a.Peer, &marksMsg{a.Marks})
+	case gossip.SendPull:
+		w.send(a.Peer, &pullMsg{a.Pull})
+	case gossip.SendDelta:
+		w.send(a.Peer, &deltaMsg{a.Delta})
+	case gossip.Adopt:
+		w.adopt(a)
+	case gossip.Ignore:
+		w.ignore(a)
+	case gossip.Refuse:
+		w.refuse(a)
+	case gossip.Conflict:
+		w.conflict(a)
+	}
+}
+
+// accept is the node's check of a state before it is taken.
+func (w *Watcher) accept(t gossip.Topic, s gossip.State) error {
+	if t == gossip.TopicVMs {
+		_, err := gossip.DecodeVMs(s)
+		return err
+	}
+	d, err := w.decode(s)
+	w.accepted = d
+	return err
+}
+
+func (w *Watcher) decode(s gossip.State) (*envdoc.Document, error) {
+	d, err := gossip.DecodeDocument(w.Environment, s)
+	if err != nil {
+		return nil, err
+	}
+	if d.Name != w.Environment {
+		return nil, wrongEnvironment(d.Name, w.Environment)
+	}
+	return d, nil
+}
+
+func (w *Watcher) adopt(a gossip.Adopt) {
+	if a.Topic == gossip.TopicVMs {
+		w.adoptVMs(a.State)
+		return
+	}
+	d := w.accepted
+	w.docs.held.Store(d.Revision)
+	w.Self.Revision.Store(d.Revision)
+	w.update(func(v *view.View) { v.Document = d })
+	w.Metrics.Counter("config_adopted").Inc(1)
+	w.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "inForce", Subject: d.Name, Revision: d.Revision})
+}
+
+func (w *Watcher) adoptVMs(s gossip.State) {
+	vms, err := gossip.DecodeVMs(s)
+	if err != nil {
+		return
+	}
+	w.noteVMs(w.Current().VMs, vms, s.Mark.Version)
+	w.members = zoneMembers(vms, w.Self.VM.Zone)
+	w.dialer.candidates = gossip.Neighbours(w.Self.VM.Name, w.Self.VM.Zone, vms)
+	w.list.held.Store(s.Mark.Version)
+	w.update(func(v *view.View) { v.VMs = vms })
+	now := w.Clock.Now()
+	w.elect(now)
+	w.connect(now)
+}
+
+// noteVMs logs each VM that has come, gone or changed its state.
+func (w *Watcher) noteVMs(old, next []fleet.VM, version uint64) {
+	before := map[string]fleet.VM{}
+	for _, v := range old {
+		before[v.Name] = v
+	}
+	for _, v := range next {
+		if was, ok := before[v.Name]; !ok || was != v {
+			w.noteVM(string(v.State), v.Name, version)
+		}
+		delete(before, v.Name)
+	}
+	for name := range before {
+		w.noteVM("gone", name, version)
+	}
+}
+
+func (w *Watcher) noteVM(state, name string, version uint64) {
+	w.Log.Decide(trail.Decision{Area: trail.AreaMember, Action: state, Subject: name, Revision: version})
+}
+
+func (w *Watcher) ignore(a gossip.Ignore) {
+	w.Metrics.Counter("config_ignored").Inc(1)
+	w.Log.Decide(trail.Decision{
+		Area: trail.AreaConfig, Action: "ignore", Subject: string(a.Topic),
+		Revision: a.Mark.Version, Reason: "not above the version in force",
+	})
+}
+
+func (w *Watcher) refuse(a gossip.Refuse) {
+	w.Metrics.Counter("config_refused").Inc(1)
+	if a.Topic == gossip.TopicDocument && a.Mark.Version > 0 {
+		w.docs.refused.Store(max(a.Mark.Version, w.docs.refused.Load()))
+		w.setFault(a.Mark.Version, a.Err.Error())
+	}
+	w.Log.Decide(trail.Decision{
+		Area: trail.AreaConfig, Action: "refuse", Subject: string(a.Topic),
+		Choice: w.peerName(a.Peer), Revision: a.Mark.Version, Reason: a.Err.Error(),
+	})
+}
+
+func (w *Watcher) conflict(a gossip.Conflict) {
+	w.Metrics.Counter("config_conflicts").Inc(1)
+	w.Log.Decide(trail.Decision{
+		Area: trail.AreaConfig, Action: "conflict", Subject: string(a.Topic),
+		Choice: w.peerName(a.Peer), Revision: a.Mark.Version,
+		Reason: "the same revision was given to other content; promote again",
+	})
+}
--- /dev/null
+++ b/io/process/watch/fleet_test.go
@@ -0,0 +1,141 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/link"
+)
+
+// member is one process of a test: a watcher, its listener and its log.
+type member struct {
+	*Watcher
+	ctx  context.Context
+	stop func()
+	log  *recorder
+}
+
+// recorder keeps the decisions of one process.
+type recorder struct {
+	mu  sync.Mutex
+	all []trail.Decision
+}
+
+func (r *recorder) Decide(d trail.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, d)
+}
+
+// inForce are the revisions that the process put in force, in order.
+func (r *recorder) inForce() []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []uint64
+	for _, d := range r.all {
+		if d.Area == trail.AreaConfig && d.Action == "inForce" {
+			out = append(out, d.Revision)
+		}
+	}
+	return out
+}
+
+func (r *recorder) has(action string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.all {
+		if d.Area == trail.AreaConfig && d.Action == action {
+			return true
+		}
+	}
+	return false
+}
+
+// newMember listens on an address of its own but does not run yet.
+func newMember(t *testing.T, name, zone string, services netip.AddrPort) *member {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return memberOn(t, l, name, zone, services)
+}
+
+func memberOn(t *testing.T, l net.Listener, name, zone string, services netip.AddrPort) *member {
+	t.Helper()
+	self := &link.Self{Boot: fmt.Sprintf("%s-%d", name, time.Now().UnixNano())}
+	self.VM = fleet.VM{
+		Name: name, Role: fleet.RoleSide, Zone: zone, Region: "r", Service: "booking",
+		Address: netip.MustParseAddrPort(l.Addr().String()), State: fleet.StateLive,
+	}
+	m := &member{log: &recorder{}}
+	m.Watcher = &Watcher{
+		Self: self, Clock: clockwork.NewRealClock(), Log: m.log, Metrics: tally.NoopScope,
+		Environment: "pindan", Config: services, VMList: services,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	listener := &link.Listener{
+		Self: self, Net: l,
+		Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: m.Handler()},
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = listener.Run(ctx) })
+	m.ctx = ctx
+	m.stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	t.Cleanup(m.stop)
+	return m
+}
+
+// run starts the watcher.
+func (m *member) run() {
+	done := make(chan struct{})
+	stop := m.stop
+	go func() {
+		defer close(done)
+		_ = m.Run(m.ctx)
+	}()
+	m.stop = func() {
+		stop()
+		<-done
+	}
+}
+
+// startFleet runs perZone processes in each of two zones, all in the list.
+func startFleet(t *testing.T, p *platform, services netip.AddrPort, perZone int) []*member {
+	t.Helper()
+	var all []*member
+	for _, zone := range []string{"z1", "z2"} {
+		for i := range perZone {
+			all = append(all, newMember(t, fmt.Sprintf("%s-%d", zone, i), zone, services))
+		}
+	}
+	p.change(func() {
+		for _, m := range all {
+			p.vms = append(p.vms, m.Self.VM)
+		}
+	})
+	for _, m := range all {
+		m.run()
+	}
+	return all
+}
+
+func awaitAll(t *testing.T, all []*member, revision uint64) {
+	t.Helper()
+	for _, m := range all {
+		await(t, m.Watcher, revision)
+	}
+}
--- a/io/process/watch/service.go
+++ b/io/process/watch/service.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 	"time"
 
@@ -37,12 +35,14 @@
 	return &service{addr: addr, client: &http.Client{Timeout: readTimeout, Transport: &http.Transport{}}}
 }
 
+func (s *service) close() { s.client.CloseIdleConnections() }
+
 // document waits for a revision above after and returns its text. When none
 // comes within the wait it returns revision 0; after 0 answers at once.
-func (s *service) document(ctx context.Context, environment string, after uint64) ([]byte, uint64, error) {
+func (s *service) document(ctx context.Context, environment string, after uint64, wait time.Duration) ([]byte, uint64, error) {
 	path := "/v1/documents/" + url.PathEscape(environment)
 	if after > 0 {
-		path += fmt.Sprintf("?after=%d&wait=%s", after, watchWait)
+		path += fmt.Sprintf("?after=%d&wait=%s", after, wait)
 	}
 	b, h, err := s.get(ctx, path, inidoc.MaxBytes)
 	if err != nil || h == nil {
@@ -55,23 +55,18 @@
 	return b, revision, nil
 }
 
-// vms returns the VM list sorted by name.
-func (s *service) vms(ctx context.Context) ([]fleet.VM, error) {
+// vms returns the VM list and the bytes that it took.
+func (s *service) vms(ctx context.Context) ([]fleet.VM, int, error) {
+	const step = "read VM list"
 	b, _, err := s.get(ctx, "/v1/vms", maxVMList)
 	if err != nil {
-		return nil, fault.At("read VM list", s.addr.String(), err)
+		return nil, 0, fault.At(step, s.addr.String(), err)
 	}
 	var vms []fleet.VM
 	if err := json.Unmarshal(b, &vms); err != nil {
-		return nil, fault.At("decode VM list", s.addr.String(), err)
-	}
-	for _, v := range vms {
-		if err := v.Check(); err != nil {
-			return nil, fault.At("check VM list", s.addr.String(), err)
-		}
+		return nil, 0, fault.At(step, s.addr.String(), err)
 	}
-	slices.SortFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(a.Name, b.Name) })
-	return vms, nil
+	return vms, len(b), nil
 }
 
 // get returns the body and the header; both are nil for 304.
@@ -97,5 +92,3 @@
 	}
 	return b, resp.Header, err
 }
-
-func equalVMs(a, b []fleet.VM) bool { return slices.Equal(a, b) }
--- a/io/process/watch/watch.go
+++ b/io/process/watch/watch.go
@@ -1,9 +1,11 @@
 // Package watch keeps the configuration in force and the VM list of a
-// process up to date. doc/config-propagation.md tells operators how.
+// process up to date: it carries out what package gossip decides.
+// doc/config-propagation.md tells operators how.
 package watch
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,12 +15,21 @@
 
 	"hawthornferry/core/process/envdoc"
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/gossip"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/view"
-	"hawthornferry/io/conn/frame"
 	"hawthornferry/io/conn/link"
 )
 
+// exchange is how often peers tell each other what they hold. It bounds how
+// long a lost message can keep a process behind, and must leave room under
+// the 3 s in which a configuration is in force everywhere.
+const exchange = time.Second
+
+// maxEvents bounds the events that wait for the loop; connections that bring
+// more wait in turn, and their peers with them.
+const maxEvents = 256
+
 // Watcher learns the document in force and the VM list, and is the
 // view.Source of its process. Set the exported fields before Run. Config and
 // VMList may be invalid: the process then depends on its peers alone.
@@ -32,132 +43,181 @@
 	VMList      netip.AddrPort
 	Seeds       []netip.AddrPort
 
+	once    sync.Once
+	events  chan event
+	stopped chan struct{}
+
+	// These belong to the loop.
+	node    gossip.Node
+	conns   map[gossip.PeerID]*peerConn
+	nextID  gossip.PeerID
+	dialer  dialer
+	last    time.Time
+	members []string
+	// accepted is the document that passed the node's last check; the node
+	// adopts it right after.
+	accepted *envdoc.Document
+	// Bytes of connections that have ended.
+	closedReceived uint64
+	closedSent     uint64
+
+	docs feed
+	list feed
+
 	mu      sync.Mutex
 	view    view.View
 	changed chan struct{}
+	stats   Stats
 }
 
 var _ view.Source = (*Watcher)(nil)
 
-// Current returns the view in force.
-func (w *Watcher) Current() view.View {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.view
-}
-
-// Changed returns a channel that is closed at the next change of the view.
-func (w *Watcher) Changed() <-chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.changed == nil {
-		w.changed = make(chan struct{})
-	}
-	return w.changed
-}
-
-// Handler serves the configuration connections of peers.
-func (w *Watcher) Handler() link.Handler {
-	return link.Handler{
-		Kinds: frame.Kinds{},
-		Serve: func(ctx context.Context, _ *link.Conn) { <-ctx.Done() },
-	}
+// event is something that happened; the loop runs it and then carries out
+// the actions that it returns.
+type event func(now time.Time) []gossip.Action
+
+func (w *Watcher) init() {
+	w.once.Do(func() {
+		w.events = make(chan event, maxEvents)
+		w.stopped = make(chan struct{})
+		w.conns = map[gossip.PeerID]*peerConn{}
+		w.dialer.retries = map[netip.AddrPort]*redial{}
+		w.dialer.dialingTo = map[netip.AddrPort]bool{}
+		w.node.Zone = w.Self.VM.Zone
+		w.node.Accept = w.accept
+		w.docs.turn = make(chan struct{}, 1)
+		w.list.turn = make(chan struct{}, 1)
+	})
 }
 
 // Run keeps the view up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	w.init()
+	now := w.Clock.Now()
+	w.node.Start(now)
+	w.last = now
 	var wg sync.WaitGroup
-	wg.Go(func() { w.watchDocument(ctx) })
-	wg.Go(func() { w.pollVMs(ctx) })
+	wg.Go(func() { w.readDocuments(ctx) })
+	wg.Go(func() { w.readVMs(ctx) })
+	w.dialer.ctx, w.dialer.wg = ctx, &wg
+	w.loop(ctx)
 	wg.Wait()
 	return nil
 }
 
-// Pauses between reads.
-const (
-	vmPause    = time.Second
-	retryPause = 500 * time.Millisecond
-)
-
-func (w *Watcher) watchDocument(ctx context.Context) {
-	if !w.Config.IsValid() {
-		return
-	}
-	s := newService(w.Config)
-	var seen uint64
-	for ctx.Err() == nil {
-		text, revision, err := s.document(ctx, w.Environment, seen)
-		if err != nil {
-			w.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "read", Reason: err.Error()})
-			w.sleep(ctx, retryPause)
-			continue
-		}
-		if revision > seen {
-			seen = revision
-			w.offer(revision, text)
+func (w *Watcher) loop(ctx context.Context) {
+	ticker := w.Clock.NewTicker(exchange)
+	defer ticker.Stop()
+	defer close(w.stopped)
+	w.connect(w.Clock.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			w.closeAll()
+			return
+		case e := <-w.events:
+			w.perform(e(w.Clock.Now()))
+		case <-ticker.Chan():
+			w.tick(w.Clock.Now())
 		}
 	}
 }
 
-// offer puts a document in force when its revision is the highest so far.
-func (w *Watcher) offer(revision uint64, text []byte) {
-	doc, err := envdoc.Parse("revision", revision, text)
-	d := trail.Decision{Area: trail.AreaConfig, Revision: revision}
-	if err != nil {
-		d.Action, d.Reason = "refuse", err.Error()
-		w.Log.Decide(d)
-		return
+// post hands an event to the loop. It reports false when ctx or the loop has
+// ended.
+func (w *Watcher) post(ctx context.Context, e event) bool {
+	select {
+	case w.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-w.stopped:
+		return false
 	}
-	w.mu.Lock()
-	held := w.view.Revision()
-	if revision > held {
-		w.view.Document = doc
-		w.Self.Revision.Store(revision)
-		w.announce()
+}
+
+func (w *Watcher) tick(now time.Time) {
+	w.closeSilent(now)
+	w.elect(now)
+	w.perform(w.node.Tick(now))
+	w.connect(now)
+	w.record()
+}
+
+// elect decides whether this process reads the platform.
+func (w *Watcher) elect(now time.Time) {
+	reads := w.node.IsReader(w.Self.VM.Name, w.members, now)
+	if reads {
+		w.node.Reading(now)
 	}
-	w.mu.Unlock()
-	d.Action = "inForce"
-	if revision <= held {
-		d.Action, d.Reason = "ignore", "not above the revision in force"
+	w.docs.set(reads)
+	w.list.set(reads)
+}
+
+// Current returns the view in force.
+func (w *Watcher) Current() view.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changed == nil {
+		w.changed = make(chan struct{})
 	}
-	w.Log.Decide(d)
+	return w.changed
 }
 
-func (w *Watcher) pollVMs(ctx context.Context) {
-	if !w.VMList.IsValid() {
+// Ahead tells the watcher that a peer has shown a revision, on a connection
+// of whatever purpose. When it is above the one held here the peer is asked.
+func (w *Watcher) Ahead(peer fleet.VM, revision uint64) {
+	if revision <= w.Self.Revision.Load() {
 		return
 	}
-	s := newService(w.VMList)
-	for ctx.Err() == nil {
-		vms, err := s.vms(ctx)
-		if err == nil {
-			w.learn(vms)
+	w.init()
+	ask := func(now time.Time) []gossip.Action {
+		if revision > w.Self.Revision.Load() && !w.peerNames()[peer.Name] {
+			w.dial(peer.Address, true, now)
 		}
-		w.sleep(ctx, vmPause)
+		return nil
+	}
+	select {
+	case w.events <- ask:
+	default:
 	}
 }
 
-func (w *Watcher) learn(vms []fleet.VM) {
+// update changes the view and tells all who wait in Changed.
+func (w *Watcher) update(change func(*view.View)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if equalVMs(w.view.VMs, vms) {
-		return
-	}
-	w.view.VMs = vms
-	w.announce()
-}
-
-// announce tells all who wait in Changed; mu is held.
-func (w *Watcher) announce() {
+	change(&w.view)
 	if w.changed != nil {
 		close(w.changed)
 		w.changed = nil
 	}
 }
 
+// zoneMembers are the names of the zone's live VMs.
+func zoneMembers(vms []fleet.VM, zone string) []string {
+	var names []string
+	for _, v := range vms {
+		if v.Zone == zone && v.State == fleet.StateLive {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
 func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-w.Clock.After(d):
 	}
 }
+
+// random is from 0 up to 1; it only spreads retries in time.
+func random() float64 { return rand.Float64() }
--- a/io/process/watch/watch_test.go
+++ b/io/process/watch/watch_test.go
@@ -69,3 +69,16 @@
 		t.Error(err)
 	}
 }
+
+func TestFleetFollowsPromotions(t *testing.T) {
+	p, addr := newPlatform(t)
+	p.promote(1, document(time.Second))
+	all := startFleet(t, p, addr, 8)
+	awaitAll(t, all, 1)
+	for r := uint64(2); r < 6; r++ {
+		start := time.Now()
+		p.promote(r, document(time.Duration(r)*time.Second))
+		awaitAll(t, all, r)
+		t.Log(r, time.Since(start))
+	}
+}
