--- a/io/process/watch/fake_test.go
+++ b/io/process/watch/fake_test.go
@@ -23,7 +23,11 @@
 	texts    map[uint64]string
 	vms      []fleet.VM
 	down     bool
-	reads    int
+	// pins are revisions that the next reads are answered with, whatever
+	// they ask for.
+	pins []uint64
+	// asked are the revisions above which documents were asked for.
+	asked []uint64
 }
 
 func newPlatform(t *testing.T) (*platform, netip.AddrPort) {
@@ -55,7 +59,6 @@
 
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	p.reads++
 	down := p.down
 	p.mu.Unlock()
 	switch {
@@ -74,11 +77,15 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	end := time.After(wait)
+	p.mu.Lock()
+	p.asked = append(p.asked, after)
+	p.mu.Unlock()
 	for {
 		p.mu.Lock()
-		revision, text, changed := p.revision, p.texts[p.revision], p.changed
+		revision, pinned := p.next()
+		text, changed := p.texts[revision], p.changed
 		p.mu.Unlock()
-		if revision > after {
+		if revision > after || pinned {
 			w.Header().Set("X-Revision", fmt.Sprint(revision))
 			_, _ = w.Write([]byte(text))
 			return
@@ -94,6 +101,16 @@
 	}
 }
 
+// next returns the revision to answer with and whether it is pinned.
+func (p *platform) next() (uint64, bool) {
+	if len(p.pins) == 0 {
+		return p.revision, false
+	}
+	pin := p.pins[0]
+	p.pins = p.pins[1:]
+	return pin, true
+}
+
 // document returns a small sound document whose service times out after d.
 func document(d time.Duration) string {
 	return fmt.Sprintf(`[environment]
--- a/io/process/watch/fleet_test.go
+++ b/io/process/watch/fleet_test.go
@@ -115,11 +115,17 @@
 
 // startFleet runs perZone processes in each of two zones, all in the list.
 func startFleet(t *testing.T, p *platform, services netip.AddrPort, perZone int) []*member {
+	t.Helper()
+	return startNamed(t, p, services, perZone, "")
+}
+
+// startNamed is startFleet with a prefix of the names.
+func startNamed(t *testing.T, p *platform, services netip.AddrPort, perZone int, prefix string) []*member {
 	t.Helper()
 	var all []*member
 	for _, zone := range []string{"z1", "z2"} {
 		for i := range perZone {
-			all = append(all, newMember(t, fmt.Sprintf("%s-%d", zone, i), zone, services))
+			all = append(all, newMember(t, fmt.Sprintf("%s%s-%d", prefix, zone, i), zone, services))
 		}
 	}
 	p.change(func() {
--- a/io/process/watch/watch_test.go
+++ b/io/process/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,9 +77,12 @@
 	all := startFleet(t, p, addr, 8)
 	awaitAll(t, all, 1)
 	for r := uint64(2); r < 6; r++ {
-		start := time.Now()
 		p.promote(r, document(time.Duration(r)*time.Second))
 		awaitAll(t, all, r)
-		t.Log(r, time.Since(start))
+	}
+	for _, m := range all {
+		if got := m.log.inForce(); !slices.IsSorted(got) {
+			t.Errorf("%s put %v in force, want rising revisions", m.Self.VM.Name, got)
+		}
 	}
 }
