--- a/core/process/gossip/node_test.go
+++ b/core/process/gossip/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -31,6 +32,8 @@
 
 var epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 
+var testAddr = netip.MustParseAddrPort("127.0.0.1:1")
+
 func newWorld(n int) *world {
 	w := &world{cut: map[[2]int]bool{}, content: map[uint64]Sum{}, now: epoch}
 	for i := range n {
--- a/core/process/gossip/vms.go
+++ b/core/process/gossip/vms.go
@@ -8,14 +8,18 @@
 	"hawthornferry/core/process/fleet"
 )
 
-// maxShrink is how many answers in a row must lack more than half of the
-// held VMs before they are believed.
-const maxShrink = 3
+// confirmations is how many answers in a row must say what is doubted before
+// it is believed.
+const confirmations = 3
 
 // Observer turns answers of the platform's VM list into versions of it. It
 // is for one goroutine.
 type Observer struct {
+	// shrunk counts answers in a row that lack more than half of the VMs.
 	shrunk int
+	// revived counts, for each VM held as leaving, answers in a row by which
+	// it is live.
+	revived map[string]int
 }
 
 // Observe returns the state that follows held when the platform answers with
@@ -23,11 +27,11 @@
 //
 // A list that has just restarted answers with few VMs or none. Believed at
 // once, it would take every target from every entry; it must lack them three
-// times running. A VM that was leaving stays so until it has left the list:
-// readers see the list with different lags, and an older answer would
-// otherwise send new work to a VM that is about to go.
+// times running. A VM that was leaving stays so until it has left the list
+// or is live three times running: readers see the list with different lags,
+// and one older answer would otherwise send new work to a VM about to go.
 func (o *Observer) Observe(held State, vms []fleet.VM) (State, bool, error) {
-	if len(vms)*2 < len(held.Items) && o.shrunk+1 < maxShrink {
+	if len(vms)*2 < len(held.Items) && o.shrunk+1 < confirmations {
 		o.shrunk++
 		return State{}, false, nil
 	}
@@ -36,7 +40,7 @@
 	if err != nil {
 		return State{}, false, err
 	}
-	items, err := encodeVMs(keepLeaving(known, vms))
+	items, err := encodeVMs(o.keepLeaving(known, vms))
 	if err != nil {
 		return State{}, false, err
 	}
@@ -47,20 +51,26 @@
 	return next, next.Mark.Sum != held.Mark.Sum, nil
 }
 
-func keepLeaving(known, vms []fleet.VM) []fleet.VM {
+func (o *Observer) keepLeaving(known, vms []fleet.VM) []fleet.VM {
 	leaving := map[string]fleet.VM{}
 	for _, v := range known {
 		if v.State == fleet.StateLeaving {
 			leaving[v.Name] = v
 		}
 	}
+	revived := map[string]int{}
 	out := make([]fleet.VM, 0, len(vms))
 	for _, v := range vms {
-		if old, ok := leaving[v.Name]; ok && old.Address == v.Address {
+		old, doubted := leaving[v.Name]
+		if doubted && old.Address == v.Address && v.State == fleet.StateLive {
+			revived[v.Name] = o.revived[v.Name] + 1
+		}
+		if n := revived[v.Name]; n > 0 && n < confirmations {
 			v.State = fleet.StateLeaving
 		}
 		out = append(out, v)
 	}
+	o.revived = revived
 	return out
 }
 
