core/version/roll, io/version/order: load versions within a floor

Without an agreed order all replicas of a zone load at once and its callers see none. A side now announces that it asks, asks the other replicas of its service and zone, and orders only when enough of them answer that they serve. Tried first: letting the better rank win when two ask at once. It is unsafe: the worse rank may already hold the answers that permit it, and both load. Both give way now and are set apart by rank instead. Also weighed: a chain in rank order (one predecessor watched); it needs equal views of the VM list.

--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -26,6 +26,7 @@
 	PurposeCalls   Purpose = "calls"
 	PurposeWeights Purpose = "weights"
 	PurposeConfig  Purpose = "config"
+	PurposeOrders  Purpose = "orders"
 )
 
 // HelloTimeout bounds the wait for the peer's Hello.
@@ -45,7 +46,7 @@
 // Check reports the first field that is out of its domain.
 func (h *Hello) Check() error {
 	switch h.Purpose {
-	case PurposeCalls, PurposeWeights, PurposeConfig:
+	case PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders:
 	default:
 		return errors.Newf("hello: unknown purpose %q", h.Purpose)
 	}
--- /dev/null
+++ b/io/version/order/orderer.go
@@ -0,0 +1,171 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/process/view"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/roll"
+	"hawthornferry/io/conn/link"
+)
+
+// Times of the orderer. The question must end well within roll.PermitLife.
+const (
+	stepEvery  = 200 * time.Millisecond
+	askTimeout = time.Second
+)
+
+// Orderer brings one target to the version that the document names. Set the
+// exported fields before Run.
+type Orderer struct {
+	Self   *link.Self
+	Clock  clockwork.Clock
+	Log    trail.Log
+	Source view.Source
+	Engine *Engine
+	// Verified returns the manifest that has the given digest once all of its
+	// chunks are staged and verified.
+	Verified func(chunk.Digest) (chunk.Manifest, bool)
+	// Draining reports whether this process is shutting down.
+	Draining func() bool
+
+	mu      sync.Mutex
+	machine roll.Machine
+	facts   roll.Facts
+	last    roll.Reason
+}
+
+// Run steps until ctx ends.
+func (o *Orderer) Run(ctx context.Context) error {
+	tick := o.Clock.NewTicker(stepEvery)
+	defer tick.Stop()
+	for {
+		o.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.Chan():
+		}
+	}
+}
+
+// Target returns what the engine last reported and whether it answers.
+func (o *Orderer) Target() (roll.Target, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.facts.Target, o.facts.TargetKnown
+}
+
+func (o *Orderer) step(ctx context.Context) {
+	f, ok := o.gather(ctx)
+	if !ok {
+		return
+	}
+	o.mu.Lock()
+	o.facts = f
+	a := o.machine.Step(o.Clock.Now(), f)
+	o.mu.Unlock()
+	o.log(f, a)
+	if a.Kind == roll.ActionAsk {
+		a, f = o.ask(ctx, f)
+		o.log(f, a)
+	}
+	if a.Kind == roll.ActionOrder {
+		o.order(ctx, f, a)
+	}
+}
+
+// gather reads anew all that a decision rests on.
+func (o *Orderer) gather(ctx context.Context) (roll.Facts, bool) {
+	want, ok := roll.Place(o.Source.Current(), o.Self.VM)
+	if !ok {
+		return roll.Facts{}, false
+	}
+	f := roll.Facts{Want: want, Draining: o.Draining()}
+	if want.Manifest == "" {
+		return f, true
+	}
+	_, f.Verified = o.Verified(want.Manifest)
+	t, err := o.Engine.State(ctx)
+	if err == nil {
+		f.Target = t
+		f.TargetKnown = true
+	}
+	return f, true
+}
+
+// ask puts the question to the replicas of the zone. Facts are gathered
+// again after the answers, since a process may have slept meanwhile.
+func (o *Orderer) ask(ctx context.Context, f roll.Facts) (roll.Action, roll.Facts) {
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answers := o.askAll(askCtx, f.Want.Service.Name, f.Want.Peers)
+	again, ok := o.gather(ctx)
+	if !ok {
+		again = f
+		again.TargetKnown = false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.facts = again
+	return o.machine.Answered(o.Clock.Now(), again, answers), again
+}
+
+func (o *Orderer) order(ctx context.Context, f roll.Facts, a roll.Action) {
+	m, ok := o.Verified(a.Manifest)
+	if !ok {
+		o.failed(f, "weights are no longer whole")
+		return
+	}
+	if err := o.Engine.Load(ctx, a.Number, a.Manifest, m); err != nil {
+		o.failed(f, err.Error())
+	}
+}
+
+func (o *Orderer) failed(f roll.Facts, reason string) {
+	o.mu.Lock()
+	o.machine.Failed(o.Clock.Now(), f)
+	o.mu.Unlock()
+	o.Log.Decide(trail.Decision{
+		Area:     trail.AreaPlacement,
+		Action:   "loadFailed",
+		Service:  f.Want.Service.Name,
+		Subject:  string(f.Want.Manifest),
+		Reason:   reason,
+		Revision: f.Want.Revision,
+	})
+}
+
+func (o *Orderer) status() roll.Status {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.machine.Status(o.facts)
+	s.Name = o.Self.VM.Name
+	return s
+}
+
+// log writes a decision when it differs from the last one; a side that waits
+// decides the same five times a second.
+func (o *Orderer) log(f roll.Facts, a roll.Action) {
+	o.mu.Lock()
+	same := a.Kind == roll.ActionNone && a.Reason == o.last
+	o.last = a.Reason
+	o.mu.Unlock()
+	if same {
+		return
+	}
+	o.Log.Decide(trail.Decision{
+		Area:     trail.AreaPlacement,
+		Action:   string(a.Kind),
+		Service:  f.Want.Service.Name,
+		Subject:  string(f.Want.Manifest),
+		Choice:   o.Self.VM.Name,
+		Reason:   string(a.Reason),
+		Revision: f.Want.Revision,
+	})
+}
--- /dev/null
+++ b/io/version/order/orderer_test.go
@@ -0,0 +1,166 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/process/view"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/io/conn/link"
+)
+
+// zone counts the engines of one zone that serve at each moment.
+type zone struct {
+	mu      sync.Mutex
+	serving int
+	least   int
+}
+
+func (z *zone) add(n int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.serving += n
+	z.least = min(z.least, z.serving)
+}
+
+// fakeEngine loads at once but shows the load until its state has been read
+// readsToLoad times.
+type fakeEngine struct {
+	mu      sync.Mutex
+	state   state
+	reads   int
+	zone    *zone
+	numbers []uint64
+}
+
+const readsToLoad = 3
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Method == http.MethodPost {
+		e.order(w, r)
+		return
+	}
+	e.reads++
+	if e.state.Loading != "" && e.reads >= readsToLoad {
+		e.state.Manifest = e.state.Loading
+		e.state.Loading = ""
+		e.zone.add(1)
+	}
+	_ = json.NewEncoder(w).Encode(e.state)
+}
+
+func (e *fakeEngine) order(w http.ResponseWriter, r *http.Request) {
+	var l load
+	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if l.Number <= e.state.LastOrder {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.numbers = append(e.numbers, l.Number)
+	e.state.LastOrder = l.Number
+	e.state.Loading = l.Manifest
+	e.reads = 0
+	e.zone.add(-1)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+type fixedView struct{ v view.View }
+
+func (f fixedView) Current() view.View       { return f.v }
+func (f fixedView) Changed() <-chan struct{} { return nil }
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Callers of a zone of three with a floor of two see fewer than two replicas
+// if sides load side by side: all three have the new weights at the same
+// moment and all of them ask. Each must get its turn and none may be lost.
+func TestZoneNeverBelowFloor(t *testing.T) {
+	const replicas, floor = 3, 2
+	z := &zone{serving: replicas, least: replicas}
+	wanted := chunk.Sum([]byte("new"))
+	v := view.View{Document: &envdoc.Document{
+		Revision: 2,
+		Models:   []envdoc.Model{{Name: "m", Version: "2", Manifest: wanted}},
+		Services: []envdoc.Service{{
+			Name:     "helper",
+			Kind:     envdoc.KindEngine,
+			Model:    "m",
+			Floor:    floor,
+			Replicas: []envdoc.Placement{{Zone: "z", Replicas: replicas}},
+		}},
+	}}
+	var listeners []net.Listener
+	for _, name := range []string{"a", "b", "c"} {
+		l, addr := listen(t)
+		listeners = append(listeners, l)
+		v.VMs = append(v.VMs, fleet.VM{
+			Name: name, Role: fleet.RoleSide, Zone: "z", Region: "r",
+			Service: "helper", Address: addr, State: fleet.StateLive,
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var orderers []*Orderer
+	for i, vm := range v.VMs {
+		e := &fakeEngine{zone: z, state: state{Boot: "boot", Manifest: chunk.Sum([]byte("old")), LastOrder: 7}}
+		srv := httptest.NewServer(e)
+		t.Cleanup(srv.Close)
+		self := &link.Self{VM: vm, Boot: vm.Name}
+		self.Revision.Store(2)
+		o := &Orderer{
+			Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Source: fixedView{v},
+			Engine:   &Engine{Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), Client: srv.Client()},
+			Verified: func(chunk.Digest) (chunk.Manifest, bool) { return chunk.Manifest{}, true },
+			Draining: func() bool { return false },
+		}
+		orderers = append(orderers, o)
+		ln := &link.Listener{Self: self, Net: listeners[i], Handlers: map[link.Purpose]link.Handler{link.PurposeOrders: o.Handler()}}
+		wg.Go(func() { _ = ln.Run(ctx) })
+		wg.Go(func() { _ = o.Run(ctx) })
+	}
+	for _, o := range orderers {
+		waitServing(t, o, wanted)
+	}
+	cancel()
+	wg.Wait()
+	if diff := cmp.Diff(floor, z.least); diff != "" {
+		t.Errorf("least replicas serving (-want +got):\n%s", diff)
+	}
+}
+
+// waitServing returns once o's target serves d; a rollout that never ends
+// ends with the test's own timeout.
+func waitServing(t *testing.T, o *Orderer, d chunk.Digest) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		if target, ok := o.Target(); ok && target.Serving == d {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
