io/version/order: step when a retry is due, not on a tick

Cause: sides set apart by 20 ms of backoff a rank were all rounded up to the same 200 ms tick, asked at the same moment and all gave way. Ruled out: slow answers (an answer takes milliseconds) and the load itself (0.6 s each).

--- a/core/version/roll/machine.go
+++ b/core/version/roll/machine.go
@@ -214,6 +214,17 @@
 	}
 }
 
+// Wait is how long Step may be put off after now, at most longest. Steps that
+// were rounded up to a common tick would make sides that are set apart by
+// rank ask at the same moment again.
+func (m *Machine) Wait(now time.Time, longest time.Duration) time.Duration {
+	until := m.retryAt.Sub(now)
+	if until <= 0 {
+		return longest
+	}
+	return min(until, longest)
+}
+
 // Failed tells the machine that an order was refused or not answered, or
 // that the target gave a load up.
 func (m *Machine) Failed(now time.Time, f Facts) {
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -42,18 +42,22 @@
 
 // Run steps until ctx ends.
 func (o *Orderer) Run(ctx context.Context) error {
-	tick := o.Clock.NewTicker(stepEvery)
-	defer tick.Stop()
 	for {
 		o.step(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.Chan():
+		case <-o.Clock.After(o.wait()):
 		}
 	}
 }
 
+func (o *Orderer) wait() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.Wait(o.Clock.Now(), stepEvery)
+}
+
 // Target returns what the engine last reported and whether it answers.
 func (o *Orderer) Target() (roll.Target, bool) {
 	o.mu.Lock()
