route: choose a target by zone, prefix and load

The path of a call needs one decision that leaves out what may not be used and says why. Loads are estimated from the last report plus the entry's own calls since, because going by a lagging report alone sends every call between two reports to the same target. Affinity is bounded by the mean load. Tests: standing, version, avoid list, zone, spill, affinity bound, reports that lag, and how little a subset moves when a target goes. Not yet measured against other policies.

--- /dev/null
+++ b/core/request/route/choose_test.go
@@ -0,0 +1,218 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/version/chunk"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func target(name, zone string) Candidate {
+	return Candidate{
+		VM: fleet.VM{
+			Name:    name,
+			Role:    fleet.RoleSide,
+			Zone:    zone,
+			Region:  zone[:1],
+			Service: "helper",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			State:   fleet.StateLive,
+		},
+		Standing: StandingReady,
+		Report:   Report{Capacity: 8},
+	}
+}
+
+func newChooser() *Chooser {
+	return &Chooser{
+		Entry: fleet.VM{Name: "e1", Role: fleet.RoleEntry, Zone: "a1", Region: "a"},
+		Rand:  rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func TestChooseLeavesOut(t *testing.T) {
+	with := func(c Candidate, change func(*Candidate)) Candidate {
+		change(&c)
+		return c
+	}
+	v1, v2 := chunk.Sum([]byte("1")), chunk.Sum([]byte("2"))
+	tests := []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		want       string
+		reason     Reason
+		left       []trail.Left
+	}{
+		{
+			name: "standing",
+			candidates: []Candidate{
+				with(target("t1", "a1"), func(c *Candidate) { c.Standing = StandingSilent }),
+				with(target("t2", "a1"), func(c *Candidate) { c.VM.State = fleet.StateLeaving }),
+				with(target("t3", "a1"), func(c *Candidate) { c.Standing = StandingUnserved }),
+				target("t4", "a1"),
+			},
+			want: "t4", reason: ReasonOnly,
+			left: []trail.Left{{Name: "t1", Reason: "silent"}, {Name: "t2", Reason: "leaving"}, {Name: "t3", Reason: "unserved"}},
+		},
+		{
+			name:    "version and avoided",
+			request: Request{Version: v2, Avoid: []string{"t2"}},
+			candidates: []Candidate{
+				with(target("t1", "a1"), func(c *Candidate) { c.Serving = v1 }),
+				with(target("t2", "a1"), func(c *Candidate) { c.Serving = v2 }),
+				with(target("t3", "a1"), func(c *Candidate) { c.Serving = v2 }),
+			},
+			want: "t3", reason: ReasonOnly,
+			left: []trail.Left{{Name: "t1", Reason: "otherVersion"}, {Name: "t2", Reason: "failedThisCall"}},
+		},
+		{
+			name:       "own zone first",
+			candidates: []Candidate{target("t1", "b1"), target("t2", "a1")},
+			want:       "t2", reason: ReasonOnly,
+			left: []trail.Left{{Name: "t1", Reason: "otherZone"}},
+		},
+		{
+			name: "spill to the region and not beyond",
+			candidates: []Candidate{
+				target("t1", "b1"),
+				target("t2", "a2"),
+				with(target("t3", "a1"), func(c *Candidate) { c.InFlight = 8 }),
+			},
+			want: "t2", reason: ReasonLoad,
+			left: []trail.Left{{Name: "t1", Reason: "otherZone"}, {Name: "t3", Reason: "moreLoaded"}},
+		},
+		{
+			name: "less loaded of two",
+			candidates: []Candidate{
+				with(target("t1", "a1"), func(c *Candidate) { c.InFlight = 3 }),
+				target("t2", "a1"),
+			},
+			want: "t2", reason: ReasonLoad,
+			left: []trail.Left{{Name: "t1", Reason: "moreLoaded"}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := newChooser().Choose(start, tt.request, tt.candidates)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.want, got.VM.Name); diff != "" {
+				t.Errorf("target (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.reason, got.Reason); diff != "" {
+				t.Errorf("reason (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.left, got.Left); diff != "" {
+				t.Errorf("left out (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A caller whose only targets are leaving hears that there is none, with the
+// reason for each; it is not sent to a target that is about to go.
+func TestChooseNoTarget(t *testing.T) {
+	c := target("t1", "a1")
+	c.Standing = StandingLeaving
+	_, err := newChooser().Choose(start, Request{Service: "helper"}, []Candidate{c})
+	var none *NoTarget
+	if !errors.As(err, &none) {
+		t.Fatalf("error is %v, want a NoTarget", err)
+	}
+	want := []trail.Left{{Name: "t1", Reason: "leaving"}}
+	if diff := cmp.Diff(want, none.Left); diff != "" {
+		t.Errorf("left out (-want +got):\n%s", diff)
+	}
+}
+
+// One popular prefix arrives again and again. The first target keeps it until
+// its load passes the bound; then a second one takes it too, so that the
+// first token does not wait behind a queue while other targets idle.
+func TestAffinityIsBounded(t *testing.T) {
+	c := newChooser()
+	cands := []Candidate{target("t1", "a1"), target("t2", "a1"), target("t3", "a1"), target("t4", "a1")}
+	used := map[string]int{}
+	for range 32 {
+		got, err := c.Choose(start, Request{Prefix: []uint64{7}}, cands)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[got.VM.Name]++
+		for i := range cands {
+			cands[i].InFlight = used[cands[i].VM.Name]
+		}
+	}
+	for _, cand := range cands {
+		if cand.InFlight == 0 || cand.InFlight > 12 {
+			t.Errorf("%s has %d of 32 calls, want 1 to 12", cand.VM.Name, cand.InFlight)
+		}
+	}
+}
+
+// Reports lag. Between two reports all calls would go to the target that
+// looked idle; the entry's own calls since the report are added so that
+// they do not.
+func TestOwnCallsSinceReportCount(t *testing.T) {
+	c := newChooser()
+	cands := []Candidate{target("t1", "a1"), target("t2", "a1")}
+	cands[0].Report = Report{At: start, Running: 0, Capacity: 8}
+	cands[1].Report = Report{At: start, Running: 4, Capacity: 8}
+	for range 8 {
+		got, err := c.Choose(start, Request{}, cands)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range cands {
+			if cands[i].VM.Name == got.VM.Name {
+				cands[i].InFlight++
+			}
+		}
+	}
+	if diff := cmp.Diff([]int{6, 2}, []int{cands[0].InFlight, cands[1].InFlight}); diff != "" {
+		t.Errorf("calls in flight (-want +got):\n%s", diff)
+	}
+}
+
+// When one target leaves a subset, each other place of it stays as it was:
+// sessions to the remaining targets are not torn down.
+func TestSubsetMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(t, "targets")
+		size := rapid.IntRange(1, 20).Draw(t, "size")
+		var vms []fleet.VM
+		for i := range n {
+			zone := rapid.SampledFrom([]string{"a1", "a2", "b1"}).Draw(t, "zone")
+			vms = append(vms, target(fmt.Sprintf("t%d", i), zone).VM)
+		}
+		entry := fleet.VM{Name: "e1", Zone: "a1", Region: "a"}
+		before := Subset(entry, "helper", vms, size)
+		if len(before) != min(n, size) {
+			t.Fatalf("%d targets in the subset, want %d", len(before), min(n, size))
+		}
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		name := vms[gone].Name
+		after := Subset(entry, "helper", append(vms[:gone:gone], vms[gone+1:]...), size)
+		kept := map[string]bool{}
+		for _, vm := range after {
+			kept[vm.Name] = true
+		}
+		for _, vm := range before {
+			if vm.Name != name && !kept[vm.Name] {
+				t.Fatalf("%s left the subset when %s went", vm.Name, name)
+			}
+		}
+	})
+}
