admit: decide at the entry what goes on, waits or is refused

A burst over capacity otherwise queues at the engines until no first token comes in time. Per service: a limit of calls in flight learnt from reports and first-byte times, start-time fair queueing by customers' shares, batch after interactive, refusal when the wait passes the deadline, and a retry budget filled by calls. The package comment tells how front calls it. Not yet measured under load.

--- /dev/null
+++ b/core/request/admit/admit.go
@@ -0,0 +1,309 @@
+// Package admit decides at the entry which calls may go on to a target, which
+// wait, and which are refused at the door.
+//
+// One Admitter serves an entry. It has no clock and starts nothing; each
+// method takes the time and returns the verdicts that follow from it, for the
+// call at hand and for any other that the event let in or refused:
+//
+//	a.SetShares(doc.Customers)            // at each new document
+//	a.Report(now, service, vm, report)    // at each load report of a target
+//	deliver(a.Offer(now, offer))          // a call arrives
+//	deliver(a.Withdraw(now, id))          // its caller went away, at any time
+//	deliver(a.Done(now, admit.Done{...})) // an admitted call has ended
+//	deliver(a.Tick(now))                  // every TickEvery
+//
+// The goroutine of a call waits until deliver hands it the verdict of its ID:
+// on Admitted it chooses a target and must call Done in the end, on Refused
+// it answers 429 with RetryAfter and the outcome notRun, which is true since
+// nothing was sent. Before sending a call again to another target, ask
+// Retry; when it says no, the call fails with what it has.
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/aged"
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/request/route"
+)
+
+// TickEvery is how often Tick is to be called.
+const TickEvery = 100 * time.Millisecond
+
+// Defaults of an Admitter's settings.
+const (
+	DefaultQueue     = 1024
+	DefaultServices  = 256
+	DefaultCustomers = 1024
+	DefaultTargets   = 256
+	DefaultAge       = 10 * time.Minute
+	DefaultReportAge = 5 * time.Second
+	DefaultCallAge   = 30 * time.Minute
+)
+
+// Offer is a call that wants to go on. ID must not be in use. Deadline is the
+// latest time at which the first byte of the answer is of use to the caller;
+// the zero time is none.
+type Offer struct {
+	ID       string
+	Customer string
+	Service  string
+	Priority route.Priority
+	Deadline time.Time
+}
+
+// Check reports the first field that is out of its domain.
+func (o Offer) Check() error {
+	if o.ID == "" || o.Service == "" {
+		return errors.New("offer: id or service is empty")
+	}
+	if o.Priority != route.PriorityInteractive && o.Priority != route.PriorityBatch {
+		return errors.Newf("offer: unknown priority %q", o.Priority)
+	}
+	return nil
+}
+
+// Done tells that an admitted call has ended. FirstByte is the time from
+// admission to the first byte of the answer, zero when there was none.
+type Done struct {
+	ID        string
+	FirstByte time.Duration
+}
+
+// Decision is what becomes of an offered call.
+type Decision string
+
+// The decisions.
+const (
+	Admitted Decision = "admitted"
+	Refused  Decision = "refused"
+)
+
+// Reason says why a call was refused.
+type Reason string
+
+// The reasons of refusal.
+const (
+	ReasonQueueFull Reason = "queueFull"
+	ReasonDeadline  Reason = "deadlineCannotBeMet"
+	ReasonTooMany   Reason = "tooManyServices"
+)
+
+// Verdict is the decision on one call. RetryAfter, for a refused one, is when
+// the queue that is there now should have room; it is in whole seconds.
+type Verdict struct {
+	ID         string
+	Decision   Decision
+	Reason     Reason
+	RetryAfter time.Duration
+	Waited     time.Duration
+}
+
+// State is a summary of one service for status and metrics.
+type State struct {
+	Service  string
+	Limit    int
+	InFlight int
+	Waiting  int
+}
+
+// Admitter decides for one entry. Set the exported fields before the first
+// call; zero values stand for the defaults. It is not safe for concurrent use.
+type Admitter struct {
+	// Queue is the most calls that wait for one service.
+	Queue int
+	// Services, Customers and Targets bound the tables; Customers and Targets
+	// are for each service.
+	Services  int
+	Customers int
+	Targets   int
+	// Age is how long a service or customer without calls is remembered.
+	Age time.Duration
+	// ReportAge is how old a load report may be and still count.
+	ReportAge time.Duration
+	// CallAge is when an admitted call is given up without a Done.
+	CallAge time.Duration
+	// Limit is how the number of calls in flight is learnt.
+	Limit LimitSettings
+
+	shares   map[string]int
+	services aged.Table[string, *service]
+	calls    map[string]*call
+	ready    bool
+}
+
+// SetShares takes the customers' shares of the document in force. A customer
+// that is not named has the share of one.
+func (a *Admitter) SetShares(customers []envdoc.Customer) {
+	shares := make(map[string]int, len(customers))
+	for _, c := range customers {
+		shares[c.Name] = c.Share
+	}
+	a.shares = shares
+}
+
+// Report takes a target's load report.
+func (a *Admitter) Report(now time.Time, serviceName, target string, r route.Report) {
+	a.prepare()
+	if s := a.service(now, serviceName); s != nil {
+		s.reports.Put(now, target, r)
+	}
+}
+
+// Offer takes a new call. An offer whose ID is in use is ignored.
+func (a *Admitter) Offer(now time.Time, o Offer) []Verdict {
+	a.prepare()
+	if _, ok := a.calls[o.ID]; ok {
+		return nil
+	}
+	s := a.service(now, o.Service)
+	if s == nil {
+		return []Verdict{{ID: o.ID, Decision: Refused, Reason: ReasonTooMany, RetryAfter: minRetryAfter}}
+	}
+	c := &call{Offer: o, offered: now}
+	out := s.offer(now, c, a.share(o.Customer))
+	a.calls[o.ID] = c
+	return a.settle(append(out, s.release(now)...))
+}
+
+// Done takes the end of an admitted call. An unknown ID is ignored.
+func (a *Admitter) Done(now time.Time, d Done) []Verdict {
+	return a.end(now, d.ID, d.FirstByte)
+}
+
+// Withdraw takes back a call whose caller went away. An unknown ID is
+// ignored.
+func (a *Admitter) Withdraw(now time.Time, id string) []Verdict {
+	return a.end(now, id, 0)
+}
+
+// Tick refuses waiting calls that can no longer make their deadline, adjusts
+// the limits, and drops what is too old.
+func (a *Admitter) Tick(now time.Time) []Verdict {
+	a.prepare()
+	var out []Verdict
+	for name, s := range a.services.All(now) {
+		if !s.idle() {
+			a.services.Put(now, name, s)
+		}
+		out = append(out, s.tick(now)...)
+	}
+	out = append(a.settle(out), a.expire(now)...)
+	a.services.Expire(now)
+	return out
+}
+
+// Retry reports whether a call of the service may be sent once more. Each
+// offered call earns a part of one retry: when targets fail, the retries
+// then add a tenth to the load, where unbounded ones would multiply it and
+// keep the targets from ever recovering.
+func (a *Admitter) Retry(now time.Time, serviceName string) bool {
+	a.prepare()
+	s := a.service(now, serviceName)
+	return s != nil && s.budget.take()
+}
+
+// States returns a summary of each service, the latest used first.
+func (a *Admitter) States(now time.Time) []State {
+	a.prepare()
+	var out []State
+	for name, s := range a.services.All(now) {
+		out = append(out, State{Service: name, Limit: s.limit.calls(), InFlight: s.inFlight, Waiting: s.waiting.size})
+	}
+	return out
+}
+
+// Size returns the number of calls, services and customers remembered.
+func (a *Admitter) Size(now time.Time) int {
+	n := len(a.calls) + a.services.Len()
+	for _, s := range a.services.All(now) {
+		n += s.customers.Len() + s.reports.Len()
+	}
+	return n
+}
+
+func (a *Admitter) end(now time.Time, id string, firstByte time.Duration) []Verdict {
+	c, ok := a.calls[id]
+	if !ok {
+		return nil
+	}
+	delete(a.calls, id)
+	s, ok := a.services.Get(now, c.Service)
+	if !ok {
+		return nil
+	}
+	s.end(now, c, firstByte)
+	return a.settle(s.release(now))
+}
+
+// settle forgets refused calls.
+func (a *Admitter) settle(out []Verdict) []Verdict {
+	for _, v := range out {
+		if v.Decision == Refused {
+			delete(a.calls, v.ID)
+		}
+	}
+	return out
+}
+
+// expire gives up admitted calls that never ended. Each would otherwise hold
+// a place for good; after weeks the service would have none left.
+func (a *Admitter) expire(now time.Time) []Verdict {
+	var stuck []string
+	for id, c := range a.calls {
+		if !c.admitted.IsZero() && now.Sub(c.admitted) > a.CallAge {
+			stuck = append(stuck, id)
+		}
+	}
+	slices.Sort(stuck)
+	var out []Verdict
+	for _, id := range stuck {
+		out = append(out, a.end(now, id, 0)...)
+	}
+	return out
+}
+
+func (a *Admitter) share(customer string) int { return max(a.shares[customer], 1) }
+
+// service returns the state of a service and marks it as used, or nil when
+// there are too many services.
+func (a *Admitter) service(now time.Time, name string) *service {
+	s, ok := a.services.Get(now, name)
+	if !ok {
+		a.services.Expire(now)
+		if a.services.Len() >= a.services.Max {
+			return nil
+		}
+		s = newService(a)
+	}
+	a.services.Put(now, name, s)
+	return s
+}
+
+func (a *Admitter) prepare() {
+	if a.ready {
+		return
+	}
+	a.ready = true
+	a.Queue = orDefault(a.Queue, DefaultQueue)
+	a.Customers = orDefault(a.Customers, DefaultCustomers)
+	a.Targets = orDefault(a.Targets, DefaultTargets)
+	a.ReportAge = orDefault(a.ReportAge, DefaultReportAge)
+	a.CallAge = orDefault(a.CallAge, DefaultCallAge)
+	a.Age = max(orDefault(a.Age, DefaultAge), a.CallAge)
+	a.Limit = a.Limit.withDefaults()
+	a.calls = make(map[string]*call)
+	a.services.Max = orDefault(a.Services, DefaultServices)
+	a.services.Age = a.Age
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/core/request/admit/service.go
@@ -0,0 +1,203 @@
+package admit
+
+import (
+	"time"
+
+	"hawthornferry/core/process/aged"
+	"hawthornferry/core/request/route"
+)
+
+// Bounds of the delay that a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// service is the state of one service at this entry.
+type service struct {
+	limit     limit
+	budget    budget
+	inFlight  int
+	waiting   queue
+	maxQueue  int
+	customers aged.Table[string, *customer]
+	reports   aged.Table[string, route.Report]
+	// slotTime is how long an admitted call holds its place, in seconds.
+	slotTime mean
+	// first is the usual time from admission to the first byte, in seconds.
+	first mean
+}
+
+func newService(a *Admitter) *service {
+	s := &service{limit: newLimit(a.Limit), budget: newBudget(), maxQueue: a.Queue}
+	s.customers.Max = a.Customers
+	s.customers.Age = a.Age
+	s.reports.Max = a.Targets
+	s.reports.Age = a.ReportAge
+	return s
+}
+
+// offer queues c or refuses it, or another in its place.
+func (s *service) offer(now time.Time, c *call, share int) []Verdict {
+	s.budget.earn()
+	cust := s.customer(now, c.Customer, share)
+	c.customer = cust
+	if wait := s.wait(cust); s.tooLate(now, c, wait) {
+		return []Verdict{s.refuse(now, c, ReasonDeadline, wait)}
+	}
+	var out []Verdict
+	if s.waiting.size >= s.maxQueue {
+		out = s.makeRoom(now, cust, c)
+		if len(out) == 1 && out[0].ID == c.ID {
+			return out
+		}
+	}
+	s.waiting.push(c)
+	return out
+}
+
+// makeRoom refuses the latest call of the customer that has the most waiting
+// for its share. Refusing whoever comes last instead would let one customer
+// fill the queue and shut out the others.
+func (s *service) makeRoom(now time.Time, own *customer, c *call) []Verdict {
+	heaviest := s.waiting.heaviest(own)
+	if heaviest == own && (own.waiting() == 0 || c.Priority == route.PriorityBatch || len(own.batch) == 0) {
+		return []Verdict{s.refuse(now, c, ReasonQueueFull, s.wait(own))}
+	}
+	victim := heaviest.last()
+	s.waiting.remove(victim)
+	return []Verdict{s.refuse(now, victim, ReasonQueueFull, s.wait(heaviest))}
+}
+
+// release admits waiting calls while there are places.
+func (s *service) release(now time.Time) []Verdict {
+	var out []Verdict
+	for s.inFlight < s.limit.calls() {
+		c := s.waiting.next()
+		if c == nil {
+			break
+		}
+		s.waiting.remove(c)
+		if s.tooLate(now, c, 0) {
+			out = append(out, s.refuse(now, c, ReasonDeadline, s.wait(c.customer)))
+			continue
+		}
+		s.admit(now, c)
+		out = append(out, Verdict{ID: c.ID, Decision: Admitted, Waited: now.Sub(c.offered)})
+	}
+	return out
+}
+
+func (s *service) admit(now time.Time, c *call) {
+	cust := c.customer
+	cost := cust.slotTime.value
+	if cost == 0 {
+		cost = max(s.slotTime.value, time.Millisecond.Seconds())
+	}
+	s.waiting.charge(cust, cost)
+	c.admitted = now
+	s.inFlight++
+	s.limit.use(s.inFlight)
+}
+
+func (s *service) end(now time.Time, c *call, firstByte time.Duration) {
+	if c.admitted.IsZero() {
+		s.waiting.remove(c)
+		return
+	}
+	s.inFlight--
+	held := now.Sub(c.admitted).Seconds()
+	s.slotTime.add(held)
+	c.customer.slotTime.add(held)
+	if firstByte > 0 {
+		s.first.add(firstByte.Seconds())
+		s.limit.first.add(firstByte)
+	}
+}
+
+func (s *service) tick(now time.Time) []Verdict {
+	out := s.refuseLate(now)
+	if s.limit.due(now) {
+		s.limit.adjust(now, s.pressure(now))
+	}
+	s.customers.Expire(now)
+	s.reports.Expire(now)
+	return append(out, s.release(now)...)
+}
+
+// refuseLate refuses what waits and cannot make its deadline any more, so
+// that its caller hears at once and can still turn elsewhere.
+func (s *service) refuseLate(now time.Time) []Verdict {
+	var late []*call
+	for _, cust := range s.waiting.customers {
+		for _, c := range append(cust.interactive[:len(cust.interactive):len(cust.interactive)], cust.batch...) {
+			if s.tooLate(now, c, 0) {
+				late = append(late, c)
+			}
+		}
+	}
+	var out []Verdict
+	for _, c := range late {
+		s.waiting.remove(c)
+		out = append(out, s.refuse(now, c, ReasonDeadline, s.wait(c.customer)))
+	}
+	return out
+}
+
+// tooLate reports whether c, if it still waits for wait, gets its first byte
+// after its deadline.
+func (s *service) tooLate(now time.Time, c *call, wait time.Duration) bool {
+	if c.Deadline.IsZero() {
+		return false
+	}
+	need := wait + seconds(s.first.value)
+	return now.Add(need).After(c.Deadline)
+}
+
+// wait estimates how long the next call of cust waits for a place: the calls
+// before it, at the pace at which places come free for this customer's share.
+func (s *service) wait(cust *customer) time.Duration {
+	if s.slotTime.value == 0 || (s.waiting.size == 0 && s.inFlight < s.limit.calls()) {
+		return 0
+	}
+	perSecond := float64(s.limit.calls()) / s.slotTime.value
+	part := float64(cust.share) / float64(s.waiting.shares(cust))
+	return seconds(float64(cust.waiting()+1) / (perSecond * part))
+}
+
+func (s *service) refuse(now time.Time, c *call, r Reason, wait time.Duration) Verdict {
+	after := wait.Truncate(time.Second) + time.Second
+	return Verdict{
+		ID:         c.ID,
+		Decision:   Refused,
+		Reason:     r,
+		RetryAfter: min(max(after, minRetryAfter), maxRetryAfter),
+		Waited:     now.Sub(c.offered),
+	}
+}
+
+func (s *service) pressure(now time.Time) pressure {
+	var p pressure
+	for _, r := range s.reports.All(now) {
+		p.capacity += r.Capacity
+		p.queued += r.Queued
+	}
+	return p
+}
+
+// idle reports whether the service has no calls.
+func (s *service) idle() bool { return s.inFlight == 0 && s.waiting.size == 0 }
+
+// customer returns the state of a customer, with its present share, and marks
+// it as used.
+func (s *service) customer(now time.Time, name string, share int) *customer {
+	c, ok := s.customers.Get(now, name)
+	if !ok {
+		c = &customer{name: name}
+	}
+	c.share = share
+	s.customers.Put(now, name, c)
+	return c
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
