--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
 
-.PHONY: build demo test fmt lint unit fuzz-seeds clean
+.PHONY: build demo test fmt lint unit fuzz-seeds clean bench-policy
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -30,3 +30,7 @@
 
 clean:
 	rm -rf bin run
+
+# Compares policies of choice and admission on a queueing model; see docs/notes-policy.md.
+bench-policy:
+	$(GO) run ./bench/policy -out docs
