standin: add platform, weights, engine and plain service

The system's processes need something to speak to that follows docs/PLATFORM.md with its faults. Engines of one process share staged bytes through a pool, so that six replicas of 64 MiB cost one copy of memory. Chunks are made from a seed for each request and never kept.

--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"hawthornferry/standin/expect"
+	"hawthornferry/standin/serve"
+)
+
+// The object names of the usual form.
+const (
+	objectWhole = "chat.completion"
+	objectChunk = "chat.completion.chunk"
+)
+
+// finishStop ends an answer that is whole.
+const finishStop = "stop"
+
+// Delta is the text that a chunk of a stream adds.
+type Delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// ChunkChoice is the one choice of a chunk. FinishReason is nil until the
+// last chunk.
+type ChunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        Delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Chunk is one event of a stream. Position is the position of its token; the
+// last chunk has no token, and its position is the count of tokens.
+type Chunk struct {
+	ID       string        `json:"id"`
+	Object   string        `json:"object"`
+	Created  int64         `json:"created"`
+	Model    string        `json:"model"`
+	Position int           `json:"position"`
+	Choices  []ChunkChoice `json:"choices"`
+}
+
+// Choice is the one choice of a whole answer.
+type Choice struct {
+	Index        int            `json:"index"`
+	Message      expect.Message `json:"message"`
+	FinishReason string         `json:"finish_reason"`
+}
+
+// Usage counts the tokens of a whole answer.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Completion is a whole answer.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, g *generation) {
+	var b strings.Builder
+	for k := g.from; k < g.tokens; k++ {
+		if e.step(w, r, g, k) != nil {
+			return
+		}
+		b.WriteString(g.answer.Token(k))
+	}
+	serve.JSON(w, http.StatusOK, Completion{
+		ID:      newID(),
+		Object:  objectWhole,
+		Created: e.Clock.Now().Unix(),
+		Model:   g.request.Model,
+		Choices: []Choice{{
+			Message:      expect.Message{Role: "assistant", Content: b.String()},
+			FinishReason: finishStop,
+		}},
+		Usage: Usage{CompletionTokens: max(0, g.tokens-g.from)},
+	})
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	c := Chunk{
+		ID:      newID(),
+		Object:  objectChunk,
+		Created: e.Clock.Now().Unix(),
+		Model:   g.request.Model,
+	}
+	for k := g.from; k < g.tokens; k++ {
+		if e.step(w, r, g, k) != nil {
+			return
+		}
+		c.Position = k
+		c.Choices = []ChunkChoice{{Delta: Delta{Content: g.answer.Token(k)}}}
+		if send(w, c) != nil {
+			return
+		}
+	}
+	c.Position = g.tokens
+	finish := finishStop
+	c.Choices = []ChunkChoice{{FinishReason: &finish}}
+	if send(w, c) != nil {
+		return
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// send writes one event and flushes it to the caller.
+func send(w http.ResponseWriter, c Chunk) error {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+func newID() string { return "chatcmpl-" + uuid.NewString() }
--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/standin/expect"
+	"hawthornferry/standin/serve"
+)
+
+// Bounds of a completion.
+const (
+	defaultTokens = 16
+	maxTokens     = 1 << 16
+)
+
+// The headers of a chat.
+const (
+	headerManifest = "X-Manifest"
+	headerResume   = "X-Resume-From"
+	headerPriority = "X-Priority"
+)
+
+// priorityBatch marks a generation that waits behind interactive ones.
+const priorityBatch = "batch"
+
+// queueRetry is what a caller is asked to wait when the queue is full.
+const queueRetry = time.Second
+
+// Request is a chat completion request; other fields of the usual form change
+// nothing here.
+type Request struct {
+	Model     string           `json:"model"`
+	Messages  []expect.Message `json:"messages"`
+	Stream    bool             `json:"stream"`
+	MaxTokens int              `json:"max_tokens"`
+}
+
+// Check reports the first field that is out of its domain.
+func (q Request) Check() error {
+	if len(q.Messages) == 0 {
+		return errors.New("messages are empty")
+	}
+	if q.MaxTokens < 0 || q.MaxTokens > maxTokens {
+		return errors.Newf("max_tokens %d: want 0 to %d", q.MaxTokens, maxTokens)
+	}
+	return nil
+}
+
+// generation is one answer under way.
+type generation struct {
+	request  Request
+	manifest chunk.Digest
+	answer   expect.Answer
+	from     int
+	tokens   int
+	faults   FaultSet
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	q, from, err := readChat(w, r)
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	faults := e.faults.hit()
+	if faults.Status != 0 {
+		serve.Fail(w, faults.Status, "fault")
+		return
+	}
+	err = e.slots.acquire(r.Context(), r.Header.Get(headerPriority) == priorityBatch)
+	if errors.Is(err, errFull) {
+		serve.TooMany(w, queueRetry)
+		return
+	}
+	if err != nil {
+		return
+	}
+	defer e.slots.release()
+	manifest, ok := e.served()
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		serve.Fail(w, http.StatusServiceUnavailable, "no version is served")
+		return
+	}
+	g := newGeneration(q, manifest, from, faults)
+	if e.prefill(r, q) != nil {
+		return
+	}
+	w.Header().Set(headerManifest, string(manifest))
+	if q.Stream {
+		e.stream(w, r, g)
+		return
+	}
+	e.whole(w, r, g)
+}
+
+func readChat(w http.ResponseWriter, r *http.Request) (Request, int, error) {
+	q, err := serve.ReadLoose[Request](w, r)
+	if err != nil {
+		return q, 0, err
+	}
+	if err := q.Check(); err != nil {
+		return q, 0, err
+	}
+	s := r.Header.Get(headerResume)
+	if s == "" {
+		return q, 0, nil
+	}
+	from, err := strconv.Atoi(s)
+	if err != nil || from < 0 {
+		return q, 0, errors.Newf("%s %q: want a position", headerResume, s)
+	}
+	return q, from, nil
+}
+
+// served returns the version in service. A generation keeps the version that
+// it began with to its end.
+func (e *Engine) served() (chunk.Digest, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.manifest, e.manifest != "" && e.switching == 0
+}
+
+func newGeneration(q Request, manifest chunk.Digest, from int, faults FaultSet) *generation {
+	g := &generation{request: q, manifest: manifest, from: from, tokens: q.MaxTokens, faults: faults}
+	if g.tokens == 0 {
+		g.tokens = defaultTokens
+	}
+	g.answer = expect.NewAnswer(manifest, expect.Prompt(q.Messages))
+	return g
+}
+
+// prefill takes time for each block of the prompt that is not cached.
+func (e *Engine) prefill(r *http.Request, q Request) error {
+	missed := e.cache.use(expect.Prefixes(expect.Prompt(q.Messages)), e.Clock.Now())
+	return serve.Sleep(r.Context(), e.Clock, time.Duration(missed)*e.PrefillDelay)
+}
+
+// step waits for the token at a position, with the faults that it meets.
+func (e *Engine) step(w http.ResponseWriter, r *http.Request, g *generation, position int) error {
+	if g.faults.CutAfter != nil && position-g.from >= *g.faults.CutAfter {
+		serve.Cut(w)
+	}
+	delay := e.TokenDelay
+	if s, _ := e.faults.set.Get(); s.TokenDelay > 0 {
+		delay = time.Duration(s.TokenDelay)
+	}
+	if err := serve.Sleep(r.Context(), e.Clock, delay); err != nil {
+		return err
+	}
+	return e.faults.gate(r.Context(), e.Clock)
+}
--- /dev/null
+++ b/standin/engine/order.go
@@ -0,0 +1,209 @@
+package engine
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/standin/serve"
+)
+
+// maxLoads bounds the list of past loads.
+const maxLoads = 1024
+
+// Action is what an order asks for.
+type Action string
+
+// ActionLoad asks the engine to serve a version.
+const ActionLoad Action = "load"
+
+// Order is an order to the engine. Body is the manifest whose canonical bytes
+// have the digest Manifest.
+type Order struct {
+	Number   uint64         `json:"number"`
+	Action   Action         `json:"action"`
+	Manifest chunk.Digest   `json:"manifest"`
+	Body     chunk.Manifest `json:"body"`
+}
+
+// LastOrder is the answer to an order with an old number.
+type LastOrder struct {
+	LastOrder uint64 `json:"lastOrder"`
+}
+
+// LoadOutcome says how a load ended.
+type LoadOutcome string
+
+// The outcomes of a load. A superseded load gave way to a later order.
+const (
+	LoadRunning    LoadOutcome = "running"
+	LoadDone       LoadOutcome = "done"
+	LoadFailed     LoadOutcome = "failed"
+	LoadSuperseded LoadOutcome = "superseded"
+)
+
+// Load is one order that the engine took.
+type Load struct {
+	Number   uint64       `json:"number"`
+	Manifest chunk.Digest `json:"manifest"`
+	Outcome  LoadOutcome  `json:"outcome"`
+	Reason   string       `json:"reason,omitempty"`
+}
+
+// Loads lists the orders that the engine took, the oldest first. Refused
+// counts those that it refused for an old number.
+type Loads struct {
+	Loads   []Load `json:"loads"`
+	Refused int    `json:"refused"`
+}
+
+// Check reports the first field that is out of its domain.
+func (o Order) Check() error {
+	if o.Action != ActionLoad {
+		return errors.Newf("order: unknown action %q", o.Action)
+	}
+	if err := o.Body.Check(); err != nil {
+		return errors.Wrap(err, "order")
+	}
+	b, err := o.Body.Encode()
+	if err != nil {
+		return errors.Wrap(err, "order")
+	}
+	if got := chunk.Sum(b); got != o.Manifest {
+		return errors.Newf("order: body has digest %s, want %s", got, o.Manifest)
+	}
+	return nil
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	o, err := serve.Read[Order](w, r)
+	if err == nil {
+		err = o.Check()
+	}
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	held, err := e.hold(o.Body)
+	if err != nil {
+		serve.Fail(w, http.StatusUnprocessableEntity, err.Error())
+		return
+	}
+	last, n, ok := e.accept(o)
+	if !ok {
+		serve.JSON(w, http.StatusConflict, LastOrder{LastOrder: last})
+		return
+	}
+	go e.load(n, o, held)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// hold returns the bytes of every chunk, or an error naming one that is not
+// staged. A chunk deleted later stays with the load that began before.
+func (e *Engine) hold(m chunk.Manifest) ([][]byte, error) {
+	out := make([][]byte, 0, len(m.Chunks))
+	for _, c := range m.Chunks {
+		held, ok := e.stage.get(c.Digest)
+		if !ok {
+			return nil, errors.Newf("chunk %s is not staged", c.Digest)
+		}
+		out = append(out, e.Pool.bytes(held))
+	}
+	return out, nil
+}
+
+// accept records the order unless its number is old and the engine checks.
+func (e *Engine) accept(o Order) (last uint64, n int, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Fencing == envdoc.FencingChecked && o.Number <= e.lastOrder {
+		e.refused++
+		return e.lastOrder, 0, false
+	}
+	e.lastOrder = o.Number
+	e.loading = o.Manifest
+	e.newest++
+	e.loads = append(e.loads, Load{Number: o.Number, Manifest: o.Manifest, Outcome: LoadRunning})
+	e.loads = e.loads[max(0, len(e.loads)-maxLoads):]
+	return e.lastOrder, e.newest, true
+}
+
+// load takes LoadTime, verifies the whole and switches to it, unless a later
+// order came meanwhile.
+func (e *Engine) load(n int, o Order, held [][]byte) {
+	ctx := context.Background()
+	_ = serve.Sleep(ctx, e.Clock, e.LoadTime)
+	if err := verify(o.Body, held); err != nil {
+		e.finish(n, o, LoadFailed, err.Error())
+		return
+	}
+	if !e.beginSwitch(n) {
+		e.finish(n, o, LoadSuperseded, "")
+		return
+	}
+	_ = serve.Sleep(ctx, e.Clock, e.SwitchTime)
+	e.finish(n, o, LoadDone, "")
+}
+
+func verify(m chunk.Manifest, held [][]byte) error {
+	h := sha256.New()
+	for _, b := range held {
+		_, _ = h.Write(b)
+	}
+	if got := chunk.Digest("sha256:" + hex.EncodeToString(h.Sum(nil))); got != m.Whole {
+		return errors.Newf("weights have digest %s, want %s", got, m.Whole)
+	}
+	return nil
+}
+
+func (e *Engine) beginSwitch(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n != e.newest {
+		return false
+	}
+	e.switching++
+	return true
+}
+
+// finish records how load n ended. A load that was overtaken while it
+// switched still ends its switch.
+func (e *Engine) finish(n int, o Order, out LoadOutcome, reason string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.record(o, out, reason)
+	if out == LoadDone {
+		e.switching--
+		e.manifest = o.Manifest
+		e.serving = o.Body
+		e.cache.clear(e.Clock.Now())
+	}
+	if n != e.newest {
+		return
+	}
+	e.loading = ""
+	e.lastError = reason
+}
+
+func (e *Engine) record(o Order, out LoadOutcome, reason string) {
+	for i := range slices.Backward(e.loads) {
+		l := &e.loads[i]
+		if l.Number == o.Number && l.Manifest == o.Manifest && l.Outcome == LoadRunning {
+			l.Outcome = out
+			l.Reason = reason
+			return
+		}
+	}
+}
+
+func (e *Engine) listLoads(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	serve.JSON(w, http.StatusOK, Loads{Loads: slices.Clone(e.loads), Refused: e.refused})
+}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,166 @@
+// Package plain stands in for a plain service, such as a booking service. It
+// counts how often each key runs, so that a duplicate shows.
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/standin/serve"
+)
+
+// maxKeys bounds the table of executions.
+const maxKeys = 1 << 20
+
+// Faults are the faults of a plain service. CutBeforeRun closes the
+// connection before the call runs, CutAfterRun after it ran. Times bounds how
+// many calls meet a cut or Status; 0 is every call.
+type Faults struct {
+	Delay        serve.Span `json:"delay"`
+	CutBeforeRun bool       `json:"cutBeforeRun"`
+	CutAfterRun  bool       `json:"cutAfterRun"`
+	Status       int        `json:"status"`
+	Times        int        `json:"times"`
+}
+
+// Answer tells what ran. Executions is how often Key has run here.
+type Answer struct {
+	Service    string `json:"service"`
+	Replica    string `json:"replica"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Body       string `json:"body"`
+	Key        string `json:"key"`
+	Executions int    `json:"executions"`
+}
+
+// Executions counts the runs of each key.
+type Executions struct {
+	Executions map[string]int `json:"executions"`
+}
+
+// Service is one replica. Set the exported fields before it serves.
+type Service struct {
+	Name    string
+	Replica string
+	Delay   time.Duration
+	Clock   clockwork.Clock
+
+	mu         sync.Mutex
+	faults     Faults
+	hits       int
+	executions map[string]int
+}
+
+// Handler returns the HTTP interface.
+func (s *Service) Handler() http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	r.HandleFunc("/control/executions", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/control/faults", s.setFaults).Methods(http.MethodPost)
+	r.PathPrefix("/").HandlerFunc(s.call)
+	return r
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, serve.MaxBody))
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	f := s.hit()
+	if serve.Sleep(r.Context(), s.Clock, s.Delay+time.Duration(f.Delay)) != nil {
+		return
+	}
+	if f.CutBeforeRun {
+		serve.Cut(w)
+	}
+	if f.Status != 0 {
+		serve.Fail(w, f.Status, "fault")
+		return
+	}
+	a, ok := s.run(r, body)
+	if !ok {
+		serve.Fail(w, http.StatusInsufficientStorage, "too many keys")
+		return
+	}
+	if f.CutAfterRun {
+		serve.Cut(w)
+	}
+	serve.JSON(w, http.StatusOK, a)
+}
+
+func (s *Service) run(r *http.Request, body []byte) (Answer, bool) {
+	a := Answer{
+		Service: s.Name,
+		Replica: s.Replica,
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		Body:    string(body),
+		Key:     keyOf(body),
+	}
+	if a.Key == "" {
+		return a, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.executions == nil {
+		s.executions = map[string]int{}
+	}
+	if len(s.executions) >= maxKeys && s.executions[a.Key] == 0 {
+		return a, false
+	}
+	s.executions[a.Key]++
+	a.Executions = s.executions[a.Key]
+	return a, true
+}
+
+// keyOf is the key field of a JSON body, empty when there is none.
+func keyOf(body []byte) string {
+	var v struct {
+		Key string `json:"key"`
+	}
+	if json.Unmarshal(body, &v) != nil {
+		return ""
+	}
+	return v.Key
+}
+
+// hit returns the faults that the call meets.
+func (s *Service) hit() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if !f.CutBeforeRun && !f.CutAfterRun && f.Status == 0 {
+		return f
+	}
+	s.hits++
+	if f.Times > 0 && s.hits > f.Times {
+		return Faults{Delay: f.Delay}
+	}
+	return f
+}
+
+func (s *Service) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	serve.JSON(w, http.StatusOK, Executions{Executions: s.executions})
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	f, err := serve.Read[Faults](w, r)
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.hits = 0
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/platf/config.go
@@ -0,0 +1,215 @@
+// Package platf stands in for the platform's configuration service and its
+// list of VMs.
+package platf
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"hawthornferry/standin/serve"
+)
+
+// Bounds of the configuration service.
+const (
+	MaxDocument     = 1 << 20
+	MaxWait         = 60 * time.Second
+	maxEnvironments = 64
+	maxRevisions    = 256
+)
+
+// ConfigFaults are the faults of the configuration service. Serve pins the
+// answers to the newest revision that is not above it; 0 pins nothing.
+type ConfigFaults struct {
+	Down  bool       `json:"down"`
+	Serve uint64     `json:"serve"`
+	Delay serve.Span `json:"delay"`
+}
+
+// Config is the configuration service. Set the exported fields before it
+// serves. Rate is in calls a second over all readers.
+type Config struct {
+	Rate  float64
+	Clock clockwork.Clock
+
+	once    sync.Once
+	limiter *rate.Limiter
+	calls   atomic.Uint64
+	faults  serve.Setting[ConfigFaults]
+
+	mu       sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	history  map[string][]document
+}
+
+type document struct {
+	revision uint64
+	text     []byte
+}
+
+// Promotion is the answer to a promotion.
+type Promotion struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Calls is the count of calls that readers made.
+type Calls struct {
+	Calls uint64 `json:"calls"`
+}
+
+// Handler returns the HTTP interface.
+func (c *Config) Handler() http.Handler {
+	c.once.Do(c.init)
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/documents/{environment}", c.read).Methods(http.MethodGet)
+	r.HandleFunc("/control/documents/{environment}", c.promote).Methods(http.MethodPut)
+	r.HandleFunc("/control/calls", c.count).Methods(http.MethodGet)
+	r.HandleFunc("/control/faults", c.setFaults).Methods(http.MethodPost)
+	return r
+}
+
+func (c *Config) init() {
+	c.limiter = rate.NewLimiter(rate.Limit(c.Rate), max(1, int(c.Rate)))
+	c.changed = make(chan struct{})
+	c.history = map[string][]document{}
+}
+
+func (c *Config) read(w http.ResponseWriter, r *http.Request) {
+	c.calls.Add(1)
+	after, wait, err := watchQuery(r)
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	faults, _ := c.faults.Get()
+	if serve.Sleep(r.Context(), c.Clock, time.Duration(faults.Delay)) != nil {
+		return
+	}
+	if faults.Down {
+		serve.Fail(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	if !c.limiter.AllowN(c.Clock.Now(), 1) {
+		serve.TooMany(w, time.Second)
+		return
+	}
+	c.answer(w, r, after, wait)
+}
+
+func (c *Config) answer(w http.ResponseWriter, r *http.Request, after uint64, wait time.Duration) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	timer := c.Clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		faults, faultsChanged := c.faults.Get()
+		if faults.Down {
+			serve.Fail(w, http.StatusServiceUnavailable, "down")
+			return
+		}
+		d, known, changed := c.newest(mux.Vars(r)["environment"], faults.Serve)
+		if !known {
+			serve.Fail(w, http.StatusNotFound, "no such environment")
+			return
+		}
+		if d.revision > after {
+			writeDocument(w, d)
+			return
+		}
+		select {
+		case <-changed:
+		case <-faultsChanged:
+		case <-timer.Chan():
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// newest returns the newest document of an environment that is not above
+// pin, and whether there is one at all.
+func (c *Config) newest(environment string, pin uint64) (document, bool, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out document
+	for _, d := range c.history[environment] {
+		if pin == 0 || d.revision <= pin {
+			out = d
+		}
+	}
+	return out, out.revision > 0, c.changed
+}
+
+func (c *Config) promote(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxDocument))
+	if err != nil {
+		serve.Fail(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	revision, ok := c.keep(mux.Vars(r)["environment"], text)
+	if !ok {
+		serve.Fail(w, http.StatusInsufficientStorage, "too many environments")
+		return
+	}
+	serve.JSON(w, http.StatusOK, Promotion{Revision: revision})
+}
+
+func (c *Config) keep(environment string, text []byte) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	past, known := c.history[environment]
+	if !known && len(c.history) >= maxEnvironments {
+		return 0, false
+	}
+	c.revision++
+	past = append(past, document{revision: c.revision, text: text})
+	c.history[environment] = past[max(0, len(past)-maxRevisions):]
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return c.revision, true
+}
+
+func (c *Config) count(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, Calls{Calls: c.calls.Load()})
+}
+
+func (c *Config) setFaults(w http.ResponseWriter, r *http.Request) {
+	f, err := serve.Read[ConfigFaults](w, r)
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	c.faults.Set(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeDocument(w http.ResponseWriter, d document) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("X-Revision", strconv.FormatUint(d.revision, 10))
+	_, _ = w.Write(d.text)
+}
+
+// watchQuery reads after and wait; without after the call answers at once.
+func watchQuery(r *http.Request) (uint64, time.Duration, error) {
+	q := r.URL.Query()
+	if !q.Has("after") {
+		return 0, 0, nil
+	}
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil || !q.Has("wait") {
+		return after, 0, err
+	}
+	wait, err := time.ParseDuration(q.Get("wait"))
+	return after, min(max(wait, 0), MaxWait), err
+}
--- /dev/null
+++ b/standin/platf/vms.go
@@ -0,0 +1,134 @@
+package platf
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/standin/serve"
+)
+
+// Bounds of the VM list.
+const (
+	maxVMs     = 100_000
+	maxPending = 100_000
+)
+
+// ListFaults are the faults of the VM list. Lag, when above zero, replaces
+// the lag that the list started with.
+type ListFaults struct {
+	Down bool       `json:"down"`
+	Lag  serve.Span `json:"lag"`
+}
+
+// List is the VM list: it shows a change only after a lag. Set the exported
+// fields before it serves.
+type List struct {
+	Lag   time.Duration
+	Clock clockwork.Clock
+
+	faults serve.Setting[ListFaults]
+
+	mu      sync.Mutex
+	shown   map[string]fleet.VM
+	pending []change
+}
+
+// change is a VM's new entry, or its removal, and when the list shows it.
+type change struct {
+	due  time.Time
+	name string
+	vm   *fleet.VM
+}
+
+// Handler returns the HTTP interface.
+func (l *List) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/vms", l.list).Methods(http.MethodGet)
+	r.HandleFunc("/control/vms/{name}", l.put).Methods(http.MethodPut)
+	r.HandleFunc("/control/vms/{name}", l.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/control/faults", l.setFaults).Methods(http.MethodPost)
+	return r
+}
+
+func (l *List) list(w http.ResponseWriter, _ *http.Request) {
+	if f, _ := l.faults.Get(); f.Down {
+		serve.Fail(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	serve.JSON(w, http.StatusOK, l.visible())
+}
+
+// visible applies the changes that are due and returns the VMs by name.
+func (l *List) visible() []fleet.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.pending = slices.DeleteFunc(l.pending, func(c change) bool { return l.apply(c, now) })
+	out := slices.Collect(maps.Values(l.shown))
+	slices.SortFunc(out, func(a, b fleet.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return append([]fleet.VM{}, out...)
+}
+
+func (l *List) apply(c change, now time.Time) bool {
+	if c.due.After(now) {
+		return false
+	}
+	if l.shown == nil {
+		l.shown = map[string]fleet.VM{}
+	}
+	delete(l.shown, c.name)
+	if c.vm != nil && len(l.shown) < maxVMs {
+		l.shown[c.name] = *c.vm
+	}
+	return true
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request) {
+	vm, err := serve.Read[fleet.VM](w, r)
+	if err == nil {
+		vm.Name = mux.Vars(r)["name"]
+		err = vm.Check()
+	}
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	l.accept(w, change{name: vm.Name, vm: &vm})
+}
+
+func (l *List) remove(w http.ResponseWriter, r *http.Request) {
+	l.accept(w, change{name: mux.Vars(r)["name"]})
+}
+
+func (l *List) accept(w http.ResponseWriter, c change) {
+	faults, _ := l.faults.Get()
+	lag := cmp.Or(time.Duration(faults.Lag), l.Lag)
+	l.visible()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) >= maxPending {
+		serve.Fail(w, http.StatusInsufficientStorage, "too many changes")
+		return
+	}
+	c.due = l.Clock.Now().Add(lag)
+	l.pending = append(l.pending, c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) setFaults(w http.ResponseWriter, r *http.Request) {
+	f, err := serve.Read[ListFaults](w, r)
+	if err != nil {
+		serve.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	l.faults.Set(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/weight/weight.go
@@ -0,0 +1,168 @@
+// Package weight stands in for the weight store and the origin. The bytes of
+// a version are a function of its seed and are made anew for each request.
+package weight
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/version/chunk"
+)
+
+// Bounds of the store.
+const (
+	maxSize     = 1 << 34
+	maxVersions = 1024
+)
+
+// Spec asks for a version. ShareWith is the manifest digest of an earlier
+// version of the same size and chunk size, whose first Shared chunks the new
+// version starts with; Shared 0 means half of them.
+type Spec struct {
+	Model     string       `json:"model"`
+	Version   string       `json:"version"`
+	Size      int64        `json:"size"`
+	ChunkSize int64        `json:"chunkSize"`
+	Seed      uint64       `json:"seed"`
+	ShareWith chunk.Digest `json:"shareWith"`
+	Shared    int          `json:"shared"`
+}
+
+// source is what a chunk's bytes are made from.
+type source struct {
+	Seed  uint64
+	Index int
+	Size  int64
+}
+
+// bytes makes the chunk's content.
+func (s source) bytes() []byte {
+	var in [16]byte
+	binary.BigEndian.PutUint64(in[:8], s.Seed)
+	binary.BigEndian.PutUint64(in[8:], uint64(s.Index))
+	b := make([]byte, s.Size)
+	_, _ = rand.NewChaCha8(sha256.Sum256(in[:])).Read(b)
+	return b
+}
+
+// Shelf holds the versions: their manifests, and where each chunk's bytes
+// come from.
+type Shelf struct {
+	mu        sync.Mutex
+	manifests map[chunk.Digest][]byte
+	sources   map[chunk.Digest]source
+	layouts   map[chunk.Digest][]source
+}
+
+// Add makes a version and returns its manifest's digest and its chunk count.
+func (s *Shelf) Add(spec Spec) (chunk.Digest, int, error) {
+	layout, err := s.layout(spec)
+	if err != nil {
+		return "", 0, err
+	}
+	m := manifestOf(spec, layout)
+	if err := m.Check(); err != nil {
+		return "", 0, err
+	}
+	b, err := m.Encode()
+	if err != nil {
+		return "", 0, err
+	}
+	return s.keep(m, b, layout)
+}
+
+// layout lists the sources of the version's chunks in order.
+func (s *Shelf) layout(spec Spec) ([]source, error) {
+	if spec.Size <= 0 || spec.Size > maxSize {
+		return nil, errors.Newf("size %d: want 1 to %d bytes", spec.Size, int64(maxSize))
+	}
+	if spec.ChunkSize <= 0 || spec.ChunkSize > chunk.MaxChunkSize {
+		return nil, errors.Newf("chunkSize %d: want 1 to %d bytes", spec.ChunkSize, chunk.MaxChunkSize)
+	}
+	var out []source
+	for at := int64(0); at < spec.Size; at += spec.ChunkSize {
+		size := min(spec.ChunkSize, spec.Size-at)
+		out = append(out, source{Seed: spec.Seed, Index: len(out), Size: size})
+	}
+	return out, s.share(spec, out)
+}
+
+// share replaces the first chunks by those of an earlier version.
+func (s *Shelf) share(spec Spec, layout []source) error {
+	if spec.ShareWith == "" {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	earlier, ok := s.layouts[spec.ShareWith]
+	if !ok {
+		return errors.Newf("shareWith %s: no such version", spec.ShareWith)
+	}
+	n := spec.Shared
+	if n == 0 {
+		n = len(layout) / 2
+	}
+	for i := range min(n, len(layout), len(earlier)) {
+		if layout[i].Size != earlier[i].Size {
+			return errors.Newf("shareWith %s: chunk %d has another size", spec.ShareWith, i)
+		}
+		layout[i] = earlier[i]
+	}
+	return nil
+}
+
+func manifestOf(spec Spec, layout []source) chunk.Manifest {
+	m := chunk.Manifest{Model: spec.Model, Version: spec.Version, Size: spec.Size}
+	whole := sha256.New()
+	for _, src := range layout {
+		b := src.bytes()
+		_, _ = whole.Write(b)
+		m.Chunks = append(m.Chunks, chunk.Ref{Digest: chunk.Sum(b), Size: src.Size})
+	}
+	m.Whole = chunk.Digest("sha256:" + hex.EncodeToString(whole.Sum(nil)))
+	return m
+}
+
+func (s *Shelf) keep(m chunk.Manifest, b []byte, layout []source) (chunk.Digest, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.manifests == nil {
+		s.manifests = map[chunk.Digest][]byte{}
+		s.sources = map[chunk.Digest]source{}
+		s.layouts = map[chunk.Digest][]source{}
+	}
+	if len(s.manifests) >= maxVersions {
+		return "", 0, errors.Newf("more than %d versions", maxVersions)
+	}
+	d := chunk.Sum(b)
+	s.manifests[d] = b
+	s.layouts[d] = layout
+	for i, c := range m.Chunks {
+		s.sources[c.Digest] = layout[i]
+	}
+	return d, len(m.Chunks), nil
+}
+
+// Manifest returns the canonical bytes of a manifest.
+func (s *Shelf) Manifest(d chunk.Digest) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.manifests[d]
+	return b, ok
+}
+
+// Chunk makes the bytes of a chunk.
+func (s *Shelf) Chunk(d chunk.Digest) ([]byte, bool) {
+	s.mu.Lock()
+	src, ok := s.sources[d]
+	s.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	return src.bytes(), true
+}
