callers: load from many customers that checks every answer

Outcomes have to be judged from the caller's side: what it was told against what ran. Each once-call has its own key; the executions of all replicas are read at the end and give duplicates, false notRun and false done. A stream that breaks off in sight counts as cut, one that looks complete and is not as not whole.

--- /dev/null
+++ b/standin/caller/ending.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/standin/plain"
+)
+
+// endings holds what the callers were told of each once-call.
+type endings struct {
+	mu   sync.Mutex
+	told map[string]Outcome
+}
+
+func (e *endings) keep(c *call) {
+	if c.kind != KindOnce {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.told == nil {
+		e.told = map[string]Outcome{}
+	}
+	e.told[c.key] = c.result.outcome
+}
+
+// Once compares what the callers were told with what ran. Duplicates are
+// keys that ran more than once, FalseNotRun keys that were told not to have
+// run and did, FalseDone keys that were told to be done and did not run.
+type Once struct {
+	Calls       int `json:"calls"`
+	Ran         int `json:"ran"`
+	Duplicates  int `json:"duplicates"`
+	FalseNotRun int `json:"falseNotRun"`
+	FalseDone   int `json:"falseDone"`
+}
+
+// compare judges the calls by the executions summed over all replicas.
+func (e *endings) compare(ran map[string]int) Once {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := Once{Calls: len(e.told)}
+	for key, told := range e.told {
+		n := ran[key]
+		o.Ran += min(n, 1)
+		if n > 1 {
+			o.Duplicates++
+		}
+		if n > 0 && told == NotRun {
+			o.FalseNotRun++
+		}
+		if n == 0 && told == Done {
+			o.FalseDone++
+		}
+	}
+	return o
+}
+
+// executions sums the runs of each key over the replicas.
+func (l *Load) executions() (map[string]int, error) {
+	sum := map[string]int{}
+	for _, a := range l.Replicas {
+		ran, err := l.executionsAt(a)
+		if err != nil {
+			return nil, errors.Wrapf(err, "executions of %s", a)
+		}
+		for key, n := range ran {
+			sum[key] += n
+		}
+	}
+	return sum, nil
+}
+
+func (l *Load) executionsAt(a netip.AddrPort) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/control/executions", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var v plain.Executions
+	err = json.NewDecoder(resp.Body).Decode(&v)
+	return v.Executions, err
+}
--- /dev/null
+++ b/standin/caller/load.go
@@ -0,0 +1,171 @@
+// Package caller is a load of many simulated customers. Each answer is
+// checked to be whole, the caller's own and of one version, and each call's
+// outcome is counted as the caller was told it.
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"hawthornferry/core/version/chunk"
+)
+
+// Kind is what a worker asks for.
+type Kind string
+
+// The kinds of call: chat completions streamed and whole, lookups, and calls
+// that must run at most once.
+const (
+	KindStream Kind = "stream"
+	KindWhole  Kind = "whole"
+	KindLookup Kind = "lookup"
+	KindOnce   Kind = "once"
+)
+
+// Work is how many workers make calls of a kind, and how many calls a second
+// they make together; Rate 0 is as many as they can.
+type Work struct {
+	Kind    Kind
+	Workers int
+	Rate    float64
+}
+
+// Load is one run. Set the exported fields before Run. Direct is empty
+// unless the same calls go past the entries in every other Slice. TicketEvery
+// makes every so manyth once-call take a ticket; 0 takes none. Replicas are
+// the stand-ins whose executions are read at the end.
+type Load struct {
+	Entries     Lane
+	Direct      Lane
+	Slice       time.Duration
+	Work        []Work
+	Duration    time.Duration
+	Timeout     time.Duration
+	Attempts    int
+	Tokens      int
+	TicketEvery int
+	Chat        string
+	Lookup      string
+	Once        string
+	LookupPath  string
+	OncePath    string
+	Customers   []Customer
+	Manifests   []chunk.Digest
+	Replicas    []netip.AddrPort
+	Clock       clockwork.Clock
+	Progress    io.Writer
+
+	client  *http.Client
+	run     string
+	start   time.Time
+	serial  atomic.Uint64
+	counts  counts
+	endings endings
+}
+
+// Bounds of a run: the idle connections to one address, and the calls, of
+// which each once-call is kept until the end.
+const (
+	idlePerEntry = 256
+	maxCalls     = 4 << 20
+)
+
+// Run makes calls until Duration is over or ctx ends, lets the calls under
+// way finish and returns the counts.
+func (l *Load) Run(ctx context.Context) (Summary, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerEntry, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	l.client = &http.Client{Transport: transport}
+	l.run = uuid.NewString()[:8]
+	l.start = l.Clock.Now()
+	stopped := make(chan struct{})
+	stop := sync.OnceFunc(func() { close(stopped) })
+	timer := l.Clock.AfterFunc(l.Duration, stop)
+	defer timer.Stop()
+	defer context.AfterFunc(ctx, stop)()
+	var g errgroup.Group
+	for _, w := range l.Work {
+		l.launch(&g, w, stopped)
+	}
+	progressed := l.progress(stopped)
+	err := g.Wait()
+	stop()
+	<-progressed
+	if err != nil {
+		return Summary{}, err
+	}
+	return l.summary()
+}
+
+func (l *Load) launch(g *errgroup.Group, w Work, stopped <-chan struct{}) {
+	limit := rate.Inf
+	if w.Rate > 0 {
+		limit = rate.Limit(w.Rate)
+	}
+	limiter := rate.NewLimiter(limit, 1)
+	for range w.Workers {
+		g.Go(func() error {
+			for l.turn(limiter, stopped) {
+				l.call(w.Kind)
+			}
+			return nil
+		})
+	}
+}
+
+// turn waits for the rate and returns false once the run has stopped.
+func (l *Load) turn(limiter *rate.Limiter, stopped <-chan struct{}) bool {
+	now := l.Clock.Now()
+	t := l.Clock.NewTimer(limiter.ReserveN(now, 1).DelayFrom(now))
+	defer t.Stop()
+	select {
+	case <-stopped:
+		return false
+	case <-t.Chan():
+	}
+	select {
+	case <-stopped:
+		return false
+	default:
+		return l.serial.Load() < maxCalls
+	}
+}
+
+// call makes one call and counts how it ended. It is not tied to the end of
+// the run, so that the calls under way get their answers.
+func (l *Load) call(k Kind) {
+	n := l.serial.Add(1)
+	c := &call{
+		load:     l,
+		kind:     k,
+		lane:     l.lane(),
+		serial:   n,
+		customer: l.pick(n),
+		start:    l.Clock.Now(),
+	}
+	l.counts.begin(c)
+	c.do()
+	l.counts.end(c, l.Clock.Now())
+	l.endings.keep(c)
+}
+
+// lane is the lane of the current slice.
+func (l *Load) lane() *Lane {
+	if l.Direct.Name == "" {
+		return &l.Entries
+	}
+	if (l.Clock.Since(l.start)/l.Slice)%2 == 1 {
+		return &l.Direct
+	}
+	return &l.Entries
+}
--- /dev/null
+++ b/standin/caller/plain.go
@@ -0,0 +1,71 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"hawthornferry/standin/plain"
+)
+
+// onceBody is the body of a once-call: its key shows how often it ran.
+type onceBody struct {
+	Key string `json:"key"`
+}
+
+// lookup asks for a path of its own, which the answer has to name.
+func (c *call) lookup(ctx context.Context) result {
+	path := fmt.Sprintf("%s/%s-%d", c.load.LookupPath, c.load.run, c.serial)
+	url := c.lane.plainURL(c.route(), c.load.Lookup, path)
+	resp, err := c.send(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return lost(err)
+	}
+	defer resp.Body.Close()
+	a, res := readPlain(resp)
+	if res.outcome == Done && !res.notWhole && !strings.HasSuffix(a.Path, path) {
+		return wrong(resp.StatusCode, "another caller's answer")
+	}
+	return res
+}
+
+func (c *call) once(ctx context.Context) result {
+	if c.key == "" {
+		c.key = fmt.Sprintf("%s-%d", c.load.run, c.serial)
+	}
+	if c.wantsTicket() {
+		if res, ok := c.takeTicket(ctx); !ok {
+			return res
+		}
+	}
+	url := c.lane.plainURL(c.route(), c.load.Once, c.load.OncePath)
+	resp, err := c.send(ctx, http.MethodPost, url, onceBody{Key: c.key})
+	if err != nil {
+		return lost(err)
+	}
+	defer resp.Body.Close()
+	a, res := readPlain(resp)
+	if res.outcome == Done && !res.notWhole && a.Key != c.key {
+		return wrong(resp.StatusCode, "another caller's answer")
+	}
+	return res
+}
+
+// readPlain reads the answer of a plain service.
+func readPlain(resp *http.Response) (plain.Answer, result) {
+	var a plain.Answer
+	if resp.StatusCode != http.StatusOK {
+		return a, refused(resp)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return a, partial(resp.StatusCode)
+	}
+	if err := json.Unmarshal(b, &a); err != nil {
+		return a, wrong(resp.StatusCode, "not JSON")
+	}
+	return a, result{outcome: Done, status: resp.StatusCode}
+}
--- /dev/null
+++ b/standin/caller/stream.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/standin/engine"
+)
+
+// The framing of a stream.
+const (
+	dataField  = "data:"
+	streamDone = "[DONE]"
+	maxLine    = 1 << 20
+)
+
+// errGap is an event out of its place.
+var errGap = errors.New("position out of order")
+
+// answer is what a stream has brought so far.
+type answer struct {
+	text     strings.Builder
+	next     int
+	finished bool
+	ended    bool
+	told     Outcome
+}
+
+func (c *call) stream(ctx context.Context) result {
+	q := c.request(true)
+	resp, err := c.send(ctx, http.MethodPost, c.lane.chatURL(c.route()), q)
+	if err != nil {
+		return lost(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp)
+	}
+	var a answer
+	err = c.readEvents(resp.Body, &a)
+	if errors.Is(err, errGap) {
+		return wrong(resp.StatusCode, err.Error())
+	}
+	if a.told != "" {
+		return result{outcome: a.told, status: resp.StatusCode, cut: true, fault: "told in the stream"}
+	}
+	if err != nil || !a.ended {
+		return partial(resp.StatusCode)
+	}
+	if !a.finished {
+		return wrong(resp.StatusCode, "ended without a finish")
+	}
+	return c.judge(resp, q, a.text.String())
+}
+
+// readEvents reads until the end of the stream or the first fault.
+func (c *call) readEvents(r io.Reader, a *answer) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), dataField)
+		if !ok {
+			continue
+		}
+		if err := c.event(strings.TrimSpace(data), a); err != nil {
+			return err
+		}
+	}
+	return s.Err()
+}
+
+// event takes one event: a chunk, a problem, or the end.
+func (c *call) event(data string, a *answer) error {
+	if data == streamDone {
+		a.ended = true
+		return nil
+	}
+	var p problem
+	if json.Unmarshal([]byte(data), &p) == nil && p.Outcome != "" {
+		a.told = p.Outcome
+		return nil
+	}
+	var ch engine.Chunk
+	if err := json.Unmarshal([]byte(data), &ch); err != nil {
+		return errors.Mark(err, errGap)
+	}
+	return c.chunk(ch, a)
+}
+
+func (c *call) chunk(ch engine.Chunk, a *answer) error {
+	if a.ended || ch.Position != a.next || len(ch.Choices) != 1 {
+		return errors.Wrapf(errGap, "position %d, want %d", ch.Position, a.next)
+	}
+	choice := ch.Choices[0]
+	if choice.FinishReason != nil {
+		a.finished = true
+		return nil
+	}
+	if a.next == 0 {
+		c.firstToken = c.load.Clock.Since(c.start)
+	}
+	a.next++
+	a.text.WriteString(choice.Delta.Content)
+	return nil
+}
--- /dev/null
+++ b/standin/caller/ticket.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// ticketRequest asks for a ticket for one call of a service.
+type ticketRequest struct {
+	Service string `json:"service"`
+}
+
+// ticketAnswer carries the ticket.
+type ticketAnswer struct {
+	Ticket string `json:"ticket"`
+}
+
+func (c *call) wantsTicket() bool {
+	every := uint64(c.load.TicketEvery)
+	return every > 0 && c.serial%every == 0 && c.ticket == "" && !c.lane.Past
+}
+
+// takeTicket takes a ticket. Without one the call has not run: nothing of it
+// was sent.
+func (c *call) takeTicket(ctx context.Context) (result, bool) {
+	resp, err := c.send(ctx, http.MethodPost, c.lane.ticketURL(c.route()), ticketRequest{Service: c.load.Once})
+	if err != nil {
+		return result{outcome: NotRun, fault: "ticket lost"}, false
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusCreated {
+		res := refused(resp)
+		res.outcome = NotRun
+		res.fault = "ticket: " + res.fault
+		return res, false
+	}
+	var a ticketAnswer
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&a)
+	if err != nil || a.Ticket == "" {
+		return result{outcome: NotRun, status: resp.StatusCode, fault: "ticket not readable"}, false
+	}
+	c.ticket = a.Ticket
+	return result{}, true
+}
--- /dev/null
+++ b/standin/callers.go
@@ -0,0 +1,278 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/standin/caller"
+	"hawthornferry/standin/serve"
+)
+
+// callersFlags are the flags of the callers command.
+type callersFlags struct {
+	entries       string
+	directEngine  string
+	directService string
+	slice         time.Duration
+	duration      time.Duration
+	timeout       time.Duration
+	attempts      int
+	tokens        int
+	ticketEvery   int
+	chat          string
+	lookup        string
+	once          string
+	lookupPath    string
+	oncePath      string
+	customers     string
+	manifests     string
+	replicas      string
+	stream        string
+	whole         string
+	lookups       string
+	onces         string
+	progress      bool
+}
+
+// errUnsound is returned when an outcome that must hold did not.
+var errUnsound = errors.New("an answer was not whole, a call ran twice, or an outcome was false")
+
+// callersCommand runs a bounded load and prints its summary.
+func callersCommand() command {
+	v := callersFlags{
+		slice:       2 * time.Second,
+		duration:    10 * time.Second,
+		timeout:     30 * time.Second,
+		attempts:    4,
+		tokens:      32,
+		ticketEvery: 2,
+		chat:        "helper",
+		lookup:      "booking",
+		once:        "booking",
+		lookupPath:  "pitches",
+		oncePath:    "payments",
+		customers:   "customer-1=4,customer-2=2,customer-3=1",
+		stream:      "4/0",
+		whole:       "2/0",
+		lookups:     "4/0",
+		onces:       "4/0",
+	}
+	f := flaggy.NewSubcommand("callers")
+	f.Description = "simulated customers; prints a JSON summary and stops by itself"
+	v.addresses(f)
+	v.calls(f)
+	f.Duration(&v.duration, "", "duration", "how long calls are begun; an interrupt ends it early")
+	f.Duration(&v.timeout, "", "timeout", "how long one attempt may take")
+	f.Bool(&v.progress, "", "progress", "print a line to standard error each second")
+	return command{flags: f, run: v.run}
+}
+
+func (v *callersFlags) addresses(f *flaggy.Subcommand) {
+	f.String(&v.entries, "", "entries", "IP:port of each entry, separated by commas")
+	f.String(&v.directEngine, "", "direct-engine", "IP:port of engines that are called past the entries")
+	f.String(&v.directService, "", "direct-service", "IP:port of plain services that are called past the entries")
+	f.Duration(&v.slice, "", "slice", "with entries and direct addresses, how long each is called in turn")
+	f.String(&v.replicas, "", "replicas", "IP:port of the plain stand-ins whose executions are read at the end")
+	f.String(&v.manifests, "", "manifests", "manifest digests that answers may come from; none: the one that the answer names")
+}
+
+func (v *callersFlags) calls(f *flaggy.Subcommand) {
+	f.String(&v.stream, "", "stream", "streamed chats: workers/calls a second, 0 for as many as they can")
+	f.String(&v.whole, "", "whole", "whole chats: workers/calls a second")
+	f.String(&v.lookups, "", "lookups", "lookups: workers/calls a second")
+	f.String(&v.onces, "", "onces", "once-calls: workers/calls a second")
+	f.Int(&v.attempts, "", "attempts", "most attempts of a call that may be made again")
+	f.Int(&v.tokens, "", "tokens", "tokens of each chat")
+	f.Int(&v.ticketEvery, "", "ticket-every", "every so manyth once-call takes a ticket; 0 takes none")
+	f.String(&v.chat, "", "chat-service", "service of the chats")
+	f.String(&v.lookup, "", "lookup-service", "service of the lookups")
+	f.String(&v.once, "", "once-service", "service of the once-calls")
+	f.String(&v.lookupPath, "", "lookup-path", "path of the lookups")
+	f.String(&v.oncePath, "", "once-path", "path of the once-calls")
+	f.String(&v.customers, "", "customers", "name=weight of each customer, separated by commas")
+}
+
+func (v *callersFlags) run(ctx context.Context) error {
+	l, err := v.load()
+	if err != nil {
+		return usageError{err}
+	}
+	s, err := l.Run(ctx)
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(s); err != nil {
+		return err
+	}
+	if !s.Sound() {
+		return errUnsound
+	}
+	return nil
+}
+
+func (v *callersFlags) load() (*caller.Load, error) {
+	l := &caller.Load{
+		Slice:       v.slice,
+		Duration:    v.duration,
+		Timeout:     v.timeout,
+		Attempts:    v.attempts,
+		Tokens:      v.tokens,
+		TicketEvery: v.ticketEvery,
+		Chat:        v.chat,
+		Lookup:      v.lookup,
+		Once:        v.once,
+		LookupPath:  v.lookupPath,
+		OncePath:    v.oncePath,
+		Clock:       clockwork.NewRealClock(),
+	}
+	if v.progress {
+		l.Progress = os.Stderr
+	}
+	if l.Attempts < 1 || l.Tokens < 1 || l.Slice <= 0 {
+		return nil, errors.New("attempts, tokens and slice: want 1 or more")
+	}
+	for _, step := range []func(*caller.Load) error{v.lanes, v.work, v.people, v.digests} {
+		if err := step(l); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// lanes sets the ways to the services: the entries, the targets themselves,
+// or both in turn.
+func (v *callersFlags) lanes(l *caller.Load) error {
+	entries, err := optional(v.entries)
+	if err != nil {
+		return err
+	}
+	engines, err := optional(v.directEngine)
+	if err != nil {
+		return err
+	}
+	services, err := optional(v.directService)
+	if err != nil {
+		return err
+	}
+	l.Replicas, err = optional(v.replicas)
+	if err != nil {
+		return err
+	}
+	direct := caller.Lane{Name: caller.LaneDirect, Chats: engines, Plain: services, Past: true}
+	if len(entries) == 0 && len(engines)+len(services) == 0 {
+		return errors.New("entries: missing, and no direct address either")
+	}
+	if len(entries) == 0 {
+		l.Entries = direct
+		return nil
+	}
+	l.Entries = caller.Lane{Name: caller.LaneEntry, Chats: entries, Plain: entries}
+	if len(engines)+len(services) > 0 {
+		l.Direct = direct
+	}
+	return nil
+}
+
+func optional(list string) ([]netip.AddrPort, error) {
+	if list == "" {
+		return nil, nil
+	}
+	return serve.Addresses(list)
+}
+
+func (v *callersFlags) work(l *caller.Load) error {
+	for _, w := range []struct {
+		kind caller.Kind
+		text string
+		flag string
+	}{
+		{kind: caller.KindStream, text: v.stream, flag: "stream"},
+		{kind: caller.KindWhole, text: v.whole, flag: "whole"},
+		{kind: caller.KindLookup, text: v.lookups, flag: "lookups"},
+		{kind: caller.KindOnce, text: v.onces, flag: "onces"},
+	} {
+		work, err := parseWork(w.kind, w.text)
+		if err != nil {
+			return errors.Wrapf(err, "%s %q: want workers/calls a second", w.flag, w.text)
+		}
+		if work.Workers > 0 {
+			l.Work = append(l.Work, work)
+		}
+	}
+	return v.covered(l)
+}
+
+// maxWorkers bounds the workers of a kind.
+const maxWorkers = 4096
+
+func parseWork(kind caller.Kind, text string) (caller.Work, error) {
+	workers, perSecond, _ := strings.Cut(text, "/")
+	w := caller.Work{Kind: kind}
+	n, err := strconv.Atoi(workers)
+	if err != nil {
+		return w, err
+	}
+	if n < 0 || n > maxWorkers {
+		return w, errors.Newf("want 0 to %d workers", maxWorkers)
+	}
+	w.Workers = n
+	if perSecond == "" {
+		return w, nil
+	}
+	w.Rate, err = strconv.ParseFloat(perSecond, 64)
+	return w, err
+}
+
+// covered reports a kind of call that a lane has no address for.
+func (v *callersFlags) covered(l *caller.Load) error {
+	for _, lane := range []caller.Lane{l.Entries, l.Direct} {
+		for _, w := range l.Work {
+			chat := w.Kind == caller.KindStream || w.Kind == caller.KindWhole
+			if lane.Name != "" && chat && len(lane.Chats) == 0 {
+				return errors.Newf("%s calls: no address in lane %s", w.Kind, lane.Name)
+			}
+			if lane.Name != "" && !chat && len(lane.Plain) == 0 {
+				return errors.Newf("%s calls: no address in lane %s", w.Kind, lane.Name)
+			}
+		}
+	}
+	return nil
+}
+
+func (v *callersFlags) people(l *caller.Load) error {
+	for s := range strings.SplitSeq(v.customers, ",") {
+		name, weight, _ := strings.Cut(s, "=")
+		n, err := strconv.Atoi(weight)
+		if err != nil || n < 1 || name == "" {
+			return errors.Newf("customers %q: want name=weight", s)
+		}
+		l.Customers = append(l.Customers, caller.Customer{Name: name, Weight: n})
+	}
+	return nil
+}
+
+func (v *callersFlags) digests(l *caller.Load) error {
+	if v.manifests == "" {
+		return nil
+	}
+	for s := range strings.SplitSeq(v.manifests, ",") {
+		d := chunk.Digest(s)
+		if err := d.Check(); err != nil {
+			return err
+		}
+		l.Manifests = append(l.Manifests, d)
+	}
+	return nil
+}
