core/version/burst, io/version: distribute weights between sides

Every side had to draw each version from the origin by itself; nothing moved chunks between sides. core/version/burst decides: one drawer per chunk by rendezvous with ranked step-in, one import per region along a chain of regions, and trade inside regions by offers, rarest first. io/version/swarm carries it out over connections of PurposeWeights, io/version/pace paces blocks under live traffic, io/version/stage is the engine's staging area.

Ruled out: have a receiver ask whichever peer it likes (uplinks idle while others have queues), and a share of the region link fixed per side (a side with nothing to import leaves its share unused). Offers keep every uplink busy; turns in manifest order, told by the spread maps, share the region link.

No timing measured yet.

--- /dev/null
+++ b/core/version/burst/acquire.go
@@ -0,0 +1,211 @@
+package burst
+
+import (
+	"time"
+
+	"hawthornferry/core/process/rank"
+)
+
+// sourceTries is how many sides of the earlier region an import asks before
+// it turns to the origin.
+const sourceTries = 3
+
+// chain returns the regions in the order in which chunk i passes through
+// them. The origin's region comes first when it has members; the others
+// follow in rendezvous order, turned by one place for each chunk, so that
+// the pairs of regions carry equal shares.
+func (s *State) chain(st *set, i int) []string {
+	var first, rest []string
+	for _, r := range st.regions {
+		if r == s.cfg.OriginRegion {
+			first = append(first, r)
+			continue
+		}
+		rest = append(rest, r)
+	}
+	if len(rest) == 0 {
+		return first
+	}
+	k := i % len(rest)
+	out := append(first, rest[k:]...)
+	return append(out, rest[:k]...)
+}
+
+// upstream is the region from which the own region gets chunk i, empty for
+// the origin.
+func (s *State) upstream(st *set, i int) string {
+	prev := ""
+	for _, r := range s.chain(st, i) {
+		if r == s.cfg.Self.Region {
+			return prev
+		}
+		prev = r
+	}
+	return ""
+}
+
+// acquire starts the draws and imports whose turn it is. Chunks take turns in
+// manifest order: only the first few that the region lacks may be on the way
+// from one upstream at a time, so that the shares of the link that the
+// importers use add up to no more than the link, with no shared record.
+func (s *State) acquire(now time.Time) {
+	for _, st := range s.sets {
+		if s.cfg.Direct {
+			s.drawAll(now, st)
+			continue
+		}
+		s.takeTurns(now, st)
+	}
+}
+
+func (s *State) takeTurns(now time.Time, st *set) {
+	taken := map[string]int{}
+	for i, it := range st.items {
+		if it.held {
+			continue
+		}
+		if st.seen.Has(i) {
+			s.recover(now, st, i)
+			continue
+		}
+		up := s.upstream(st, i)
+		if taken[up] >= s.turns(up) {
+			continue
+		}
+		if it.dueAt.IsZero() {
+			it.dueAt = now
+		}
+		late := now.Sub(it.dueAt)
+		if late < s.stepIn(up, 1) {
+			// A chunk whose first importer is dead would hold its turn
+			// and slow the link; once overdue it no longer counts.
+			taken[up]++
+		}
+		s.start(now, st, i, late)
+	}
+}
+
+func (s *State) turns(up string) int {
+	if up == "" {
+		return s.cfg.Draws
+	}
+	return s.cfg.Turns
+}
+
+// start begins the transfer of a chunk that is due when this side ranks
+// first for it, or has waited as long as its rank asks.
+func (s *State) start(now time.Time, st *set, i int, late time.Duration) {
+	it := st.items[i]
+	if it.pending() || now.Before(it.retryAt) {
+		return
+	}
+	up := s.upstream(st, i)
+	pos := rank.Position(string(it.ref.Digest), s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+	if pos < 0 || late < s.stepIn(up, pos) {
+		return
+	}
+	s.fetchFrom(now, st, i, up, pos)
+}
+
+func (s *State) fetchFrom(now time.Time, st *set, i int, up string, pos int) {
+	it := st.items[i]
+	reason := "ranks first"
+	if pos > 0 {
+		reason = "steps in"
+	}
+	from := s.exporter(now, st, it, up)
+	if from == "" {
+		s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaOrigin, Reason: reason})
+		return
+	}
+	pairs := max(len(st.regions)-1, 1)
+	share := 1 / float64(pairs*s.cfg.Turns)
+	s.peer(from, up)
+	s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaImport, Peer: from, Share: share, Reason: reason})
+}
+
+// exporter picks the side of region up to ask for a chunk: the one that ranks
+// first for it, which has it first; after failures the next in rank, and
+// after those none, which means the origin.
+func (s *State) exporter(now time.Time, st *set, it *item, up string) string {
+	if up == "" || it.attempts >= sourceTries {
+		return ""
+	}
+	names := st.members[up]
+	ordered := rank.Order(string(it.ref.Digest), names, func(n string) string { return n })
+	if len(ordered) == 0 {
+		return ""
+	}
+	for _, n := range ordered[min(it.attempts, len(ordered)):] {
+		if p, ok := s.peers[n]; ok && now.Before(p.badUntil) {
+			continue
+		}
+		return n
+	}
+	return ordered[it.attempts%len(ordered)]
+}
+
+// recover fetches a chunk that the region was heard to hold but that no
+// neighbour has had for long: the sides that held it may be gone.
+func (s *State) recover(now time.Time, st *set, i int) {
+	it := st.items[i]
+	if it.pending() || st.copies[i] > 0 {
+		it.lostAt = time.Time{}
+		return
+	}
+	if it.lostAt.IsZero() {
+		it.lostAt = now
+	}
+	up := s.upstream(st, i)
+	late := now.Sub(it.lostAt) - lostFactor*s.stepIn(up, 1)
+	if late < 0 {
+		return
+	}
+	s.start(now, st, i, late)
+}
+
+func (s *State) drawAll(now time.Time, st *set) {
+	for _, it := range st.items {
+		if it.held || it.pending() || now.Before(it.retryAt) {
+			continue
+		}
+		if s.running(ViaOrigin) >= s.cfg.Inbound {
+			return
+		}
+		s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaOrigin, Reason: "baseline"})
+	}
+}
+
+func (s *State) running(v Via) int {
+	n := 0
+	for _, it := range s.items {
+		if it.via == v {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) begin(now time.Time, it *item, f Fetch) {
+	it.via = f.Via
+	it.from = f.Peer
+	it.since = now
+	it.deadline = now.Add(s.patience(f.Via))
+	for _, pl := range it.places {
+		pl.set.pending.Set(pl.index)
+	}
+	if f.Via == ViaTrade {
+		s.trades++
+	}
+	s.emit(f)
+}
+
+func (s *State) clearPending(it *item) {
+	if it.via == ViaTrade {
+		s.trades--
+	}
+	it.via, it.from = "", ""
+	for _, pl := range it.places {
+		pl.set.pending.Clear(pl.index)
+	}
+}
--- /dev/null
+++ b/core/version/burst/action.go
@@ -0,0 +1,77 @@
+package burst
+
+import "hawthornferry/core/version/chunk"
+
+// Action is one thing that the caller of a State must do. Actions are to be
+// carried out in the order in which they were given.
+type Action interface{ isAction() }
+
+// Via says which way a chunk comes to a side.
+type Via string
+
+// The ways in which a chunk comes.
+const (
+	ViaOrigin Via = "origin"
+	ViaImport Via = "import"
+	ViaTrade  Via = "trade"
+)
+
+// Fetch starts the transfer of a chunk. Peer is the side to ask, empty for
+// the origin. Share is the part of the region link that an import may use.
+type Fetch struct {
+	Chunk  chunk.Ref
+	Via    Via
+	Peer   string
+	Share  float64
+	Reason string
+}
+
+// Stop ends a transfer that was started: it has stalled, or the chunk is no
+// longer wanted.
+type Stop struct {
+	Chunk  chunk.Digest
+	Peer   string
+	Reason string
+}
+
+// Offer tells a peer that it may ask for one chunk.
+type Offer struct{ Peer string }
+
+// Pass refuses a peer's offer.
+type Pass struct{ Peer string }
+
+// Ready tells a peer whose offer was refused that it may offer again.
+type Ready struct{ Peer string }
+
+// Announce tells a peer of chunks of one manifest: Have, held by this side,
+// and Seen, held by some side of the region.
+type Announce struct {
+	Peer     string
+	Manifest chunk.Digest
+	Have     []int
+	Seen     []int
+}
+
+// Greet sends a peer the whole maps of one manifest.
+type Greet struct {
+	Peer     string
+	Manifest chunk.Digest
+	Have     Bits
+	Seen     Bits
+}
+
+// Connect opens a connection to a neighbour.
+type Connect struct{ Peer string }
+
+// Discard drops a chunk that no wanted version has from the staging area.
+type Discard struct{ Chunk chunk.Digest }
+
+func (Fetch) isAction()    {}
+func (Stop) isAction()     {}
+func (Offer) isAction()    {}
+func (Pass) isAction()     {}
+func (Ready) isAction()    {}
+func (Announce) isAction() {}
+func (Greet) isAction()    {}
+func (Connect) isAction()  {}
+func (Discard) isAction()  {}
--- /dev/null
+++ b/core/version/burst/bits.go
@@ -0,0 +1,58 @@
+package burst
+
+import "math/bits"
+
+// Bits is a set of chunk indexes of one manifest, eight to a byte, the lowest
+// index in the lowest bit.
+type Bits []byte
+
+// NewBits returns an empty set for n chunks.
+func NewBits(n int) Bits { return make(Bits, (n+7)/8) }
+
+// Has reports whether i is in the set; an index out of range is not.
+func (b Bits) Has(i int) bool {
+	return i >= 0 && i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+}
+
+// Set adds i.
+func (b Bits) Set(i int) { b[i/8] |= 1 << (i % 8) }
+
+// Clear removes i.
+func (b Bits) Clear(i int) { b[i/8] &^= 1 << (i % 8) }
+
+// Count is the number of members.
+func (b Bits) Count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
+
+func (b Bits) members() []int {
+	var out []int
+	for i := range len(b) * 8 {
+		if b.Has(i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// beyond counts the members of b that are not in other.
+func (b Bits) beyond(other Bits) int {
+	n := 0
+	for i, x := range b {
+		n += bits.OnesCount8(x &^ other.byteAt(i))
+	}
+	return n
+}
+
+func (b Bits) byteAt(i int) byte {
+	if i >= len(b) {
+		return 0
+	}
+	return b[i]
+}
+
+func (b Bits) clone() Bits { return append(Bits(nil), b...) }
--- /dev/null
+++ b/core/version/burst/burst.go
@@ -0,0 +1,215 @@
+// Package burst decides how the chunks of wanted versions reach every side.
+// A State takes events and the time at which they happened and answers with
+// actions; it holds no chunk bytes and has no socket, goroutine or clock.
+//
+// Each chunk leaves the origin once and enters each region once: the side
+// that ranks first for it in the origin's region draws it, and the regions
+// hand it on along a chain. Inside a region sides trade chunks by offers: a
+// side with a free upload slot offers to a neighbour that lacks something,
+// and the neighbour picks the chunk that is rarest around it.
+package burst
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/version/chunk"
+)
+
+// Bounds and customary values.
+const (
+	// DefaultDegree is how many neighbours a side dials; about as many
+	// dial it.
+	DefaultDegree = 8
+	// DefaultUploads is how many chunks a side sends at a time, one on the
+	// wire and the next one agreed.
+	DefaultUploads = 2
+	// DefaultInbound is how many traded chunks a side takes at a time.
+	DefaultInbound = 4
+	// DefaultTurns is how many chunks cross a region link at a time for
+	// each pair of regions.
+	DefaultTurns = 2
+	// DefaultDraws is how many chunks a region draws from the origin at a
+	// time.
+	DefaultDraws = 6
+	// MaxPeers bounds the peers of which a side keeps state.
+	MaxPeers = 256
+)
+
+// Member is one side and its region.
+type Member struct {
+	Name   string
+	Region string
+}
+
+// Set is one wanted version and the sides that want it, this one included.
+type Set struct {
+	ID       chunk.Digest
+	Manifest chunk.Manifest
+	Members  []Member
+	// Staged are the chunks that were found in the staging area, verified.
+	Staged []chunk.Digest
+}
+
+// Config tunes a State. Zero values are replaced by the defaults. Direct has
+// every side draw everything from the origin; it is the load tool's baseline.
+type Config struct {
+	Self         Member
+	OriginRegion string
+	Weigh        envdoc.Weigh
+	Degree       int
+	Uploads      int
+	Inbound      int
+	Turns        int
+	Draws        int
+	Direct       bool
+	Seed         uint64
+}
+
+// State is the belief and the plans of one side. It is not safe for
+// concurrent use.
+type State struct {
+	cfg    Config
+	rng    *rand.Rand
+	sets   []*set
+	items  map[chunk.Digest]*item
+	peers  map[string]*peer
+	trades int
+	timing map[Via]*estimate
+	out    []Action
+}
+
+// set is one wanted version with the maps of what is where.
+type set struct {
+	id       chunk.Digest
+	manifest chunk.Manifest
+	items    []*item
+	members  map[string][]string // by region
+	regions  []string            // all regions with members, in rendezvous order
+	have     Bits
+	pending  Bits
+	seen     Bits     // held by some side of the region
+	copies   []uint16 // neighbours that hold each chunk
+}
+
+// place is one position of a chunk in a set; a chunk may be in several.
+type place struct {
+	set   *set
+	index int
+}
+
+// item is one wanted chunk. At most one transfer of it runs at a time.
+type item struct {
+	ref      chunk.Ref
+	places   []place
+	held     bool
+	via      Via
+	from     string
+	since    time.Time
+	deadline time.Time
+	// dueAt is when this chunk's turn came; ranked step-in counts from it.
+	dueAt    time.Time
+	lostAt   time.Time
+	retryAt  time.Time
+	attempts int // sources tried since the last draw from the origin
+	fails    int
+}
+
+func (it *item) pending() bool { return it.via != "" }
+
+// peer is what is known of another side.
+type peer struct {
+	Member
+	connected bool
+	maps      map[chunk.Digest]Bits
+	// full is set from a refused offer until the peer is ready again.
+	full      bool
+	fullUntil time.Time
+	// owed is set while this side has refused the peer's offer.
+	owed      bool
+	upload    bool
+	uploadEnd time.Time
+	badUntil  time.Time
+	strikes   int
+	dialAt    time.Time
+	dialFails int
+}
+
+// New returns the State of a side that wants nothing yet.
+func New(cfg Config) *State {
+	cfg.Degree = orDefault(cfg.Degree, DefaultDegree)
+	cfg.Uploads = orDefault(cfg.Uploads, DefaultUploads)
+	cfg.Inbound = orDefault(cfg.Inbound, DefaultInbound)
+	cfg.Turns = orDefault(cfg.Turns, DefaultTurns)
+	cfg.Draws = orDefault(cfg.Draws, DefaultDraws)
+	return &State{
+		cfg:    cfg,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		items:  map[chunk.Digest]*item{},
+		peers:  map[string]*peer{},
+		timing: map[Via]*estimate{},
+	}
+}
+
+func orDefault(v, def int) int {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+// SetWeigh takes the document's weighing of origin bytes against time.
+func (s *State) SetWeigh(w envdoc.Weigh) { s.cfg.Weigh = w }
+
+// Held reports whether the side holds the chunk, verified.
+func (s *State) Held(d chunk.Digest) bool {
+	it, ok := s.items[d]
+	return ok && it.held
+}
+
+// Wanted reports whether some wanted version has the chunk, and its size.
+func (s *State) Wanted(d chunk.Digest) (chunk.Ref, bool) {
+	it, ok := s.items[d]
+	if !ok {
+		return chunk.Ref{}, false
+	}
+	return it.ref, true
+}
+
+// Tally is how much of one wanted version a side holds.
+type Tally struct {
+	Have  int
+	Total int
+	Bytes int64
+}
+
+// Tally returns the progress of the wanted version id.
+func (s *State) Tally(id chunk.Digest) (Tally, bool) {
+	for _, st := range s.sets {
+		if st.id != id {
+			continue
+		}
+		t := Tally{Total: len(st.items)}
+		for _, it := range st.items {
+			if it.held {
+				t.Have++
+				t.Bytes += it.ref.Size
+			}
+		}
+		return t, true
+	}
+	return Tally{}, false
+}
+
+func (s *State) emit(a Action) { s.out = append(s.out, a) }
+
+// settle takes every decision that the last event made possible and returns
+// the actions gathered since.
+func (s *State) settle(now time.Time) []Action {
+	s.acquire(now)
+	s.offer(now)
+	out := s.out
+	s.out = nil
+	return out
+}
--- /dev/null
+++ b/core/version/burst/events.go
@@ -0,0 +1,203 @@
+package burst
+
+import (
+	"time"
+
+	"hawthornferry/core/version/chunk"
+)
+
+// Failure says why a transfer failed.
+type Failure string
+
+// The ways in which a transfer fails.
+const (
+	FailStalled Failure = "stalled"
+	FailCorrupt Failure = "corrupt"
+	FailLacks   Failure = "lacks"
+	FailRefused Failure = "refused"
+	FailGone    Failure = "gone"
+)
+
+// Tick is to be called a few times a second: it ends stalled transfers,
+// starts overdue ones and dials again.
+func (s *State) Tick(now time.Time) []Action {
+	s.expire(now)
+	s.connect(now)
+	s.wake()
+	return s.settle(now)
+}
+
+// Connected tells that a connection to a side is open.
+func (s *State) Connected(now time.Time, m Member) []Action {
+	if len(s.peers) >= MaxPeers && s.peers[m.Name] == nil {
+		return nil
+	}
+	p := s.peer(m.Name, m.Region)
+	p.connected = true
+	p.dialFails = 0
+	s.greet(p)
+	return s.settle(now)
+}
+
+// Disconnected tells that no connection to a side is open any more. Its
+// transfers are over, and what it offered is forgotten.
+func (s *State) Disconnected(now time.Time, name string) []Action {
+	p, ok := s.peers[name]
+	if !ok {
+		return nil
+	}
+	p.connected = false
+	p.full, p.owed, p.upload = false, false, false
+	for id := range p.maps {
+		s.forgetMap(p, id)
+	}
+	for _, it := range s.items {
+		if it.pending() && it.from == name {
+			s.failed(now, it, FailGone, 0)
+		}
+	}
+	return s.settle(now)
+}
+
+// Greeted takes the whole maps of a peer for one version.
+func (s *State) Greeted(now time.Time, name string, id chunk.Digest, have, seen Bits) []Action {
+	p, ok := s.peers[name]
+	if !ok || (p.maps[id] == nil && len(p.maps) >= maxMaps) {
+		return nil
+	}
+	st := s.set(id)
+	if st == nil {
+		p.maps[id] = have.clone()
+		return s.settle(now)
+	}
+	return s.Announced(now, name, id, have.members(), seen.members())
+}
+
+// Announced takes news of a peer: chunks that it holds and chunks that it
+// has heard to be held in the region.
+func (s *State) Announced(now time.Time, name string, id chunk.Digest, have, seen []int) []Action {
+	p, ok := s.peers[name]
+	st := s.set(id)
+	if !ok || st == nil {
+		return nil
+	}
+	m := p.maps[id]
+	if len(m) < len(st.have) {
+		grown := NewBits(len(st.items))
+		copy(grown, m)
+		m = grown
+		p.maps[id] = m
+	}
+	for _, i := range have {
+		if i < 0 || i >= len(st.items) || m.Has(i) {
+			continue
+		}
+		m.Set(i)
+		if s.near(p) {
+			st.copies[i]++
+		}
+	}
+	s.spread(st, append(have, seen...), name)
+	return s.settle(now)
+}
+
+// spread passes on to the neighbours which chunks the region holds, each
+// once. By it all sides of a region take turns on the region link without a
+// shared record of whose turn it is.
+func (s *State) spread(st *set, indexes []int, from string) {
+	var news []int
+	for _, i := range indexes {
+		if i < 0 || i >= len(st.items) || st.seen.Has(i) {
+			continue
+		}
+		st.seen.Set(i)
+		news = append(news, i)
+	}
+	if len(news) == 0 {
+		return
+	}
+	for _, p := range s.sortedPeers() {
+		if s.near(p) && p.Name != from {
+			s.emit(Announce{Peer: p.Name, Manifest: st.id, Seen: news})
+		}
+	}
+}
+
+// Arrived tells that a chunk is verified and staged. It also takes the chunks
+// that the staging area held from the start.
+func (s *State) Arrived(now time.Time, d chunk.Digest) []Action {
+	it, ok := s.items[d]
+	if !ok {
+		return []Action{Discard{Chunk: d}}
+	}
+	if it.held {
+		return nil
+	}
+	if it.pending() {
+		s.measure(it, now)
+		s.pardon(it.from)
+		s.clearPending(it)
+	}
+	it.held = true
+	for _, pl := range it.places {
+		pl.set.have.Set(pl.index)
+		pl.set.seen.Set(pl.index)
+		s.announceHeld(pl)
+	}
+	s.unseal()
+	s.invite()
+	return s.settle(now)
+}
+
+func (s *State) announceHeld(pl place) {
+	for _, p := range s.sortedPeers() {
+		if s.near(p) {
+			s.emit(Announce{Peer: p.Name, Manifest: pl.set.id, Have: []int{pl.index}})
+		}
+	}
+}
+
+// Failed tells that a transfer ended without the chunk. After is how long the
+// origin asked to be left alone, zero otherwise.
+func (s *State) Failed(now time.Time, d chunk.Digest, from string, why Failure, after time.Duration) []Action {
+	it, ok := s.items[d]
+	if !ok || !it.pending() || it.from != from {
+		return nil
+	}
+	s.failed(now, it, why, after)
+	return s.settle(now)
+}
+
+func (s *State) set(id chunk.Digest) *set {
+	for _, st := range s.sets {
+		if st.id == id {
+			return st
+		}
+	}
+	return nil
+}
+
+// near reports whether p is a connected side of the own region.
+func (s *State) near(p *peer) bool {
+	return p.connected && p.Region == s.cfg.Self.Region
+}
+
+func (s *State) forgetMap(p *peer, id chunk.Digest) {
+	m, ok := p.maps[id]
+	if !ok {
+		return
+	}
+	delete(p.maps, id)
+	st := s.set(id)
+	if st == nil {
+		return
+	}
+	for i := range st.items {
+		if m.Has(i) && st.copies[i] > 0 && p.Region == s.cfg.Self.Region {
+			st.copies[i]--
+		}
+	}
+}
+
+// maxMaps bounds the versions of which a peer's maps are kept.
+const maxMaps = 16
--- /dev/null
+++ b/core/version/burst/stall.go
@@ -0,0 +1,152 @@
+package burst
+
+import "time"
+
+// Times of recovery.
+const (
+	// firstPatience bounds a transfer before any has been measured.
+	firstPatience = 5 * time.Second
+	leastPatience = 500 * time.Millisecond
+	mostPatience  = 60 * time.Second
+	// stallFactor is how many times the mean duration a transfer may take.
+	stallFactor = 4
+	// lostFactor is how many step-in waits a chunk that was heard of may
+	// stay out of reach.
+	lostFactor = 3
+	// firstBad is how long a peer is left alone after its first fault; each
+	// further one doubles it.
+	firstBad = time.Second
+	mostBad  = time.Minute
+	// corruptStrikes is how many faults a corrupt chunk counts for.
+	corruptStrikes = 3
+	firstRetry     = 100 * time.Millisecond
+	mostRetry      = 5 * time.Second
+	firstDial      = 200 * time.Millisecond
+	mostDial       = 5 * time.Second
+)
+
+// estimate is a decaying mean of durations.
+type estimate struct {
+	mean time.Duration
+	n    int
+}
+
+func (e *estimate) add(d time.Duration) {
+	e.n++
+	if e.n == 1 {
+		e.mean = d
+		return
+	}
+	e.mean += (d - e.mean) / 8
+}
+
+func (s *State) measure(it *item, now time.Time) {
+	e, ok := s.timing[it.via]
+	if !ok {
+		e = &estimate{}
+		s.timing[it.via] = e
+	}
+	e.add(now.Sub(it.since))
+}
+
+// patience is how long a transfer may take before the chunk is asked for
+// elsewhere: a multiple of what such transfers took lately.
+func (s *State) patience(v Via) time.Duration {
+	e, ok := s.timing[v]
+	if !ok {
+		return firstPatience
+	}
+	return min(max(stallFactor*e.mean, leastPatience), mostPatience)
+}
+
+// stepIn is how long the side at a rank waits for those before it, counted
+// from when the chunk's turn came.
+func (s *State) stepIn(up string, pos int) time.Duration {
+	via := ViaImport
+	if up == "" {
+		via = ViaOrigin
+	}
+	return time.Duration(pos) * s.patience(via)
+}
+
+// expire ends transfers past their deadline and takes back upload slots from
+// silent peers.
+func (s *State) expire(now time.Time) {
+	for d, it := range s.items {
+		if !it.pending() || now.Before(it.deadline) {
+			continue
+		}
+		s.emit(Stop{Chunk: d, Peer: it.from, Reason: string(FailStalled)})
+		s.failed(now, it, FailStalled, 0)
+	}
+	for _, p := range s.peers {
+		if p.upload && now.After(p.uploadEnd) {
+			p.upload = false
+		}
+	}
+}
+
+func (s *State) failed(now time.Time, it *item, why Failure, after time.Duration) {
+	s.blame(now, it.from, why)
+	if it.via != ViaTrade {
+		it.attempts++
+		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, mostRetry)))
+		it.fails++
+	}
+	if it.via == ViaOrigin {
+		it.attempts = 0
+	}
+	if why == FailLacks {
+		s.disbelieve(it)
+	}
+	s.clearPending(it)
+	s.invite()
+}
+
+// blame leaves a peer alone for a while after a fault. Without it the next
+// pick would often fall on the same peer and the chunk would never come.
+func (s *State) blame(now time.Time, name string, why Failure) {
+	p, ok := s.peers[name]
+	if !ok || why == FailGone {
+		return
+	}
+	n := 1
+	if why == FailCorrupt {
+		n = corruptStrikes
+	}
+	p.strikes += n
+	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
+}
+
+// disbelieve forgets a peer's claim to hold a chunk that it could not send.
+func (s *State) disbelieve(it *item) {
+	p, ok := s.peers[it.from]
+	if !ok {
+		return
+	}
+	for _, pl := range it.places {
+		m := p.maps[pl.set.id]
+		if !m.Has(pl.index) {
+			continue
+		}
+		m.Clear(pl.index)
+		if pl.set.copies[pl.index] > 0 && s.near(p) {
+			pl.set.copies[pl.index]--
+		}
+	}
+}
+
+func (s *State) pardon(name string) {
+	if p, ok := s.peers[name]; ok {
+		p.strikes = 0
+	}
+}
+
+func doubled(d time.Duration, times int, most time.Duration) time.Duration {
+	for range min(max(times, 0), 30) {
+		d = min(2*d, most)
+	}
+	return d
+}
+
+func dialWait(fails int) time.Duration { return doubled(firstDial, fails, mostDial) }
--- /dev/null
+++ b/io/version/swarm/download.go
@@ -0,0 +1,182 @@
+package swarm
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/version/burst"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/io/version/pace"
+)
+
+// window is how many blocks of a chunk are asked for ahead.
+const window = 8
+
+// incoming is one chunk on its way to this side.
+type incoming struct {
+	fetch  burst.Fetch
+	cancel context.CancelCauseFunc
+	blocks chan *block
+}
+
+// errLacks ends a transfer from a peer that does not have the chunk.
+var errLacks = errors.New("peer does not have the chunk")
+
+// errStopped ends a transfer that was stopped on purpose.
+var errStopped = errors.New("stopped")
+
+// fetch starts a transfer; it is called with the state locked.
+func (n *Node) fetch(s *state, f burst.Fetch) {
+	ctx, cancel := context.WithCancelCause(n.ctx)
+	in := &incoming{fetch: f, cancel: cancel, blocks: make(chan *block, 2*window)}
+	s.incoming[f.Chunk.Digest] = in
+	n.wg.Go(func() {
+		defer cancel(nil)
+		n.carry(ctx, in)
+	})
+}
+
+func (n *Node) carry(ctx context.Context, in *incoming) {
+	b, err := n.obtain(ctx, in)
+	if err == nil {
+		err = fault.At("stage chunk", "engine", n.Staging.Put(ctx, in.fetch.Chunk.Digest, b))
+	}
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	n.finish(in, b, err)
+}
+
+func (n *Node) obtain(ctx context.Context, in *incoming) ([]byte, error) {
+	if in.fetch.Via == burst.ViaOrigin {
+		return n.source.chunk(ctx, in.fetch.Chunk, func(k int) { n.counters.origin.Inc(int64(k)) })
+	}
+	c, err := n.connTo(ctx, in.fetch.Peer)
+	if err != nil {
+		return nil, err
+	}
+	b, err := n.receive(ctx, c, in)
+	if err != nil {
+		c.send(&drop{Chunk: in.fetch.Chunk.Digest})
+		return nil, err
+	}
+	if got := chunk.Sum(b); got != in.fetch.Chunk.Digest {
+		err := errors.Wrapf(errCorrupt, "digest %s, want %s", got, in.fetch.Chunk.Digest)
+		return nil, fault.At("verify chunk", in.fetch.Peer, err)
+	}
+	return b, nil
+}
+
+// receive asks for a chunk block by block, each when the links allow it, and
+// puts it together.
+func (n *Node) receive(ctx context.Context, c *conn, in *incoming) ([]byte, error) {
+	size := in.fetch.Chunk.Size
+	buf := make([]byte, size)
+	share := n.shareLine(in.fetch.Share)
+	var asked, got int64
+	for got < size {
+		for asked < size && asked-got < window*n.blockSize() {
+			k := min(n.blockSize(), size-asked)
+			if err := share.Wait(ctx, int(k)); err != nil {
+				return nil, err
+			}
+			if err := n.pacer.Down.Wait(ctx, int(k)); err != nil {
+				return nil, err
+			}
+			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
+			asked += k
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case b := <-in.blocks:
+			if b.Offset != got || b.Offset+int64(len(b.Data)) > asked {
+				return nil, fault.Newf("receive chunk", c.name(), "block at %d of %d bytes, want offset %d up to %d", b.Offset, len(b.Data), got, asked)
+			}
+			got += int64(copy(buf[got:], b.Data))
+			n.count(in.fetch.Via, int64(len(b.Data)))
+		}
+	}
+	return buf, nil
+}
+
+// shareLine paces one import at its share of the region link.
+func (n *Node) shareLine(share float64) *pace.Line {
+	if share <= 0 {
+		return nil
+	}
+	left := n.pacer.RegionLeft(n.sidesInRegion())
+	return &pace.Line{Clock: n.Clock, Rate: int64(left * share)}
+}
+
+// deliver hands a block to its transfer. A block that nobody asked for is
+// dropped: it may have crossed with a drop.
+func (n *Node) deliver(c *conn, b *block) {
+	n.mu.Lock()
+	in := n.state.incoming[b.Chunk]
+	n.mu.Unlock()
+	if in == nil || in.fetch.Peer != c.name() {
+		return
+	}
+	select {
+	case in.blocks <- b:
+	default:
+		in.cancel(fault.Newf("receive chunk", c.name(), "more blocks of %s than asked for", b.Chunk))
+	}
+}
+
+func (n *Node) lacking(c *conn, d chunk.Digest) {
+	n.mu.Lock()
+	in := n.state.incoming[d]
+	n.mu.Unlock()
+	if in != nil && in.fetch.Peer == c.name() {
+		in.cancel(fault.At("ask for chunk", c.name(), errLacks))
+	}
+}
+
+// finish tells the decisions how a transfer ended.
+func (n *Node) finish(in *incoming, b []byte, err error) {
+	d := in.fetch.Chunk.Digest
+	if err == nil {
+		n.cache.put(d, b)
+	}
+	n.do(func(s *state) {
+		if s.incoming[d] == in {
+			delete(s.incoming, d)
+		}
+		if err == nil {
+			s.add(s.core.Arrived(s.now, d))
+			return
+		}
+		if errors.Is(err, errStopped) || n.ctx.Err() != nil {
+			return
+		}
+		why, after := classify(err)
+		s.add(s.core.Failed(s.now, d, in.fetch.Peer, why, after))
+	})
+	if err == nil {
+		n.uploads.signal()
+		n.progressed()
+		return
+	}
+	if !errors.Is(err, errStopped) && n.ctx.Err() == nil {
+		n.failedTransfer(in, err)
+	}
+}
+
+func classify(err error) (burst.Failure, time.Duration) {
+	var refused *refusedError
+	switch {
+	case errors.As(err, &refused):
+		return burst.FailRefused, refused.RetryAfter
+	case errors.Is(err, errCorrupt):
+		return burst.FailCorrupt, 0
+	case errors.Is(err, errLacks):
+		return burst.FailLacks, 0
+	default:
+		return burst.FailGone, 0
+	}
+}
--- /dev/null
+++ b/io/version/swarm/source.go
@@ -0,0 +1,128 @@
+package swarm
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/io/version/pace"
+)
+
+// Bounds of calls to the store and the origin.
+const (
+	manifestTimeout = 10 * time.Second
+	maxManifest     = 16 << 20
+	maxRetryAfter   = 30 * time.Second
+	readSize        = 16 << 10
+)
+
+// refusedError is an answer that asks to come back later.
+type refusedError struct {
+	Status     int
+	RetryAfter time.Duration
+}
+
+func (e *refusedError) Error() string {
+	return "status " + strconv.Itoa(e.Status) + ", retry after " + e.RetryAfter.String()
+}
+
+// source reads manifests from the store and chunks from the origin.
+type source struct {
+	store  netip.AddrPort
+	origin netip.AddrPort
+	http   *http.Client
+	pacer  *pace.Pacer
+}
+
+// manifest reads a manifest and checks it against its pinned digest.
+func (s *source) manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	peer := s.store.String()
+	resp, err := s.get(ctx, s.store, "/v1/manifests/"+string(d))
+	if err != nil {
+		return chunk.Manifest{}, fault.At("read manifest", peer, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxManifest+1))
+	if err != nil {
+		return chunk.Manifest{}, fault.At("read manifest", peer, err)
+	}
+	if len(b) > maxManifest {
+		return chunk.Manifest{}, fault.Newf("read manifest", peer, "longer than %d bytes", maxManifest)
+	}
+	m, err := chunk.Decode(b, d)
+	return m, fault.At("check manifest", peer, err)
+}
+
+// chunk draws one chunk from the origin and checks its size and digest.
+// progress is told of each piece.
+func (s *source) chunk(ctx context.Context, ref chunk.Ref, progress func(n int)) ([]byte, error) {
+	peer := s.origin.String()
+	resp, err := s.get(ctx, s.origin, "/v1/chunks/"+string(ref.Digest))
+	if err != nil {
+		return nil, fault.At("draw chunk", peer, err)
+	}
+	defer resp.Body.Close()
+	b := make([]byte, ref.Size)
+	for off := 0; off < len(b); {
+		n := min(readSize, len(b)-off)
+		if err := s.await(ctx, n); err != nil {
+			return nil, fault.At("draw chunk", peer, err)
+		}
+		if _, err := io.ReadFull(resp.Body, b[off:off+n]); err != nil {
+			return nil, fault.At("draw chunk", peer, errors.Wrapf(err, "after %d of %d bytes", off, len(b)))
+		}
+		off += n
+		progress(n)
+	}
+	var one [1]byte
+	if n, _ := resp.Body.Read(one[:]); n > 0 {
+		return nil, fault.Newf("draw chunk", peer, "chunk %s is longer than %d bytes", ref.Digest, ref.Size)
+	}
+	if got := chunk.Sum(b); got != ref.Digest {
+		return nil, fault.At("verify chunk", peer, errors.Wrapf(errCorrupt, "digest %s, want %s", got, ref.Digest))
+	}
+	return b, nil
+}
+
+// errCorrupt marks bytes that do not have the digest they were asked by.
+var errCorrupt = errors.New("corrupt")
+
+func (s *source) await(ctx context.Context, n int) error {
+	if err := s.pacer.Origin.Wait(ctx, n); err != nil {
+		return err
+	}
+	return s.pacer.Down.Wait(ctx, n)
+}
+
+func (s *source) get(ctx context.Context, addr netip.AddrPort, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, &refusedError{Status: resp.StatusCode, RetryAfter: retryAfter(resp)}
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return min(time.Duration(s)*time.Second, maxRetryAfter)
+}
--- /dev/null
+++ b/io/version/swarm/update.go
@@ -0,0 +1,186 @@
+package swarm
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/view"
+	"hawthornferry/core/version/burst"
+	"hawthornferry/core/version/chunk"
+)
+
+// Waits between reads of a manifest.
+const (
+	firstManifestWait = 200 * time.Millisecond
+	mostManifestWait  = 10 * time.Second
+)
+
+// known is a manifest that a wanted version pins.
+type known struct {
+	cancel   context.CancelFunc
+	ready    bool
+	manifest chunk.Manifest
+	staged   []chunk.Digest
+}
+
+// Update takes a new document, new peers or a new list of wanted versions.
+// It may be called at any time and does not block.
+func (n *Node) Update(v view.View, wanted []Wanted) {
+	n.init()
+	n.do(func(s *state) {
+		s.view = v
+		s.wanted = wanted
+		keep := map[chunk.Digest]bool{}
+		for _, w := range wanted {
+			keep[w.Manifest] = true
+			n.learn(s, w)
+		}
+		for d, k := range s.manifests {
+			if !keep[d] {
+				k.cancel()
+				delete(s.manifests, d)
+			}
+		}
+		n.refresh(s)
+	})
+}
+
+// learn starts reading a manifest that is not yet known.
+func (n *Node) learn(s *state, w Wanted) {
+	if _, ok := s.manifests[w.Manifest]; ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	s.manifests[w.Manifest] = &known{cancel: cancel}
+	n.decide("want", w.Manifest, w.Model, w.Version, "document")
+	n.wg.Go(func() {
+		defer cancel()
+		n.readManifest(ctx, w.Manifest)
+	})
+}
+
+func (n *Node) readManifest(ctx context.Context, d chunk.Digest) {
+	wait := firstManifestWait
+	for ctx.Err() == nil {
+		m, err := n.source.manifest(ctx, d)
+		if err == nil {
+			n.adopt(ctx, d, m)
+			return
+		}
+		n.reportUnlessStopped("read manifest", n.Store.String(), err)
+		_, after := classify(err)
+		// Many sides learn of a version at the same moment; a random part
+		// keeps them from coming back to the store in step.
+		pause := max(wait, after) + rand.N(wait)
+		wait = min(2*wait, mostManifestWait)
+		select {
+		case <-n.Clock.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// adopt takes a manifest into the decisions, with the chunks of it that the
+// engine holds from before. These are read back and verified, since what an
+// earlier process of this side left behind is not known to be whole.
+func (n *Node) adopt(ctx context.Context, d chunk.Digest, m chunk.Manifest) {
+	staged := n.verifyStaged(ctx, m)
+	n.do(func(s *state) {
+		k, ok := s.manifests[d]
+		if !ok || ctx.Err() != nil {
+			return
+		}
+		k.ready, k.manifest, k.staged = true, m, staged
+		n.refresh(s)
+		k.staged = nil
+	})
+	n.progressed()
+}
+
+func (n *Node) verifyStaged(ctx context.Context, m chunk.Manifest) []chunk.Digest {
+	list, err := n.Staging.List(ctx)
+	if err != nil {
+		n.reportUnlessStopped("list staging", "engine", err)
+		return nil
+	}
+	there := map[chunk.Digest]bool{}
+	for _, d := range list {
+		there[d] = true
+	}
+	var out []chunk.Digest
+	for _, ref := range m.Chunks {
+		if !there[ref.Digest] || n.held(ref.Digest) || n.arriving(ref.Digest) {
+			continue
+		}
+		b, err := n.Staging.Get(ctx, ref.Digest)
+		if err != nil || chunk.Sum(b) != ref.Digest {
+			continue
+		}
+		out = append(out, ref.Digest)
+	}
+	return out
+}
+
+// refresh hands the wanted versions whose manifests are known to the
+// decisions; it is called with the state locked.
+func (n *Node) refresh(s *state) {
+	var sets []burst.Set
+	for _, w := range s.wanted {
+		k := s.manifests[w.Manifest]
+		if k == nil || !k.ready || hasSet(sets, w.Manifest) {
+			continue
+		}
+		sets = append(sets, burst.Set{
+			ID:       w.Manifest,
+			Manifest: k.manifest,
+			Members:  n.members(s, w.Manifest),
+			Staged:   k.staged,
+		})
+	}
+	if s.view.Document != nil {
+		s.core.SetWeigh(s.view.Document.Weigh)
+	}
+	s.add(s.core.Update(s.now, sets))
+}
+
+func hasSet(sets []burst.Set, d chunk.Digest) bool {
+	for _, s := range sets {
+		if s.ID == d {
+			return true
+		}
+	}
+	return false
+}
+
+// members are the live sides whose service serves the manifest, this one
+// included.
+func (n *Node) members(s *state, d chunk.Digest) []burst.Member {
+	self := burst.Member{Name: n.Self.VM.Name, Region: n.Self.VM.Region}
+	out := []burst.Member{self}
+	serves := servicesOf(s.view, d)
+	for _, vm := range s.view.VMs {
+		if vm.Name == self.Name || vm.Role != fleet.RoleSide || vm.State != fleet.StateLive {
+			continue
+		}
+		if serves[vm.Service] {
+			out = append(out, burst.Member{Name: vm.Name, Region: vm.Region})
+		}
+	}
+	return out
+}
+
+func servicesOf(v view.View, d chunk.Digest) map[string]bool {
+	out := map[string]bool{}
+	if v.Document == nil {
+		return out
+	}
+	for _, svc := range v.Document.Services {
+		m, ok := v.Document.ModelByName(svc.Model)
+		if ok && m.Manifest == d {
+			out[svc.Name] = true
+		}
+	}
+	return out
+}
