--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -162,6 +162,10 @@
 // SetWeigh takes the document's weighing of origin bytes against time.
 func (s *State) SetWeigh(w envdoc.Weigh) { s.cfg.Weigh = w }
 
+// SetOriginRegion changes the region in which the origin lies; it takes
+// effect at the next Update.
+func (s *State) SetOriginRegion(region string) { s.cfg.OriginRegion = region }
+
 // Held reports whether the side holds the chunk, verified.
 func (s *State) Held(d chunk.Digest) bool {
 	it, ok := s.items[d]
--- /dev/null
+++ b/io/process/host/host.go
@@ -0,0 +1,278 @@
+// Package host runs what every process of the system has: its logs, metrics,
+// configuration, peer listener and administration API, around the parts that
+// make it an entry or a side.
+package host
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/admin"
+	"hawthornferry/io/process/conf"
+	"hawthornferry/io/process/trace"
+	"hawthornferry/io/process/watch"
+)
+
+// Part is one component of a process. It runs until its context ends.
+type Part struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Host is the common frame of a process. Settings, Peers and Admin are set
+// first; Open then makes the exported components that parts are built from;
+// the rest is set before Run.
+type Host struct {
+	Settings conf.Settings
+	Version  string
+	Peers    net.Listener
+	Admin    net.Listener
+
+	Self    *link.Self
+	Clock   clockwork.Clock
+	Logger  *logrus.Logger
+	Log     trail.Log
+	Metrics tally.Scope
+	Watcher *watch.Watcher
+
+	Parts    []Part
+	Handlers map[link.Purpose]link.Handler
+	// Ready returns why the process takes no callers, nil when it does.
+	Ready func() error
+	// Fill adds to a status what only the entry or the side knows.
+	Fill func(s *admin.Status)
+	// Drain stops new work and returns when what is in flight has finished.
+	Drain func(ctx context.Context) error
+
+	started  time.Time
+	metrics  http.Handler
+	closers  []io.Closer
+	sinks    []*trace.Sink
+	draining chan struct{}
+}
+
+// Open makes the components from the settings.
+func (h *Host) Open() error {
+	h.Clock = clockwork.NewRealClock()
+	h.started = h.Clock.Now()
+	h.draining = make(chan struct{})
+	// A soft limit makes the collector work harder near the bound that the
+	// VM's slot allows, where the process would be ended for its size.
+	debug.SetMemoryLimit(h.Settings.Limits.Memory)
+	h.openSelf()
+	var closer io.Closer
+	h.Metrics, h.metrics, closer = admin.NewMetrics()
+	h.closers = append(h.closers, closer)
+	if err := h.openLogs(); err != nil {
+		return err
+	}
+	h.openWatcher()
+	return nil
+}
+
+func (h *Host) openSelf() {
+	p := h.Settings.Process
+	h.Self = &link.Self{Boot: uuid.NewString()}
+	h.Self.VM = fleet.VM{
+		Name:    p.Name,
+		Role:    p.Role,
+		Zone:    p.Zone,
+		Region:  p.Region,
+		Service: h.Settings.Target.Service,
+		Address: h.Settings.Listen.Peers,
+		State:   fleet.StateLive,
+	}
+}
+
+func (h *Host) openLogs() error {
+	logs := h.Settings.Log
+	logger, err := h.openLog(logs.Output)
+	if err != nil {
+		return err
+	}
+	h.Logger = logger
+	decisions := logger
+	if logs.Decisions != "" && logs.Decisions != logs.Output {
+		decisions, err = h.openLog(logs.Decisions)
+		if err != nil {
+			return err
+		}
+	}
+	h.Log = &trace.Log{Process: h.Self.VM.Name, Boot: h.Self.Boot, Clock: h.Clock, Logger: decisions}
+	return nil
+}
+
+func (h *Host) openLog(output string) (*logrus.Logger, error) {
+	out, err := trace.Open(output)
+	if err != nil {
+		return nil, err
+	}
+	sink := &trace.Sink{Out: out, Buffer: h.Settings.Log.Buffer, Metrics: h.Metrics}
+	h.closers = append(h.closers, out)
+	h.sinks = append(h.sinks, sink)
+	return trace.NewLogger(sink, h.Settings.Log.Level)
+}
+
+func (h *Host) openWatcher() {
+	h.Watcher = &watch.Watcher{
+		Self:        h.Self,
+		Clock:       h.Clock,
+		Log:         h.Log,
+		Metrics:     h.Metrics,
+		Environment: h.Settings.Platform.Environment,
+		Config:      h.Settings.Platform.Config,
+		VMList:      h.Settings.Platform.VMList,
+		Seeds:       h.Settings.Peers.Seeds,
+	}
+}
+
+// Run runs the process until ctx ends, then drains it within the grace
+// period. It returns an error when a part failed or the grace period ended
+// with work in flight.
+func (h *Host) Run(ctx context.Context) error {
+	sinkCtx, stopSinks := context.WithCancel(context.Background())
+	var sinks errgroup.Group
+	for _, s := range h.sinks {
+		sinks.Go(func() error { return s.Run(sinkCtx) })
+	}
+	h.Logger.WithField("vm", h.Self.VM.Name).WithField("boot", h.Self.Boot).Info("started")
+	err := h.runParts(ctx)
+	h.Logger.WithField("vm", h.Self.VM.Name).WithError(err).Info("stopped")
+	stopSinks()
+	return errors.CombineErrors(err, errors.CombineErrors(sinks.Wait(), h.close()))
+}
+
+// runParts keeps the parts running while they drain: calls in flight still
+// need sessions, configuration and the administration API.
+func (h *Host) runParts(ctx context.Context) error {
+	partCtx, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	g, partCtx := errgroup.WithContext(partCtx)
+	for _, p := range h.allParts() {
+		g.Go(func() error { return fault.At("run "+p.Name, "", p.Run(partCtx)) })
+	}
+	select {
+	case <-partCtx.Done():
+		return g.Wait()
+	case <-ctx.Done():
+	}
+	close(h.draining)
+	err := h.drain()
+	stopParts()
+	return errors.CombineErrors(err, g.Wait())
+}
+
+func (h *Host) drain() error {
+	if h.Drain == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.Settings.Limits.Grace)
+	defer cancel()
+	return fault.At("drain within the grace period", "", h.Drain(ctx))
+}
+
+func (h *Host) allParts() []Part {
+	handlers := map[link.Purpose]link.Handler{link.PurposeConfig: h.Watcher.Handler()}
+	for p, handler := range h.Handlers {
+		handlers[p] = handler
+	}
+	peers := &link.Listener{Self: h.Self, Net: h.Peers, Handlers: handlers, Rejected: h.rejected}
+	api := &admin.Server{Listener: h.Admin, Status: h.status, Ready: h.ready, Metrics: h.metrics}
+	parts := []Part{
+		{Name: "peer listener", Run: peers.Run},
+		{Name: "administration API", Run: api.Run},
+		{Name: "configuration", Run: h.Watcher.Run},
+	}
+	return append(parts, h.Parts...)
+}
+
+func (h *Host) rejected(err error) {
+	h.Metrics.Counter("peers_rejected").Inc(1)
+	h.Logger.WithError(err).Warn("peer rejected")
+}
+
+// Draining reports whether the process is shutting down.
+func (h *Host) Draining() bool {
+	select {
+	case <-h.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *Host) ready() error {
+	if h.Draining() {
+		return errors.New("draining")
+	}
+	if h.Watcher.Current().Document == nil {
+		return errors.New("no environment document yet")
+	}
+	if h.Ready == nil {
+		return nil
+	}
+	return h.Ready()
+}
+
+func (h *Host) status() admin.Status {
+	s := admin.Status{Process: h.processStatus(), Config: h.configStatus()}
+	if h.Fill != nil {
+		h.Fill(&s)
+	}
+	return s
+}
+
+func (h *Host) processStatus() admin.Process {
+	vm := h.Self.VM
+	p := admin.Process{
+		Name:    vm.Name,
+		Role:    vm.Role,
+		Zone:    vm.Zone,
+		Region:  vm.Region,
+		Boot:    h.Self.Boot,
+		Version: h.Version,
+		Started: h.started,
+		Ready:   true,
+	}
+	if err := h.ready(); err != nil {
+		p.Ready = false
+		p.Reason = err.Error()
+	}
+	return p
+}
+
+func (h *Host) configStatus() admin.Config {
+	v := h.Watcher.Current()
+	c := admin.Config{
+		Environment: h.Settings.Platform.Environment,
+		Revision:    v.Revision(),
+		VMs:         len(v.VMs),
+	}
+	if v.Document != nil {
+		c.Stage = string(v.Document.Stage)
+	}
+	return c
+}
+
+func (h *Host) close() error {
+	var err error
+	for _, c := range h.closers {
+		err = errors.CombineErrors(err, c.Close())
+	}
+	return err
+}
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hawthornferry/core/process/envdoc"
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/version/burst"
@@ -141,10 +142,19 @@
 	}
 	if s.view.Document != nil {
 		s.core.SetWeigh(s.view.Document.Weigh)
+		s.core.SetOriginRegion(n.originRegion(s.view.Document))
 	}
 	s.add(s.core.Update(s.now, sets))
 }
 
+// originRegion is what the document says, or the setting where it is silent.
+func (n *Node) originRegion(d *envdoc.Document) string {
+	if d.Origin.Region != "" {
+		return d.Origin.Region
+	}
+	return n.OriginRegion
+}
+
 func hasSet(sets []burst.Set, d chunk.Digest) bool {
 	for _, s := range sets {
 		if s.ID == d {
