bench/burst: measure distribution against the bound and the baseline

There was no measurement of the whole: real sides on loopback sockets with wires that stand in for machine links, region links and the origin's link, FIFO for live requests and transfers alike, and a profile of how busy each is.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
 
-.PHONY: build demo test fmt lint unit fuzz-seeds clean
+.PHONY: bench-burst build demo test fmt lint unit fuzz-seeds clean
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -28,5 +28,14 @@
 unit:
 	$(GO) test -race -count=1 $(PACKAGES)
 
+# QUICK=1 runs a few trials only and leaves docs/ alone.
+bench-burst:
+	$(GO) build -o bin/burst ./bench/burst
+ifeq ($(QUICK),1)
+	bin/burst --quick
+else
+	bin/burst --csv docs/burst.csv --plot docs/burst.png
+endif
+
 clean:
 	rm -rf bin run
--- /dev/null
+++ b/bench/burst/main.go
@@ -0,0 +1,123 @@
+// Command burst measures how fast a new version reaches N sides and what it
+// costs the links, against the least possible time and against every side
+// drawing from the origin. All sides run in this one process, over real
+// sockets on the loopback; the links are stood in for by paced wires that are
+// slow enough for them, and not the processors, to bind.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+
+	"github.com/integrii/flaggy"
+)
+
+// fullChunks is the number of chunks of a version.
+const fullChunks = 128
+
+var (
+	verbose   bool
+	profiled  bool
+	logWriter io.Writer = os.Stderr
+)
+
+// options are the command line.
+type options struct {
+	quick   bool
+	only    string
+	sides   int
+	setting string
+	csv     string
+	plot    string
+}
+
+func main() {
+	var o options
+	p := flaggy.NewParser("burst")
+	p.Bool(&o.quick, "q", "quick", "Run a few small trials only.")
+	p.String(&o.only, "m", "mode", "Run only this mode: baseline, originBytes, time or faults.")
+	p.Int(&o.sides, "n", "sides", "Run only this number of sides.")
+	p.String(&o.setting, "s", "setting", "Run only this setting: machineBinds or regionBinds.")
+	p.String(&o.csv, "c", "csv", "Write the results to this file.")
+	p.String(&o.plot, "p", "plot", "Write a plot to this file.")
+	p.Bool(&profiled, "u", "profile", "Print how busy the links are while a version spreads.")
+	p.Bool(&verbose, "v", "verbose", "Log to standard error.")
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := measureAll(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measureAll(ctx context.Context, o options) error {
+	var results []result
+	fmt.Println(tableHead)
+	for i, t := range trials(o) {
+		r, err := run(ctx, t, uint64(i))
+		if err != nil {
+			return err
+		}
+		fmt.Println(tableLine(r))
+		results = append(results, r)
+	}
+	if o.csv != "" {
+		if err := writeCSV(o.csv, results); err != nil {
+			return err
+		}
+	}
+	if o.plot != "" {
+		return writePlot(o.plot, results)
+	}
+	return nil
+}
+
+// trials lists the runs that the options ask for.
+func trials(o options) []trial {
+	sides := []int{4, 8, 16, 32, 64, 128}
+	faultSides := 64
+	if o.quick {
+		sides = []int{4, 32}
+		faultSides = 32
+	}
+	if o.sides > 0 {
+		sides, faultSides = []int{o.sides}, o.sides
+	}
+	var out []trial
+	for _, s := range settings {
+		if o.setting != "" && o.setting != s.name {
+			continue
+		}
+		for _, n := range sides {
+			out = append(out, trialsOf(s, n, o)...)
+		}
+		if wantedMode(o, "faults") {
+			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: fullChunks, faults: true})
+		}
+	}
+	return out
+}
+
+func trialsOf(s setting, n int, o options) []trial {
+	var out []trial
+	for _, m := range []mode{modeBaseline, modeOrigin, modeTime} {
+		if !wantedMode(o, m.name) {
+			continue
+		}
+		t := trial{setting: s, mode: m, sides: n, chunks: fullChunks}
+		if m.direct {
+			t.chunks = max(1, 2*fullChunks/n)
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func wantedMode(o options, name string) bool { return o.only == "" || o.only == name }
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Progressed tells that some bytes of a transfer came in; the peer is given
+// new time. A transfer from a peer may not take for ever all the same.
+func (s *State) Progressed(now time.Time, d chunk.Digest) {
+	it, ok := s.items[d]
+	if !ok || !it.pending() {
+		return
+	}
+	p := s.patience(it.via)
+	it.deadline = now.Add(p)
+	last := it.since.Add(trickleFactor * p)
+	if it.via != ViaOrigin && it.deadline.After(last) {
+		it.deadline = last
+	}
+}
+
 // Failed tells that a transfer ended without the chunk. After is how long the
 // origin asked to be left alone, zero otherwise.
 func (s *State) Failed(now time.Time, d chunk.Digest, from string, why Failure, after time.Duration) []Action {
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -10,6 +10,9 @@
 	mostPatience  = 60 * time.Second
 	// stallFactor is how many times the mean duration a transfer may take.
 	stallFactor = 4
+	// trickleFactor is how many times its patience a transfer from a peer
+	// may last although bytes keep coming.
+	trickleFactor = 4
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
 	lostFactor = 3
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -52,7 +52,10 @@
 
 func (n *Node) obtain(ctx context.Context, in *incoming) ([]byte, error) {
 	if in.fetch.Via == burst.ViaOrigin {
-		return n.source.chunk(ctx, in.fetch.Chunk, func(k int) { n.counters.origin.Inc(int64(k)) })
+		return n.source.chunk(ctx, in.fetch.Chunk, func(k int) {
+			n.counters.origin.Inc(int64(k))
+			n.advance(in)
+		})
 	}
 	c, err := n.connTo(ctx, in.fetch.Peer)
 	if err != nil {
@@ -98,11 +101,20 @@
 			}
 			got += int64(copy(buf[got:], b.Data))
 			n.count(in.fetch.Via, int64(len(b.Data)))
+			n.advance(in)
 		}
 	}
 	return buf, nil
 }
 
+func (n *Node) advance(in *incoming) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d := in.fetch.Chunk.Digest; n.state.incoming[d] == in {
+		n.state.core.Progressed(n.Clock.Now(), d)
+	}
+}
+
 // shareLine paces one import at its share of the region link.
 func (n *Node) shareLine(share float64) *pace.Line {
 	if share <= 0 {
