admit: move the limit by the targets' missing or surplus load

A cut by a factor at each adjustment came twice or thrice for one surplus, since reports lag by 0.3 to 0.8 s: limits swung between 44 and 90 and slots stood empty. All entries now move by the same part of the surplus. An always-added step was ruled out: it kept the limit at 8 of 10 while half waited.

--- a/core/request/admit/limit.go
+++ b/core/request/admit/limit.go
@@ -14,13 +14,17 @@
 	Least int
 	// Every is the time between two adjustments.
 	Every time.Duration
-	// Queued is the share of the targets' capacity that may wait at the
-	// targets; above it the limit is cut.
+	// Queued is the share of the targets' capacity that is to wait at the
+	// targets, so that a place that comes free is taken at once.
 	Queued float64
+	// Gain is the part of the missing or surplus load that one adjustment
+	// takes up. Reports lag by about Every, and at a gain near one each
+	// surplus would be corrected twice.
+	Gain float64
 	// Slower is how many times its usual value the time to the first byte
-	// may reach before the limit is cut.
+	// may reach at targets that send no reports.
 	Slower float64
-	// Cut is the factor of one cut.
+	// Cut is the factor of a cut for answers that start late.
 	Cut float64
 }
 
@@ -29,6 +33,7 @@
 	l.Least = orDefault(l.Least, 2)
 	l.Every = orDefault(l.Every, 500*time.Millisecond)
 	l.Queued = orDefault(l.Queued, 0.1)
+	l.Gain = orDefault(l.Gain, 0.3)
 	l.Slower = orDefault(l.Slower, 3)
 	l.Cut = orDefault(l.Cut, 0.9)
 	return l
@@ -39,21 +44,25 @@
 // a value it will not reach again.
 const usualDrift = 1.002
 
-// quickGrowth is the factor of growth before the first cut.
-const quickGrowth = 1.5
-
 // nearLimit is the use of the limit, as a share, that lets it grow.
 const nearLimit = 0.8
 
-// limit is the number of calls that an entry keeps in flight at a service. It
-// grows a step at a time while it is used and the targets keep up, and is cut
-// by a factor when calls wait at the targets or answers start late. Entries
-// that share targets thereby come to similar limits without speaking to each
-// other.
+// maxStep bounds the change of one adjustment, as a share of the limit.
+const maxStep = 0.3
+
+// limit is the number of calls that an entry keeps in flight at a service.
+//
+// For targets that report, each entry moves its limit by a part of what the
+// targets have too much or too little, as a share of their capacity. All
+// entries see the same sum and move by the same share, so that together they
+// make up for it once, not once each. The step that is added while there is room
+// brings limits that differ closer together.
+//
+// For targets that do not report, it grows by a step while it is used, and is
+// cut by a factor when answers start late.
 type limit struct {
 	set      LimitSettings
 	value    float64
-	cutOnce  bool
 	adjusted time.Time
 	peak     int
 	first    window
@@ -63,7 +72,7 @@
 // pressure is what the targets' reports say in sum.
 type pressure struct {
 	capacity int
-	queued   int
+	calls    int
 }
 
 func newLimit(set LimitSettings) limit {
@@ -80,24 +89,39 @@
 
 func (l *limit) adjust(now time.Time, p pressure) {
 	l.adjusted = now
-	slow := l.slow()
 	used := float64(l.peak) >= nearLimit*l.value
 	l.peak = 0
-	switch {
-	case slow || float64(p.queued) > l.set.Queued*float64(p.capacity):
-		l.value *= l.set.Cut
-		l.cutOnce = true
-	case used && !l.cutOnce:
-		l.value *= quickGrowth
-	case used:
-		l.value += math.Max(1, math.Sqrt(l.value)/2)
-	}
 	if p.capacity > 0 {
-		l.value = math.Min(l.value, float64(p.capacity)*(1+l.set.Queued))
+		l.byReports(p, used)
+	} else {
+		l.byLatency(used)
 	}
 	l.value = math.Max(l.value, float64(l.set.Least))
 }
 
+func (l *limit) byReports(p pressure, used bool) {
+	full := float64(p.capacity) * (1 + l.set.Queued)
+	room := (full - float64(p.calls)) / float64(p.capacity)
+	if room > 0 && !used {
+		return
+	}
+	l.value *= 1 + math.Max(-maxStep, math.Min(maxStep, l.set.Gain*room))
+	if room > 0 {
+		l.value++
+	}
+	l.value = math.Min(l.value, full)
+}
+
+func (l *limit) byLatency(used bool) {
+	if l.slow() {
+		l.value *= l.set.Cut
+		return
+	}
+	if used {
+		l.value += math.Max(1, math.Sqrt(l.value)/2)
+	}
+}
+
 // slow compares the window's median time to the first byte with the usual
 // one, the least of medians so far, and begins a new window.
 func (l *limit) slow() bool {
--- a/core/request/admit/service.go
+++ b/core/request/admit/service.go
@@ -180,7 +180,7 @@
 	var p pressure
 	for _, r := range s.reports.All(now) {
 		p.capacity += r.Capacity
-		p.queued += r.Queued
+		p.calls += r.Running + r.Queued
 	}
 	return p
 }
