bench/conf: measure how configuration spreads

The program runs 10 to 200 processes over real sockets against the stand-ins of the platform, idle and with a promotion each second, and every process reading for itself as the baseline.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,12 @@
 # Compares policies of choice and admission on a queueing model; see docs/notes-policy.md.
 bench-policy:
 	$(GO) run ./bench/policy -out docs
+
+# Measures how configuration spreads; see docs/notes-config.md.
+bench-conf:
+	$(GO) build -o bin/conf ./bench/conf
+ifeq ($(QUICK),1)
+	bin/conf --quick
+else
+	bin/conf --csv docs/conf.csv
+endif
--- /dev/null
+++ b/bench/conf/fleet.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/watch"
+	"hawthornferry/standin/platf"
+)
+
+const (
+	environment = "bench"
+	zones       = 3
+	serviceRate = 2000
+	listLag     = 500 * time.Millisecond
+)
+
+// fleetOf is the processes of one run and the platform that they read.
+type fleetOf struct {
+	watchers  []*watch.Watcher
+	service   netip.AddrPort
+	list      netip.AddrPort
+	reads     atomic.Uint64
+	listReads atomic.Uint64
+	wg        sync.WaitGroup
+}
+
+// start runs the platform and the processes of p until ctx ends.
+func start(ctx context.Context, p plan) (*fleetOf, error) {
+	f := &fleetOf{}
+	if err := f.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	if err := f.promote(ctx, p.sections, 0); err != nil {
+		return nil, err
+	}
+	for i := range p.processes {
+		if err := f.startProcess(ctx, i, p.direct); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleetOf) startPlatform(ctx context.Context) error {
+	clock := clockwork.NewRealClock()
+	config := &platf.Config{Rate: serviceRate, Clock: clock}
+	list := &platf.List{Lag: listLag, Clock: clock}
+	var err error
+	if f.service, err = f.serve(ctx, config.Handler(), &f.reads); err != nil {
+		return err
+	}
+	f.list, err = f.serve(ctx, list.Handler(), &f.listReads)
+	return err
+}
+
+// serve answers on a free port and counts the reads, not the control calls.
+func (f *fleetOf) serve(ctx context.Context, h http.Handler, reads *atomic.Uint64) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/") {
+			reads.Add(1)
+		}
+		h.ServeHTTP(w, r)
+	})}
+	f.wg.Go(func() { _ = srv.Serve(l) })
+	context.AfterFunc(ctx, func() { srv.Close() })
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+func (f *fleetOf) startProcess(ctx context.Context, i int, direct bool) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	vm := fleet.VM{
+		Name: fmt.Sprintf("side-%03d", i), Role: fleet.RoleSide, Zone: fmt.Sprintf("z%d", i%zones),
+		Region: "r", Service: "s", Address: addr, State: fleet.StateLive,
+	}
+	if err := f.put(ctx, f.list, "/control/vms/"+vm.Name, vm); err != nil {
+		return err
+	}
+	w := &watch.Watcher{
+		Self: &link.Self{VM: vm, Boot: vm.Name}, Clock: clockwork.NewRealClock(), Log: trail.Discard{},
+		Metrics: tally.NoopScope, Environment: environment, Config: f.service, VMList: f.list,
+	}
+	if direct {
+		w.VMList = netip.AddrPort{}
+	}
+	peers := &link.Listener{Self: w.Self, Net: l, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: w.Handler()}}
+	f.watchers = append(f.watchers, w)
+	f.wg.Go(func() { _ = peers.Run(ctx) })
+	f.wg.Go(func() { _ = w.Run(ctx) })
+	return nil
+}
+
+// promote gives the service a document in which one section is new.
+func (f *fleetOf) promote(ctx context.Context, sections, change int) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "[environment]\nname = %s\nstage = trial\n[region.r]\nlink = 25Mbit\n", environment)
+	for z := range zones {
+		fmt.Fprintf(&b, "[zone.z%d]\nregion = r\n", z)
+	}
+	fmt.Fprintf(&b, "[service.s]\nkind = plain\ntimeout = %dms\nreplicas.z0 = 1\n", 1000+change)
+	for i := range sections {
+		fmt.Fprintf(&b, "[customer.customer-%04d]\nshare = 1\n", i)
+	}
+	return f.do(ctx, f.service, "/control/documents/"+environment, &b)
+}
+
+func (f *fleetOf) put(ctx context.Context, addr netip.AddrPort, path string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return f.do(ctx, addr, path, bytes.NewReader(b))
+}
+
+func (f *fleetOf) do(ctx context.Context, addr netip.AddrPort, path string, body interface{ Read([]byte) (int, error) }) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr.String()+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("PUT %s: status %d", path, resp.StatusCode)
+	}
+	return nil
+}
+
+// awaitAll waits until every process has the revision in force.
+func (f *fleetOf) awaitAll(ctx context.Context, revision uint64) error {
+	for _, w := range f.watchers {
+		for {
+			changed := w.Changed()
+			if w.Current().Revision() >= revision {
+				break
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/conf/main.go
@@ -0,0 +1,89 @@
+// Command conf measures how configuration spreads through a fleet: reads at
+// the configuration service, time until the last process has a new revision,
+// and bytes, processor time and memory for each process. All processes run
+// in this one program, over real sockets on the loopback, against the
+// stand-ins of the platform. As a baseline each process reads for itself.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// plan is what one run measures.
+type plan struct {
+	processes  int
+	sections   int
+	direct     bool
+	idle       time.Duration
+	promotions int
+}
+
+// pace is the time from one promotion to the next: a little more often than
+// 70,000 changes a day.
+const pace = time.Second
+
+// The sizes that are measured by default.
+var (
+	sizes        = []int{10, 50, 100, 200}
+	documentSize = 100
+	largeSize    = 1000
+)
+
+func main() {
+	var csvPath string
+	var quick bool
+	p := flaggy.NewParser("conf")
+	p.String(&csvPath, "", "csv", "Write the results to this file.")
+	p.Bool(&quick, "", "quick", "Run one small trial of each kind.")
+	if err := p.ParseArgs(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, plans(quick), csvPath); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func plans(quick bool) []plan {
+	if quick {
+		return []plan{
+			{processes: 10, sections: documentSize, idle: 3 * time.Second, promotions: 3},
+			{processes: 10, sections: documentSize, idle: 3 * time.Second, promotions: 3, direct: true},
+		}
+	}
+	var out []plan
+	for _, n := range sizes {
+		out = append(out, plan{processes: n, sections: documentSize, idle: 35 * time.Second, promotions: 20})
+	}
+	out = append(out, plan{processes: 100, sections: largeSize, idle: 35 * time.Second, promotions: 20})
+	for _, n := range sizes {
+		out = append(out, plan{processes: n, sections: documentSize, idle: 12 * time.Second, promotions: 8, direct: true})
+	}
+	return out
+}
+
+func run(ctx context.Context, plans []plan, csvPath string) error {
+	out, err := openTable(csvPath)
+	if err != nil {
+		return err
+	}
+	for _, p := range plans {
+		r, err := measure(ctx, p)
+		if err != nil {
+			return err
+		}
+		if err := out.add(r); err != nil {
+			return err
+		}
+	}
+	return out.close()
+}
--- /dev/null
+++ b/bench/conf/output.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+)
+
+var columns = []string{
+	"mode", "processes", "sections", "readers", "startReads", "startMs",
+	"idleReadsPerS", "idleListReadsPerS", "idleBytesPerS", "idleMaxBytesPerS", "idleCorePercent",
+	"changeReadsPerS", "changeBytesPerS", "changeMaxBytesPerS", "changeCorePercent",
+	"lastMedianMs", "lastMaxMs", "heapKiB", "peersLargest",
+}
+
+// table prints each result as it comes and writes the CSV file.
+type table struct {
+	file io.WriteCloser
+	csv  *csv.Writer
+}
+
+func openTable(path string) (*table, error) {
+	fmt.Println(strings.Join(columns, " "))
+	t := &table{}
+	if path == "" {
+		return t, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	t.file, t.csv = f, csv.NewWriter(f)
+	return t, t.csv.Write(columns)
+}
+
+func (t *table) add(r result) error {
+	row := r.row()
+	fmt.Println(strings.Join(row, " "))
+	if t.csv == nil {
+		return nil
+	}
+	return t.csv.Write(row)
+}
+
+func (t *table) close() error {
+	if t.csv == nil {
+		return nil
+	}
+	t.csv.Flush()
+	if err := t.csv.Error(); err != nil {
+		return err
+	}
+	return t.file.Close()
+}
+
+func (r *result) row() []string {
+	mode := "told"
+	if r.direct {
+		mode = "direct"
+	}
+	row := []string{mode}
+	for _, n := range []int{r.processes, r.sections, r.readers, int(r.startReads)} {
+		row = append(row, fmt.Sprint(n))
+	}
+	row = append(row, ms(r.startTime))
+	for _, v := range []float64{
+		r.idleReads, r.idleList, r.idleBytes, r.idleMax, 100 * r.idleCPU,
+		r.changeReads, r.changeBytes, r.changeMax, 100 * r.changeCPU,
+	} {
+		row = append(row, fmt.Sprintf("%.2f", v))
+	}
+	row = append(row, ms(r.lastMedian), ms(r.lastMax), fmt.Sprintf("%.0f", r.heapEach/1024))
+	return append(row, fmt.Sprint(r.peersLargest))
+}
+
+func ms(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond))
+}
