host: show how the configuration gets here in the status

The watcher now counts what it reads, refuses and hears; operators need it to see why a revision is not in force. make lint and go test -race ./... pass (21 packages with tests). No timing was measured.

--- a/io/process/host/host.go
+++ b/io/process/host/host.go
@@ -258,9 +258,17 @@
 
 func (h *Host) configStatus() admin.Config {
 	v := h.Watcher.Current()
+	st := h.Watcher.Stats()
 	c := admin.Config{
 		Environment: h.Settings.Platform.Environment,
 		Revision:    v.Revision(),
+		Service:     st.Service,
+		Refused:     st.Refused,
+		Fault:       st.Fault,
+		Conflict:    st.Conflict,
+		Reader:      st.Reader,
+		Peers:       st.Peers,
+		ListVersion: st.ListVersion,
 		VMs:         len(v.VMs),
 	}
 	if v.Document != nil {
