--- a/core/process/inidoc/flaw.go
+++ b/core/process/inidoc/flaw.go
@@ -23,6 +23,9 @@
 	if f.Section != "" {
 		fmt.Fprintf(&b, ": [%s]", f.Section)
 	}
+	if f.Section == "" && f.Key != "" {
+		b.WriteString(":")
+	}
 	if f.Key != "" {
 		fmt.Fprintf(&b, " %s", f.Key)
 	}
--- a/io/process/cmds/bind.go
+++ b/io/process/cmds/bind.go
@@ -24,6 +24,14 @@
 	text string
 }
 
+// name is the option as the user writes it.
+func (b *bound) name() string {
+	if b.Arg > 0 {
+		return b.Key
+	}
+	return "--" + b.Key
+}
+
 // parseArgs finds the command that args name and fills its options. For
 // --help, --version and unknown flags flaggy prints and ends the process.
 func parseArgs(args []string) (runner, error) {
@@ -104,7 +112,7 @@
 			continue
 		}
 		if err := b.Set(text); err != nil {
-			flaws = append(flaws, inidoc.Flaw{File: "command line", Key: "--" + b.Key, Value: text, Reason: err.Error()})
+			flaws = append(flaws, inidoc.Flaw{File: "command line", Key: b.name(), Value: text, Reason: err.Error()})
 		}
 	}
 	return flaws.Err()
--- /dev/null
+++ b/io/process/cmds/fetch.go
@@ -0,0 +1,36 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/version/chunk"
+)
+
+// fetchManifest reads the canonical bytes of a manifest from the weight
+// store.
+func fetchManifest(ctx context.Context, store netip.AddrPort, d chunk.Digest) ([]byte, error) {
+	const step = "read manifest"
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	url := "http://" + store.String() + "/v1/manifests/" + string(d)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fault.At(step, store.String(), err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fault.At(step, store.String(), err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fault.At(step, store.String(), errors.Newf("%s: status %d", d, resp.StatusCode))
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxManifest))
+	return b, fault.At(step, store.String(), err)
+}
