--- a/core/process/gossip/elect.go
+++ b/core/process/gossip/elect.go
@@ -30,9 +30,14 @@
 	standInStep  = time.Second
 )
 
+// aloneAfter is how long a process may be without any peer before it reads
+// for itself. Every process is without peers when it starts; if each became a
+// reader then, a fleet that starts would read twice as often.
+const aloneAfter = 2 * time.Second
+
 // IsReader reports whether the process called self reads the platform at
 // now. members are the names of the live processes of its zone. A process
-// without peers reads for itself.
+// that has been without peers for aloneAfter reads for itself.
 //
 // The VM list lags and its readers may all have died at once, in which case
 // it would never say so: a live reader is therefore also told from peer to
@@ -40,7 +45,7 @@
 // is alive but cannot reach the platform keeps its turn, so that a platform
 // that is down does not draw the reads of every process.
 func (n *Node) IsReader(self string, members []string, now time.Time) bool {
-	if len(n.peers) == 0 {
+	if len(n.peers) == 0 && now.Sub(n.aloneSince) > aloneAfter {
 		return true
 	}
 	place := position(self, members, n.Zone, now)
--- a/core/process/gossip/node.go
+++ b/core/process/gossip/node.go
@@ -60,6 +60,7 @@
 	peers      map[PeerID]*peer
 	pulls      map[Topic]*pull
 	readerSeen time.Time
+	aloneSince time.Time
 }
 
 type peer struct {
@@ -86,6 +87,7 @@
 	n.peers = map[PeerID]*peer{}
 	n.pulls = map[Topic]*pull{}
 	n.readerSeen = now
+	n.aloneSince = now
 }
 
 // Held returns the state of a topic; its version is 0 before the first.
@@ -115,6 +117,9 @@
 // Gone removes a peer; what it was asked for is asked of another.
 func (n *Node) Gone(id PeerID, now time.Time) []Action {
 	delete(n.peers, id)
+	if len(n.peers) == 0 {
+		n.aloneSince = now
+	}
 	var out []Action
 	for _, t := range topics {
 		if p := n.pulls[t]; p != nil && p.peer == id {
