trace: write decisions whatever the level

With level = warning the decision log was empty, and the replay command would have judged a trace with holes. The level now bounds ordinary messages alone. The test runs at level error and still finds its decisions.

--- a/io/process/trace/log.go
+++ b/io/process/trace/log.go
@@ -26,12 +26,22 @@
 // decisionField is the logrus field that holds the trail.Decision of a line.
 const decisionField = "decision"
 
-// Decide writes one decision.
+// Decide writes one decision, whatever the least level of the logger: a log
+// without some of its decisions would tell the replay command of outcomes
+// that never were. The output must take concurrent writes, as a Sink does.
 func (l *Log) Decide(d trail.Decision) {
 	d.Time = l.Clock.Now()
 	d.Process = l.Process
 	d.Boot = l.Boot
-	l.Logger.WithField(decisionField, d).WithTime(d.Time).Info(d.Action)
+	e := l.Logger.WithField(decisionField, d)
+	e.Level = logrus.InfoLevel
+	b, err := l.Logger.Formatter.Format(e)
+	if err == nil {
+		_, err = l.Logger.Out.Write(b)
+	}
+	if err != nil {
+		l.Logger.WithError(err).Error("decision is not logged")
+	}
 }
 
 // NewLogger returns a logger of JSON lines at the given least level, one of
--- a/io/process/trace/trace_test.go
+++ b/io/process/trace/trace_test.go
@@ -21,7 +21,7 @@
 func TestStuckOutputDropsAndCounts(t *testing.T) {
 	var out bytes.Buffer
 	sink := &Sink{Out: &out, Buffer: 2}
-	logger, err := NewLogger(sink, "info")
+	logger, err := NewLogger(sink, "error")
 	if err != nil {
 		t.Fatal(err)
 	}
