--- a/bench/conf/main.go
+++ b/bench/conf/main.go
@@ -38,16 +38,26 @@
 func main() {
 	var csvPath string
 	var quick bool
+	only := -1
 	p := flaggy.NewParser("conf")
 	p.String(&csvPath, "", "csv", "Write the results to this file.")
+	p.Int(&only, "", "only", "Run only the trial of this number, from 0, and add it to the file.")
 	p.Bool(&quick, "", "quick", "Run one small trial of each kind.")
 	if err := p.ParseArgs(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	all := plans(quick)
+	if only >= len(all) {
+		fmt.Fprintf(os.Stderr, "--only %d: want 0 to %d\n", only, len(all)-1)
+		os.Exit(2)
+	}
+	if only >= 0 {
+		all = all[only : only+1]
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	if err := run(ctx, plans(quick), csvPath); err != nil {
+	if err := run(ctx, all, csvPath); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -72,7 +82,7 @@
 }
 
 func run(ctx context.Context, plans []plan, csvPath string) error {
-	out, err := openTable(csvPath)
+	out, err := openTable(csvPath, len(plans) == 1)
 	if err != nil {
 		return err
 	}
--- a/bench/conf/output.go
+++ b/bench/conf/output.go
@@ -22,17 +22,27 @@
 	csv  *csv.Writer
 }
 
-func openTable(path string) (*table, error) {
+// openTable starts the table. The CSV file at path is begun anew, or added to
+// when more is set and it is there already.
+func openTable(path string, more bool) (*table, error) {
 	fmt.Println(strings.Join(columns, " "))
 	t := &table{}
 	if path == "" {
 		return t, nil
 	}
-	f, err := os.Create(path)
+	mode := os.O_TRUNC
+	if more {
+		mode = os.O_APPEND
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|mode, 0o644)
 	if err != nil {
 		return nil, err
 	}
 	t.file, t.csv = f, csv.NewWriter(f)
+	info, err := f.Stat()
+	if err != nil || info.Size() > 0 {
+		return t, err
+	}
 	return t, t.csv.Write(columns)
 }
 
