--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -26,6 +26,7 @@
 	PurposeCalls   Purpose = "calls"
 	PurposeWeights Purpose = "weights"
 	PurposeConfig  Purpose = "config"
+	PurposeOrders  Purpose = "orders"
 )
 
 // HelloTimeout bounds the wait for the peer's Hello.
@@ -45,7 +46,7 @@
 // Check reports the first field that is out of its domain.
 func (h *Hello) Check() error {
 	switch h.Purpose {
-	case PurposeCalls, PurposeWeights, PurposeConfig:
+	case PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders:
 	default:
 		return errors.Newf("hello: unknown purpose %q", h.Purpose)
 	}
@@ -69,7 +70,7 @@
 	Peer Hello
 
 	self *Self
-	nc   net.Conn
+	nc   *counted
 	w    *frame.Writer
 	r    *frame.Reader
 	// PeerRevision is the highest revision that the peer has shown.
@@ -131,7 +132,8 @@
 		all[k] = f
 	}
 	all.Register(func() frame.Message { return &Hello{} })
-	return &Conn{self: self, nc: nc, w: frame.NewWriter(nc), r: frame.NewReader(nc, all)}
+	cc := &counted{Conn: nc}
+	return &Conn{self: self, nc: cc, w: frame.NewWriter(cc), r: frame.NewReader(cc, all)}
 }
 
 func (c *Conn) greet(p Purpose) error {
