--- a/io/request/gate/target.go
+++ b/io/request/gate/target.go
@@ -9,6 +9,7 @@
 
 	"hawthornferry/core/process/envdoc"
 	"hawthornferry/core/process/fault"
+	"hawthornferry/core/request/calls"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/sessn"
 )
@@ -43,8 +44,13 @@
 // when their choice depends on what has changed.
 func (g *Gate) watch(ctx context.Context) {
 	next := g.observe(ctx)
+	members := calls.Members(g.Source.Current(), g.Service, g.Self.VM.Zone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if members != g.members {
+		g.members = members
+		g.ledger.Renew(g.now())
+	}
 	old := g.target
 	g.target = next
 	if old.ready != next.ready || old.leaving != next.leaving || old.serving != next.serving {
