io/request/front: add tickets and idempotency keys

A caller that may ask again takes a ticket, which names the side and its boot; any entry reads it. A keyed call goes to the key's owner alone, and is unknown while the owner cannot be told.

--- a/io/request/front/once.go
+++ b/io/request/front/once.go
@@ -13,9 +13,21 @@
 	"hawthornferry/io/conn/sessn"
 )
 
-// once carries a call that may run at most once. A free call that certainly
-// did not run goes to another target under a new ID.
+// once carries a call that may run at most once.
 func (f *Front) once(ctx context.Context, w http.ResponseWriter, k *work) {
+	switch {
+	case k.ticket != nil:
+		f.bound(ctx, w, k, k.ticket.Side)
+	case k.key != "":
+		f.keyed(ctx, w, k)
+	default:
+		f.free(ctx, w, k)
+	}
+}
+
+// free carries a once-call that is tied to no side. When it certainly did
+// not run it goes to another target under a new ID.
+func (f *Front) free(ctx context.Context, w http.ResponseWriter, k *work) {
 	k.bind = calls.BindFree
 	last := ending{outcome: calls.NotRun, status: http.StatusServiceUnavailable, retryAfter: retryAfter}
 	for n := 1; ; n++ {
@@ -39,6 +51,41 @@
 	f.fail(w, k, last)
 }
 
+// keyed carries a call that its caller named by an idempotency key to the
+// key's owner.
+func (f *Front) keyed(ctx context.Context, w http.ResponseWriter, k *work) {
+	k.bind = calls.BindKey
+	k.keyID = calls.KeyID(k.req.Customer, k.req.Service, k.key)
+	vm, members, err := calls.Owner(f.Source.Current(), k.req.Service, k.keyID)
+	if err != nil {
+		f.fail(w, k, ending{outcome: calls.Unknown, status: http.StatusServiceUnavailable, reason: err.Error()})
+		return
+	}
+	k.members = members
+	f.bound(ctx, w, k, vm.Name)
+}
+
+// bound carries a call that one side alone may run.
+func (f *Front) bound(ctx context.Context, w http.ResponseWriter, k *work, side string) {
+	m := f.pool.take(side)
+	if m == nil {
+		e := ending{outcome: calls.Unknown, status: http.StatusBadGateway, reason: "the side is gone"}
+		f.fail(w, k, e)
+		return
+	}
+	defer f.pool.release(m)
+	f.Log.Decide(trail.Decision{
+		Area: trail.AreaRouting, Action: "choose", Request: k.req.ID, Customer: k.req.Customer,
+		Service: k.req.Service, Choice: side, Reason: string(k.bind), Revision: f.Self.Revision.Load(),
+	})
+	o := f.tryOnce(ctx, m, k)
+	if o.answer != nil {
+		f.deliver(w, k, o)
+		return
+	}
+	f.fail(w, k, o.ending)
+}
+
 // onceAnswer is what became of one attempt.
 type onceAnswer struct {
 	ending
@@ -67,45 +114,79 @@
 }
 
 // newTicket names the attempt at the member's side.
-func (f *Front) newTicket(m *member, k *work, start *sessn.Start) calls.Ticket {
-	if k.ticket != nil && k.ticket.Bind == calls.BindTicket {
+func newTicket(m *member, k *work, start *sessn.Start) calls.Ticket {
+	if k.bind == calls.BindTicket {
 		return *k.ticket
 	}
-	return calls.Ticket{
+	t := calls.Ticket{
 		Call:    calls.ID(uuid.NewString()),
 		Bind:    k.bind,
 		Service: k.req.Service,
 		Side:    m.client.VM.Name,
 		Issued:  start.Echo,
 	}
+	if k.bind == calls.BindKey {
+		t.Call = k.keyID
+	}
+	return t
 }
 
 // tryOnce makes one attempt at one side and does not return before its
 // outcome is settled.
 func (f *Front) tryOnce(ctx context.Context, m *member, k *work) onceAnswer {
 	t := &onceTry{front: f, member: m, work: k, attempt: calls.NewAttempt(k.bind)}
+	if t.attempt.Bound && !t.connect(ctx) {
+		return t.settled(ctx)
+	}
 	start, err := f.start(ctx, m, k)
 	if err != nil {
-		t.attempt.On(calls.EventUnsent)
+		t.unsent(ctx)
 		return t.settled(ctx)
 	}
-	ticket := f.newTicket(m, k, start)
+	ticket := newTicket(m, k, start)
 	k.ticket = &ticket
-	start.Ticket = &ticket
+	start.Ticket, start.Members = &ticket, k.members
 	call, err := m.client.Start(start, k.body)
 	switch {
 	case errors.Is(err, sessn.ErrUnsent):
-		t.attempt.On(calls.EventUnsent)
-		return t.settled(ctx)
+		t.unsent(ctx)
 	case err != nil:
 		t.ask(ctx, calls.EventLost)
-		return t.settled(ctx)
+	default:
+		t.attempt.On(calls.EventSent)
+		t.follow(ctx, call)
 	}
-	t.attempt.On(calls.EventSent)
-	t.follow(ctx, call)
 	return t.settled(ctx)
 }
 
+// unsent settles a free call; a bound one may have come to its side through
+// another entry.
+func (t *onceTry) unsent(ctx context.Context) {
+	if t.attempt.On(calls.EventUnsent) != calls.StepAsk {
+		return
+	}
+	if t.work.ticket == nil {
+		t.attempt.On(calls.EventGiveUp)
+		return
+	}
+	t.ask(ctx, "")
+}
+
+// connect waits for a session with the only side that may run the call.
+func (t *onceTry) connect(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, t.front.Limits.AskFor)
+	defer cancel()
+	for {
+		next := t.member.client.Next()
+		if t.member.client.Status().Connected {
+			return true
+		}
+		if !t.wait(ctx, next) {
+			return false
+		}
+	}
+}
+
 // onceTry drives the state machine of one attempt.
 type onceTry struct {
 	front   *Front
@@ -174,12 +255,13 @@
 	asking, cancel := context.WithTimeout(ctx, t.front.Limits.AskFor)
 	defer cancel()
 	for {
+		next := t.member.client.Next()
 		call, err := t.member.client.Query(&sessn.Query{Ticket: *t.work.ticket, Mark: true})
 		if err == nil {
 			t.follow(ctx, call)
 			return
 		}
-		if !t.wait(asking) {
+		if !t.wait(asking, next) {
 			return
 		}
 	}
@@ -187,13 +269,8 @@
 
 // wait waits for the session to change; it settles the attempt and returns
 // false when there is nothing more to wait for.
-func (t *onceTry) wait(ctx context.Context) bool {
-	next := t.member.client.Next()
-	s := t.member.client.Status()
-	if s.Connected {
-		return true
-	}
-	if s.Refused || !t.front.pool.isListed(t.member) {
+func (t *onceTry) wait(ctx context.Context, next <-chan struct{}) bool {
+	if t.member.client.Status().Refused || !t.front.pool.isListed(t.member) {
 		t.attempt.On(calls.EventGone)
 		return false
 	}
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -168,6 +168,10 @@
 		f.serve(w, r, k, f.repeat)
 		return
 	}
+	if err := k.readBinding(r.Header); err != nil {
+		f.reject(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
 	f.serve(w, r, k, f.once)
 }
 
--- a/io/request/front/work.go
+++ b/io/request/front/work.go
@@ -27,9 +27,13 @@
 	body    []byte
 	stream  bool
 	timeout time.Duration
-	// bind and ticket are set for a once-call.
-	bind   calls.Binding
-	ticket *calls.Ticket
+	// The rest is for once-calls. ticket is the caller's own, or the one of
+	// the latest attempt; key is the caller's idempotency key.
+	bind    calls.Binding
+	ticket  *calls.Ticket
+	key     string
+	keyID   calls.ID
+	members string
 }
 
 // anonymous is the customer of a call that names none.
@@ -84,6 +88,30 @@
 	return nil
 }
 
+// readBinding takes the ticket or the key that the caller has named its call
+// by.
+func (k *work) readBinding(h http.Header) error {
+	k.key = h.Get(headerKey)
+	if len(k.key) > maxName {
+		return errors.Newf("%s is over %d characters", headerKey, maxName)
+	}
+	text := h.Get(headerTicket)
+	if text == "" {
+		return nil
+	}
+	t, err := calls.DecodeTicket(text)
+	if err != nil {
+		return err
+	}
+	if t.Service != k.req.Service {
+		return errors.Newf("ticket is for service %s", t.Service)
+	}
+	// A ticket that named a free call ties whoever uses it again.
+	t.Bind = calls.BindTicket
+	k.bind, k.ticket = t.Bind, &t
+	return nil
+}
+
 // own are the headers that are for the entry and not for the target.
 var own = []string{headerDeadline, headerTicket, headerResume, headerRequest}
 
