io/request/front: choose and admit by the common policy

Choice of target, fair admission and the retry budget come from core; the front only guards them and wakes the calls that wait. A bound call refused at the door is marked by its side first: the same ticket or key may run through another entry, and notRun would then be false.

--- a/io/request/front/choose.go
+++ b/io/request/front/choose.go
@@ -1,9 +1,6 @@
 package front
 
 import (
-	"slices"
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/trail"
@@ -13,44 +10,6 @@
 // errNoTarget is returned when no candidate may get a call.
 var errNoTarget = errors.New("no target may get the call")
 
-// reasonLeast is the rule of leastLoaded.
-const reasonLeast route.Reason = "leastInFlight"
-
-// leastLoaded picks the target with the fewest calls of this entry.
-type leastLoaded struct{}
-
-// Choose picks the target; the first by name where several are alike.
-func (leastLoaded) Choose(_ time.Time, r route.Request, candidates []route.Candidate) (route.Choice, error) {
-	var best *route.Candidate
-	var left []trail.Left
-	for i := range candidates {
-		c := &candidates[i]
-		if why := unfit(r, c); why != "" {
-			left = append(left, trail.Left{Name: c.VM.Name, Reason: why})
-			continue
-		}
-		if best == nil || c.InFlight < best.InFlight {
-			best = c
-		}
-	}
-	if best == nil {
-		return route.Choice{Left: left}, errNoTarget
-	}
-	return route.Choice{VM: best.VM, Reason: reasonLeast, Left: left}, nil
-}
-
-func unfit(r route.Request, c *route.Candidate) string {
-	switch {
-	case c.Standing != route.StandingReady:
-		return string(c.Standing)
-	case slices.Contains(r.Avoid, c.VM.Name):
-		return "failedThisCall"
-	case r.Version != "" && r.Version != c.Serving:
-		return "otherVersion"
-	}
-	return ""
-}
-
 // choose picks a target for k, counts the call at it and logs the decision.
 func (f *Front) choose(k *work) (*member, error) {
 	f.chooseMu.Lock()
@@ -67,7 +26,7 @@
 		Left: choice.Left, Revision: f.Self.Revision.Load(),
 	}
 	if err != nil {
-		d.Reason = err.Error()
+		d.Reason, d.Left = err.Error(), leftOf(err)
 	}
 	f.Log.Decide(d)
 	if err == nil && m == nil {
@@ -75,3 +34,12 @@
 	}
 	return m, err
 }
+
+// leftOf returns why each candidate was left out when none could be chosen.
+func leftOf(err error) []trail.Left {
+	var none *route.NoTarget
+	if errors.As(err, &none) {
+		return none.Left
+	}
+	return nil
+}
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -40,7 +40,7 @@
 	// Listen is where callers connect. Net, when set, is used in its place.
 	Listen netip.AddrPort
 	Net    net.Listener
-	// Chooser picks targets; nil takes the least loaded.
+	// Chooser picks targets; nil takes the project's own.
 	Chooser Chooser
 	Timing  sessn.Timing
 	Limits  Limits
@@ -52,14 +52,16 @@
 	draining atomic.Bool
 	running  atomic.Bool
 	chooseMu sync.Mutex
+	policy   *policy
 }
 
 func (f *Front) init() { f.setup.Do(f.prepare) }
 
 func (f *Front) prepare() {
 	f.Limits = f.Limits.orDefault()
+	f.policy = newPolicy(f.Clock, f.Self.VM)
 	if f.Chooser == nil {
-		f.Chooser = leastLoaded{}
+		f.Chooser = f.policy
 	}
 	f.outcomes = newOutcomes(f.Metrics)
 	f.pool = newPool(f)
@@ -84,6 +86,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wg.Go(func() { f.pool.run(ctx) })
+	wg.Go(func() { f.policy.run(ctx) })
 	stop := context.AfterFunc(ctx, func() { f.server.Close() })
 	defer stop()
 	f.running.Store(true)
--- a/io/request/front/limits.go
+++ b/io/request/front/limits.go
@@ -1,6 +1,10 @@
 package front
 
-import "time"
+import (
+	"time"
+
+	"hawthornferry/core/request/route"
+)
 
 // Limits bound what callers may use. Sizes are in bytes.
 type Limits struct {
@@ -34,7 +38,7 @@
 		WriteTimeout:  30 * time.Second,
 		IdleTimeout:   2 * time.Minute,
 		MaxInFlight:   2048,
-		Subset:        8,
+		Subset:        route.DefaultSubset,
 		Attempts:      3,
 		AskFor:        3 * time.Second,
 	}
--- a/io/request/front/once.go
+++ b/io/request/front/once.go
@@ -46,6 +46,9 @@
 		if o.outcome != calls.NotRun || n >= f.Limits.Attempts || ctx.Err() != nil {
 			break
 		}
+		if !f.policy.retry(k.req.Service) {
+			break
+		}
 		k.req.Avoid = append(k.req.Avoid, m.client.VM.Name)
 	}
 	f.fail(w, k, last)
@@ -146,6 +149,10 @@
 	ticket := newTicket(m, k, start)
 	k.ticket = &ticket
 	start.Ticket, start.Members = &ticket, k.members
+	if k.refused != nil {
+		t.ask(ctx, calls.EventLost)
+		return t.settled(ctx)
+	}
 	call, err := m.client.Start(start, k.body)
 	switch {
 	case errors.Is(err, sessn.ErrUnsent):
@@ -220,6 +227,7 @@
 				return calls.StepSettle, true
 			}
 		case *sessn.Head:
+			t.work.began(t.front.Clock.Now())
 			t.relay.head = msg
 		case *sessn.Data:
 			if len(t.relay.body)+len(msg.Data) > sessn.MaxAnswer {
@@ -310,6 +318,9 @@
 		g.ticket = e.ticket
 		return onceAnswer{ending: onceEnding(g)}
 	}
+	if r := t.work.refused; r != nil && e.outcome == calls.NotRun {
+		return onceAnswer{ending: *r}
+	}
 	e.status, e.retryAfter = http.StatusBadGateway, 0
 	e.reason = "the side could not tell"
 	if e.outcome == calls.NotRun {
--- a/io/request/front/pool.go
+++ b/io/request/front/pool.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"hawthornferry/core/process/fleet"
-	"hawthornferry/core/process/rank"
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/request/route"
 	"hawthornferry/core/version/chunk"
@@ -90,6 +89,9 @@
 // session with calls in flight stays until they have ended.
 func (p *pool) follow(v view.View) {
 	wanted := map[memberID]bool{}
+	if v.Document != nil {
+		p.front.policy.shares(v.Document.Customers)
+	}
 	for _, vm := range p.subsets(v) {
 		wanted[idOf(vm)] = true
 	}
@@ -126,44 +128,24 @@
 	}
 }
 
-// subsets returns the targets to keep sessions with. Each service's come by
-// zone, the entry's own first, and by rendezvous inside it: the number of an
-// entry's sessions does not grow with the fleet, and a target that comes or
-// goes moves few of them. Leaving targets are not counted, so their
-// successors have sessions before they are gone.
+// subsets returns the targets to keep sessions with. Leaving targets are not
+// counted, so their successors have sessions before they are gone.
 func (p *pool) subsets(v view.View) []fleet.VM {
-	by := map[string][]fleet.VM{}
+	var live []fleet.VM
+	services := map[string]bool{}
 	for _, vm := range v.VMs {
 		if vm.Role == fleet.RoleSide && vm.State == fleet.StateLive {
-			by[vm.Service] = append(by[vm.Service], vm)
+			live = append(live, vm)
+			services[vm.Service] = true
 		}
 	}
 	var out []fleet.VM
-	for _, vms := range by {
-		out = append(out, p.nearest(vms)...)
+	for name := range services {
+		out = append(out, route.Subset(p.front.Self.VM, name, live, p.front.Limits.Subset)...)
 	}
 	return out
 }
 
-func (p *pool) nearest(vms []fleet.VM) []fleet.VM {
-	self := p.front.Self.VM
-	vms = rank.Order(self.Name, vms, func(vm fleet.VM) string { return vm.Name })
-	slices.SortStableFunc(vms, func(a, b fleet.VM) int {
-		return cmp.Compare(distance(self, a), distance(self, b))
-	})
-	return vms[:min(len(vms), p.front.Limits.Subset)]
-}
-
-func distance(self, vm fleet.VM) int {
-	switch {
-	case vm.Zone == self.Zone:
-		return 0
-	case vm.Region == self.Region:
-		return 1
-	}
-	return 2
-}
-
 func idOf(vm fleet.VM) memberID { return memberID{name: vm.Name, address: vm.Address} }
 
 func (p *pool) ensureLocked(vm fleet.VM) *member {
@@ -177,11 +159,25 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	m := &member{vm: vm, cancel: cancel, listed: true, used: f.Clock.Now()}
 	m.client = &sessn.Client{Self: f.Self, Clock: f.Clock, VM: vm, Timing: f.Timing}
+	m.client.Changed = func() { p.report(m.client, vm) }
 	p.members[idOf(vm)] = m
 	p.wg.Go(func() { _ = m.client.Run(ctx) })
 	return m
 }
 
+// report hands a target's load report on to admission.
+func (p *pool) report(c *sessn.Client, vm fleet.VM) {
+	s := c.Status()
+	if s.Connected && s.Beat.Load.Known {
+		p.front.policy.report(vm.Service, vm.Name, reportOf(s))
+	}
+}
+
+func reportOf(s sessn.Status) route.Report {
+	l := s.Beat.Load
+	return route.Report{At: s.At, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity}
+}
+
 // take returns the member with the VM's name and counts a call in flight at
 // it. A side outside the subset gets a session of its own.
 func (p *pool) take(name string) *member {
@@ -250,8 +246,7 @@
 	s := m.client.Status()
 	c := route.Candidate{VM: m.vm, Standing: m.standing(s), InFlight: m.inFlight, Serving: s.Beat.Serving}
 	if s.Beat.Load.Known {
-		l := s.Beat.Load
-		c.Report = route.Report{At: s.At, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity}
+		c.Report = reportOf(s)
 	}
 	return c
 }
--- a/io/request/front/repeat.go
+++ b/io/request/front/repeat.go
@@ -52,6 +52,9 @@
 	if ctx.Err() != nil || errors.Is(err, errCaller) || !rl.possible() {
 		return false
 	}
+	if !f.policy.retry(k.req.Service) {
+		return false
+	}
 	k.req.Avoid = append(k.req.Avoid, m.client.VM.Name)
 	version, tokens := rl.resume()
 	k.req.Version = version
@@ -141,6 +144,7 @@
 		case *sessn.Head:
 			err = rl.head(msg)
 		case *sessn.Data:
+			k.began(f.Clock.Now())
 			err = rl.data(msg.Data)
 		case *sessn.Refusal:
 			ended = true
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -15,6 +15,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/admit"
 	"hawthornferry/core/request/calls"
 )
 
@@ -112,8 +114,9 @@
 
 // chatRequest is the part of a chat completion that the entry reads.
 type chatRequest struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model    string        `json:"model"`
+	Stream   bool          `json:"stream"`
+	Messages []chatMessage `json:"messages"`
 }
 
 const chatPath = "/v1/chat/completions"
@@ -139,6 +142,7 @@
 		return
 	}
 	k.path, k.body, k.stream = chatPath, body, q.Stream
+	k.req.Prefix = prefixes(q.Messages)
 	f.serve(w, r, k, f.repeat)
 }
 
@@ -194,5 +198,39 @@
 	w.Header().Set(headerRequest, k.req.ID)
 	ctx, cancel := clockwork.WithTimeout(r.Context(), f.Clock, k.timeout)
 	defer cancel()
+	v, ok := f.policy.admit(ctx, k.req)
+	if !ok {
+		f.fail(w, k, gaveUp(ctx, k.unsentOutcome()))
+		return
+	}
+	f.logAdmission(k, v)
+	if v.Decision == admit.Refused {
+		f.turnAway(ctx, w, k, v)
+		return
+	}
+	k.admitted = f.Clock.Now()
+	defer func() { f.policy.done(k.req.ID, k.firstByte) }()
 	run(ctx, w, k)
 }
+
+// turnAway tells a caller that its call is refused at the door. Only the side
+// of a bound call can say whether it ran, so that one is asked.
+func (f *Front) turnAway(ctx context.Context, w http.ResponseWriter, k *work, v admit.Verdict) {
+	e := ending{
+		outcome: calls.NotRun, reason: string(v.Reason),
+		status: http.StatusTooManyRequests, retryAfter: v.RetryAfter,
+	}
+	if k.ticket == nil && k.key == "" {
+		f.fail(w, k, e)
+		return
+	}
+	k.refused = &e
+	f.once(ctx, w, k)
+}
+
+func (f *Front) logAdmission(k *work, v admit.Verdict) {
+	f.Log.Decide(trail.Decision{
+		Area: trail.AreaAdmission, Action: string(v.Decision), Request: k.req.ID, Customer: k.req.Customer,
+		Service: k.req.Service, Reason: string(v.Reason), Revision: f.Self.Revision.Load(),
+	})
+}
--- a/io/request/front/work.go
+++ b/io/request/front/work.go
@@ -27,6 +27,13 @@
 	body    []byte
 	stream  bool
 	timeout time.Duration
+	// admitted is when the call was let in, firstByte how long its answer
+	// then took to begin, as far as that tells of the target's load.
+	admitted  time.Time
+	firstByte time.Duration
+	// refused, when set, is why a bound call was refused at the door: its side
+	// is asked to mark it and does not get it to run.
+	refused *ending
 	// The rest is for once-calls. ticket is the caller's own, or the one of
 	// the latest attempt; key is the caller's idempotency key.
 	bind    calls.Binding
@@ -148,6 +155,23 @@
 	return pattern == path
 }
 
+// unsentOutcome is the outcome of a call that this entry never sent.
+func (k *work) unsentOutcome() calls.Outcome {
+	if k.ticket != nil || k.key != "" {
+		return calls.Unknown
+	}
+	return calls.NotRun
+}
+
+// began notes the first byte of an answer. That of a whole chat comes with
+// its last token and says nothing of the wait before the first.
+func (k *work) began(now time.Time) {
+	if k.firstByte > 0 || (k.kind == envdoc.KindEngine && !k.stream) {
+		return
+	}
+	k.firstByte = now.Sub(k.admitted)
+}
+
 // ending is how a request ended.
 type ending struct {
 	outcome    calls.Outcome
