io/request/gate: show that the default transport resends

A target that breaks a reused connection after it ran the call gets it a second time from http.Transport when the request has an Idempotency-Key.

--- /dev/null
+++ b/io/request/gate/transport_test.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// breakingTarget answers the first call of each connection and breaks the
+// connection after it has run the second. It counts the runs of payments.
+func breakingTarget(t *testing.T) (string, *atomic.Int64) {
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nl.Close() })
+	runs := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := nl.Accept()
+			if err != nil {
+				return
+			}
+			go serveTwo(c, runs)
+		}
+	}()
+	return nl.Addr().String(), runs
+}
+
+func serveTwo(c net.Conn, runs *atomic.Int64) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/payments" {
+			runs.Add(1)
+		}
+		if n == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+// The caller pays once. Its call goes out on a connection that the target has
+// answered on before; the target takes the fee and breaks the connection.
+// http.Transport then sends a request with an Idempotency-Key again by
+// itself, and the fee is taken twice; a connection for each call stops that.
+func TestTransportNeverResends(t *testing.T) {
+	tests := []struct {
+		name string
+		rt   *http.Transport
+		want int64
+	}{
+		{"default transport, which resends", &http.Transport{}, 2},
+		{"transport of once-calls", onceTransport(), 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			defer tc.rt.CloseIdleConnections()
+			addr, runs := breakingTarget(t)
+			for _, path := range []string{"/warm", "/payments"} {
+				req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, strings.NewReader("fee"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("Idempotency-Key", "k1")
+				res, err := tc.rt.RoundTrip(req)
+				if err != nil {
+					continue
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+			}
+			if diff := cmp.Diff(tc.want, runs.Load()); diff != "" {
+				t.Errorf("runs of the payment (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
