io/request/front: prove once-calls under failure

Killed side, silent connection, call stuck in one and let go late, ticket through another entry, other boot, key at two entries, young owner, and a target that is not there, over real sockets and ordered by channels.

--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 )
 
 // fastTiming keeps the tests short; no verdict depends on it.
-var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: 2 * time.Second, Redial: 10 * time.Millisecond}
+var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: time.Second, Redial: 10 * time.Millisecond}
 
 // world is a fleet on loopback: entries and sides over real sockets, with
 // test servers as targets.
@@ -37,6 +38,9 @@
 	cancel context.CancelFunc
 	// limits, when set before a side is added, are its ledger's.
 	limits calls.Limits
+	// sideSilent and log, when set before a side is added, are the side's.
+	sideSilent time.Duration
+	log        trail.Log
 
 	mu      sync.Mutex
 	view    view.View
@@ -70,6 +74,20 @@
 	return w.changed
 }
 
+// place sets the number of replicas that the document places in the zone.
+func (w *world) place(service string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := *w.view.Document
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		if d.Services[i].Name == service {
+			d.Services[i].Replicas = []envdoc.Placement{{Zone: "z", Replicas: n}}
+		}
+	}
+	w.view.Document = &d
+}
+
 // setVM adds or replaces a VM of the list.
 func (w *world) setVM(vm fleet.VM) {
 	w.mu.Lock()
@@ -117,6 +135,8 @@
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
 		Source: w, Target: target, Service: service, Timing: fastTiming, Limits: w.limits,
 	}
+	s.gate.Timing.Silent = or(w.sideSilent, s.gate.Timing.Silent)
+	s.gate.Log = or(w.log, s.gate.Log)
 	l := &link.Listener{Self: self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeCalls: s.gate.Handler()}}
 	ctx, cancel := context.WithCancel(w.ctx)
 	s.cancel = cancel
@@ -178,6 +198,25 @@
 	}
 }
 
+// decisions passes on what a side decides on calls.
+type decisions chan trail.Decision
+
+func (d decisions) Decide(x trail.Decision) {
+	if x.Area == trail.AreaCall {
+		d <- x
+	}
+}
+
+// await returns the next decision that is one of the actions.
+func (d decisions) await(actions ...string) trail.Decision {
+	for x := range d {
+		if slices.Contains(actions, x.Action) {
+			return x
+		}
+	}
+	return trail.Decision{}
+}
+
 // reply is what a caller got.
 type reply struct {
 	Status  int
