io/conn/sessn: take no more credit than a block needs

After a wait for credit the sender took up to a block whatever it had left to send, and cut its buffer out of bounds. The test with a slow caller and a 16 MB stream found it. Bytes held for a call are bounded too, not only the number of messages.

--- a/io/conn/sessn/call.go
+++ b/io/conn/sessn/call.go
@@ -28,8 +28,10 @@
 
 	mu    sync.Mutex
 	parts []frame.Message
-	err   error
-	wake  chan struct{}
+	// held is the number of answer bytes in parts.
+	held int
+	err  error
+	wake chan struct{}
 
 	position int
 	owed     int
@@ -65,6 +67,7 @@
 	if len(c.parts) > 0 {
 		m := c.parts[0]
 		c.parts = c.parts[1:]
+		c.held -= sizeOf(m)
 		return m, nil
 	}
 	return nil, c.err
@@ -104,8 +107,9 @@
 // so a call that holds more than the window is ended rather than let grow.
 func (c *Call) put(m frame.Message) {
 	c.mu.Lock()
-	if len(c.parts) >= maxParts {
-		c.err = errors.Wrap(ErrLost, "side sent beyond its credit")
+	c.held += sizeOf(m)
+	if c.held > Window || len(c.parts) > Window {
+		c.parts, c.err = nil, errors.Wrap(ErrLost, "side sent beyond its credit")
 	} else {
 		c.parts = append(c.parts, m)
 	}
@@ -113,9 +117,12 @@
 	c.signal()
 }
 
-// maxParts bounds the messages held for one call; each Data message holds at
-// least one byte.
-const maxParts = Window + 8
+func sizeOf(m frame.Message) int {
+	if d, ok := m.(*Data); ok {
+		return len(d.Data)
+	}
+	return 0
+}
 
 func (c *Call) fail(err error) {
 	c.mu.Lock()
--- a/io/conn/sessn/stream.go
+++ b/io/conn/sessn/stream.go
@@ -66,17 +66,16 @@
 	return sent, nil
 }
 
-// take waits until there is credit and takes up to n bytes of it.
-func (s *Stream) take(n int) (int, error) {
+// take waits until there is credit and takes up to want bytes of it.
+func (s *Stream) take(want int) (int, error) {
 	for {
 		s.mu.Lock()
-		n = min(n, s.credit)
+		n := min(want, s.credit)
 		s.credit -= n
 		s.mu.Unlock()
 		if n > 0 {
 			return n, nil
 		}
-		n = BlockSize
 		select {
 		case <-s.more:
 		case <-s.ctx.Done():
