io/request/front: prove whole answers under failure

The test without end mark found that the engine's own Content-Length made a part pass for a whole answer; it is dropped now.

--- a/io/request/front/stream.go
+++ b/io/request/front/stream.go
@@ -60,6 +60,9 @@
 	}
 	r.version = got
 	r.header = h.Header
+	// An engine that ends early states the length of the part that it sent;
+	// passed on, the part would pass for the whole.
+	r.header.Del("Content-Length")
 	return nil
 }
 
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -22,6 +22,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/request/calls"
+	"hawthornferry/core/request/route"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
 	"hawthornferry/io/request/gate"
@@ -54,8 +55,8 @@
 		Revision: 1,
 		Zones:    []envdoc.Zone{{Name: "z", Region: "r"}},
 		Services: []envdoc.Service{
-			{Name: "booking", Kind: envdoc.KindPlain, Timeout: 10 * time.Second, Repeatable: []string{"POST /search"}},
-			{Name: "helper", Kind: envdoc.KindEngine, Timeout: 10 * time.Second},
+			{Name: "booking", Kind: envdoc.KindPlain, Timeout: time.Hour, Repeatable: []string{"POST /search"}},
+			{Name: "helper", Kind: envdoc.KindEngine, Timeout: time.Hour},
 		},
 	}
 	t.Cleanup(cancel)
@@ -160,7 +161,8 @@
 	url   string
 }
 
-func (w *world) addEntry(name string) *entry {
+// addEntry starts an entry that tries the target first, when one is named.
+func (w *world) addEntry(name string, first ...string) *entry {
 	w.t.Helper()
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -175,6 +177,9 @@
 		Source: w, Net: nl, Timing: fastTiming,
 	}
 	f.Limits.Subset = 4
+	if len(first) > 0 {
+		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
+	}
 	done := make(chan struct{})
 	go func() { _ = f.Run(w.ctx); close(done) }()
 	w.t.Cleanup(func() { w.cancel(); <-done })
@@ -248,3 +253,29 @@
 	}
 	return r
 }
+
+// open sends a chat and returns its answer unread.
+func (w *world) open(e *entry, body string) *http.Response {
+	w.t.Helper()
+	res, err := http.Post(e.url+"/v1/chat/completions", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return res
+}
+
+// firstOf sends each call to one target first, and by the common policy once
+// that has failed it.
+type firstOf struct {
+	name string
+	rest Chooser
+}
+
+func (c firstOf) Choose(now time.Time, r route.Request, cs []route.Candidate) (route.Choice, error) {
+	for _, x := range cs {
+		if x.VM.Name == c.name && !slices.Contains(r.Avoid, c.name) {
+			return route.Choice{VM: x.VM}, nil
+		}
+	}
+	return c.rest.Choose(now, r, cs)
+}
