--- /dev/null
+++ b/io/request/front/bounds_test.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Oversized and slow callers get 413, 431 and 408; a caller of ordinary size
+// is served meanwhile.
+func TestCallersHaveBounds(t *testing.T) {
+	w := newWorld(t)
+	w.addSide("b1", "booking", http.HandlerFunc(echo))
+	w.entryLimits = Limits{
+		MaxBody: 1 << 10, MaxHeader: 4 << 10,
+		HeaderTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond,
+	}
+	e := w.addEntry("e1")
+	w.ready(e, "booking", 1)
+	line := "POST " + payPath + " HTTP/1.1\r\nHost: x\r\n"
+	tests := []struct {
+		name, send string
+		want       int
+	}{
+		{"large body", line + "Content-Length: 4096\r\n\r\n" + strings.Repeat("x", 4096), http.StatusRequestEntityTooLarge},
+		{"large header", line + "A: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"slow body", line + "Content-Length: 10\r\n\r\nabc", http.StatusRequestTimeout},
+		{"slow header", line + "A: b", http.StatusRequestTimeout},
+		{"ordinary", line + "Content-Length: 3\r\n\r\nabc", http.StatusOK},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprint(c, tc.send)
+			check(t, "ordinary caller meanwhile", "GET /x ", w.call(e, http.MethodGet, "/v1/services/booking/x", "", nil).Body)
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			check(t, "status", tc.want, res.StatusCode)
+		})
+	}
+}
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -67,6 +67,7 @@
 	f.pool = newPool(f)
 	f.server = &http.Server{
 		Handler:           f.router(),
+		ConnState:         track,
 		ReadHeaderTimeout: f.Limits.HeaderTimeout,
 		IdleTimeout:       f.Limits.IdleTimeout,
 		MaxHeaderBytes:    f.Limits.MaxHeader,
@@ -91,7 +92,7 @@
 	defer stop()
 	f.running.Store(true)
 	defer f.running.Store(false)
-	err = f.server.Serve(nl)
+	err = f.server.Serve(callerListener{nl})
 	if !errors.Is(err, http.ErrServerClosed) {
 		return fault.At("serve callers", nl.Addr().String(), err)
 	}
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -42,6 +42,8 @@
 	// sideSilent and log, when set before a side is added, are the side's.
 	sideSilent time.Duration
 	log        trail.Log
+	// entryLimits, when set before an entry is added, are its limits.
+	entryLimits Limits
 
 	mu      sync.Mutex
 	view    view.View
@@ -176,6 +178,7 @@
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
 		Source: w, Net: nl, Timing: fastTiming,
 	}
+	f.Limits = w.entryLimits
 	f.Limits.Subset = 4
 	if len(first) > 0 {
 		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
