entry, side: assemble the whole path in separate processes

A call now goes from a caller over an entry and a side to a target, and a promoted version from the origin over the sides into the engines.

--- /dev/null
+++ b/io/process/entry/status.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/request/calls"
+	"hawthornferry/io/process/admin"
+	"hawthornferry/io/request/front"
+)
+
+// fill adds targets, outcomes and rollouts to a status.
+func (e *Entry) fill(st *admin.Status) {
+	targets := e.front.Targets()
+	st.Targets = targetRows(targets)
+	st.Outcomes = outcomeRows(e.front.Outcomes())
+	if d := e.Host.Watcher.Current().Document; d != nil {
+		st.Rollouts = rollouts(d, targets)
+	}
+}
+
+func targetRows(targets []front.TargetStatus) []admin.Target {
+	var out []admin.Target
+	for _, t := range targets {
+		out = append(out, admin.Target{
+			Name:     t.VM.Name,
+			Service:  t.VM.Service,
+			Zone:     t.VM.Zone,
+			State:    string(t.Standing),
+			Serving:  t.Serving,
+			InFlight: t.InFlight,
+		})
+	}
+	return out
+}
+
+type outcomeKey struct {
+	customer string
+	service  string
+}
+
+// outcomeRows turns one count for each outcome into one row for each
+// customer and service.
+func outcomeRows(counts []front.OutcomeCount) []admin.Outcome {
+	place := map[outcomeKey]int{}
+	var out []admin.Outcome
+	for _, c := range counts {
+		k := outcomeKey{c.Customer, c.Service}
+		i, ok := place[k]
+		if !ok {
+			i = len(out)
+			place[k] = i
+			out = append(out, admin.Outcome{Customer: c.Customer, Service: c.Service})
+		}
+		switch c.Outcome {
+		case calls.Done:
+			out[i].Done += uint64(c.Count)
+		case calls.NotRun:
+			out[i].NotRun += uint64(c.Count)
+		case calls.Unknown:
+			out[i].Unknown += uint64(c.Count)
+		}
+	}
+	return out
+}
+
+// rollouts counts, among the targets that this entry has sessions with, those
+// that serve the version which the document names.
+func rollouts(d *envdoc.Document, targets []front.TargetStatus) []admin.Rollout {
+	var out []admin.Rollout
+	for _, s := range d.Services {
+		m, ok := d.ModelByName(s.Model)
+		if !ok || s.Kind != envdoc.KindEngine {
+			continue
+		}
+		r := admin.Rollout{Service: s.Name, Model: m.Name, Version: m.Version, Manifest: m.Manifest}
+		for _, p := range s.Replicas {
+			z := admin.Progress{Zone: p.Zone, Want: p.Replicas}
+			for _, t := range targets {
+				if t.VM.Service == s.Name && t.VM.Zone == p.Zone && t.Serving == m.Manifest {
+					z.Serving++
+				}
+			}
+			r.Zones = append(r.Zones, z)
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/io/process/side/side.go
@@ -0,0 +1,130 @@
+// Package side is the process beside one target: it brings weights to the
+// target, orders it to load them and carries every call to it.
+package side
+
+import (
+	"context"
+	"net/http"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/roll"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/host"
+	"hawthornferry/io/request/gate"
+	"hawthornferry/io/version/order"
+	"hawthornferry/io/version/pace"
+	"hawthornferry/io/version/stage"
+	"hawthornferry/io/version/swarm"
+)
+
+// Side is one side process. Host is opened before Run; nothing else is set.
+type Side struct {
+	Host *host.Host
+
+	gate    *gate.Gate
+	node    *swarm.Node
+	orderer *order.Orderer
+}
+
+// Run runs the side until ctx ends and it has drained.
+func (s *Side) Run(ctx context.Context) error {
+	h := s.Host
+	h.Handlers = map[link.Purpose]link.Handler{}
+	s.buildGate()
+	if h.Settings.Target.Kind == envdoc.KindEngine {
+		s.buildNode()
+		s.buildOrderer()
+	}
+	h.Fill = s.fill
+	h.Drain = s.gate.Drain
+	return h.Run(ctx)
+}
+
+func (s *Side) buildGate() {
+	h := s.Host
+	s.gate = &gate.Gate{
+		Self:        h.Self,
+		Clock:       h.Clock,
+		Log:         h.Log,
+		Metrics:     h.Metrics,
+		Source:      h.Watcher,
+		Target:      h.Settings.Target.Address,
+		Service:     h.Settings.Target.Service,
+		MaxInFlight: h.Settings.Limits.MaxInFlight,
+	}
+	h.Handlers[link.PurposeCalls] = s.gate.Handler()
+	h.Parts = append(h.Parts, host.Part{Name: "gate", Run: s.gate.Run})
+}
+
+func (s *Side) buildNode() {
+	h := s.Host
+	links := h.Settings.Links
+	s.node = &swarm.Node{
+		Self:    h.Self,
+		Clock:   h.Clock,
+		Log:     h.Log,
+		Logger:  h.Logger,
+		Metrics: h.Metrics,
+		Staging: &stage.Client{Engine: h.Settings.Target.Address},
+		Origin:  h.Settings.Platform.Origin,
+		Store:   h.Settings.Platform.Store,
+		Pace:    pace.Config{Up: links.Up, Down: links.Down, Region: links.Region},
+	}
+	h.Handlers[link.PurposeWeights] = s.node.Handler()
+	h.Parts = append(h.Parts,
+		host.Part{Name: "weights", Run: s.node.Run},
+		host.Part{Name: "wanted versions", Run: s.follow},
+	)
+}
+
+func (s *Side) buildOrderer() {
+	h := s.Host
+	s.orderer = &order.Orderer{
+		Self:     h.Self,
+		Clock:    h.Clock,
+		Log:      h.Log,
+		Source:   h.Watcher,
+		Engine:   &order.Engine{Address: h.Settings.Target.Address, Client: &http.Client{}},
+		Verified: s.verified,
+		Draining: h.Draining,
+	}
+	h.Handlers[link.PurposeOrders] = s.orderer.Handler()
+	h.Parts = append(h.Parts, host.Part{Name: "load orders", Run: s.orderer.Run})
+}
+
+// follow tells the swarm of each new view.
+func (s *Side) follow(ctx context.Context) error {
+	for {
+		changed := s.Host.Watcher.Changed()
+		s.update()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Side) update() {
+	v := s.Host.Watcher.Current()
+	want, ok := roll.Place(v, s.Host.Self.VM)
+	if !ok {
+		return
+	}
+	var wanted []swarm.Wanted
+	if want.Placed && want.Manifest != "" {
+		wanted = append(wanted, swarm.Wanted{Model: want.Model, Version: want.Version, Manifest: want.Manifest})
+	}
+	s.node.Update(v, wanted)
+}
+
+// verified returns the manifest of a version that is staged whole.
+func (s *Side) verified(d chunk.Digest) (chunk.Manifest, bool) {
+	for _, p := range s.node.Progress() {
+		if p.Wanted.Manifest == d && p.Verified {
+			return p.Manifest, true
+		}
+	}
+	return chunk.Manifest{}, false
+}
