link: count bytes by purpose for the status

The budget for control is 27 KB/s a node; only configuration bytes could be seen, not heartbeats, chunk maps or load questions.

--- a/io/conn/link/count.go
+++ b/io/conn/link/count.go
@@ -5,17 +5,73 @@
 	"sync/atomic"
 )
 
-// counted counts the bytes of a connection.
+// Traffic counts the bytes of all connections of one purpose since the
+// process started.
+type Traffic struct {
+	received atomic.Uint64
+	sent     atomic.Uint64
+}
+
+// Received is the number of bytes that have come in.
+func (t *Traffic) Received() uint64 { return t.received.Load() }
+
+// Sent is the number of bytes that have gone out.
+func (t *Traffic) Sent() uint64 { return t.sent.Load() }
+
+// Totals is the traffic of a process, one for each purpose.
+type Totals struct {
+	calls   Traffic
+	weights Traffic
+	config  Traffic
+	orders  Traffic
+}
+
+// Of returns the traffic of purpose p, nil for an unknown one.
+func (t *Totals) Of(p Purpose) *Traffic {
+	switch p {
+	case PurposeCalls:
+		return &t.calls
+	case PurposeWeights:
+		return &t.weights
+	case PurposeConfig:
+		return &t.config
+	case PurposeOrders:
+		return &t.orders
+	}
+	return nil
+}
+
+// Purposes lists every purpose of a connection.
+func Purposes() []Purpose {
+	return []Purpose{PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders}
+}
+
+// counted counts the bytes of a connection, and adds them to the totals of
+// its purpose once that is known.
 type counted struct {
 	net.Conn
 	received atomic.Uint64
 	sent     atomic.Uint64
+	total    atomic.Pointer[Traffic]
+}
+
+// belong adds the connection to t, with the bytes of its Hellos.
+func (c *counted) belong(t *Traffic) {
+	if t == nil {
+		return
+	}
+	t.received.Add(c.received.Load())
+	t.sent.Add(c.sent.Load())
+	c.total.Store(t)
 }
 
 // Read counts what was read.
 func (c *counted) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(uint64(n))
+	if t := c.total.Load(); t != nil {
+		t.received.Add(uint64(n))
+	}
 	return n, err
 }
 
@@ -23,6 +79,9 @@
 func (c *counted) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.sent.Add(uint64(n))
+	if t := c.total.Load(); t != nil {
+		t.sent.Add(uint64(n))
+	}
 	return n, err
 }
 
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -62,6 +62,7 @@
 	VM       fleet.VM
 	Boot     string
 	Revision atomic.Uint64
+	Totals   Totals
 }
 
 // Conn is one connection after both Hellos. Send is safe for concurrent use,
@@ -123,6 +124,7 @@
 		nc.Close()
 		return nil, fault.At("await hello", addr.String(), err)
 	}
+	c.nc.belong(self.Totals.Of(purpose))
 	return c, nil
 }
 
--- a/io/conn/link/listen.go
+++ b/io/conn/link/listen.go
@@ -64,6 +64,7 @@
 		l.reject(fault.At("greet", c.Peer.VM.Name, err))
 		return
 	}
+	c.nc.belong(l.Self.Totals.Of(c.Peer.Purpose))
 	h.Serve(ctx, c)
 }
 
--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -19,6 +19,7 @@
 	Outcomes []Outcome `json:"outcomes"`
 	Drift    []Drift   `json:"drift"`
 	Tables   []Table   `json:"tables"`
+	Traffic  []Traffic `json:"traffic"`
 }
 
 // Process says which process answers. Ready is what /readyz answers; Reason
@@ -115,6 +116,14 @@
 	Bound   int    `json:"bound"`
 }
 
+// Traffic is the bytes between this process and others of the system since it
+// started, for one purpose of connection.
+type Traffic struct {
+	Purpose  string `json:"purpose"`
+	Received uint64 `json:"received"`
+	Sent     uint64 `json:"sent"`
+}
+
 // Check reports the first field that is out of its domain.
 func (s Status) Check() error {
 	if s.Process.Name == "" {
--- a/io/process/host/host.go
+++ b/io/process/host/host.go
@@ -230,13 +230,22 @@
 }
 
 func (h *Host) status() admin.Status {
-	s := admin.Status{Process: h.processStatus(), Config: h.configStatus()}
+	s := admin.Status{Process: h.processStatus(), Config: h.configStatus(), Traffic: h.traffic()}
 	if h.Fill != nil {
 		h.Fill(&s)
 	}
 	return s
 }
 
+func (h *Host) traffic() []admin.Traffic {
+	var out []admin.Traffic
+	for _, p := range link.Purposes() {
+		t := h.Self.Totals.Of(p)
+		out = append(out, admin.Traffic{Purpose: string(p), Received: t.Received(), Sent: t.Sent()})
+	}
+	return out
+}
+
 func (h *Host) processStatus() admin.Process {
 	vm := h.Self.VM
 	p := admin.Process{
