demo: plan a fleet from a document and follow its rollout

The demonstration has to run on a machine with Go alone, so what curl and jq would do is in Go, and the script only starts and ends processes.

--- a/standin/callers.go
+++ b/standin/callers.go
@@ -20,6 +20,7 @@
 
 // callersFlags are the flags of the callers command.
 type callersFlags struct {
+	fleet         string
 	entries       string
 	directEngine  string
 	directService string
@@ -78,6 +79,7 @@
 }
 
 func (v *callersFlags) addresses(f *flaggy.Subcommand) {
+	f.String(&v.fleet, "", "fleet", "directory of a demonstration's plan: its entries, replicas, customers and versions")
 	f.String(&v.entries, "", "entries", "IP:port of each entry, separated by commas")
 	f.String(&v.directEngine, "", "direct-engine", "IP:port of engines that are called past the entries")
 	f.String(&v.directService, "", "direct-service", "IP:port of plain services that are called past the entries")
@@ -103,6 +105,9 @@
 }
 
 func (v *callersFlags) run(ctx context.Context) error {
+	if err := v.fromFleet(); err != nil {
+		return usageError{err}
+	}
 	l, err := v.load()
 	if err != nil {
 		return usageError{err}
--- /dev/null
+++ b/standin/callfleet.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"net/netip"
+	"strings"
+
+	"hawthornferry/standin/demo"
+)
+
+// demoVersions is how many versions a demonstration rolls out.
+const demoVersions = 2
+
+// fromFleet sets the addresses and versions of a demonstration.
+func (v *callersFlags) fromFleet() error {
+	if v.fleet == "" {
+		return nil
+	}
+	p, err := demo.Load(v.fleet)
+	if err != nil {
+		return err
+	}
+	v.entries = join(p.Entries, func(n demo.Node) netip.AddrPort { return n.Callers })
+	v.replicas = join(p.Plain(), func(n demo.Node) netip.AddrPort { return n.Target })
+	v.chat = p.Engines()[0].VM.Service
+	var digests []string
+	for number := 1; number <= demoVersions; number++ {
+		made, err := demo.LoadVersion(v.fleet, number)
+		if err != nil {
+			return err
+		}
+		for _, d := range made.Manifests {
+			digests = append(digests, string(d))
+		}
+	}
+	v.manifests = strings.Join(digests, ",")
+	return nil
+}
+
+func join(nodes []demo.Node, of func(demo.Node) netip.AddrPort) string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, of(n).String())
+	}
+	return strings.Join(out, ",")
+}
--- /dev/null
+++ b/standin/demo/fleet.go
@@ -0,0 +1,100 @@
+// Package demo plans and drives the demonstration: the fleet of a document,
+// the settings of its processes, the promotion of versions and the table of
+// outcomes. It starts no process; script/demo.sh does.
+package demo
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/fleet"
+)
+
+// Fleet is every process of a demonstration and where it listens. Document is
+// the path of the document that it was planned from.
+type Fleet struct {
+	Environment string         `json:"environment"`
+	Document    string         `json:"document"`
+	Config      netip.AddrPort `json:"config"`
+	VMList      netip.AddrPort `json:"vmList"`
+	Store       netip.AddrPort `json:"store"`
+	Origin      netip.AddrPort `json:"origin"`
+	Links       Links          `json:"links"`
+	Entries     []Node         `json:"entries"`
+	Sides       []Node         `json:"sides"`
+}
+
+// Links are the rates of the links in bytes a second.
+type Links struct {
+	Origin  int64 `json:"origin"`
+	Machine int64 `json:"machine"`
+	Region  int64 `json:"region"`
+}
+
+// Node is one process of the system, an entry or a side with its target.
+// Callers is an entry's own address for them; Target, Kind, Fencing and
+// Model are a side's.
+type Node struct {
+	VM      fleet.VM       `json:"vm"`
+	Admin   netip.AddrPort `json:"admin"`
+	Callers netip.AddrPort `json:"callers"`
+	Target  netip.AddrPort `json:"target"`
+	Kind    envdoc.Kind    `json:"kind,omitempty"`
+	Fencing envdoc.Fencing `json:"fencing,omitempty"`
+	Model   string         `json:"model,omitempty"`
+}
+
+// fleetFile is where the plan is kept in the demonstration's directory.
+const fleetFile = "fleet.json"
+
+// Load reads the plan from the demonstration's directory.
+func Load(dir string) (*Fleet, error) {
+	var f Fleet
+	err := readJSON(filepath.Join(dir, fleetFile), &f)
+	return &f, err
+}
+
+// Engines are the sides whose target is a model engine.
+func (f *Fleet) Engines() []Node { return f.kind(envdoc.KindEngine) }
+
+// Plain are the sides whose target is a plain service.
+func (f *Fleet) Plain() []Node { return f.kind(envdoc.KindPlain) }
+
+func (f *Fleet) kind(k envdoc.Kind) []Node {
+	var out []Node
+	for _, n := range f.Sides {
+		if n.Kind == k {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Nodes are all processes of the system.
+func (f *Fleet) Nodes() []Node {
+	return append(append([]Node{}, f.Sides...), f.Entries...)
+}
+
+func readJSON(path string, v any) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read")
+	}
+	return errors.Wrapf(json.Unmarshal(b, v), "read %s", path)
+}
+
+// fileMode is the mode of the files that a demonstration writes.
+const fileMode = 0o644
+
+func writeJSON(path string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrapf(err, "write %s", path)
+	}
+	return errors.Wrap(os.WriteFile(path, append(b, '\n'), fileMode), "write")
+}
--- /dev/null
+++ b/standin/demo/rollout.go
@@ -0,0 +1,214 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/standin/engine"
+	"hawthornferry/standin/platf"
+	"hawthornferry/standin/weight"
+)
+
+// Rollout is how a promotion went. Ready is set when every replica served and
+// every entry was ready. Bound is the least time in seconds that
+// the links allow: one copy over the thinnest link on every replica's way.
+type Rollout struct {
+	Version     Version `json:"version"`
+	Revision    uint64  `json:"revision"`
+	Replicas    int     `json:"replicas"`
+	Serving     int     `json:"serving"`
+	Ready       bool    `json:"ready"`
+	Seconds     float64 `json:"seconds"`
+	Bound       float64 `json:"bound"`
+	OriginBytes int64   `json:"originBytes"`
+}
+
+// Served reports whether every replica came to serve the version.
+func (r Rollout) Served() bool { return r.Serving == r.Replicas && r.Replicas > 0 }
+
+// Copies is how many copies of the version were drawn from the origin.
+func (r Rollout) Copies() float64 {
+	if r.Version.Size == 0 {
+		return 0
+	}
+	return float64(r.OriginBytes) / float64(r.Version.Size)
+}
+
+// Watcher promotes a version and follows it. Set the fields before Run.
+type Watcher struct {
+	Fleet *Fleet
+	Dir   string
+	Limit time.Duration
+	Clock clockwork.Clock
+	Out   io.Writer
+
+	version *Version
+	start   time.Time
+	before  int64
+}
+
+// The times between two looks at the replicas and between two lines.
+const (
+	lookEvery = 200 * time.Millisecond
+	lineEvery = time.Second
+)
+
+// Run promotes the version and returns once every replica serves it and every
+// entry is ready, or once Limit is over, which the result tells.
+func (w *Watcher) Run(ctx context.Context, number int) (*Rollout, error) {
+	v, err := LoadVersion(w.Dir, number)
+	if err != nil {
+		return nil, err
+	}
+	w.version = v
+	if w.before, err = w.originBytes(ctx); err != nil {
+		return nil, err
+	}
+	revision, err := w.promote(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := &Rollout{Version: *v, Revision: revision, Bound: w.bound()}
+	if err := w.follow(ctx, r); err != nil {
+		return nil, err
+	}
+	return r, writeJSON(rolloutPath(w.Dir, number), r)
+}
+
+func rolloutPath(dir string, number int) string {
+	return filepath.Join(dir, fmt.Sprintf("rollout-%d.json", number))
+}
+
+func (w *Watcher) promote(ctx context.Context) (uint64, error) {
+	text, err := os.ReadFile(w.version.Document)
+	if err != nil {
+		return 0, errors.Wrap(err, "read document")
+	}
+	var p platf.Promotion
+	w.start = w.Clock.Now()
+	err = exchange(ctx, http.MethodPut, w.Fleet.Config, "/control/documents/"+w.Fleet.Environment, text, &p)
+	return p.Revision, errors.Wrap(err, "promote")
+}
+
+func (w *Watcher) bound() float64 {
+	l := w.Fleet.Links
+	return float64(w.version.Size) / float64(min(l.Origin, l.Machine, l.Region))
+}
+
+// follow looks at the replicas until they all serve and the entries are
+// ready, or the limit is over.
+func (w *Watcher) follow(ctx context.Context, r *Rollout) error {
+	line := w.start
+	for {
+		s := w.look(ctx)
+		r.Replicas, r.Serving = s.replicas, s.serving
+		r.Seconds = w.Clock.Since(w.start).Seconds()
+		sent, err := w.originBytes(ctx)
+		if err != nil {
+			return err
+		}
+		r.OriginBytes = sent - w.before
+		over := w.Clock.Since(w.start) >= w.Limit
+		r.Ready = r.Served() && w.ready(ctx)
+		ended := over || r.Ready
+		if ended || w.Clock.Since(line) >= lineEvery {
+			line = w.Clock.Now()
+			w.line(r, s)
+		}
+		if ended {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w.Clock.After(lookEvery):
+		}
+	}
+}
+
+// sight is what one look at the replicas showed.
+type sight struct {
+	replicas int
+	serving  int
+	held     int
+	zones    []zoneSight
+}
+
+type zoneSight struct {
+	name     string
+	replicas int
+	serving  int
+}
+
+func (w *Watcher) look(ctx context.Context) sight {
+	var s sight
+	for _, n := range w.Fleet.Engines() {
+		serving := w.serves(ctx, n)
+		s.add(n.VM.Zone, serving)
+		var staged engine.Staged
+		if ask(ctx, n.Target, "/v1/staging", &staged) == nil {
+			s.held += len(staged.Chunks)
+		}
+	}
+	return s
+}
+
+func (w *Watcher) serves(ctx context.Context, n Node) bool {
+	var st engine.State
+	err := ask(ctx, n.Target, "/v1/state", &st)
+	return err == nil && st.Manifest != "" && st.Manifest == w.want(n)
+}
+
+func (w *Watcher) want(n Node) chunk.Digest { return w.version.Manifests[n.Model] }
+
+func (s *sight) add(zone string, serving bool) {
+	n := 0
+	if serving {
+		n = 1
+	}
+	s.replicas++
+	s.serving += n
+	for i := range s.zones {
+		if s.zones[i].name == zone {
+			s.zones[i].replicas++
+			s.zones[i].serving += n
+			return
+		}
+	}
+	s.zones = append(s.zones, zoneSight{name: zone, replicas: 1, serving: n})
+}
+
+func (w *Watcher) line(r *Rollout, s sight) {
+	var zones []string
+	for _, z := range s.zones {
+		zones = append(zones, fmt.Sprintf("%s %d/%d", z.name, z.serving, z.replicas))
+	}
+	fmt.Fprintf(w.Out, "rollout %4.1fs  version %d  serving %d/%d (%s)  chunks staged %d  origin %.2f copies\n",
+		r.Seconds, r.Version.Number, s.serving, s.replicas, strings.Join(zones, ", "), s.held, r.Copies())
+}
+
+// ready reports whether every entry takes calls.
+func (w *Watcher) ready(ctx context.Context) bool {
+	for _, n := range w.Fleet.Entries {
+		if ask(ctx, n.Admin, "/readyz", nil) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *Watcher) originBytes(ctx context.Context) (int64, error) {
+	var b weight.Bytes
+	err := ask(ctx, w.Fleet.Origin, "/control/bytes", &b)
+	return b.Bytes, errors.Wrap(err, "origin")
+}
--- /dev/null
+++ b/standin/demo/table.go
@@ -0,0 +1,162 @@
+package demo
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/standin/caller"
+)
+
+// The files that the script writes: the callers' summary, and a line for each
+// reading of a process's resident memory: when, name, KiB.
+const (
+	callersFile = "callers.json"
+	memoryFile  = "memory"
+)
+
+// Report is what a demonstration came to. Calm is set for a run without
+// faults, in which no call's outcome may be unknown.
+type Report struct {
+	Fleet   *Fleet
+	Rollout Rollout
+	Callers caller.Summary
+	Memory  []Reading
+	Calm    bool
+}
+
+// Reading is the resident memory of a process at a moment of the run.
+type Reading struct {
+	When string
+	Name string
+	KiB  int64
+}
+
+// LoadReport reads the files of the demonstration's directory.
+func LoadReport(dir string, number int, calm bool) (*Report, error) {
+	f, err := Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Fleet: f, Calm: calm}
+	if err := readJSON(rolloutPath(dir, number), &r.Rollout); err != nil {
+		return nil, err
+	}
+	if err := readJSON(filepath.Join(dir, callersFile), &r.Callers); err != nil {
+		return nil, err
+	}
+	r.Memory, err = readMemory(filepath.Join(dir, memoryFile))
+	return r, err
+}
+
+func readMemory(path string) ([]Reading, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read memory")
+	}
+	defer f.Close()
+	var out []Reading
+	s := bufio.NewScanner(f)
+	for s.Scan() {
+		var m Reading
+		if _, err := fmt.Sscan(s.Text(), &m.When, &m.Name, &m.KiB); err != nil {
+			return nil, errors.Wrapf(err, "read memory %q", s.Text())
+		}
+		out = append(out, m)
+	}
+	return out, s.Err()
+}
+
+// Missed lists the outcomes that were missed.
+func (r *Report) Missed() []string {
+	c := r.Callers
+	var out []string
+	miss := func(missed bool, format string, args ...any) {
+		if missed {
+			out = append(out, fmt.Sprintf(format, args...))
+		}
+	}
+	miss(!r.Rollout.Served(), "%d of %d replicas serve the version", r.Rollout.Serving, r.Rollout.Replicas)
+	miss(c.Total.Done == 0, "no request was done")
+	for _, row := range c.Rows {
+		miss(row.Done == 0, "no %s call was done", row.Kind)
+	}
+	miss(c.Total.NotWhole > 0, "%d answers were not whole", c.Total.NotWhole)
+	miss(c.Once.Duplicates > 0, "%d calls ran twice", c.Once.Duplicates)
+	miss(c.Once.FalseNotRun > 0, "%d calls ran that were told notRun", c.Once.FalseNotRun)
+	miss(c.Once.FalseDone > 0, "%d calls did not run that were told done", c.Once.FalseDone)
+	miss(r.Calm && c.Total.Unknown > 0, "%d outcomes were unknown without a fault", c.Total.Unknown)
+	miss(len(c.Versions) < 2, "answers came from %d versions, want both", len(c.Versions))
+	return out
+}
+
+// Print writes the table.
+func (r *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(name, format string, args ...any) { fmt.Fprintf(w, name+"\t"+format+"\n", args...) }
+	c := r.Callers
+	line("time until replicas serve", "%.1f s for %d of %d; the links' bound is %.1f s",
+		r.Rollout.Seconds, r.Rollout.Serving, r.Rollout.Replicas, r.Rollout.Bound)
+	line("origin bytes", "%.3f copies (%d bytes of a version of %d)",
+		r.Rollout.Copies(), r.Rollout.OriginBytes, r.Rollout.Version.Size)
+	line("requests done", "%d", c.Total.Done)
+	line("requests notRun", "%d", c.Total.NotRun)
+	line("requests unknown", "%d", c.Total.Unknown)
+	line("duplicates seen by the services", "%d of %d keys", c.Once.Duplicates, c.Once.Calls)
+	line("answers not whole", "%d", c.Total.NotWhole)
+	line("told notRun, yet ran", "%d", c.Once.FalseNotRun)
+	line("told done, yet did not run", "%d", c.Once.FalseDone)
+	for _, row := range c.Rows {
+		r.row(line, row)
+	}
+	for _, role := range []string{"entry", "side"} {
+		line("resident memory, "+role, "%s", r.memory(role))
+	}
+	return w.Flush()
+}
+
+func (r *Report) row(line func(string, string, ...any), row caller.Row) {
+	first := ""
+	if row.FirstToken != nil {
+		first = fmt.Sprintf("; first token p50 %s p99 %s", millis(row.FirstToken.P50), millis(row.FirstToken.P99))
+	}
+	line(string(row.Kind)+" calls", "%.1f/s, whole p50 %s p99 %s%s",
+		row.PerSecond, millis(row.Whole.P50), millis(row.Whole.P99), first)
+}
+
+func millis(us int64) string { return fmt.Sprintf("%.1f ms", float64(us)/1000) }
+
+// memory is the greatest reading of a role at each moment.
+func (r *Report) memory(role string) string {
+	var moments []string
+	most := map[string]int64{}
+	for _, m := range r.Memory {
+		if r.role(m.Name) != role {
+			continue
+		}
+		if _, ok := most[m.When]; !ok {
+			moments = append(moments, m.When)
+		}
+		most[m.When] = max(most[m.When], m.KiB)
+	}
+	var out []string
+	for _, when := range moments {
+		out = append(out, fmt.Sprintf("%s %.1f MiB", when, float64(most[when])/1024))
+	}
+	return strings.Join(out, ", ") + " (greatest)"
+}
+
+func (r *Report) role(name string) string {
+	for _, n := range r.Fleet.Nodes() {
+		if n.VM.Name == name {
+			return string(n.VM.Role)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/fleet.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"hawthornferry/standin/demo"
+)
+
+// errMissing is returned for a flag that has to be given.
+var errMissing = errors.New("flag is missing")
+
+// fleetCommand plans a demonstration.
+func fleetCommand() command {
+	var document, dir string
+	net, entries := 20, 2
+	f := flaggy.NewSubcommand("fleet")
+	f.Description = "plan a demonstration: settings and list of its processes"
+	f.String(&document, "", "document", "path of the environment document")
+	f.String(&dir, "", "out", "directory that the plan is written to")
+	f.Int(&net, "", "net", "second number of the IP numbers, 127.NET.x.y")
+	f.Int(&entries, "", "entries", "number of entries")
+	return command{flags: f, run: func(context.Context) error {
+		if document == "" || dir == "" {
+			return usageError{fmt.Errorf("document, out: %w", errMissing)}
+		}
+		p, err := demo.Plan(document, net, entries)
+		if err != nil {
+			return usageError{err}
+		}
+		return p.Write(dir)
+	}}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -40,7 +40,10 @@
 	p := flaggy.NewParser("standin")
 	p.Description = "Stand-ins for the platform, its targets and its callers"
 	p.DisableShowVersionWithVersion()
-	commands := []command{platformCommand(), weightsCommand(), engineCommand(), serviceCommand(), callersCommand()}
+	commands := []command{
+		platformCommand(), weightsCommand(), engineCommand(), serviceCommand(),
+		callersCommand(), fleetCommand(), publishCommand(), promoteCommand(), tableCommand(),
+	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.flags, 1)
 	}
