--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
 
-.PHONY: build demo test fmt lint unit fuzz-seeds clean bench-policy
+.PHONY: build demo test fmt lint unit clean bench-burst bench-policy bench-conf
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -28,9 +28,27 @@
 unit:
 	$(GO) test -race -count=1 $(PACKAGES)
 
+# QUICK=1 runs a few trials only and leaves docs/ alone.
+bench-burst:
+	$(GO) build -o bin/burst ./bench/burst
+ifeq ($(QUICK),1)
+	bin/burst --quick
+else
+	bin/burst --csv docs/burst.csv --plot docs/burst.png
+endif
+
 clean:
 	rm -rf bin run
 
 # Compares policies of choice and admission on a queueing model; see docs/notes-policy.md.
 bench-policy:
 	$(GO) run ./bench/policy -out docs
+
+# Measures how configuration spreads; see docs/notes-config.md.
+bench-conf:
+	$(GO) build -o bin/conf ./bench/conf
+ifeq ($(QUICK),1)
+	bin/conf --quick
+else
+	bin/conf --csv docs/conf.csv
+endif
--- a/io/process/watch/watch_test.go
+++ b/io/process/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,3 +70,19 @@
 		t.Error(err)
 	}
 }
+
+func TestFleetFollowsPromotions(t *testing.T) {
+	p, addr := newPlatform(t)
+	p.promote(1, document(time.Second))
+	all := startFleet(t, p, addr, 8)
+	awaitAll(t, all, 1)
+	for r := uint64(2); r < 6; r++ {
+		p.promote(r, document(time.Duration(r)*time.Second))
+		awaitAll(t, all, r)
+	}
+	for _, m := range all {
+		if got := m.log.inForce(); !slices.IsSorted(got) {
+			t.Errorf("%s put %v in force, want rising revisions", m.Self.VM.Name, got)
+		}
+	}
+}
