--- /dev/null
+++ b/script/demo.sh
@@ -0,0 +1,204 @@
+#!/usr/bin/env bash
+# Runs the demonstration: stand-ins, two entries and a side beside each target
+# of a deployment, all on loopback. Promotes version 1, then version 2 while
+# callers run, prints the table of outcomes and ends every process that it
+# started. Exit code 1 when an outcome is missed.
+#
+#   script/demo.sh DEPLOYMENT       pindan or schools
+#
+# Environment:
+#   SIZE_MIB=64    size of version 2; version 1 has a quarter of it
+#   LIMIT=180      most seconds for each rollout
+#   DEMO_NET=20    second number of the IP numbers, 127.DEMO_NET.x.y
+#   FAULTS=1       kills two sides and an entry in mid-rollout, and starts them anew
+#   OVERHEAD=1     measures at the end what the entries add to a call
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+deployment=${1:-pindan}
+size_mib=${SIZE_MIB:-64}
+limit=${LIMIT:-180}
+faults=${FAULTS:-0}
+overhead=${OVERHEAD:-0}
+dir=run/$deployment
+mib=1048576
+
+case $deployment in
+pindan)
+  net=${DEMO_NET:-20} chat=helper lookup=booking path=pitches once=booking once_path=payments
+  customers=fremantle-buskers=4,broome-buskers=2,kalgoorlie-buskers=1
+  ;;
+schools)
+  net=${DEMO_NET:-30} chat=assistant lookup=catalogue path=devices once=enrolment once_path=enrolments
+  customers=auckland-north=4,te-whanganui-a-tara=2,waitaha=1
+  ;;
+*)
+  echo "demo: unknown deployment $deployment, want pindan or schools" >&2
+  exit 2
+  ;;
+esac
+
+declare -A pids=()
+
+# A process that was asked to end and has not is killed after this many tenths
+# of a second, so that a failed run leaves nothing behind.
+readonly grace_tenths=100
+
+running() { kill -0 "$1" 2>/dev/null; }
+
+# stop_all ends every process that this script started, by its id.
+stop_all() {
+  local code=$? pid tenths=0
+  trap - EXIT INT TERM
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    while running "$pid" && ((tenths < grace_tenths)); do
+      sleep 0.1
+      tenths=$((tenths + 1))
+    done
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  exit "$code"
+}
+trap stop_all EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+fail() {
+  echo "demo: $*" >&2
+  exit 1
+}
+
+# start NAME PROGRAM ARG... starts a process with its output in the run
+# directory.
+start() {
+  local name=$1 program=$2
+  shift 2
+  "bin/$program" "$@" >>"$dir/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# check_all fails when a process has ended by itself, such as for a port in
+# use, and shows its last words.
+check_all() {
+  local name
+  for name in "${!pids[@]}"; do
+    running "${pids[$name]}" || fail "$name ended: $(tail -n 1 "$dir/$name.log")"
+  done
+}
+
+# command_of NAME prints the program and the arguments of a process.
+command_of() { awk -v name="$1" '$1 == name { sub(/^[^ ]+ /, ""); print }' "$dir/processes"; }
+
+# restart NAME starts a process of the plan anew.
+restart() {
+  local words
+  read -ra words <<<"$(command_of "$1")"
+  start "$1" "${words[@]}"
+}
+
+# follow runs a command in the foreground. Bash runs a trap only once a
+# foreground command has ended, but wait returns at once: without this an
+# interrupt would take effect only after a rollout.
+follow() {
+  local code=0
+  "$@" &
+  pids[follow]=$!
+  wait "${pids[follow]}" || code=$?
+  unset 'pids[follow]'
+  return "$code"
+}
+
+start_all() {
+  local name line
+  while read -r name line; do
+    read -ra words <<<"$line"
+    start "$name" "${words[@]}"
+  done <"$dir/processes"
+}
+
+# memory WHEN notes the resident memory of the system's processes in KiB.
+memory() {
+  local name pid kib
+  while read -r name program _; do
+    [[ $program == hawthornferry ]] || continue
+    pid=${pids[$name]}
+    kib=$(awk '$1 == "VmRSS:" { print $2 }' "/proc/$pid/status" 2>/dev/null || ps -o rss= -p "$pid")
+    echo "$1 $name ${kib:-0}" >>"$dir/memory"
+  done <"$dir/processes"
+}
+
+# break_some kills a side of each kind and an entry while version 2 is under
+# way, and replaces them after a while.
+break_some() {
+  local name
+  local -r names=("$chat-1" "$once-1" entry-1)
+  sleep 5
+  echo "killing ${names[*]}"
+  for name in "${names[@]}"; do kill -9 "${pids[$name]}"; done
+  sleep 5
+  echo "replacing ${names[*]}"
+  for name in "${names[@]}"; do restart "$name"; done
+}
+
+for program in standin hawthornferry; do
+  [[ -x bin/$program ]] || fail "bin/$program is missing, run make build"
+done
+rm -rf "$dir"
+mkdir -p "$dir"
+bin/standin fleet --document "examples/$deployment.ini" --out "$dir" --net "$net" --entries 2
+
+echo "$deployment: starting $(wc -l <"$dir/processes") processes, logs in $dir"
+start_all
+sleep 1
+check_all
+follow bin/standin publish --fleet "$dir" --number 1 --size $((size_mib * mib / 4))
+follow bin/standin publish --fleet "$dir" --number 2 --size $((size_mib * mib))
+bin/hawthornferry check "$dir/version-2.ini"
+
+echo "promoting version 1"
+follow bin/standin promote --fleet "$dir" --number 1 --limit "${limit}s" || fail "version 1 is not served, see $dir"
+check_all
+memory rest
+
+echo "callers begin"
+bin/standin callers --fleet "$dir" --progress --duration "$((limit + 30))s" --customers "$customers" \
+  --lookup-service "$lookup" --lookup-path "$path" --once-service "$once" --once-path "$once_path" \
+  --stream 8/6 --whole 4/3 --lookups 4/20 --onces 4/10 --tokens 40 >"$dir/callers.json" 2>"$dir/callers.log" &
+pids[callers]=$!
+sleep 3
+
+echo "promoting version 2"
+bin/standin promote --fleet "$dir" --number 2 --limit "${limit}s" &
+promotion=$!
+pids[promotion]=$promotion
+[[ $faults == 1 ]] && break_some
+served=0
+wait "$promotion" || served=1
+unset 'pids[promotion]'
+memory load
+sleep 3
+callers=${pids[callers]}
+unset 'pids[callers]'
+kill "$callers"
+sound=0
+wait "$callers" || sound=1
+tail -n 1 "$dir/callers.log"
+check_all
+
+if [[ $overhead == 1 ]]; then
+  echo "what the entries add, in turn with the same calls past them"
+  follow bin/standin callers --fleet "$dir" --direct --duration 12s --slice 1s --customers "$customers" \
+    --lookup-service "$lookup" --lookup-path "$path" --once-service "$once" --once-path "$once_path" \
+    --stream 2 --whole 0 --lookups 2 --onces 2 --ticket-every 0 >"$dir/overhead.json"
+fi
+
+table=0
+if [[ $faults == 1 ]]; then
+  bin/standin table --fleet "$dir" --faults || table=1
+else
+  bin/standin table --fleet "$dir" || table=1
+fi
+((served == 0 && sound == 0 && table == 0)) || fail "an outcome was missed, see $dir"
+echo "every outcome held"
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -21,6 +21,7 @@
 // callersFlags are the flags of the callers command.
 type callersFlags struct {
 	fleet         string
+	direct        bool
 	entries       string
 	directEngine  string
 	directService string
@@ -80,6 +81,7 @@
 
 func (v *callersFlags) addresses(f *flaggy.Subcommand) {
 	f.String(&v.fleet, "", "fleet", "directory of a demonstration's plan: its entries, replicas, customers and versions")
+	f.Bool(&v.direct, "", "direct", "with a plan, call its targets past the entries in every other slice")
 	f.String(&v.entries, "", "entries", "IP:port of each entry, separated by commas")
 	f.String(&v.directEngine, "", "direct-engine", "IP:port of engines that are called past the entries")
 	f.String(&v.directService, "", "direct-service", "IP:port of plain services that are called past the entries")
--- a/standin/callfleet.go
+++ b/standin/callfleet.go
@@ -22,6 +22,10 @@
 	v.entries = join(p.Entries, func(n demo.Node) netip.AddrPort { return n.Callers })
 	v.replicas = join(p.Plain(), func(n demo.Node) netip.AddrPort { return n.Target })
 	v.chat = p.Engines()[0].VM.Service
+	if v.direct {
+		v.directEngine = join(p.Engines(), func(n demo.Node) netip.AddrPort { return n.Target })
+		v.directService = join(p.Service(v.once), func(n demo.Node) netip.AddrPort { return n.Target })
+	}
 	var digests []string
 	for number := 1; number <= demoVersions; number++ {
 		made, err := demo.LoadVersion(v.fleet, number)
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -60,15 +60,24 @@
 }
 
 // Engines are the sides whose target is a model engine.
-func (f *Fleet) Engines() []Node { return f.kind(envdoc.KindEngine) }
+func (f *Fleet) Engines() []Node {
+	return f.sidesOf(func(n Node) bool { return n.Kind == envdoc.KindEngine })
+}
 
 // Plain are the sides whose target is a plain service.
-func (f *Fleet) Plain() []Node { return f.kind(envdoc.KindPlain) }
+func (f *Fleet) Plain() []Node {
+	return f.sidesOf(func(n Node) bool { return n.Kind == envdoc.KindPlain })
+}
+
+// Service are the sides of a service.
+func (f *Fleet) Service(name string) []Node {
+	return f.sidesOf(func(n Node) bool { return n.VM.Service == name })
+}
 
-func (f *Fleet) kind(k envdoc.Kind) []Node {
+func (f *Fleet) sidesOf(wanted func(Node) bool) []Node {
 	var out []Node
 	for _, n := range f.Sides {
-		if n.Kind == k {
+		if wanted(n) {
 			out = append(out, n)
 		}
 	}
--- a/standin/demo/table.go
+++ b/standin/demo/table.go
@@ -14,11 +14,13 @@
 	"hawthornferry/standin/caller"
 )
 
-// The files that the script writes: the callers' summary, and a line for each
+// The files that the script writes: the callers' summary, that of the run
+// through the entries and past them in turn if there was one, and a line for each
 // reading of a process's resident memory: when, name, KiB.
 const (
-	callersFile = "callers.json"
-	memoryFile  = "memory"
+	callersFile  = "callers.json"
+	overheadFile = "overhead.json"
+	memoryFile   = "memory"
 )
 
 // Report is what a demonstration came to. Calm is set for a run without
@@ -27,6 +29,7 @@
 	Fleet   *Fleet
 	Rollout Rollout
 	Callers caller.Summary
+	Added   []caller.Added
 	Memory  []Reading
 	Calm    bool
 }
@@ -51,6 +54,10 @@
 	if err := readJSON(filepath.Join(dir, callersFile), &r.Callers); err != nil {
 		return nil, err
 	}
+	var overhead caller.Summary
+	if err := readJSON(filepath.Join(dir, overheadFile), &overhead); err == nil {
+		r.Added = overhead.Added
+	}
 	r.Memory, err = readMemory(filepath.Join(dir, memoryFile))
 	return r, err
 }
@@ -115,6 +122,10 @@
 	for _, row := range c.Rows {
 		r.row(line, row)
 	}
+	for _, a := range r.Added {
+		line("added to "+string(a.Kind)+" calls", "p50 %s p99 %s; %.2f of the calls a second",
+			millis(a.P50), millis(a.P99), a.Ratio)
+	}
 	for _, role := range []string{"entry", "side"} {
 		line("resident memory, "+role, "%s", r.memory(role))
 	}
