gossip: an empty list at the start is no version of it

Cause: the VM list lags behind a fleet's start. Each process held the empty answer as version 1 and, not named in it, left reading to readers that did not exist, until the stand-in rule after 10 s. Ruled out: the drawers' ranking (version 2 in the same run drew 1.00 copies).

--- a/core/process/gossip/elect.go
+++ b/core/process/gossip/elect.go
@@ -56,10 +56,15 @@
 	return n.ReaderAge(now) > wait
 }
 
-// position is the place of self in the order of readers at now; a process
-// that the list does not name comes last, and after the readers even when
-// the list is empty: its first read, which every process makes, fills it.
+// position is the place of self in the order of readers at now. A process
+// that the list does not name comes last, and after the readers. A zone that
+// the list does not name at all has nobody else who reads for it: the list
+// lags behind a zone that starts, and without this its processes would each
+// hold the empty list for standInAfter and take themselves for the only ones.
 func position(self string, members []string, zone string, now time.Time) int {
+	if len(members) == 0 {
+		return 0
+	}
 	place := rank.Position(turnKey(zone, now), self, members)
 	if place < 0 {
 		return max(len(members), Readers)
--- a/core/process/gossip/vms.go
+++ b/core/process/gossip/vms.go
@@ -23,7 +23,8 @@
 }
 
 // Observe returns the state that follows held when the platform answers with
-// vms, and false when nothing is to change.
+// vms, and false when nothing is to change. An empty answer is no first
+// version: it says only that the list lags behind this very process.
 //
 // A list that has just restarted answers with few VMs or none. Believed at
 // once, it would take every target from every entry; it must lack them three
@@ -31,6 +32,9 @@
 // or is live three times running: readers see the list with different lags,
 // and one older answer would otherwise send new work to a VM about to go.
 func (o *Observer) Observe(held State, vms []fleet.VM) (State, bool, error) {
+	if len(vms) == 0 && held.Mark.Version == 0 {
+		return State{}, false, nil
+	}
 	if len(vms)*2 < len(held.Items) && o.shrunk+1 < confirmations {
 		o.shrunk++
 		return State{}, false, nil
--- a/io/process/watch/read.go
+++ b/io/process/watch/read.go
@@ -167,8 +167,12 @@
 			w.sleep(ctx, back.Next(random()))
 			continue
 		}
-		back.Reset()
 		w.observe(ctx, &o, vms)
+		if len(vms) == 0 {
+			w.sleep(ctx, back.Next(random()))
+			continue
+		}
+		back.Reset()
 		w.sleep(ctx, vmInterval(size, random()))
 	}
 }
