--- /dev/null
+++ b/core/process/gossip/bench_test.go
@@ -0,0 +1,104 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/inidoc"
+)
+
+// The size to design for: entries and sides over zones, and a document of as
+// many sections as fit the service's bound of a megabyte.
+const (
+	benchVMs      = 10860
+	benchZones    = 39
+	benchSections = 5000
+)
+
+func benchList() []fleet.VM {
+	var vms []fleet.VM
+	for i := range benchVMs {
+		vms = append(vms, fleet.VM{
+			Name: fmt.Sprintf("side-%05d", i), Role: fleet.RoleSide, Zone: fmt.Sprintf("zone-%02d", i%benchZones),
+			Region: "region", Service: "service", Address: testAddr, State: fleet.StateLive,
+		})
+	}
+	return vms
+}
+
+func benchDocument(b *testing.B, revision uint64) State {
+	b.Helper()
+	contents := []inidoc.Content{
+		{Name: "environment", Keys: []inidoc.Pair{{Key: "name", Value: "e"}, {Key: "stage", Value: "trial"}}},
+		{Name: "region.r", Keys: []inidoc.Pair{{Key: "link", Value: "25Mbit"}}},
+		{Name: "zone.z", Keys: []inidoc.Pair{{Key: "region", Value: "r"}}},
+		{Name: "service.s", Keys: []inidoc.Pair{
+			{Key: "kind", Value: "plain"}, {Key: "replicas.z", Value: fmt.Sprint(1 + revision%9)},
+		}},
+	}
+	for i := range benchSections {
+		contents = append(contents, inidoc.Content{
+			Name: fmt.Sprintf("customer.customer-%05d", i), Keys: []inidoc.Pair{{Key: "share", Value: "1"}},
+		})
+	}
+	s, err := EncodeDocument(revision, contents)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+func BenchmarkObserveUnchangedList(b *testing.B) {
+	var o Observer
+	held, _, err := o.Observe(State{}, benchList())
+	if err != nil {
+		b.Fatal(err)
+	}
+	vms := benchList()
+	for b.Loop() {
+		if _, changed, err := o.Observe(held, vms); changed || err != nil {
+			b.Fatal(changed, err)
+		}
+	}
+}
+
+func BenchmarkTakeListDelta(b *testing.B) {
+	var o Observer
+	vms := benchList()
+	held, _, err := o.Observe(State{}, vms)
+	if err != nil {
+		b.Fatal(err)
+	}
+	vms[benchVMs/2].State = fleet.StateLeaving
+	next, _, err := o.Observe(held, vms)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := diff(TopicVMs, held, next)
+	for b.Loop() {
+		s, err := apply(held, d)
+		if err != nil {
+			b.Fatal(err)
+		}
+		got, err := DecodeVMs(s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		Neighbours("side-00000", "zone-00", got)
+	}
+}
+
+func BenchmarkTakeDocumentDelta(b *testing.B) {
+	held, next := benchDocument(b, 1), benchDocument(b, 2)
+	d := diff(TopicDocument, held, next)
+	for b.Loop() {
+		s, err := apply(held, d)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := DecodeDocument("bench", s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/core/process/inidoc/file.go
+++ b/core/process/inidoc/file.go
@@ -22,6 +22,8 @@
 	Name     string
 	Sections []*Section
 	Flaws    Flaws
+
+	byName map[string]*Section
 }
 
 // Section is one section of a file.
@@ -58,7 +60,7 @@
 // Assemble makes a file of sections that came one by one. name stands for
 // the text in flaws.
 func Assemble(name string, contents []Content) *File {
-	f := &File{Name: name}
+	f := newFile(name)
 	for _, c := range contents {
 		f.addContent(c)
 	}
@@ -84,12 +86,17 @@
 	}
 	s := &Section{Name: c.Name, file: f, keys: c.Keys, used: map[string]bool{}}
 	f.Sections = append(f.Sections, s)
+	f.byName[s.Name] = s
+}
+
+func newFile(name string) *File {
+	return &File{Name: name, byName: map[string]*Section{}}
 }
 
 // Parse reads an INI text. name stands for the text in flaws. A text that is
 // no INI at all gives a File without sections and one flaw.
 func Parse(name string, b []byte) *File {
-	f := &File{Name: name}
+	f := newFile(name)
 	if len(b) > MaxBytes {
 		f.add(Flaw{Reason: "longer than 1 MiB"})
 		return f
@@ -145,14 +152,7 @@
 func (f *File) Reject(reason string) { f.add(Flaw{Reason: reason}) }
 
 // Section returns the section called name, nil when it is missing.
-func (f *File) Section(name string) *Section {
-	for _, s := range f.Sections {
-		if s.Name == name {
-			return s
-		}
-	}
-	return nil
-}
+func (f *File) Section(name string) *Section { return f.byName[name] }
 
 // Reject records a flaw of one key of the section; key and value may be empty.
 func (s *Section) Reject(key, value, reason string) {
