bench/conf: measure under dead readers, dead processes and a cut zone

In force within 3 s has to hold when readers die and the VM list does not say so yet. Three trials of 100 processes strike right before the first of 20 promotions.

--- a/bench/conf/fleet.go
+++ b/bench/conf/fleet.go
@@ -34,6 +34,7 @@
 // fleetOf is the processes of one run and the platform that they read.
 type fleetOf struct {
 	watchers  []*watch.Watcher
+	stops     []context.CancelFunc
 	service   netip.AddrPort
 	list      netip.AddrPort
 	reads     atomic.Uint64
@@ -51,7 +52,7 @@
 		return nil, err
 	}
 	for i := range p.processes {
-		if err := f.startProcess(ctx, i, p.direct); err != nil {
+		if err := f.startProcess(ctx, i, p); err != nil {
 			return nil, err
 		}
 	}
@@ -72,9 +73,9 @@
 
 // serve answers on a free port and counts the reads, not the control calls.
 func (f *fleetOf) serve(ctx context.Context, h http.Handler, reads *atomic.Uint64) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, addr, err := listen()
 	if err != nil {
-		return netip.AddrPort{}, err
+		return addr, err
 	}
 	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, "/v1/") {
@@ -84,16 +85,44 @@
 	})}
 	f.wg.Go(func() { _ = srv.Serve(l) })
 	context.AfterFunc(ctx, func() { srv.Close() })
-	return netip.ParseAddrPort(l.Addr().String())
+	return addr, nil
 }
 
-func (f *fleetOf) startProcess(ctx context.Context, i int, direct bool) error {
+// listen opens a listener on a free port.
+func listen() (net.Listener, netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, netip.AddrPort{}, err
 	}
 	addr, err := netip.ParseAddrPort(l.Addr().String())
+	return l, addr, err
+}
+
+// strike brings the fault about.
+func (f *fleetOf) strike(what fault) {
+	dies := func(int, *watch.Watcher) bool { return false }
+	switch what {
+	case faultReadersDead:
+		dies = func(i int, w *watch.Watcher) bool { return i%zones == 0 && w.Stats().Reader }
+	case faultThirdDead:
+		dies = func(i int, _ *watch.Watcher) bool { return (i/zones)%3 == 0 }
+	}
+	var left []*watch.Watcher
+	for i, w := range f.watchers {
+		if dies(i, w) {
+			f.stops[i]()
+			continue
+		}
+		left = append(left, w)
+	}
+	f.watchers = left
+}
+
+func (f *fleetOf) startProcess(parent context.Context, i int, p plan) error {
+	ctx, stop := context.WithCancel(parent)
+	l, addr, err := listen()
 	if err != nil {
+		stop()
 		return err
 	}
 	vm := fleet.VM{
@@ -101,17 +130,22 @@
 		Region: "r", Service: "s", Address: addr, State: fleet.StateLive,
 	}
 	if err := f.put(ctx, f.list, "/control/vms/"+vm.Name, vm); err != nil {
+		stop()
 		return err
 	}
 	w := &watch.Watcher{
 		Self: &link.Self{VM: vm, Boot: vm.Name}, Clock: clockwork.NewRealClock(), Log: trail.Discard{},
 		Metrics: tally.NoopScope, Environment: environment, Config: f.service, VMList: f.list,
 	}
-	if direct {
+	if p.direct {
 		w.VMList = netip.AddrPort{}
 	}
+	if p.fault == faultZoneCut && i%zones == 0 {
+		w.Config = netip.AddrPort{}
+	}
 	peers := &link.Listener{Self: w.Self, Net: l, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: w.Handler()}}
 	f.watchers = append(f.watchers, w)
+	f.stops = append(f.stops, stop)
 	f.wg.Go(func() { _ = peers.Run(ctx) })
 	f.wg.Go(func() { _ = w.Run(ctx) })
 	return nil
--- a/bench/conf/main.go
+++ b/bench/conf/main.go
@@ -20,10 +20,24 @@
 	processes  int
 	sections   int
 	direct     bool
+	fault      fault
 	idle       time.Duration
 	promotions int
 }
 
+// fault is what befalls the fleet right before the promotions.
+type fault string
+
+// The faults: all readers of one zone die, a third of all processes dies, or
+// one zone has never reached the configuration service. The VM list goes on
+// to name the dead.
+const (
+	faultNone        fault = ""
+	faultReadersDead fault = "readersDead"
+	faultThirdDead   fault = "thirdDead"
+	faultZoneCut     fault = "zoneCut"
+)
+
 // pace is the time from one promotion to the next: a little more often than
 // 70,000 changes a day.
 const pace = time.Second
@@ -78,6 +92,9 @@
 	for _, n := range sizes {
 		out = append(out, plan{processes: n, sections: documentSize, idle: 12 * time.Second, promotions: 8, direct: true})
 	}
+	for _, f := range []fault{faultReadersDead, faultThirdDead, faultZoneCut} {
+		out = append(out, plan{processes: 100, sections: documentSize, idle: 5 * time.Second, promotions: 20, fault: f})
+	}
 	return out
 }
 
--- a/bench/conf/measure.go
+++ b/bench/conf/measure.go
@@ -91,6 +91,7 @@
 	time.Sleep(settle)
 	r.startReads = f.reads.Load()
 	f.idle(&r)
+	f.strike(p.fault)
 	if err := f.changes(ctx, &r); err != nil {
 		return r, err
 	}
--- a/bench/conf/output.go
+++ b/bench/conf/output.go
@@ -71,6 +71,9 @@
 	if r.direct {
 		mode = "direct"
 	}
+	if r.fault != faultNone {
+		mode = string(r.fault)
+	}
 	row := []string{mode}
 	for _, n := range []int{r.processes, r.sections, r.readers, int(r.startReads)} {
 		row = append(row, fmt.Sprint(n))
