link, watch: ask any peer that shows a higher revision

Frames carry the sender's revision, but each user of a connection would have had to compare it and call the watcher. The comparison now stands in link, once for all purposes, and the watcher asks the peer that is ahead, at most once an exchange. The test has a process without any configuration connection whose connection for calls shows revision 4. go test -race -count=3 passes.

--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -62,6 +62,26 @@
 	VM       fleet.VM
 	Boot     string
 	Revision atomic.Uint64
+
+	ahead atomic.Pointer[AheadFunc]
+}
+
+// AheadFunc is told of a peer that has shown a revision above the one held
+// here. It must not block.
+type AheadFunc func(peer fleet.VM, revision uint64)
+
+// NotifyAhead sets who is told of peers that are ahead, on connections of
+// every purpose.
+func (s *Self) NotifyAhead(f AheadFunc) { s.ahead.Store(&f) }
+
+// see compares the revision of a frame with the one held here.
+func (s *Self) see(peer fleet.VM, revision uint64) {
+	if revision <= s.Revision.Load() {
+		return
+	}
+	if f := s.ahead.Load(); f != nil {
+		(*f)(peer, revision)
+	}
 }
 
 // Conn is one connection after both Hellos. Send is safe for concurrent use,
@@ -92,6 +112,7 @@
 	if h.Revision > c.PeerRevision.Load() {
 		c.PeerRevision.Store(h.Revision)
 	}
+	c.self.see(c.Peer.VM, h.Revision)
 	return m, nil
 }
 
@@ -154,5 +175,6 @@
 	}
 	c.Peer = *hello
 	c.PeerRevision.Store(h.Revision)
+	c.self.see(c.Peer.VM, h.Revision)
 	return c.nc.SetReadDeadline(time.Time{})
 }
--- a/io/process/watch/fail_test.go
+++ b/io/process/watch/fail_test.go
@@ -197,9 +197,9 @@
 	}
 }
 
-// A call's connection shows a revision that this process does not hold: its
-// configuration connections all lead to processes that are behind as well.
-// It asks that peer, and does not wait for the VM list to name it.
+// A connection for calls shows a revision that this process does not hold;
+// it has no configuration connection at all, since nobody lists it yet. It
+// asks that peer and does not wait for the VM list.
 func TestAheadPeerIsAsked(t *testing.T) {
 	p, addr := newPlatform(t)
 	p.promote(4, document(time.Second))
@@ -208,7 +208,11 @@
 	await(t, ahead.Watcher, 4)
 	m := newMember(t, "behind", "z1", netip.AddrPort{})
 	m.run()
-	m.Ahead(ahead.Self.VM, 4)
+	calls, err := link.Dial(t.Context(), m.Self, ahead.Self.VM.Address, link.PurposeCalls, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer calls.Close()
 	await(t, m.Watcher, 4)
 }
 
--- a/io/process/watch/fleet_test.go
+++ b/io/process/watch/fleet_test.go
@@ -86,7 +86,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	listener := &link.Listener{
 		Self: self, Net: l,
-		Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: m.Handler()},
+		Handlers: map[link.Purpose]link.Handler{
+			link.PurposeConfig: m.Handler(),
+			link.PurposeCalls:  {Serve: func(ctx context.Context, _ *link.Conn) { <-ctx.Done() }},
+		},
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = listener.Run(ctx) })
--- a/io/process/watch/watch.go
+++ b/io/process/watch/watch.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -46,6 +47,8 @@
 	once    sync.Once
 	events  chan event
 	stopped chan struct{}
+	// lastAhead is when a peer that is ahead was last asked.
+	lastAhead atomic.Int64
 
 	// These belong to the loop.
 	node    gossip.Node
@@ -87,6 +90,7 @@
 		w.node.Accept = w.accept
 		w.docs.turn = make(chan struct{}, 1)
 		w.list.turn = make(chan struct{}, 1)
+		w.Self.NotifyAhead(w.ahead)
 	})
 }
 
@@ -171,13 +175,16 @@
 	return w.changed
 }
 
-// Ahead tells the watcher that a peer has shown a revision, on a connection
-// of whatever purpose. When it is above the one held here the peer is asked.
-func (w *Watcher) Ahead(peer fleet.VM, revision uint64) {
-	if revision <= w.Self.Revision.Load() {
+// ahead is told of a peer that has shown a higher revision, on a connection
+// of whatever purpose, and asks that peer. Without it a process whose
+// configuration connections all lead to others that are behind would wait for
+// them, while a caller's connection already shows that there is more.
+func (w *Watcher) ahead(peer fleet.VM, revision uint64) {
+	now := w.Clock.Now().UnixNano()
+	last := w.lastAhead.Load()
+	if now-last < int64(exchange) || !w.lastAhead.CompareAndSwap(last, now) {
 		return
 	}
-	w.init()
 	ask := func(now time.Time) []gossip.Action {
 		if revision > w.Self.Revision.Load() && !w.peerNames()[peer.Name] {
 			w.dial(peer.Address, true, now)
