conf: keep only settings that something reads

maxAnswer, maxConns, maxQueue and downloadSlots were declared before the parts that would read them; those parts have fixed bounds, so that the keys would have promised what nothing does. They are gone, and would now be refused as unknown. maxRecords and recordAge reach the gate's ledger and uploadSlots the trade of chunks, with the defaults that those had. status prints tables and traffic.

--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -60,6 +60,8 @@
 	printTargets(t, all)
 	printOutcomes(t, all)
 	printDrift(t, all)
+	printTables(t, all)
+	printTraffic(t, all)
 	return fault.At("print status", "", t.Flush())
 }
 
@@ -169,6 +171,32 @@
 	}
 }
 
+func printTables(w io.Writer, all []admin.Status) {
+	first := true
+	for _, s := range all {
+		for _, b := range s.Tables {
+			if first {
+				fmt.Fprintln(w, "\nTABLE\tOF\tENTRIES\tBOUND")
+				first = false
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Name, s.Process.Name, b.Entries, b.Bound)
+		}
+	}
+}
+
+func printTraffic(w io.Writer, all []admin.Status) {
+	first := true
+	for _, s := range all {
+		for _, b := range s.Traffic {
+			if first {
+				fmt.Fprintln(w, "\nTRAFFIC\tOF\tRECEIVED\tSENT")
+				first = false
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Purpose, s.Process.Name, b.Received, b.Sent)
+		}
+	}
+}
+
 func sortedKeys[T any](m map[string]T) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/io/process/conf/conf.go
+++ b/io/process/conf/conf.go
@@ -70,20 +70,16 @@
 
 // Limits bound what callers and peers can make the process hold.
 type Limits struct {
-	MaxBody       int64         `key:"maxBody" default:"4MiB" min:"1KiB" max:"64MiB" help:"most bytes of a caller's request body"`
-	MaxHeader     int64         `key:"maxHeader" default:"64KiB" min:"4KiB" max:"1MiB" help:"most bytes of a caller's request headers"`
-	MaxAnswer     int64         `key:"maxAnswer" default:"4MiB" min:"1KiB" max:"64MiB" help:"most bytes of an answer that is held whole"`
-	ReadTimeout   time.Duration `key:"readTimeout" default:"10s" min:"100ms" max:"5m" help:"most time in which a caller sends its request"`
-	MaxConns      int           `key:"maxConns" default:"4096" min:"1" max:"65536" help:"most open connections of callers"`
-	MaxInFlight   int           `key:"maxInFlight" default:"1024" min:"1" max:"65536" help:"most calls in flight"`
-	MaxQueue      int           `key:"maxQueue" default:"1024" min:"0" max:"65536" help:"most calls that wait for a target"`
-	MaxRecords    int           `key:"maxRecords" default:"65536" min:"16" max:"4194304" help:"most calls of which the outcome is remembered"`
-	RecordAge     time.Duration `key:"recordAge" default:"15m" min:"1s" max:"24h" help:"how long the outcome of a call is remembered"`
-	Subset        int           `key:"subset" default:"8" min:"1" max:"256" help:"targets of each service to which an entry keeps sessions" role:"entry"`
-	UploadSlots   int           `key:"uploadSlots" default:"4" min:"1" max:"64" help:"peers to which a side sends chunks at once" role:"side"`
-	DownloadSlots int           `key:"downloadSlots" default:"4" min:"1" max:"64" help:"chunks that a side asks for at once" role:"side"`
-	Grace         time.Duration `key:"grace" default:"30s" min:"0s" max:"1h" help:"most time for calls in flight to finish at shutdown"`
-	Memory        int64         `key:"memory" default:"64MiB" min:"16MiB" max:"64GiB" help:"soft limit of the process's memory"`
+	MaxBody     int64         `key:"maxBody" default:"4MiB" min:"1KiB" max:"64MiB" role:"entry" help:"most bytes of a caller's request body"`
+	MaxHeader   int64         `key:"maxHeader" default:"64KiB" min:"4KiB" max:"1MiB" role:"entry" help:"most bytes of a caller's request headers"`
+	ReadTimeout time.Duration `key:"readTimeout" default:"10s" min:"100ms" max:"5m" role:"entry" help:"most time in which a caller sends its request"`
+	MaxInFlight int           `key:"maxInFlight" default:"1024" min:"1" max:"65536" help:"most calls in flight"`
+	MaxRecords  int           `key:"maxRecords" default:"65536" min:"16" max:"4194304" role:"side" help:"most calls of which the outcome is remembered"`
+	RecordAge   time.Duration `key:"recordAge" default:"10m" min:"10s" max:"24h" role:"side" help:"how long the outcome of a call is remembered"`
+	Subset      int           `key:"subset" default:"8" min:"1" max:"256" help:"targets of each service to which an entry keeps sessions" role:"entry"`
+	UploadSlots int           `key:"uploadSlots" default:"2" min:"1" max:"64" help:"peers to which a side sends chunks at once" role:"side"`
+	Grace       time.Duration `key:"grace" default:"30s" min:"0s" max:"1h" help:"most time for calls in flight to finish at shutdown"`
+	Memory      int64         `key:"memory" default:"64MiB" min:"16MiB" max:"64GiB" help:"soft limit of the process's memory"`
 }
 
 // Log says what is logged, and where.
--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/request/calls"
+	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/roll"
 	"hawthornferry/io/conn/link"
@@ -43,6 +45,9 @@
 
 func (s *Side) buildGate() {
 	h := s.Host
+	limits := calls.DefaultLimits()
+	limits.Records = h.Settings.Limits.MaxRecords
+	limits.Keep = h.Settings.Limits.RecordAge
 	s.gate = &gate.Gate{
 		Self:        h.Self,
 		Clock:       h.Clock,
@@ -51,6 +56,7 @@
 		Source:      h.Watcher,
 		Target:      h.Settings.Target.Address,
 		Service:     h.Settings.Target.Service,
+		Limits:      limits,
 		MaxInFlight: h.Settings.Limits.MaxInFlight,
 	}
 	h.Handlers[link.PurposeCalls] = s.gate.Handler()
@@ -69,6 +75,7 @@
 		Staging: &stage.Client{Engine: h.Settings.Target.Address},
 		Origin:  h.Settings.Platform.Origin,
 		Store:   h.Settings.Platform.Store,
+		Burst:   burst.Config{Uploads: h.Settings.Limits.UploadSlots},
 		Pace:    pace.Config{Up: links.Up, Down: links.Down, Region: links.Region},
 	}
 	h.Handlers[link.PurposeWeights] = s.node.Handler()
