retry: keep the backoff from overflowing

A rapid test drew a base of a minute and a bound of a nanosecond: shifting the base 28 times overflowed and gave a pause of -649,846 h. No caller had such values.

--- a/core/process/retry/retry.go
+++ b/core/process/retry/retry.go
@@ -14,14 +14,12 @@
 	failures int
 }
 
-// maxDoublings keeps the shift below from overflowing.
-const maxDoublings = 30
-
 // Next counts a failure and returns the pause before the next attempt.
 // random is from 0 up to 1.
 func (b *Backoff) Next(random float64) time.Duration {
 	bound := b.Max
-	if b.failures < maxDoublings && b.Base<<b.failures < b.Max {
+	// Max is shifted and not Base, which would overflow for a long base.
+	if b.Base < b.Max>>b.failures {
 		bound = b.Base << b.failures
 	}
 	b.failures++
--- a/io/process/watch/fail_test.go
+++ b/io/process/watch/fail_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/gossip"
 	"hawthornferry/io/conn/link"
 )
 
@@ -255,3 +256,30 @@
 		}
 	}
 }
+
+// A process is stopped for a minute and wakes up. It has heard nobody in that
+// time, through no fault of its peers: it must not cut all of them at once,
+// which would leave it alone and make it read for itself. A peer that then
+// stays silent is cut as usual.
+func TestPausedProcessDoesNotBlamePeers(t *testing.T) {
+	start := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	ended := false
+	p := &peerConn{id: 1, heard: start, end: func() { ended = true }}
+	w := &Watcher{last: start, conns: map[gossip.PeerID]*peerConn{1: p}}
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{
+		{after: exchange, want: false},
+		{after: time.Minute, want: false},
+		{after: time.Minute + 2*exchange, want: false},
+		{after: time.Minute + 4*exchange, want: false},
+		{after: time.Minute + 6*exchange, want: true},
+	}
+	for _, tc := range tests {
+		w.closeSilent(start.Add(tc.after))
+		if diff := cmp.Diff(tc.want, ended); diff != "" {
+			t.Errorf("cut after %v (-want +got):\n%s", tc.after, diff)
+		}
+	}
+}
