io/request/front: stop the drain test at once when it ends early

A drain that ended with a call in flight was noted and the test then waited for it a second time; it now stops there. Seen failing with the wait of Gate.Drain taken out.

--- a/io/request/front/leave_test.go
+++ b/io/request/front/leave_test.go
@@ -48,7 +48,7 @@
 	check(t, "runs at the other", 1, other.ran("new"))
 	select {
 	case <-drained:
-		t.Error("drain ended with a call in flight")
+		t.Fatal("drain ended with a call in flight")
 	default:
 	}
 	close(p.release)
