io/request/front: give the balancer notice before closing

Shutdown closes idle connections at once; a caller whose request was just arriving on one saw it break without an answer. A draining entry is now not ready first, serves for the notice (1 s) with Connection: close, and only then closes. Refusing with 503 in that time was tried first and dropped: it turns away callers that the balancer has not yet been able to send on.

--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -109,11 +109,21 @@
 	return nl, fault.At("listen for callers", f.Listen.String(), err)
 }
 
-// Drain makes the entry not ready, takes no new calls, and returns when those
-// in flight have finished or ctx ends.
+// Drain makes the entry not ready, stops taking callers once the balancer has
+// had notice, and returns when the calls in flight have finished or ctx ends.
+//
+// Closing at once would cut the callers whose request is just arriving on an
+// idle connection: they would see it break without an answer. During the
+// notice they are served, and told to close their connections.
 func (f *Front) Drain(ctx context.Context) error {
 	f.init()
 	f.draining.Store(true)
+	notice := f.Clock.NewTimer(f.Limits.Notice)
+	defer notice.Stop()
+	select {
+	case <-notice.Chan():
+	case <-ctx.Done():
+	}
 	return fault.At("drain", "", f.server.Shutdown(ctx))
 }
 
--- a/io/request/front/limits.go
+++ b/io/request/front/limits.go
@@ -17,6 +17,9 @@
 	BodyTimeout   time.Duration
 	WriteTimeout  time.Duration
 	IdleTimeout   time.Duration
+	// Notice is how long a draining entry that is not ready any more still
+	// serves callers, until the balancer has taken it out.
+	Notice time.Duration
 	// MaxInFlight bounds the calls of the entry.
 	MaxInFlight int
 	// Subset is the most targets of one service to keep sessions with.
@@ -37,6 +40,7 @@
 		BodyTimeout:   10 * time.Second,
 		WriteTimeout:  30 * time.Second,
 		IdleTimeout:   2 * time.Minute,
+		Notice:        time.Second,
 		MaxInFlight:   2048,
 		Subset:        route.DefaultSubset,
 		Attempts:      3,
@@ -52,6 +56,7 @@
 	l.BodyTimeout = or(l.BodyTimeout, d.BodyTimeout)
 	l.WriteTimeout = or(l.WriteTimeout, d.WriteTimeout)
 	l.IdleTimeout = or(l.IdleTimeout, d.IdleTimeout)
+	l.Notice = or(l.Notice, d.Notice)
 	l.MaxInFlight = or(l.MaxInFlight, d.MaxInFlight)
 	l.Subset = or(l.Subset, d.Subset)
 	l.Attempts = or(l.Attempts, d.Attempts)
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -43,8 +43,6 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		if f.draining.Load() {
 			w.Header().Set("Connection", "close")
-			f.reject(w, http.StatusServiceUnavailable, "the entry is leaving", retryAfter)
-			return
 		}
 		select {
 		case places <- struct{}{}:
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -179,6 +179,7 @@
 		Source: w, Net: nl, Timing: fastTiming,
 	}
 	f.Limits = w.entryLimits
+	f.Limits.Notice = 10 * time.Millisecond
 	f.Limits.Subset = 4
 	if len(first) > 0 {
 		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
