io/request/gate: pass the engine's cache events on to the entries

Prefix affinity needs to know which engine holds which prefix. The side reads the engine's events and sends them with its heartbeats, so that an engine is polled once and not by each entry. The test fails when the events are booked to another target.

--- a/io/conn/sessn/client.go
+++ b/io/conn/sessn/client.go
@@ -25,6 +25,8 @@
 	// Changed, when set, is called after each heartbeat and when the
 	// connection comes or goes. It must not block.
 	Changed func()
+	// Events, when set, takes the target's cache events. It must not block.
+	Events func([]PrefixEvent)
 
 	mu      sync.Mutex
 	conn    *entryConn
@@ -88,7 +90,7 @@
 		c.noteRefused(errors.Is(err, syscall.ECONNREFUSED))
 		return false
 	}
-	conn := &entryConn{link: l, told: c.told, calls: map[Channel]*Call{}}
+	conn := &entryConn{link: l, told: c.told, events: c.onEvents, calls: map[Channel]*Call{}}
 	conn.silence.After = t.Silent
 	conn.heard(c.Clock.Now())
 	c.set(conn)
@@ -156,6 +158,12 @@
 	}
 }
 
+func (c *Client) onEvents(events []PrefixEvent) {
+	if c.Events != nil {
+		c.Events(events)
+	}
+}
+
 // Next returns a channel that is closed at the next change of Status.
 func (c *Client) Next() <-chan struct{} {
 	c.mu.Lock()
--- a/io/conn/sessn/entryconn.go
+++ b/io/conn/sessn/entryconn.go
@@ -12,8 +12,9 @@
 // entryConn is one connection of an entry to a side.
 type entryConn struct {
 	link *link.Conn
-	// told is called after each heartbeat.
-	told func()
+	// told is called after each heartbeat, events for cache events.
+	told   func()
+	events func([]PrefixEvent)
 
 	mu      sync.Mutex
 	calls   map[Channel]*Call
@@ -65,11 +66,14 @@
 			return err
 		}
 		c.heard(now())
-		if hb, ok := m.(*Heartbeat); ok {
-			c.onBeat(hb, now())
-			continue
+		switch m := m.(type) {
+		case *Heartbeat:
+			c.onBeat(m, now())
+		case *Events:
+			c.events(m.Events)
+		default:
+			c.deliver(m)
 		}
-		c.deliver(m)
 	}
 }
 
--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -244,6 +244,33 @@
 // Check reports the first field that is out of its domain.
 func (m *Heartbeat) Check() error { return m.Reading.Check() }
 
+// PrefixEvent says that the target now holds a prompt prefix in its cache, or
+// does so no longer.
+type PrefixEvent struct {
+	Prefix uint64 `msgpack:"p"`
+	Stored bool   `msgpack:"s"`
+}
+
+// MaxEvents bounds the events of one message.
+const MaxEvents = 1024
+
+// Events carries the target's cache events on, in their order. They come
+// late and some are lost.
+type Events struct {
+	Events []PrefixEvent `msgpack:"e"`
+}
+
+// Kind names the message.
+func (*Events) Kind() frame.Kind { return "events" }
+
+// Check reports the first field that is out of its domain.
+func (m *Events) Check() error {
+	if len(m.Events) > MaxEvents {
+		return errors.Newf("events: %d, want at most %d", len(m.Events), MaxEvents)
+	}
+	return nil
+}
+
 // Alive answers a Heartbeat, so that the side too finds a silent connection.
 type Alive struct{}
 
@@ -271,6 +298,7 @@
 func entryKinds() frame.Kinds {
 	k := frame.Kinds{}
 	k.Register(func() frame.Message { return &Heartbeat{} })
+	k.Register(func() frame.Message { return &Events{} })
 	k.Register(func() frame.Message { return &Verdict{} })
 	k.Register(func() frame.Message { return &Head{} })
 	k.Register(func() frame.Message { return &Data{} })
--- a/io/conn/sessn/server.go
+++ b/io/conn/sessn/server.go
@@ -25,6 +25,9 @@
 	Beat() Heartbeat
 	// Changed returns a channel that is closed when Beat says something new.
 	Changed() <-chan struct{}
+	// Events returns the target's cache events after a position, at most
+	// MaxEvents of them, and the position of the last.
+	Events(after uint64) ([]PrefixEvent, uint64)
 }
 
 // Server accepts the sessions of entries. Set the exported fields first.
@@ -80,12 +83,18 @@
 func (c *sideConn) beats(ctx context.Context) {
 	tick := c.server.Clock.NewTicker(c.server.Timing.orDefault().Beat)
 	defer tick.Stop()
+	var seen uint64
 	for {
 		changed := c.server.Service.Changed()
 		hb := c.server.Service.Beat()
 		if err := c.send(&hb); err != nil {
 			return
 		}
+		var events []PrefixEvent
+		events, seen = c.server.Service.Events(seen)
+		if len(events) > 0 && c.send(&Events{Events: events}) != nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/io/request/front/pool.go
+++ b/io/request/front/pool.go
@@ -160,6 +160,7 @@
 	m := &member{vm: vm, cancel: cancel, listed: true, used: f.Clock.Now()}
 	m.client = &sessn.Client{Self: f.Self, Clock: f.Clock, VM: vm, Timing: f.Timing}
 	m.client.Changed = func() { p.report(m.client, vm) }
+	m.client.Events = func(events []sessn.PrefixEvent) { p.events(vm, events) }
 	p.members[idOf(vm)] = m
 	p.wg.Go(func() { _ = m.client.Run(ctx) })
 	return m
@@ -173,6 +174,12 @@
 	}
 }
 
+func (p *pool) events(vm fleet.VM, events []sessn.PrefixEvent) {
+	for _, e := range events {
+		p.front.policy.event(vm.Name, e.Prefix, e.Stored)
+	}
+}
+
 func reportOf(s sessn.Status) route.Report {
 	l := s.Beat.Load
 	return route.Report{At: s.At, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity}
--- /dev/null
+++ b/io/request/front/prefix_test.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hawthornferry/standin/expect"
+)
+
+// An engine tells, late, that it holds a prompt's prefix. The event comes to
+// the entry through the side's session, and the next call with that prompt
+// goes to this engine though another one is as free.
+func TestCacheEventsSteerCalls(t *testing.T) {
+	w := newWorld(t)
+	content := strings.Repeat("permit desk ", 40)
+	prompt := expect.Prompt([]expect.Message{{Role: "system", Content: content}})
+	var page []string
+	for i, p := range expect.Prefixes(prompt) {
+		page = append(page, fmt.Sprintf(`{"seq":%d,"action":"stored","prefix":%q}`, i+1, p))
+	}
+	add := func(name, events string) {
+		mux := http.NewServeMux()
+		mux.HandleFunc("/v1/events", func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, events) })
+		mux.Handle("/", engineStub(manifestA, func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, name) }))
+		w.addSide(name, "helper", mux)
+	}
+	add("h1", `{"events":[]}`)
+	add("h2", `{"events":[`+strings.Join(page, ",")+`]}`)
+	e := w.addEntry("e1")
+	w.ready(e, "helper", 2)
+	for e.front.prefixesKnown() < len(page) {
+		time.Sleep(time.Millisecond)
+	}
+	body, err := json.Marshal(map[string]any{
+		"model":    "helper",
+		"messages": []expect.Message{{Role: "system", Content: content}},
+	})
+	check(t, "request", nil, err)
+	for range 5 {
+		check(t, "target", "h2", w.call(e, http.MethodPost, chatURL, string(body), nil).Body)
+	}
+}
+
+func (f *Front) prefixesKnown() int {
+	f.policy.mu.Lock()
+	defer f.policy.mu.Unlock()
+	return f.policy.chooser.Sizes().Prefixes
+}
--- a/io/request/gate/gate.go
+++ b/io/request/gate/gate.go
@@ -60,6 +60,7 @@
 	idle     chan struct{}
 	draining bool
 	target   targetState
+	cache    cacheEvents
 	members  string
 	changed  chan struct{}
 }
--- a/io/request/gate/target.go
+++ b/io/request/gate/target.go
@@ -34,6 +34,7 @@
 
 // engineState is the part of GET /v1/state that the gate reads.
 type engineState struct {
+	Boot     string       `json:"boot"`
 	Manifest chunk.Digest `json:"manifest"`
 	Running  int          `json:"running"`
 	Queued   int          `json:"queued"`
@@ -72,10 +73,11 @@
 }
 
 func (g *Gate) observeEngine(ctx context.Context) targetState {
-	st, err := g.engineState(ctx)
+	st, err := ask[engineState](ctx, g, "/v1/state")
 	if err != nil {
 		return g.unheard()
 	}
+	g.followCache(ctx, st.Boot)
 	return targetState{
 		ready:   st.Manifest != "",
 		serving: st.Manifest,
@@ -97,23 +99,24 @@
 	return s
 }
 
-func (g *Gate) engineState(ctx context.Context) (engineState, error) {
-	var st engineState
+// ask reads a JSON answer of the target.
+func ask[T any](ctx context.Context, g *Gate, path string) (T, error) {
+	var out T
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	url := "http://" + g.Target.String() + "/v1/state"
+	url := "http://" + g.Target.String() + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return st, fault.At("ask state", g.Target.String(), err)
+		return out, fault.At("ask "+path, g.Target.String(), err)
 	}
 	res, err := g.plain.RoundTrip(req)
 	if err != nil {
-		return st, fault.At("ask state", g.Target.String(), err)
+		return out, fault.At("ask "+path, g.Target.String(), err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return st, fault.Newf("ask state", g.Target.String(), "status %d", res.StatusCode)
+		return out, fault.Newf("ask "+path, g.Target.String(), "status %d", res.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxState)).Decode(&st)
-	return st, fault.At("read state", g.Target.String(), err)
+	err = json.NewDecoder(io.LimitReader(res.Body, maxState)).Decode(&out)
+	return out, fault.At("read "+path, g.Target.String(), err)
 }
