--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/view"
 	"hawthornferry/core/request/calls"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
@@ -100,21 +102,33 @@
 	h.Parts = append(h.Parts, host.Part{Name: "load orders", Run: s.orderer.Run})
 }
 
+// listWait is how long a side that has just started waits for a VM list
+// before it takes itself for the only side. Without it every side of a fleet
+// that starts ranks first for every chunk and draws a copy of its own from
+// the origin.
+const listWait = 10 * time.Second
+
 // follow tells the swarm of each new view.
 func (s *Side) follow(ctx context.Context) error {
+	alone := s.Host.Clock.After(listWait)
+	waited := false
 	for {
 		changed := s.Host.Watcher.Changed()
-		s.update()
+		v := s.Host.Watcher.Current()
+		if waited || len(v.VMs) > 0 {
+			s.update(v)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-alone:
+			waited = true
 		}
 	}
 }
 
-func (s *Side) update() {
-	v := s.Host.Watcher.Current()
+func (s *Side) update(v view.View) {
 	want, ok := roll.Place(v, s.Host.Self.VM)
 	if !ok {
 		return
