audit, replay: check decision logs against the stated outcomes

The orderer now writes verified and serves, the front the version of each stream: orders and streams could not be judged without them.

--- /dev/null
+++ b/io/process/cmds/replay.go
@@ -0,0 +1,121 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/audit"
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/trail"
+)
+
+func init() {
+	register(command{
+		name: "replay",
+		help: "checks recorded decision logs against the stated outcomes",
+		make: func() runner { return &replay{} },
+	})
+}
+
+// maxMisses bounds the misses that are printed for one outcome.
+const maxMisses = 20
+
+// replay is the command replay.
+type replay struct {
+	Logs    string        `key:"logs" arg:"1" need:"true" help:"a log of JSON lines, or a directory of them"`
+	Leaving time.Duration `key:"leaving" default:"5s" min:"0s" max:"10m" help:"how long a leaving target may still get new work"`
+}
+
+func (r *replay) run(_ context.Context, out output) error {
+	names, err := logNames(r.Logs)
+	if err != nil {
+		return err
+	}
+	var records []trail.Decision
+	for _, name := range names {
+		more, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		records = append(records, more...)
+	}
+	results := audit.Check(audit.Settings{Leaving: r.Leaving}, records)
+	fmt.Fprintf(out.stdout, "%d decisions from %d logs\n", len(records), len(names))
+	if err := printResults(out.stdout, results); err != nil {
+		return err
+	}
+	if n := audit.Missed(results); n > 0 {
+		return errors.Newf("%d records break a stated outcome", n)
+	}
+	return nil
+}
+
+// logNames returns the file at path, or all files of the directory at path.
+func logNames(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Mark(fault.At("find logs", path, err), errInput)
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, errors.Mark(fault.At("list logs", path, err), errInput)
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, filepath.Join(path, e.Name()))
+		}
+	}
+	return names, nil
+}
+
+func readLog(name string) ([]trail.Decision, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Mark(fault.At("open log", name, err), errInput)
+	}
+	defer f.Close()
+	records, err := audit.Read(name, f)
+	if err != nil {
+		return nil, errors.Mark(err, errInput)
+	}
+	return records, nil
+}
+
+// printResults prints a row for each outcome, then the misses.
+func printResults(w io.Writer, results []audit.Result) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "outcome\tcases\tmissed\tverdict")
+	for _, r := range results {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%s\n", r.Outcome, r.Checked, len(r.Misses), verdict(r))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, r := range results {
+		for _, m := range r.Misses[:min(len(r.Misses), maxMisses)] {
+			fmt.Fprintf(w, "missed: %s: %v\n", r.Outcome, m)
+		}
+	}
+	return nil
+}
+
+func verdict(r audit.Result) string {
+	switch {
+	case len(r.Misses) > 0:
+		return "missed"
+	case r.Checked == 0:
+		return "no case"
+	}
+	return "met"
+}
--- a/io/request/front/repeat.go
+++ b/io/request/front/repeat.go
@@ -142,7 +142,9 @@
 		}
 		switch msg := msg.(type) {
 		case *sessn.Head:
-			err = rl.head(msg)
+			if err = rl.head(msg); err == nil {
+				f.noteStream(k, m, rl, msg)
+			}
 		case *sessn.Data:
 			k.began(f.Clock.Now())
 			err = rl.data(msg.Data)
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -38,6 +38,10 @@
 	machine roll.Machine
 	facts   roll.Facts
 	last    roll.Reason
+
+	// whole and serving are what was last written down; Run alone uses them.
+	whole   chunk.Digest
+	serving chunk.Digest
 }
 
 // Run steps until ctx ends.
@@ -74,6 +78,7 @@
 	o.facts = f
 	a := o.machine.Step(o.Clock.Now(), f)
 	o.mu.Unlock()
+	o.note(f)
 	o.log(f, a)
 	if a.Kind == roll.ActionAsk {
 		a, f = o.ask(ctx, f)
@@ -153,6 +158,33 @@
 	return s
 }
 
+// note writes down that the wanted weights have become whole, and what the
+// target has come to serve: replay holds the orders against both.
+func (o *Orderer) note(f roll.Facts) {
+	if f.Verified && o.whole != f.Want.Manifest {
+		o.noteFact("verified", f.Want.Manifest, f)
+	}
+	o.whole = ""
+	if f.Verified {
+		o.whole = f.Want.Manifest
+	}
+	if f.TargetKnown && f.Target.Serving != o.serving {
+		o.serving = f.Target.Serving
+		o.noteFact("serves", f.Target.Serving, f)
+	}
+}
+
+func (o *Orderer) noteFact(action string, d chunk.Digest, f roll.Facts) {
+	o.Log.Decide(trail.Decision{
+		Area:     trail.AreaPlacement,
+		Action:   action,
+		Service:  f.Want.Service.Name,
+		Subject:  string(d),
+		Choice:   o.Self.VM.Name,
+		Revision: f.Want.Revision,
+	})
+}
+
 // log writes a decision when it differs from the last one; a side that waits
 // decides the same five times a second.
 func (o *Orderer) log(f roll.Facts, a roll.Action) {
