gauge: show slow decline in metrics and in status

The measures of drift had no way out of the process. A gauge feeds the tracker from the front (first byte, unknown and notRun by service), the gate (repeats stopped, refused) and table sizes read once a minute, sets metrics under a bound of 512, and fills the rows of status, which now say trend and verdict. Ruled out: metrics by customer, since a scope forgets none and customers come and go.

--- a/core/request/admit/admit.go
+++ b/core/request/admit/admit.go
@@ -44,6 +44,10 @@
 	DefaultCallAge   = 30 * time.Minute
 )
 
+// MaxRemembered is the most services, customers and targets that an Admitter
+// with default settings remembers, beside its calls.
+const MaxRemembered = DefaultServices * (1 + DefaultCustomers + DefaultTargets)
+
 // Offer is a call that wants to go on. ID must not be in use. Deadline is the
 // latest time at which the first byte of the answer is of use to the caller;
 // the zero time is none.
--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -100,13 +100,17 @@
 	Refused  uint64 `json:"refused"`
 }
 
-// Drift compares a measure in the latest window with the window before.
+// Drift compares a measure in the latest window with the usual value of those
+// before. Trend is the newest windows over the oldest, 1 for no change.
+// Declined is set when either is above what is taken for chance.
 type Drift struct {
 	Name     string  `json:"name"`
 	Unit     string  `json:"unit"`
 	WindowMs int64   `json:"windowMs"`
 	Value    float64 `json:"value"`
 	Previous float64 `json:"previous"`
+	Trend    float64 `json:"trend,omitempty"`
+	Declined bool    `json:"declined,omitempty"`
 }
 
 // Table is the size of one bounded table of the process.
--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -162,11 +162,16 @@
 	for _, s := range all {
 		for _, d := range s.Drift {
 			if first {
-				fmt.Fprintln(w, "\nDRIFT\tSEEN BY\tWINDOW\tNOW\tBEFORE\tUNIT")
+				fmt.Fprintln(w, "\nDRIFT\tSEEN BY\tWINDOW\tNOW\tBEFORE\tUNIT\tTREND\tVERDICT")
 				first = false
 			}
 			window := time.Duration(d.WindowMs) * time.Millisecond
-			fmt.Fprintf(w, "%s\t%s\t%v\t%.3g\t%.3g\t%s\n", d.Name, s.Process.Name, window, d.Value, d.Previous, d.Unit)
+			verdict := "steady"
+			if d.Declined {
+				verdict = "declined"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v\t%.3g\t%.3g\t%s\t%.2f\t%s\n",
+				d.Name, s.Process.Name, window, d.Value, d.Previous, d.Unit, d.Trend, verdict)
 		}
 	}
 }
--- a/io/process/entry/entry.go
+++ b/io/process/entry/entry.go
@@ -30,6 +30,7 @@
 		Clock:   h.Clock,
 		Log:     h.Log,
 		Metrics: h.Metrics,
+		Gauge:   h.Gauge,
 		Source:  h.Watcher,
 		Net:     e.Callers,
 		Limits: front.Limits{
--- a/io/process/host/host.go
+++ b/io/process/host/host.go
@@ -24,6 +24,7 @@
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/admin"
 	"hawthornferry/io/process/conf"
+	"hawthornferry/io/process/gauge"
 	"hawthornferry/io/process/trace"
 	"hawthornferry/io/process/watch"
 )
@@ -48,6 +49,7 @@
 	Logger  *logrus.Logger
 	Log     trail.Log
 	Metrics tally.Scope
+	Gauge   *gauge.Gauge
 	Watcher *watch.Watcher
 
 	Parts    []Part
@@ -78,6 +80,7 @@
 	var closer io.Closer
 	h.Metrics, h.metrics, closer = admin.NewMetrics()
 	h.closers = append(h.closers, closer)
+	h.Gauge = &gauge.Gauge{Clock: h.Clock, Metrics: h.Metrics}
 	if err := h.openLogs(); err != nil {
 		return err
 	}
@@ -197,6 +200,7 @@
 		{Name: "peer listener", Run: peers.Run},
 		{Name: "administration API", Run: api.Run},
 		{Name: "configuration", Run: h.Watcher.Run},
+		{Name: "measures", Run: h.Gauge.Run},
 	}
 	return append(parts, h.Parts...)
 }
@@ -231,6 +235,8 @@
 
 func (h *Host) status() admin.Status {
 	s := admin.Status{Process: h.processStatus(), Config: h.configStatus(), Traffic: h.traffic()}
+	s.Drift = h.Gauge.Drift()
+	s.Tables = h.Gauge.Tables()
 	if h.Fill != nil {
 		h.Fill(&s)
 	}
--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -53,6 +53,7 @@
 		Clock:       h.Clock,
 		Log:         h.Log,
 		Metrics:     h.Metrics,
+		Gauge:       h.Gauge,
 		Source:      h.Watcher,
 		Target:      h.Settings.Target.Address,
 		Service:     h.Settings.Target.Service,
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -22,6 +22,7 @@
 	"hawthornferry/core/request/route"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
+	"hawthornferry/io/process/gauge"
 )
 
 // Chooser picks the target of a call among the candidates.
@@ -36,7 +37,9 @@
 	Clock   clockwork.Clock
 	Log     trail.Log
 	Metrics tally.Scope
-	Source  view.Source
+	// Gauge takes the measures of slow decline; it may be nil.
+	Gauge  *gauge.Gauge
+	Source view.Source
 	// Listen is where callers connect. Net, when set, is used in its place.
 	Listen netip.AddrPort
 	Net    net.Listener
@@ -65,6 +68,7 @@
 	}
 	f.outcomes = newOutcomes(f.Metrics)
 	f.pool = newPool(f)
+	f.watchTables()
 	f.server = &http.Server{
 		Handler:           f.router(),
 		ReadHeaderTimeout: f.Limits.HeaderTimeout,
--- a/io/request/front/work.go
+++ b/io/request/front/work.go
@@ -184,6 +184,7 @@
 // finish counts and logs the end of a request.
 func (f *Front) finish(k *work, e ending) {
 	f.outcomes.add(outcomeKey{customer: k.req.Customer, service: k.req.Service, outcome: e.outcome})
+	f.measure(k, e)
 	d := trail.Decision{
 		Area: trail.AreaCall, Action: "answer", Request: k.req.ID, Customer: k.req.Customer,
 		Service: k.req.Service, Outcome: string(e.outcome), Reason: e.reason,
--- a/io/request/gate/gate.go
+++ b/io/request/gate/gate.go
@@ -22,6 +22,7 @@
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
+	"hawthornferry/io/process/gauge"
 )
 
 // Gate carries the calls of entries to one target. Set the exported fields
@@ -31,7 +32,9 @@
 	Clock   clockwork.Clock
 	Log     trail.Log
 	Metrics tally.Scope
-	Source  view.Source
+	// Gauge takes the measures of slow decline; it may be nil.
+	Gauge  *gauge.Gauge
+	Source view.Source
 	// Target is where the target speaks HTTP, Service whose replica it is.
 	Target  netip.AddrPort
 	Service string
@@ -88,6 +91,7 @@
 	g.changed = make(chan struct{})
 	g.plain = pooledTransport()
 	g.once = onceTransport()
+	g.watchTables()
 	g.server = &sessn.Server{Service: g, Clock: g.Clock, Timing: g.Timing}
 }
 
--- a/io/request/gate/once.go
+++ b/io/request/gate/once.go
@@ -215,6 +215,7 @@
 
 func (g *Gate) note(m *sessn.Start, a calls.Action) {
 	g.count(string(a.Act))
+	g.measure(a)
 	g.Log.Decide(trail.Decision{
 		Area: trail.AreaCall, Action: string(a.Act), Request: m.Request, Service: g.Service,
 		Subject: string(m.Ticket.Call), Outcome: string(a.Outcome), Reason: string(a.Reason),
