watch: count the bytes read from the platform

A reader draws the whole document at each change and the whole VM list every few seconds; at the size to design for that, and not what peers send, decides whether 27 KB a second is held.

--- a/bench/conf/measure.go
+++ b/bench/conf/measure.go
@@ -25,6 +25,8 @@
 	changeReads  float64
 	changeBytes  float64
 	changeMax    float64
+	platform     float64
+	platformMax  float64
 	changeCPU    float64
 	lastMedian   time.Duration
 	lastMax      time.Duration
@@ -40,6 +42,8 @@
 	list  uint64
 	cpu   time.Duration
 	bytes []uint64
+	// platform is the bytes that each process has read itself.
+	platform []uint64
 }
 
 func (f *fleetOf) sample() sample {
@@ -47,14 +51,16 @@
 	for _, w := range f.watchers {
 		st := w.Stats()
 		s.bytes = append(s.bytes, st.Received+st.Sent)
+		s.platform = append(s.platform, st.Platform)
 	}
 	return s
 }
 
 // phase is the difference of two samples, as rates.
 type phase struct {
-	reads, list, cpu    float64
-	bytesMean, bytesMax float64
+	reads, list, cpu          float64
+	bytesMean, bytesMax       float64
+	platformMean, platformMax float64
 }
 
 func between(a, b sample) phase {
@@ -64,14 +70,21 @@
 		list:  float64(b.list-a.list) / secs,
 		cpu:   (b.cpu - a.cpu).Seconds() / secs / float64(len(a.bytes)),
 	}
-	for i := range a.bytes {
-		rate := float64(b.bytes[i]-a.bytes[i]) / secs
-		p.bytesMean += rate / float64(len(a.bytes))
-		p.bytesMax = max(p.bytesMax, rate)
-	}
+	p.bytesMean, p.bytesMax = rates(a.bytes, b.bytes, secs)
+	p.platformMean, p.platformMax = rates(a.platform, b.platform, secs)
 	return p
 }
 
+// rates returns the mean and the largest growth a second.
+func rates(a, b []uint64, secs float64) (mean, largest float64) {
+	for i := range a {
+		rate := float64(b[i]-a[i]) / secs
+		mean += rate / float64(len(a))
+		largest = max(largest, rate)
+	}
+	return mean, largest
+}
+
 func measure(parent context.Context, p plan) (result, error) {
 	r := result{plan: p}
 	ctx, cancel := context.WithCancel(parent)
@@ -131,6 +144,7 @@
 	}
 	ph := between(a, f.sample())
 	r.changeReads, r.changeBytes, r.changeMax, r.changeCPU = ph.reads, ph.bytesMean, ph.bytesMax, ph.cpu
+	r.platform, r.platformMax = ph.platformMean, ph.platformMax
 	slices.Sort(times)
 	r.lastMedian, r.lastMax = times[len(times)/2], times[len(times)-1]
 	return nil
--- a/bench/conf/output.go
+++ b/bench/conf/output.go
@@ -13,6 +13,7 @@
 	"mode", "processes", "sections", "readers", "startReads", "startMs",
 	"idleReadsPerS", "idleListReadsPerS", "idleBytesPerS", "idleMaxBytesPerS", "idleCorePercent",
 	"changeReadsPerS", "changeBytesPerS", "changeMaxBytesPerS", "changeCorePercent",
+	"platformBytesPerS", "platformMaxBytesPerS",
 	"lastMedianMs", "lastMaxMs", "heapKiB", "peersLargest",
 }
 
@@ -82,6 +83,7 @@
 	for _, v := range []float64{
 		r.idleReads, r.idleList, r.idleBytes, r.idleMax, 100 * r.idleCPU,
 		r.changeReads, r.changeBytes, r.changeMax, 100 * r.changeCPU,
+		r.platform, r.platformMax,
 	} {
 		row = append(row, fmt.Sprintf("%.2f", v))
 	}
--- a/io/process/watch/read.go
+++ b/io/process/watch/read.go
@@ -37,6 +37,7 @@
 
 // feed is what a reading goroutine and the loop share.
 type feed struct {
+	service *service
 	reads   atomic.Bool
 	held    atomic.Uint64
 	refused atomic.Uint64
@@ -76,7 +77,7 @@
 	if !w.Config.IsValid() {
 		return
 	}
-	s := newService(w.Config)
+	s := w.docs.service
 	defer s.close()
 	back := retry.Backoff{Base: readBase, Max: readMax}
 	w.spread(ctx)
@@ -151,7 +152,7 @@
 	if !w.VMList.IsValid() {
 		return
 	}
-	s := newService(w.VMList)
+	s := w.list.service
 	defer s.close()
 	back := retry.Backoff{Base: readBase, Max: readMax}
 	var o gossip.Observer
--- a/io/process/watch/service.go
+++ b/io/process/watch/service.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 	addr   netip.AddrPort
 	client *http.Client
 	slack  time.Duration
+	// read is the bytes of bodies so far.
+	read atomic.Uint64
 }
 
 func newService(addr netip.AddrPort) *service {
@@ -119,6 +122,7 @@
 		return nil, nil, errors.Newf("status %d", resp.StatusCode)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	s.read.Add(uint64(len(b)))
 	if err == nil && int64(len(b)) > limit {
 		err = errors.Newf("answer is longer than %d bytes", limit)
 	}
--- a/io/process/watch/stats.go
+++ b/io/process/watch/stats.go
@@ -8,7 +8,8 @@
 // Service is the highest revision that this process has read itself, Refused
 // the highest that was refused and Fault why, Conflict the revision in force
 // when it was given to other content as well. Received and Sent are bytes
-// over all configuration connections so far.
+// over all configuration connections so far, Platform those of documents and
+// VM lists that this process has read itself.
 type Stats struct {
 	Revision    uint64
 	Service     uint64
@@ -20,6 +21,7 @@
 	Peers       int
 	Received    uint64
 	Sent        uint64
+	Platform    uint64
 }
 
 // Stats returns the latest figures; they are taken once in each exchange.
@@ -64,8 +66,10 @@
 	w.stats.Peers = len(w.conns)
 	w.stats.Received = received
 	w.stats.Sent = sent
+	w.stats.Platform = w.docs.service.read.Load() + w.list.service.read.Load()
 	w.Metrics.Gauge("config_revision").Update(float64(w.stats.Revision))
 	w.Metrics.Gauge("config_peers").Update(float64(w.stats.Peers))
 	w.Metrics.Gauge("config_received_bytes").Update(float64(received))
 	w.Metrics.Gauge("config_sent_bytes").Update(float64(sent))
+	w.Metrics.Gauge("platform_read_bytes").Update(float64(w.stats.Platform))
 }
--- a/io/process/watch/watch.go
+++ b/io/process/watch/watch.go
@@ -88,6 +88,8 @@
 		w.dialer.dialingTo = map[netip.AddrPort]bool{}
 		w.node.Zone = w.Self.VM.Zone
 		w.node.Accept = w.accept
+		w.docs.service = newService(w.Config)
+		w.list.service = newService(w.VMList)
 		w.docs.turn = make(chan struct{}, 1)
 		w.list.turn = make(chan struct{}, 1)
 		w.Self.NotifyAhead(w.ahead)
