io/conn/sessn, gate: send a small whole answer in one message

Head, data and end of an answer whose length is known were three messages, three system calls and three wake-ups at the entry; up to a block they are one now.

--- a/io/conn/sessn/call.go
+++ b/io/conn/sessn/call.go
@@ -103,15 +103,17 @@
 	return nil
 }
 
-// put hands a message to the call. The side sends no more than its credit,
+// put hands messages to the call. The side sends no more than its credit,
 // so a call that holds more than the window is ended rather than let grow.
-func (c *Call) put(m frame.Message) {
+func (c *Call) put(ms ...frame.Message) {
 	c.mu.Lock()
-	c.held += sizeOf(m)
+	for _, m := range ms {
+		c.held += sizeOf(m)
+	}
 	if c.held > Window || len(c.parts) > Window {
 		c.parts, c.err = nil, errors.Wrap(ErrLost, "side sent beyond its credit")
 	} else {
-		c.parts = append(c.parts, m)
+		c.parts = append(c.parts, ms...)
 	}
 	c.mu.Unlock()
 	c.signal()
--- a/io/conn/sessn/entryconn.go
+++ b/io/conn/sessn/entryconn.go
@@ -107,15 +107,22 @@
 	c.mu.Lock()
 	call := c.calls[id]
 	c.mu.Unlock()
-	if call != nil {
-		call.put(m)
+	if call == nil {
+		return
+	}
+	if a, ok := m.(*Answer); ok {
+		call.put(a.parts()...)
+		return
 	}
+	call.put(m)
 }
 
 func callOf(m frame.Message) (Channel, bool) {
 	switch m := m.(type) {
 	case *Verdict:
 		return m.Channel, true
+	case *Answer:
+		return m.Channel, true
 	case *Head:
 		return m.Channel, true
 	case *Data:
--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -199,6 +199,35 @@
 	return checkCall("end", m.Channel)
 }
 
+// Answer is a whole small answer: Head, Data and End in one.
+type Answer struct {
+	Channel Channel     `msgpack:"c"`
+	Status  int         `msgpack:"s"`
+	Header  http.Header `msgpack:"h"`
+	Data    []byte      `msgpack:"d"`
+}
+
+// Kind names the message.
+func (*Answer) Kind() frame.Kind { return "answer" }
+
+// Check reports the first field that is out of its domain.
+func (m *Answer) Check() error {
+	if err := checkBlock("answer", m.Channel, 0, m.Data); err != nil {
+		return err
+	}
+	return (&Head{Channel: m.Channel, Status: m.Status}).Check()
+}
+
+// parts returns the messages that m stands for.
+func (m *Answer) parts() []frame.Message {
+	head := &Head{Channel: m.Channel, Status: m.Status, Header: m.Header}
+	end := &End{Channel: m.Channel, Size: len(m.Data)}
+	if len(m.Data) == 0 {
+		return []frame.Message{head, end}
+	}
+	return []frame.Message{head, &Data{Channel: m.Channel, Data: m.Data}, end}
+}
+
 // Refusal ends a call that has no whole answer. RetryAfter is set where
 // asking again is safe.
 type Refusal struct {
@@ -300,6 +329,7 @@
 	k.Register(func() frame.Message { return &Heartbeat{} })
 	k.Register(func() frame.Message { return &Events{} })
 	k.Register(func() frame.Message { return &Verdict{} })
+	k.Register(func() frame.Message { return &Answer{} })
 	k.Register(func() frame.Message { return &Head{} })
 	k.Register(func() frame.Message { return &Data{} })
 	k.Register(func() frame.Message { return &End{} })
--- a/io/conn/sessn/stream.go
+++ b/io/conn/sessn/stream.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// Answer sends a whole answer. One of up to a block goes in one message,
+// which spares both ends two system calls and two wake-ups.
+func (s *Stream) Answer(h Head, body []byte) error {
+	if len(body) <= BlockSize {
+		return s.last(&Answer{Channel: s.channel, Status: h.Status, Header: h.Header, Data: body})
+	}
+	if err := s.Head(h); err != nil {
+		return err
+	}
+	if _, err := s.Write(body); err != nil {
+		return err
+	}
+	return s.End()
+}
+
 // End says that the answer is whole.
 func (s *Stream) End() error {
 	return s.last(&End{Channel: s.channel, Size: s.position})
--- a/io/request/gate/once.go
+++ b/io/request/gate/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -17,7 +18,9 @@
 // run is one once-call that was handed to the target. Its fields but done
 // are set before done is closed; answer is nil when it is not kept.
 type run struct {
-	id     calls.ID
+	id calls.ID
+	// at is the gate's clock when the call was settled.
+	at     time.Duration
 	done   chan struct{}
 	state  calls.State
 	reason calls.Reason
@@ -148,19 +151,44 @@
 	if r.reason == calls.ReasonTooLarge {
 		r.answer = nil
 	}
+	r.at = g.now()
 	g.kept = append(g.kept, r.id)
 	g.keptSize += r.size()
 	for g.keptSize > g.MaxKept && len(g.kept) > 1 {
-		old := g.runs[g.kept[0]]
-		g.kept = g.kept[1:]
-		if old == nil {
-			continue
+		g.dropLocked()
+	}
+}
+
+// dropLocked drops the oldest held call.
+func (g *Gate) dropLocked() {
+	id := g.kept[0]
+	g.kept = g.kept[1:]
+	if r := g.runs[id]; r != nil {
+		g.keptSize -= r.size()
+		delete(g.runs, id)
+	}
+}
+
+// forgetLocked drops the held calls and the records that have passed their
+// age.
+func (g *Gate) forgetLocked() {
+	now := g.now()
+	g.ledger.Expire(now)
+	for len(g.kept) > 0 {
+		r := g.runs[g.kept[0]]
+		if r != nil && now-r.at <= g.Limits.Keep {
+			return
 		}
-		g.keptSize -= old.size()
-		delete(g.runs, old.id)
+		g.dropLocked()
 	}
 }
 
+func (g *Gate) measureLocked() {
+	g.Metrics.Gauge("gate.records").Update(float64(g.ledger.Len()))
+	g.Metrics.Gauge("gate.keptBytes").Update(float64(g.keptSize))
+	g.Metrics.Gauge("gate.inFlight").Update(float64(g.inFlight))
+}
+
 // recordSize is what a held call takes beside its answer, in bytes, roughly.
 const recordSize = 512
 
@@ -186,13 +214,7 @@
 		_ = s.Refuse(sessn.Refusal{Outcome: outcomeOf(r.state), Reason: r.reason})
 		return
 	}
-	if s.Head(sessn.Head{Status: r.answer.status, Header: r.answer.header}) != nil {
-		return
-	}
-	if _, err := s.Write(r.answer.body); err != nil {
-		return
-	}
-	_ = s.End()
+	_ = s.Answer(sessn.Head{Status: r.answer.status, Header: r.answer.header}, r.answer.body)
 }
 
 // Ask answers a query: the state first, then the answer when there is or
--- a/io/request/gate/repeat.go
+++ b/io/request/gate/repeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,9 @@
 // retryAfter is what a refused caller is told to wait.
 const retryAfter = time.Second
 
+// maxRetryAfter bounds what a target may ask a caller to wait.
+const maxRetryAfter = time.Minute
+
 // Begin serves one call.
 func (g *Gate) Begin(s *sessn.Stream) {
 	if s.Start.Ticket != nil {
@@ -74,10 +78,14 @@
 	}
 	defer res.Body.Close()
 	if why := g.unfit(s.Start, res); why != "" {
-		return &sessn.Refusal{Outcome: calls.NotRun, Reason: why, RetryAfter: retryAfter}
+		return &sessn.Refusal{Outcome: calls.NotRun, Reason: why, RetryAfter: waitOf(res)}
 	}
 	StripHops(res.Header)
-	if err := s.Head(sessn.Head{Status: res.StatusCode, Header: res.Header}); err != nil {
+	h := sessn.Head{Status: res.StatusCode, Header: res.Header}
+	if res.ContentLength >= 0 && res.ContentLength <= sessn.BlockSize {
+		return passWhole(ctx, s, h, res)
+	}
+	if err := s.Head(h); err != nil {
 		return failed(ctx, err)
 	}
 	buf := make([]byte, copyBlock)
@@ -88,6 +96,16 @@
 	return nil
 }
 
+// passWhole sends an answer that is known to be small in one message.
+func passWhole(ctx context.Context, s *sessn.Stream, h sessn.Head, res *http.Response) *sessn.Refusal {
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	_ = s.Answer(h, body)
+	return nil
+}
+
 // copyBlock is the size in bytes of the buffer of one answer.
 const copyBlock = 16 << 10
 
@@ -96,14 +114,18 @@
 type onlyWriter struct{ io.Writer }
 
 // unfit is the reason why an answer of the target may not be passed on, and
-// "" when it may. An engine between two versions answers 503; an answer of
+// "" when it may. An engine between two versions answers 503 and one with a
+// full queue 429: neither has begun, so another target may. An answer of
 // another version than the wanted one would mix two texts.
 func (g *Gate) unfit(m *sessn.Start, res *http.Response) calls.Reason {
 	if g.kind() != envdoc.KindEngine {
 		return ""
 	}
-	if res.StatusCode == http.StatusServiceUnavailable {
+	switch res.StatusCode {
+	case http.StatusServiceUnavailable:
 		return calls.ReasonUnserved
+	case http.StatusTooManyRequests:
+		return calls.ReasonBusy
 	}
 	if m.Version != "" && res.Header.Get(ManifestHeader) != string(m.Version) {
 		return calls.ReasonVersion
@@ -111,6 +133,15 @@
 	return ""
 }
 
+// waitOf is how long the target asks a refused caller to wait.
+func waitOf(res *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(res.Header.Get("Retry-After"))
+	if err != nil || seconds <= 0 {
+		return retryAfter
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
 func failed(ctx context.Context, err error) *sessn.Refusal {
 	switch {
 	case errors.Is(err, errDial):
