io/request/gate: drop held calls by age, show table sizes

Answers held for callers who ask again went only by their bytes; on a quiet side they stayed for good. They go with their records after Keep now. Sizes are gauges.

--- a/io/request/gate/target.go
+++ b/io/request/gate/target.go
@@ -52,6 +52,8 @@
 		g.members = members
 		g.ledger.Renew(g.now())
 	}
+	g.forgetLocked()
+	g.measureLocked()
 	old := g.target
 	g.target = next
 	if old.ready != next.ready || old.leaving != next.leaving || old.serving != next.serving {
