io/request/front: count repeated calls and those refused at the door

Status has columns for calls whose repetition was stopped and for those refused at the door, and nothing filled them. The side says in the head of an answer that the call had come before; a test with one ticket through two entries counts 2.

--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -151,11 +151,13 @@
 	return checkCall("verdict", m.Channel)
 }
 
-// Head is the status and header of an answer.
+// Head is the status and header of an answer. Again is set when the call had
+// come before and did not run again for this answer.
 type Head struct {
 	Channel Channel     `msgpack:"c"`
 	Status  int         `msgpack:"s"`
 	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
 }
 
 // Kind names the message.
@@ -204,6 +206,7 @@
 	Channel Channel     `msgpack:"c"`
 	Status  int         `msgpack:"s"`
 	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
 	Data    []byte      `msgpack:"d"`
 }
 
@@ -220,7 +223,7 @@
 
 // parts returns the messages that m stands for.
 func (m *Answer) parts() []frame.Message {
-	head := &Head{Channel: m.Channel, Status: m.Status, Header: m.Header}
+	head := &Head{Channel: m.Channel, Status: m.Status, Header: m.Header, Again: m.Again}
 	end := &End{Channel: m.Channel, Size: len(m.Data)}
 	if len(m.Data) == 0 {
 		return []frame.Message{head, end}
--- a/io/conn/sessn/stream.go
+++ b/io/conn/sessn/stream.go
@@ -98,7 +98,9 @@
 // which spares both ends two system calls and two wake-ups.
 func (s *Stream) Answer(h Head, body []byte) error {
 	if len(body) <= BlockSize {
-		return s.last(&Answer{Channel: s.channel, Status: h.Status, Header: h.Header, Data: body})
+		return s.last(&Answer{
+			Channel: s.channel, Status: h.Status, Header: h.Header, Again: h.Again, Data: body,
+		})
 	}
 	if err := s.Head(h); err != nil {
 		return err
--- a/io/process/entry/status.go
+++ b/io/process/entry/status.go
@@ -50,6 +50,8 @@
 			place[k] = i
 			out = append(out, admin.Outcome{Customer: c.Customer, Service: c.Service})
 		}
+		out[i].Repeated += uint64(c.Repeated)
+		out[i].Refused += uint64(c.Refused)
 		switch c.Outcome {
 		case calls.Done:
 			out[i].Done += uint64(c.Count)
--- a/io/request/front/once.go
+++ b/io/request/front/once.go
@@ -111,7 +111,7 @@
 	if o.ticket != "" {
 		w.Header().Set(headerTicket, o.ticket)
 	}
-	f.finish(k, ending{outcome: calls.Done})
+	f.finish(k, ending{outcome: calls.Done, repeated: o.answer.head.Again})
 	w.WriteHeader(o.answer.head.Status)
 	_ = out.send(o.answer.body)
 }
--- a/io/request/front/once_test.go
+++ b/io/request/front/once_test.go
@@ -175,6 +175,8 @@
 	check(t, "third", want, toldOf(<-w.goCall(e2, "hold", h)))
 	check(t, "other request", "notRun", toldOf(<-w.goCall(e2, "other", h)).Outcome)
 	check(t, "runs", 1, p.ran("hold")+p.ran("other"))
+	counts := e2.front.Outcomes()
+	check(t, "repeated", int64(2), counts[0].Repeated)
 }
 
 // The side is replaced: another boot listens at the same address and knows
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -216,7 +216,7 @@
 func (f *Front) turnAway(ctx context.Context, w http.ResponseWriter, k *work, v admit.Verdict) {
 	e := ending{
 		outcome: calls.NotRun, reason: string(v.Reason),
-		status: http.StatusTooManyRequests, retryAfter: v.RetryAfter,
+		status: http.StatusTooManyRequests, retryAfter: v.RetryAfter, refused: true,
 	}
 	if k.ticket == nil && k.key == "" {
 		f.fail(w, k, e)
--- a/io/request/front/work.go
+++ b/io/request/front/work.go
@@ -179,11 +179,15 @@
 	status     int
 	retryAfter time.Duration
 	ticket     string
+	// repeated is set for a call that had come before, refused for one that
+	// was refused at the door.
+	repeated bool
+	refused  bool
 }
 
 // finish counts and logs the end of a request.
 func (f *Front) finish(k *work, e ending) {
-	f.outcomes.add(outcomeKey{customer: k.req.Customer, service: k.req.Service, outcome: e.outcome})
+	f.outcomes.add(outcomeKey{customer: k.req.Customer, service: k.req.Service, outcome: e.outcome}, e)
 	f.measure(k, e)
 	d := trail.Decision{
 		Area: trail.AreaCall, Action: "answer", Request: k.req.ID, Customer: k.req.Customer,
--- a/io/request/gate/once.go
+++ b/io/request/gate/once.go
@@ -60,7 +60,7 @@
 	if act.Act == calls.ActRun {
 		go g.execute(r, s)
 	}
-	g.answer(s, r)
+	g.answer(s, r, act.Act != calls.ActRun)
 }
 
 func refusalOf(a calls.Action) sessn.Refusal {
@@ -199,8 +199,9 @@
 	return recordSize + len(r.answer.body)
 }
 
-// answer sends what became of r once it is known.
-func (g *Gate) answer(s *sessn.Stream, r *run) {
+// answer sends what became of r once it is known. again tells that the call
+// had come before.
+func (g *Gate) answer(s *sessn.Stream, r *run, again bool) {
 	if r == nil {
 		_ = s.Refuse(sessn.Refusal{Outcome: calls.Done, Reason: calls.ReasonTooLarge})
 		return
@@ -214,7 +215,7 @@
 		_ = s.Refuse(sessn.Refusal{Outcome: outcomeOf(r.state), Reason: r.reason})
 		return
 	}
-	_ = s.Answer(sessn.Head{Status: r.answer.status, Header: r.answer.header}, r.answer.body)
+	_ = s.Answer(sessn.Head{Status: r.answer.status, Header: r.answer.header, Again: again}, r.answer.body)
 }
 
 // Ask answers a query: the state first, then the answer when there is or
@@ -232,7 +233,7 @@
 	if s.Verdict(sessn.Verdict{State: state}, open) != nil || !open {
 		return
 	}
-	g.answer(s, r)
+	g.answer(s, r, false)
 }
 
 func (g *Gate) note(m *sessn.Start, a calls.Action) {
