io/request/front: bound the memory of callers

In flight calls were bounded on each route apart, and 2048 bodies of 1 MiB were allowed at once. The bound is one now, and bodies take room from 16 MiB as their bytes come; room by the stated length was dropped, since callers that send nothing would have held it. The window of a stream is 64 KiB in place of 256: 18 KB fill a link of 25 Mbit/s over 6 ms. Answers without a body state no length, and events may end in CRLF.

--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -22,7 +22,7 @@
 	MaxBody   = 8 << 20
 	MaxAnswer = 1 << 20
 	MaxHeader = 64 << 10
-	Window    = 256 << 10
+	Window    = 64 << 10
 )
 
 // Channel numbers a call on one connection, from 1. Another connection gives
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 
 	"hawthornferry/core/process/fault"
 	"hawthornferry/core/process/trail"
@@ -52,6 +53,9 @@
 	server   *http.Server
 	pool     *pool
 	outcomes *outcomes
+	// places bounds the calls in flight, bodies the bytes of their requests.
+	places   chan struct{}
+	bodies   *semaphore.Weighted
 	draining atomic.Bool
 	running  atomic.Bool
 	chooseMu sync.Mutex
@@ -67,6 +71,8 @@
 		f.Chooser = f.policy
 	}
 	f.outcomes = newOutcomes(f.Metrics)
+	f.places = make(chan struct{}, f.Limits.MaxInFlight)
+	f.bodies = semaphore.NewWeighted(int64(f.Limits.MaxBodies))
 	f.pool = newPool(f)
 	f.watchTables()
 	f.server = &http.Server{
--- a/io/request/front/front_test.go
+++ b/io/request/front/front_test.go
@@ -14,6 +14,10 @@
 
 func echo(w http.ResponseWriter, r *http.Request) {
 	b, _ := io.ReadAll(r.Body)
+	if r.Method == http.MethodDelete {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), b)
 }
 
@@ -63,6 +67,7 @@
 		{"get", "GET", "/v1/services/booking/pitch?day=1", "", "GET /pitch?day=1 ", ""},
 		{"repeatable post", "POST", "/v1/services/booking/search", "q", "POST /search q", ""},
 		{"once", "POST", "/v1/services/booking/holds", "h", "POST /holds h", "done"},
+		{"once without an answer body", "DELETE", "/v1/services/booking/holds", "", "", "done"},
 		{"once with a large body", "POST", "/v1/services/booking/holds", big, "POST /holds " + big, "done"},
 		{"stream", "POST", "/v1/chat/completions", streamBody, token("a") + token("b") + "data: [DONE]\n\n", ""},
 	}
@@ -78,7 +83,7 @@
 		})
 	}
 	want := []OutcomeCount{
-		{Customer: anonymous, Service: "booking", Outcome: calls.Done, Count: 4},
+		{Customer: anonymous, Service: "booking", Outcome: calls.Done, Count: 5},
 		{Customer: anonymous, Service: "helper", Outcome: calls.Done, Count: 1},
 	}
 	if diff := cmp.Diff(want, e.front.Outcomes()); diff != "" {
--- a/io/request/front/limits.go
+++ b/io/request/front/limits.go
@@ -11,6 +11,8 @@
 	// MaxBody and MaxHeader bound one request.
 	MaxBody   int
 	MaxHeader int
+	// MaxBodies bounds the bodies of all requests in flight together.
+	MaxBodies int
 	// HeaderTimeout and BodyTimeout bound the time in which a caller sends
 	// its request; WriteTimeout bounds each write of an answer to it.
 	HeaderTimeout time.Duration
@@ -36,6 +38,7 @@
 	return Limits{
 		MaxBody:       1 << 20,
 		MaxHeader:     32 << 10,
+		MaxBodies:     16 << 20,
 		HeaderTimeout: 10 * time.Second,
 		BodyTimeout:   10 * time.Second,
 		WriteTimeout:  30 * time.Second,
@@ -52,6 +55,7 @@
 	d := DefaultLimits()
 	l.MaxBody = or(l.MaxBody, d.MaxBody)
 	l.MaxHeader = or(l.MaxHeader, d.MaxHeader)
+	l.MaxBodies = max(or(l.MaxBodies, d.MaxBodies), l.MaxBody)
 	l.HeaderTimeout = or(l.HeaderTimeout, d.HeaderTimeout)
 	l.BodyTimeout = or(l.BodyTimeout, d.BodyTimeout)
 	l.WriteTimeout = or(l.WriteTimeout, d.WriteTimeout)
--- a/io/request/front/once.go
+++ b/io/request/front/once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -107,7 +106,7 @@
 	out := newCallerWriter(w, f.Limits.WriteTimeout)
 	copyHeader(w.Header(), o.answer.head.Header)
 	w.Header().Set(headerOutcome, string(calls.Done))
-	w.Header().Set("Content-Length", strconv.Itoa(len(o.answer.body)))
+	setLength(w.Header(), o.answer.head.Status, len(o.answer.body))
 	if o.ticket != "" {
 		w.Header().Set(headerTicket, o.ticket)
 	}
--- a/io/request/front/relay.go
+++ b/io/request/front/relay.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// setLength states the length of an answer that may have a body. That of a
+// HEAD is the target's own.
+func setLength(h http.Header, status, n int) {
+	if status == http.StatusNoContent || status == http.StatusNotModified || h.Get("Content-Length") != "" {
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(n))
+}
+
 // wholeRelay holds an answer back until it is whole, so that a failure before
 // its end can still be mended by another attempt. An answer over the bound is
 // passed on as it comes, and cut if it fails.
@@ -107,9 +116,7 @@
 	}
 	r.passed = true
 	copyHeader(r.out.w.Header(), r.first.Header)
-	if r.out.w.Header().Get("Content-Length") == "" {
-		r.out.w.Header().Set("Content-Length", strconv.Itoa(len(r.held)))
-	}
+	setLength(r.out.w.Header(), r.first.Status, len(r.held))
 	r.out.w.WriteHeader(r.first.Status)
 	return r.out.send(r.held)
 }
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -39,18 +37,17 @@
 
 // guard refuses what the entry may not take now and bounds what it takes.
 func (f *Front) guard(next http.HandlerFunc) http.HandlerFunc {
-	places := make(chan struct{}, f.Limits.MaxInFlight)
 	return func(w http.ResponseWriter, r *http.Request) {
 		if f.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		select {
-		case places <- struct{}{}:
+		case f.places <- struct{}{}:
 		default:
 			f.reject(w, http.StatusServiceUnavailable, "too many calls in flight", retryAfter)
 			return
 		}
-		defer func() { <-places }()
+		defer func() { <-f.places }()
 		next(w, r)
 	}
 }
@@ -72,29 +69,6 @@
 	f.reject(w, http.StatusMethodNotAllowed, "method is not allowed here", 0)
 }
 
-// readBody reads a request's body within the bounds of size and time. It
-// answers the caller itself when it fails.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(f.Limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.Limits.MaxBody)))
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-		return body, true
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		f.reject(w, http.StatusRequestEntityTooLarge, "the body is too large", 0)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		f.reject(w, http.StatusRequestTimeout, "the body came too slowly", 0)
-	default:
-		f.reject(w, http.StatusBadRequest, "the body could not be read", 0)
-	}
-	return nil, false
-}
-
 // lookup returns the service of the document in force.
 func (f *Front) lookup(w http.ResponseWriter, name string, kind envdoc.Kind) (envdoc.Service, bool) {
 	d := f.Source.Current().Document
@@ -121,10 +95,11 @@
 
 // chat serves a chat completion; its model names the service.
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
-	body, ok := f.readBody(w, r)
+	body, release, ok := f.readBody(w, r)
 	if !ok {
 		return
 	}
+	defer release()
 	var q chatRequest
 	if err := json.Unmarshal(body, &q); err != nil {
 		f.reject(w, http.StatusBadRequest, "the body is not a chat completion", 0)
@@ -156,10 +131,11 @@
 		f.reject(w, http.StatusBadRequest, err.Error(), 0)
 		return
 	}
-	body, ok := f.readBody(w, r)
+	body, release, ok := f.readBody(w, r)
 	if !ok {
 		return
 	}
+	defer release()
 	k, err := f.newWork(r, s)
 	if err != nil {
 		f.reject(w, http.StatusBadRequest, err.Error(), 0)
--- a/io/request/front/stream.go
+++ b/io/request/front/stream.go
@@ -15,11 +15,13 @@
 // Form of a stream of server-sent events.
 const (
 	mediaEvents = "text/event-stream"
-	eventEnd    = "\n\n"
 	dataField   = "data:"
 	doneData    = "[DONE]"
 )
 
+// eventEnds are the ends of an event.
+var eventEnds = []string{"\n\n", "\r\n\r\n"}
+
 // maxEvent bounds one event in bytes.
 const maxEvent = 256 << 10
 
@@ -73,16 +75,16 @@
 	r.buf = append(r.buf, b...)
 	flush := false
 	for {
-		i := bytes.Index(r.buf, []byte(eventEnd))
-		if i < 0 {
+		n := eventLength(r.buf)
+		if n == 0 {
 			break
 		}
-		wrote, err := r.event(r.buf[:i+len(eventEnd)])
+		wrote, err := r.event(r.buf[:n])
 		if err != nil {
 			return err
 		}
 		flush = flush || wrote
-		r.buf = r.buf[i+len(eventEnd):]
+		r.buf = r.buf[n:]
 	}
 	if len(r.buf) > maxEvent {
 		return errEvent
@@ -93,6 +95,18 @@
 	return r.out.flush()
 }
 
+// eventLength is the length of the first whole event of b with its end, 0
+// when there is none yet.
+func eventLength(b []byte) int {
+	best := 0
+	for _, end := range eventEnds {
+		if i := bytes.Index(b, []byte(end)); i >= 0 && (best == 0 || i+len(end) < best) {
+			best = i + len(end)
+		}
+	}
+	return best
+}
+
 // event takes one whole event. One without a token, such as the last before
 // the end, is held until what follows it has come: were the stream resumed
 // after it, the caller would get it twice.
--- a/io/request/front/ticket.go
+++ b/io/request/front/ticket.go
@@ -46,10 +46,11 @@
 // issueTicket picks a side for a call and names it in a ticket. The call
 // itself comes later, through any entry.
 func (f *Front) issueTicket(w http.ResponseWriter, r *http.Request) {
-	body, ok := f.readBody(w, r)
+	body, release, ok := f.readBody(w, r)
 	if !ok {
 		return
 	}
+	defer release()
 	var q TicketRequest
 	if err := json.Unmarshal(body, &q); err != nil {
 		f.reject(w, http.StatusBadRequest, "the body is not a ticket request", 0)
