--- a/io/request/front/once_test.go
+++ b/io/request/front/once_test.go
@@ -71,11 +71,19 @@
 func (w *world) ticket(e *entry) (string, http.Header) {
 	w.t.Helper()
 	r := w.call(e, http.MethodPost, "/v1/tickets", `{"service":"booking"}`, nil)
-	var a TicketAnswer
-	if err := json.Unmarshal([]byte(r.Body), &a); err != nil || a.Ticket == "" {
+	text := ticketOf(r)
+	if text == "" {
 		w.t.Fatalf("no ticket: %d %s", r.Status, r.Body)
 	}
-	return a.Ticket, http.Header{headerTicket: {a.Ticket}}
+	return text, http.Header{headerTicket: {text}}
+}
+
+func ticketOf(r reply) string {
+	var a TicketAnswer
+	if json.Unmarshal([]byte(r.Body), &a) != nil {
+		return ""
+	}
+	return a.Ticket
 }
 
 func check[T any](t *testing.T, what string, want, got T) {
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -41,6 +41,7 @@
 	limits calls.Limits
 	// sideSilent and log, when set before a side is added, are the side's.
 	sideSilent time.Duration
+	timing     sessn.Timing
 	log        trail.Log
 	// entryLimits, when set before an entry is added, are its limits.
 	entryLimits Limits
@@ -52,7 +53,7 @@
 
 func newWorld(t *testing.T) *world {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{t: t, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	w := &world{t: t, ctx: ctx, cancel: cancel, timing: fastTiming, changed: make(chan struct{})}
 	w.view.Document = &envdoc.Document{
 		Revision: 1,
 		Zones:    []envdoc.Zone{{Name: "z", Region: "r"}},
@@ -136,7 +137,7 @@
 	self := &link.Self{VM: s.vm, Boot: name + "-" + time.Now().Format("150405.000000000")}
 	s.gate = &gate.Gate{
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
-		Source: w, Target: target, Service: service, Timing: fastTiming, Limits: w.limits,
+		Source: w, Target: target, Service: service, Timing: w.timing, Limits: w.limits,
 	}
 	s.gate.Timing.Silent = or(w.sideSilent, s.gate.Timing.Silent)
 	s.gate.Log = or(w.log, s.gate.Log)
@@ -176,7 +177,7 @@
 	}}
 	f := &Front{
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
-		Source: w, Net: nl, Timing: fastTiming,
+		Source: w, Net: nl, Timing: w.timing,
 	}
 	f.Limits = w.entryLimits
 	f.Limits.Notice = 10 * time.Millisecond
