--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -19,6 +19,7 @@
 	Outcomes []Outcome `json:"outcomes"`
 	Drift    []Drift   `json:"drift"`
 	Tables   []Table   `json:"tables"`
+	Traffic  []Traffic `json:"traffic"`
 }
 
 // Process says which process answers. Ready is what /readyz answers; Reason
@@ -99,13 +100,17 @@
 	Refused  uint64 `json:"refused"`
 }
 
-// Drift compares a measure in the latest window with the window before.
+// Drift compares a measure in the latest window with the usual value of those
+// before. Trend is the newest windows over the oldest, 1 for no change.
+// Declined is set when either is above what is taken for chance.
 type Drift struct {
 	Name     string  `json:"name"`
 	Unit     string  `json:"unit"`
 	WindowMs int64   `json:"windowMs"`
 	Value    float64 `json:"value"`
 	Previous float64 `json:"previous"`
+	Trend    float64 `json:"trend,omitempty"`
+	Declined bool    `json:"declined,omitempty"`
 }
 
 // Table is the size of one bounded table of the process.
@@ -115,6 +120,14 @@
 	Bound   int    `json:"bound"`
 }
 
+// Traffic is the bytes between this process and others of the system since it
+// started, for one purpose of connection.
+type Traffic struct {
+	Purpose  string `json:"purpose"`
+	Received uint64 `json:"received"`
+	Sent     uint64 `json:"sent"`
+}
+
 // Check reports the first field that is out of its domain.
 func (s Status) Check() error {
 	if s.Process.Name == "" {
--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -60,6 +60,8 @@
 	printTargets(t, all)
 	printOutcomes(t, all)
 	printDrift(t, all)
+	printTables(t, all)
+	printTraffic(t, all)
 	return fault.At("print status", "", t.Flush())
 }
 
@@ -160,11 +162,42 @@
 	for _, s := range all {
 		for _, d := range s.Drift {
 			if first {
-				fmt.Fprintln(w, "\nDRIFT\tSEEN BY\tWINDOW\tNOW\tBEFORE\tUNIT")
+				fmt.Fprintln(w, "\nDRIFT\tSEEN BY\tWINDOW\tNOW\tBEFORE\tUNIT\tTREND\tVERDICT")
 				first = false
 			}
 			window := time.Duration(d.WindowMs) * time.Millisecond
-			fmt.Fprintf(w, "%s\t%s\t%v\t%.3g\t%.3g\t%s\n", d.Name, s.Process.Name, window, d.Value, d.Previous, d.Unit)
+			verdict := "steady"
+			if d.Declined {
+				verdict = "declined"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v\t%.3g\t%.3g\t%s\t%.2f\t%s\n",
+				d.Name, s.Process.Name, window, d.Value, d.Previous, d.Unit, d.Trend, verdict)
+		}
+	}
+}
+
+func printTables(w io.Writer, all []admin.Status) {
+	first := true
+	for _, s := range all {
+		for _, b := range s.Tables {
+			if first {
+				fmt.Fprintln(w, "\nTABLE\tOF\tENTRIES\tBOUND")
+				first = false
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Name, s.Process.Name, b.Entries, b.Bound)
+		}
+	}
+}
+
+func printTraffic(w io.Writer, all []admin.Status) {
+	first := true
+	for _, s := range all {
+		for _, b := range s.Traffic {
+			if first {
+				fmt.Fprintln(w, "\nTRAFFIC\tOF\tRECEIVED\tSENT")
+				first = false
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Purpose, s.Process.Name, b.Received, b.Sent)
 		}
 	}
 }
