relay: pass connections on with the faults of a network

Failures with real processes need connections that go silent for good while new ones work, that are cut, and that are late; nothing in the stand-ins could bring these about between two processes of the system. A silent connection goes on reading and drops what it reads, so that neither end hears of it and the relay's memory stays bounded. Tests of silence, cut and hold pass three times under the race detector.

--- /dev/null
+++ b/standin/relay/pass.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"hawthornferry/standin/serve"
+)
+
+// piece is some bytes and when they came.
+type piece struct {
+	bytes []byte
+	at    time.Time
+}
+
+// pass moves bytes one way until either end closes. A silent pipe goes on
+// reading and drops what it reads, so that it ends with its ends.
+func (t *Route) pass(ctx context.Context, p *pipe, from, to net.Conn) {
+	pieces := make(chan piece, maxPieces)
+	var wg sync.WaitGroup
+	wg.Go(func() { t.write(ctx, p, to, pieces) })
+	t.read(p, from, pieces)
+	close(pieces)
+	wg.Wait()
+	if !p.isSilent() {
+		p.close()
+	}
+}
+
+func (t *Route) read(p *pipe, from net.Conn, pieces chan<- piece) {
+	for {
+		b := make([]byte, pieceSize)
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		select {
+		case pieces <- piece{bytes: b[:n], at: t.Clock.Now()}:
+		case <-p.silent:
+		}
+	}
+}
+
+// write sends the pieces in order, each after the delay. After an error it
+// goes on taking pieces, so that the reader never waits for it.
+func (t *Route) write(ctx context.Context, p *pipe, to net.Conn, pieces <-chan piece) {
+	for x := range pieces {
+		if t.hold(ctx, p, x) != nil || p.isSilent() {
+			continue
+		}
+		if _, err := to.Write(x.bytes); err != nil {
+			p.close()
+		}
+	}
+}
+
+// hold waits until a piece may go on.
+func (t *Route) hold(ctx context.Context, p *pipe, x piece) error {
+	for {
+		f, changed := t.faults.Get()
+		if !f.Hold {
+			return serve.Sleep(ctx, t.Clock, time.Duration(f.Delay)-t.Clock.Since(x.at))
+		}
+		select {
+		case <-changed:
+		case <-p.silent:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *pipe) isSilent() bool {
+	select {
+	case <-p.silent:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+)
+
+// echo sends every byte back.
+func echo(t *testing.T) netip.AddrPort {
+	t.Helper()
+	nl := listen(t)
+	go func() {
+		for {
+			nc, err := nl.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				_, _ = io.Copy(nc, nc)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(nl.Addr().String())
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nl.Close() })
+	return nl
+}
+
+func start(t *testing.T) (*Route, http.Handler) {
+	t.Helper()
+	nl := listen(t)
+	r := &Route{Listen: netip.MustParseAddrPort(nl.Addr().String()), To: echo(t), Clock: clockwork.NewRealClock()}
+	done := make(chan error, 1)
+	ctx := t.Context()
+	go func() { done <- r.Run(ctx, nl) }()
+	t.Cleanup(func() {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return r, Handler([]*Route{r})
+}
+
+func dial(t *testing.T, r *Route) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", r.Listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	say(t, nc, "hello")
+	return nc
+}
+
+func say(t *testing.T, nc net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(nc, text); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, len(text))
+	if _, err := io.ReadFull(nc, b); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(text, string(b)); diff != "" {
+		t.Errorf("echo (-want +got):\n%s", diff)
+	}
+}
+
+func control(t *testing.T, h http.Handler, r *Route, path, body string) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/control/routes/"+r.To.String()+"/"+path, strings.NewReader(body)))
+	if w.Code >= http.StatusBadRequest {
+		t.Fatalf("%s: status %d", path, w.Code)
+	}
+	return strings.TrimSpace(w.Body.String())
+}
+
+// A process sees no answer and no end on a connection that something between
+// the two ends has lost: what it sends vanishes, while a new connection to
+// the same address works.
+func TestSilence(t *testing.T) {
+	r, h := start(t)
+	old := dial(t, r)
+	if diff := cmp.Diff(`{"connections":1}`, control(t, h, r, "silence", "")); diff != "" {
+		t.Errorf("silenced (-want +got):\n%s", diff)
+	}
+	got := make(chan int, 1)
+	go func() {
+		_, _ = io.WriteString(old, "lost")
+		n, _ := old.Read(make([]byte, 8))
+		got <- n
+	}()
+	say(t, dial(t, r), "new")
+	select {
+	case n := <-got:
+		t.Errorf("the silent connection gave %d bytes or an end", n)
+	default:
+	}
+	old.Close()
+	if diff := cmp.Diff(0, <-got); diff != "" {
+		t.Errorf("bytes on the silent connection (-want +got):\n%s", diff)
+	}
+}
+
+// A process sees its open connection end, and a new one works.
+func TestCut(t *testing.T) {
+	r, h := start(t)
+	old := dial(t, r)
+	control(t, h, r, "cut", "")
+	if n, err := old.Read(make([]byte, 8)); err == nil {
+		t.Errorf("the cut connection gave %d bytes", n)
+	}
+	say(t, dial(t, r), "new")
+}
+
+// A process sees its answer late: nothing passes while the route holds, and
+// nothing is lost.
+func TestHold(t *testing.T) {
+	r, h := start(t)
+	nc := dial(t, r)
+	control(t, h, r, "faults", `{"hold":true}`)
+	if _, err := io.WriteString(nc, "held"); err != nil {
+		t.Fatal(err)
+	}
+	control(t, h, r, "faults", `{"delay":"1ms"}`)
+	b := make([]byte, 4)
+	if _, err := io.ReadFull(nc, b); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("held", string(b)); diff != "" {
+		t.Errorf("echo (-want +got):\n%s", diff)
+	}
+}
