proof: soak chooser, admitter and ledger over weeks of churn

That no table grows was argued from bounds. With the age of admitted calls left out the drift of calls in flight names the leak, so the run can fail.

--- /dev/null
+++ b/core/request/proof/soak_test.go
@@ -0,0 +1,224 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"hawthornferry/core/conn/lease"
+	"hawthornferry/core/process/drift"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/request/admit"
+	"hawthornferry/core/request/calls"
+	"hawthornferry/core/request/route"
+	"hawthornferry/core/version/chunk"
+)
+
+// The length and pace of the soak in virtual time.
+const (
+	soakWeeks    = 4
+	soakCallGap  = 10 * time.Second
+	soakTargets  = 12
+	targetLife   = 12 * time.Hour
+	versionLife  = 6 * time.Hour
+	soakPrefixes = 6
+	soakRepeatOf = 4
+)
+
+// soak is an entry and a side under weeks of work in virtual time: targets,
+// versions, customers, prompts and keys come and go for good.
+type soak struct {
+	rand    *rand.Rand
+	now     time.Time
+	begun   time.Time
+	n       int
+	chooser *route.Chooser
+	admit   *admit.Admitter
+	ledger  *calls.Ledger
+	tracker *drift.Tracker
+	targets []route.Candidate
+	born    int
+	tickets []calls.Ticket
+	ran     map[calls.ID]int
+	stopped int
+	refused int
+}
+
+func newSoak() *soak {
+	s := &soak{
+		rand:    rand.New(rand.NewPCG(3, 5)),
+		now:     time.Unix(1_700_000_000, 0),
+		admit:   &admit.Admitter{},
+		tracker: &drift.Tracker{},
+		ran:     map[calls.ID]int{},
+	}
+	s.begun = s.now
+	s.chooser = &route.Chooser{Entry: fleet.VM{Name: "e", Zone: "z0", Region: "r"}, Rand: s.rand}
+	s.ledger = calls.NewLedger("boot", calls.DefaultLimits())
+	for range soakTargets {
+		s.targets = append(s.targets, s.newTarget())
+	}
+	return s
+}
+
+func (s *soak) newTarget() route.Candidate {
+	s.born++
+	return route.Candidate{
+		VM: fleet.VM{
+			Name:    fmt.Sprint("t", s.born),
+			Role:    fleet.RoleSide,
+			Zone:    fmt.Sprint("z", s.born%2),
+			Region:  "r",
+			Service: "helper",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			State:   fleet.StateLive,
+		},
+		Standing: route.StandingReady,
+	}
+}
+
+// step is one call, with all that happens around it.
+func (s *soak) step() {
+	s.n++
+	s.now = s.now.Add(soakCallGap)
+	if s.every(targetLife / soakTargets) {
+		s.targets[s.rand.IntN(soakTargets)] = s.newTarget()
+	}
+	for i := range s.targets {
+		t := &s.targets[i]
+		t.Serving = chunk.Sum([]byte(fmt.Sprint(s.now.Sub(s.begun) / versionLife)))
+		t.Report = route.Report{At: s.now, Running: s.rand.IntN(8), Capacity: 16}
+		s.admit.Report(s.now, "helper", t.VM.Name, t.Report)
+	}
+	s.call()
+	s.onceCall()
+	s.admit.Tick(s.now)
+	if s.every(time.Minute) {
+		s.chooser.Tick(s.now)
+		s.measure()
+	}
+}
+
+func (s *soak) run(weeks int) {
+	for range int(time.Duration(weeks) * 7 * 24 * time.Hour / soakCallGap) {
+		s.step()
+	}
+}
+
+// every reports whether this step is the first in a new period.
+func (s *soak) every(period time.Duration) bool {
+	at := s.now.Sub(s.begun)
+	return at/period != (at-soakCallGap)/period
+}
+
+// customer is one of ten steady ones, or one that is never seen again.
+func (s *soak) customer() string {
+	if s.rand.IntN(10) > 0 {
+		return fmt.Sprint("steady", s.rand.IntN(10))
+	}
+	return fmt.Sprint("once", s.n)
+}
+
+func (s *soak) call() {
+	id := fmt.Sprint("r", s.n)
+	r := route.Request{ID: id, Customer: s.customer(), Service: "helper", Priority: route.PriorityInteractive}
+	r.Deadline = s.now.Add(2 * time.Second)
+	for i := range soakPrefixes {
+		r.Prefix = append(r.Prefix, uint64(s.n/3)<<8+uint64(i))
+	}
+	for _, v := range s.admit.Offer(s.now, admit.Offer{ID: id, Customer: r.Customer, Service: r.Service, Priority: r.Priority, Deadline: r.Deadline}) {
+		if v.Decision == admit.Refused {
+			s.refused++
+			return
+		}
+	}
+	c, err := s.chooser.Choose(s.now, r, s.targets)
+	if err != nil {
+		panic(err)
+	}
+	s.chooser.Stored(s.now, c.VM.Name, s.rand.Uint64())
+	// One call in a thousand is never told to be done, as when its goroutine
+	// was lost.
+	if s.rand.IntN(1000) > 0 {
+		s.admit.Done(s.now.Add(time.Second), admit.Done{ID: id, FirstByte: 200 * time.Millisecond})
+	}
+}
+
+// onceCall posts a new ticket, or one from before, through any entry.
+func (s *soak) onceCall() {
+	clock := s.now.Sub(s.begun)
+	t := calls.Ticket{
+		Call:    calls.ID(fmt.Sprint("c", s.n)),
+		Bind:    calls.BindTicket,
+		Service: "booking",
+		Side:    "t",
+		Issued:  lease.Reading{Boot: "boot", At: clock},
+	}
+	if len(s.tickets) > 0 && s.rand.IntN(soakRepeatOf) == 0 {
+		t = s.tickets[s.rand.IntN(len(s.tickets))]
+	} else {
+		s.tickets = append(s.tickets, t)
+	}
+	start := calls.Start{Ticket: t, Echo: lease.Reading{Boot: "boot", At: clock}, Print: "p"}
+	if s.ledger.Start(clock, start).Act != calls.ActRun {
+		s.stopped++
+		return
+	}
+	s.ran[t.Call]++
+	s.ledger.Settle(clock, t.Call, calls.StateDone)
+}
+
+func (s *soak) measure() {
+	sizes := s.chooser.Sizes()
+	s.tracker.Size(s.now, "prefixes", sizes.Prefixes)
+	s.tracker.Size(s.now, "targets", sizes.Targets)
+	s.tracker.Size(s.now, "admission", s.admit.Size(s.now))
+	s.tracker.Size(s.now, "ledger", s.ledger.Len())
+	s.tracker.Count(s.now, "refused", s.refused)
+	s.refused = 0
+	for _, st := range s.admit.States(s.now) {
+		s.tracker.Size(s.now, "inFlight", st.InFlight)
+		s.tracker.Size(s.now, "limit", st.Limit)
+	}
+}
+
+// Four weeks pass with targets, versions, customers, prompts and tickets that
+// come and go, tickets that are posted again weeks later, and calls that are
+// never told to be done. No table grows from one week to the next, the limit
+// and the refusals stay as they were, and no ticket runs twice.
+func TestWeeksOfChurnChangeNothing(t *testing.T) {
+	s := newSoak()
+	s.run(soakWeeks)
+	for id, n := range s.ran {
+		if n > 1 {
+			t.Errorf("call %s ran %d times", id, n)
+		}
+	}
+	if s.stopped == 0 {
+		t.Error("no repeat came; the run tells nothing")
+	}
+	for _, l := range s.tracker.Lines(s.now) {
+		t.Logf("%s %s over %v: value %.0f, usual %.0f, trend %.2f", l.Name.Kind, l.Name.Name, l.Window, l.Value, l.Usual, l.Trend)
+		if l.Declined {
+			t.Errorf("%s %s drifts over %v: value %.0f, usual %.0f, trend %.2f",
+				l.Name.Kind, l.Name.Name, l.Window, l.Value, l.Usual, l.Trend)
+		}
+	}
+	t.Logf("%d calls, %d tickets, %d repeats stopped", s.n, len(s.tickets), s.stopped)
+}
+
+// Without the age that gives up calls which were never told to be done, each
+// holds its place for good. The drift must name the measure that grows.
+func TestSoakSeesALeak(t *testing.T) {
+	s := newSoak()
+	s.admit.CallAge = 52 * 7 * 24 * time.Hour
+	s.run(1)
+	for _, l := range s.tracker.Lines(s.now) {
+		if l.Name.Name == "inFlight" && l.Declined {
+			return
+		}
+	}
+	t.Errorf("no drift of calls in flight seen: %+v", s.tracker.Lines(s.now))
+}
