--- a/core/process/drift/window.go
+++ b/core/process/drift/window.go
@@ -74,24 +74,36 @@
 	}
 	l := Line{Name: n, Window: w.scale.Window, Windows: len(w.finished), Value: w.finished[last]}
 	l.Usual = median(w.finished[:last])
-	l.Trend = w.trend()
-	l.Declined = l.Trend > trend || l.Value > factor*l.Usual
+	oldest, newest := w.ends()
+	l.Trend = ratio(newest, oldest)
+	l.Declined = rose(l.Value, l.Usual, factor) || rose(newest, oldest, trend)
 	return l, true
 }
 
-// trend compares the two ends of what is kept, so that a rise too small to
-// show from one window to the next shows over all of them.
-func (w *windows) trend() float64 {
+// leastRise is the rise, in a measure's own unit, below which nothing counts
+// as declined: a table that holds one entry where it held none is not twice
+// as large in any sense that matters.
+const leastRise = 2
+
+func rose(v, from, factor float64) bool { return v > factor*from && v-from >= leastRise }
+
+// ratio is v over from, and 1 where there is nothing to compare.
+func ratio(v, from float64) float64 {
+	if from == 0 {
+		return 1 + v
+	}
+	return v / from
+}
+
+// ends returns the averages of the oldest and of the newest quarter of what is
+// kept. Compared, they show a rise too small to show from one window to the
+// next.
+func (w *windows) ends() (oldest, newest float64) {
 	n := len(w.finished) / trendParts
 	if n == 0 {
-		return 1
-	}
-	oldest := average(w.finished[:n])
-	newest := average(w.finished[len(w.finished)-n:])
-	if oldest == 0 {
-		return 1 + newest
+		return 0, 0
 	}
-	return newest / oldest
+	return average(w.finished[:n]), average(w.finished[len(w.finished)-n:])
 }
 
 // average is used for the ends of the trend, since the median of a few
--- a/core/request/proof/once_test.go
+++ b/core/request/proof/once_test.go
@@ -49,6 +49,7 @@
 // that the bounds allow. It runs at most once, and "not run" is true
 // whenever it is said.
 func TestOnceCallRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		bounds bounds
@@ -75,6 +76,7 @@
 // payment runs twice, or runs after "not run" was said: otherwise it would
 // pass whatever the code did.
 func TestEachSafeguardIsNeeded(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		removed removed
 		bounds  bounds
