--- a/io/process/cmds/replay.go
+++ b/io/process/cmds/replay.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -39,15 +40,17 @@
 		return err
 	}
 	var records []trail.Decision
+	broken := 0
 	for _, name := range names {
-		more, err := readLog(name)
+		log, err := readLog(name)
 		if err != nil {
 			return err
 		}
-		records = append(records, more...)
+		records = append(records, log.Decisions...)
+		broken += log.Broken
 	}
 	results := audit.Check(audit.Settings{Leaving: r.Leaving}, records)
-	fmt.Fprintf(out.stdout, "%d decisions from %d logs\n", len(records), len(names))
+	fmt.Fprintf(out.stdout, "%d decisions from %d logs, %d broken lines\n", len(records), len(names), broken)
 	if err := printResults(out.stdout, results); err != nil {
 		return err
 	}
@@ -57,7 +60,10 @@
 	return nil
 }
 
-// logNames returns the file at path, or all files of the directory at path.
+// logSuffixes end the names of the files that are read in a directory.
+var logSuffixes = []string{".decisions", ".jsonl", ".log"}
+
+// logNames returns the file at path, or the logs of the directory at path.
 func logNames(path string) ([]string, error) {
 	info, err := os.Stat(path)
 	if err != nil {
@@ -72,24 +78,24 @@
 	}
 	var names []string
 	for _, e := range entries {
-		if e.Type().IsRegular() {
+		if e.Type().IsRegular() && slices.Contains(logSuffixes, filepath.Ext(e.Name())) {
 			names = append(names, filepath.Join(path, e.Name()))
 		}
 	}
 	return names, nil
 }
 
-func readLog(name string) ([]trail.Decision, error) {
+func readLog(name string) (audit.Log, error) {
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, errors.Mark(fault.At("open log", name, err), errInput)
+		return audit.Log{}, errors.Mark(fault.At("open log", name, err), errInput)
 	}
 	defer f.Close()
-	records, err := audit.Read(name, f)
+	log, err := audit.Read(name, f)
 	if err != nil {
-		return nil, errors.Mark(err, errInput)
+		return audit.Log{}, errors.Mark(err, errInput)
 	}
-	return records, nil
+	return log, nil
 }
 
 // printResults prints a row for each outcome, then the misses.
