--- a/io/request/gate/gate.go
+++ b/io/request/gate/gate.go
@@ -63,6 +63,7 @@
 	idle     chan struct{}
 	draining bool
 	target   targetState
+	cache    cacheEvents
 	members  string
 	changed  chan struct{}
 }
