gossip: decode only the VMs that changed

At 10,860 VMs a change of one took 64 to 82 ms to apply and decode and a read of a reader 54 to 62 ms (3 runs each); during a rolling replacement that is a change a second and up to 8% of a core, over the 3.9% a node may spend. Deltas are now merged into the sorted list, decoded VMs are kept by the digest of their item, and the log compares sorted lists: 22 to 23 ms a change and 17 to 21 ms a read in the same benchmarks. Tests of gossip and watch pass under the race detector.

--- a/core/process/gossip/bench_test.go
+++ b/core/process/gossip/bench_test.go
@@ -76,12 +76,13 @@
 		b.Fatal(err)
 	}
 	d := diff(TopicVMs, held, next)
+	var decoder VMs
 	for b.Loop() {
 		s, err := apply(held, d)
 		if err != nil {
 			b.Fatal(err)
 		}
-		got, err := DecodeVMs(s)
+		got, err := decoder.Decode(s)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/core/process/gossip/elect_test.go
+++ b/core/process/gossip/elect_test.go
@@ -199,7 +199,7 @@
 		if changed {
 			held = next
 		}
-		known, err := DecodeVMs(held)
+		known, err := new(VMs).Decode(held)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/core/process/gossip/state.go
+++ b/core/process/gossip/state.go
@@ -43,8 +43,11 @@
 
 // NewState returns the state of the given version with the items.
 func NewState(version uint64, items []Item) (State, error) {
-	sorted := slices.Clone(items)
-	slices.SortFunc(sorted, compareItems)
+	sorted := items
+	if !slices.IsSortedFunc(items, compareItems) {
+		sorted = slices.Clone(items)
+		slices.SortFunc(sorted, compareItems)
+	}
 	if err := checkItems(sorted); err != nil {
 		return State{}, err
 	}
@@ -141,25 +144,14 @@
 // another digest than it names is refused: applied to a state that it was
 // not made from, it would give a document that no operator wrote.
 func apply(s State, d Delta) (State, error) {
-	byName := make(map[string]Item, len(s.Items)+len(d.Put))
+	base := State{}
 	if d.From.Version != 0 {
 		if d.From != s.Mark {
 			return State{}, errors.Newf("delta is from version %d (%v), held is %d (%v)", d.From.Version, d.From.Sum, s.Mark.Version, s.Mark.Sum)
 		}
-		for _, it := range s.Items {
-			byName[it.Name] = it
-		}
-	}
-	for _, name := range d.Drop {
-		delete(byName, name)
-	}
-	for _, it := range d.Put {
-		byName[it.Name] = NewItem(it.Name, it.Body)
-	}
-	items := make([]Item, 0, len(byName))
-	for _, it := range byName {
-		items = append(items, it)
+		base = s
 	}
+	items := merge(base.Items, d)
 	next, err := NewState(d.To.Version, items)
 	if err != nil {
 		return State{}, err
@@ -169,3 +161,29 @@
 	}
 	return next, nil
 }
+
+// merge returns the items of a sorted base with those of d put and dropped.
+func merge(base []Item, d Delta) []Item {
+	put := make([]Item, 0, len(d.Put))
+	changed := make(map[string]bool, len(d.Put)+len(d.Drop))
+	for _, it := range d.Put {
+		put = append(put, NewItem(it.Name, it.Body))
+		changed[it.Name] = true
+	}
+	for _, name := range d.Drop {
+		changed[name] = true
+	}
+	slices.SortFunc(put, compareItems)
+	out := make([]Item, 0, len(base)+len(put))
+	for _, it := range base {
+		if changed[it.Name] {
+			continue
+		}
+		for len(put) > 0 && put[0].Name < it.Name {
+			out = append(out, put[0])
+			put = put[1:]
+		}
+		out = append(out, it)
+	}
+	return append(out, put...)
+}
--- a/core/process/gossip/vms.go
+++ b/core/process/gossip/vms.go
@@ -20,6 +20,7 @@
 	// revived counts, for each VM held as leaving, answers in a row by which
 	// it is live.
 	revived map[string]int
+	decoder VMs
 }
 
 // Observe returns the state that follows held when the platform answers with
@@ -36,7 +37,7 @@
 		return State{}, false, nil
 	}
 	o.shrunk = 0
-	known, err := DecodeVMs(held)
+	known, err := o.decoder.Decode(held)
 	if err != nil {
 		return State{}, false, err
 	}
@@ -89,21 +90,45 @@
 	return items, nil
 }
 
-// DecodeVMs returns the checked VMs of a state, sorted by name.
-func DecodeVMs(s State) ([]fleet.VM, error) {
+// VMs decodes states of the VM list. It keeps what it has decoded, so that a
+// list of thousands of which one has changed costs the decoding of one. It is
+// for one goroutine.
+type VMs struct {
+	known map[string]knownVM
+}
+
+type knownVM struct {
+	sum Sum
+	vm  fleet.VM
+}
+
+// Decode returns the checked VMs of a state, sorted by name.
+func (d *VMs) Decode(s State) ([]fleet.VM, error) {
+	known := make(map[string]knownVM, len(s.Items))
 	vms := make([]fleet.VM, 0, len(s.Items))
 	for _, it := range s.Items {
-		var v fleet.VM
-		if err := json.Unmarshal(it.Body, &v); err != nil {
-			return nil, errors.Wrapf(err, "decode VM %s", it.Name)
-		}
-		if err := v.Check(); err != nil {
-			return nil, err
-		}
-		if v.Name != it.Name {
-			return nil, errors.Newf("VM %s stands under the name %s", v.Name, it.Name)
+		k, ok := d.known[it.Name]
+		if !ok || k.sum != it.sum {
+			vm, err := decodeVM(it)
+			if err != nil {
+				return nil, err
+			}
+			k = knownVM{sum: it.sum, vm: vm}
 		}
-		vms = append(vms, v)
+		known[it.Name] = k
+		vms = append(vms, k.vm)
 	}
+	d.known = known
 	return vms, nil
 }
+
+func decodeVM(it Item) (fleet.VM, error) {
+	var v fleet.VM
+	if err := json.Unmarshal(it.Body, &v); err != nil {
+		return v, errors.Wrapf(err, "decode VM %s", it.Name)
+	}
+	if v.Name != it.Name {
+		return v, errors.Newf("VM %s stands under the name %s", v.Name, it.Name)
+	}
+	return v, v.Check()
+}
--- a/io/process/watch/act.go
+++ b/io/process/watch/act.go
@@ -37,7 +37,8 @@
 // accept is the node's check of a state before it is taken.
 func (w *Watcher) accept(t gossip.Topic, s gossip.State) error {
 	if t == gossip.TopicVMs {
-		_, err := gossip.DecodeVMs(s)
+		vms, err := w.decoder.Decode(s)
+		w.acceptedVMs = vms
 		return err
 	}
 	d, err := w.decode(s)
@@ -70,10 +71,7 @@
 }
 
 func (w *Watcher) adoptVMs(s gossip.State) {
-	vms, err := gossip.DecodeVMs(s)
-	if err != nil {
-		return
-	}
+	vms := w.acceptedVMs
 	w.noteVMs(w.Current().VMs, vms, s.Mark.Version)
 	w.members = zoneMembers(vms, w.Self.VM.Zone)
 	w.dialer.candidates = gossip.Neighbours(w.Self.VM.Name, w.Self.VM.Zone, vms)
@@ -84,20 +82,25 @@
 	w.connect(now)
 }
 
-// noteVMs logs each VM that has come, gone or changed its state.
+// noteVMs logs each VM that has come, gone or changed its state. Both lists
+// are sorted by name.
 func (w *Watcher) noteVMs(old, next []fleet.VM, version uint64) {
-	before := map[string]fleet.VM{}
-	for _, v := range old {
-		before[v.Name] = v
-	}
 	for _, v := range next {
-		if was, ok := before[v.Name]; !ok || was != v {
-			w.noteVM(string(v.State), v.Name, version)
+		for len(old) > 0 && old[0].Name < v.Name {
+			w.noteVM("gone", old[0].Name, version)
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].Name == v.Name {
+			was := old[0]
+			old = old[1:]
+			if was == v {
+				continue
+			}
 		}
-		delete(before, v.Name)
+		w.noteVM(string(v.State), v.Name, version)
 	}
-	for name := range before {
-		w.noteVM("gone", name, version)
+	for _, v := range old {
+		w.noteVM("gone", v.Name, version)
 	}
 }
 
--- a/io/process/watch/watch.go
+++ b/io/process/watch/watch.go
@@ -57,9 +57,11 @@
 	dialer  dialer
 	last    time.Time
 	members []string
-	// accepted is the document that passed the node's last check; the node
-	// adopts it right after.
-	accepted *envdoc.Document
+	// accepted and acceptedVMs passed the node's last check of a document and
+	// of a VM list; the node adopts them right after.
+	accepted    *envdoc.Document
+	acceptedVMs []fleet.VM
+	decoder     gossip.VMs
 	// Bytes of connections that have ended.
 	closedReceived uint64
 	closedSent     uint64
