--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -22,6 +22,7 @@
 	"hawthornferry/core/request/route"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
+	"hawthornferry/io/process/gauge"
 )
 
 // Chooser picks the target of a call among the candidates.
@@ -36,7 +37,9 @@
 	Clock   clockwork.Clock
 	Log     trail.Log
 	Metrics tally.Scope
-	Source  view.Source
+	// Gauge takes the measures of slow decline; it may be nil.
+	Gauge  *gauge.Gauge
+	Source view.Source
 	// Listen is where callers connect. Net, when set, is used in its place.
 	Listen netip.AddrPort
 	Net    net.Listener
@@ -65,8 +68,10 @@
 	}
 	f.outcomes = newOutcomes(f.Metrics)
 	f.pool = newPool(f)
+	f.watchTables()
 	f.server = &http.Server{
 		Handler:           f.router(),
+		ConnState:         track,
 		ReadHeaderTimeout: f.Limits.HeaderTimeout,
 		IdleTimeout:       f.Limits.IdleTimeout,
 		MaxHeaderBytes:    f.Limits.MaxHeader,
@@ -91,7 +96,7 @@
 	defer stop()
 	f.running.Store(true)
 	defer f.running.Store(false)
-	err = f.server.Serve(nl)
+	err = f.server.Serve(callerListener{nl})
 	if !errors.Is(err, http.ErrServerClosed) {
 		return fault.At("serve callers", nl.Addr().String(), err)
 	}
@@ -108,11 +113,21 @@
 	return nl, fault.At("listen for callers", f.Listen.String(), err)
 }
 
-// Drain makes the entry not ready, takes no new calls, and returns when those
-// in flight have finished or ctx ends.
+// Drain makes the entry not ready, stops taking callers once the balancer has
+// had notice, and returns when the calls in flight have finished or ctx ends.
+//
+// Closing at once would cut the callers whose request is just arriving on an
+// idle connection: they would see it break without an answer. During the
+// notice they are served, and told to close their connections.
 func (f *Front) Drain(ctx context.Context) error {
 	f.init()
 	f.draining.Store(true)
+	notice := f.Clock.NewTimer(f.Limits.Notice)
+	defer notice.Stop()
+	select {
+	case <-notice.Chan():
+	case <-ctx.Done():
+	}
 	return fault.At("drain", "", f.server.Shutdown(ctx))
 }
 
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,13 +22,14 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/request/calls"
+	"hawthornferry/core/request/route"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
 	"hawthornferry/io/request/gate"
 )
 
 // fastTiming keeps the tests short; no verdict depends on it.
-var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: 2 * time.Second, Redial: 10 * time.Millisecond}
+var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: time.Second, Redial: 10 * time.Millisecond}
 
 // world is a fleet on loopback: entries and sides over real sockets, with
 // test servers as targets.
@@ -37,6 +39,11 @@
 	cancel context.CancelFunc
 	// limits, when set before a side is added, are its ledger's.
 	limits calls.Limits
+	// sideSilent and log, when set before a side is added, are the side's.
+	sideSilent time.Duration
+	log        trail.Log
+	// entryLimits, when set before an entry is added, are its limits.
+	entryLimits Limits
 
 	mu      sync.Mutex
 	view    view.View
@@ -50,8 +57,8 @@
 		Revision: 1,
 		Zones:    []envdoc.Zone{{Name: "z", Region: "r"}},
 		Services: []envdoc.Service{
-			{Name: "booking", Kind: envdoc.KindPlain, Timeout: 10 * time.Second, Repeatable: []string{"POST /search"}},
-			{Name: "helper", Kind: envdoc.KindEngine, Timeout: 10 * time.Second},
+			{Name: "booking", Kind: envdoc.KindPlain, Timeout: time.Hour, Repeatable: []string{"POST /search"}},
+			{Name: "helper", Kind: envdoc.KindEngine, Timeout: time.Hour},
 		},
 	}
 	t.Cleanup(cancel)
@@ -70,6 +77,20 @@
 	return w.changed
 }
 
+// place sets the number of replicas that the document places in the zone.
+func (w *world) place(service string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := *w.view.Document
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		if d.Services[i].Name == service {
+			d.Services[i].Replicas = []envdoc.Placement{{Zone: "z", Replicas: n}}
+		}
+	}
+	w.view.Document = &d
+}
+
 // setVM adds or replaces a VM of the list.
 func (w *world) setVM(vm fleet.VM) {
 	w.mu.Lock()
@@ -117,6 +138,8 @@
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
 		Source: w, Target: target, Service: service, Timing: fastTiming, Limits: w.limits,
 	}
+	s.gate.Timing.Silent = or(w.sideSilent, s.gate.Timing.Silent)
+	s.gate.Log = or(w.log, s.gate.Log)
 	l := &link.Listener{Self: self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeCalls: s.gate.Handler()}}
 	ctx, cancel := context.WithCancel(w.ctx)
 	s.cancel = cancel
@@ -140,7 +163,8 @@
 	url   string
 }
 
-func (w *world) addEntry(name string) *entry {
+// addEntry starts an entry that tries the target first, when one is named.
+func (w *world) addEntry(name string, first ...string) *entry {
 	w.t.Helper()
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +178,12 @@
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
 		Source: w, Net: nl, Timing: fastTiming,
 	}
+	f.Limits = w.entryLimits
+	f.Limits.Notice = 10 * time.Millisecond
 	f.Limits.Subset = 4
+	if len(first) > 0 {
+		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
+	}
 	done := make(chan struct{})
 	go func() { _ = f.Run(w.ctx); close(done) }()
 	w.t.Cleanup(func() { w.cancel(); <-done })
@@ -178,6 +207,25 @@
 	}
 }
 
+// decisions passes on what a side decides on calls.
+type decisions chan trail.Decision
+
+func (d decisions) Decide(x trail.Decision) {
+	if x.Area == trail.AreaCall {
+		d <- x
+	}
+}
+
+// await returns the next decision that is one of the actions.
+func (d decisions) await(actions ...string) trail.Decision {
+	for x := range d {
+		if slices.Contains(actions, x.Action) {
+			return x
+		}
+	}
+	return trail.Decision{}
+}
+
 // reply is what a caller got.
 type reply struct {
 	Status  int
@@ -209,3 +257,29 @@
 	}
 	return r
 }
+
+// open sends a chat and returns its answer unread.
+func (w *world) open(e *entry, body string) *http.Response {
+	w.t.Helper()
+	res, err := http.Post(e.url+"/v1/chat/completions", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return res
+}
+
+// firstOf sends each call to one target first, and by the common policy once
+// that has failed it.
+type firstOf struct {
+	name string
+	rest Chooser
+}
+
+func (c firstOf) Choose(now time.Time, r route.Request, cs []route.Candidate) (route.Choice, error) {
+	for _, x := range cs {
+		if x.VM.Name == c.name && !slices.Contains(r.Avoid, c.name) {
+			return route.Choice{VM: x.VM}, nil
+		}
+	}
+	return c.rest.Choose(now, r, cs)
+}
