watch: log each reason of a failed read once

With the service down two processes on loopback wrote a readFailed line at every attempt, two to five a second together; over a long outage that fills the decision log of every reader. A reason is logged when it changes, and the metric counts each attempt. go test -race ./io/process/watch passes.

--- a/io/process/watch/read.go
+++ b/io/process/watch/read.go
@@ -42,6 +42,9 @@
 	held    atomic.Uint64
 	refused atomic.Uint64
 	turn    chan struct{}
+	// told is the reason of the last failure that was logged; it belongs to
+	// the reading goroutine.
+	told string
 }
 
 // set says whether this process reads, and wakes the goroutine if so.
@@ -95,9 +98,11 @@
 		switch {
 		case err == nil && revision > after:
 			back.Reset()
+			w.docs.told = ""
 			w.readDocument(ctx, revision, text)
 		case err == nil && revision == 0:
 			back.Reset()
+			w.docs.told = ""
 		default:
 			w.readFailed(ctx, err, revision, after)
 			pause = back.Next(random())
@@ -107,7 +112,8 @@
 }
 
 // readFailed tells of a read that brought nothing. A service that answers
-// with a revision that is not above the asked one is stale.
+// with a revision that is not above the asked one is stale. The service may
+// be down or stale for long: each reason is logged once, and counted always.
 func (w *Watcher) readFailed(ctx context.Context, err error, revision, after uint64) {
 	if ctx.Err() != nil {
 		return
@@ -120,7 +126,10 @@
 		d.Reason = fmt.Sprintf("the service is behind: %d is held", after)
 		w.Metrics.Counter("config_ignored").Inc(1)
 	}
-	w.Log.Decide(d)
+	if d.Reason != w.docs.told {
+		w.docs.told = d.Reason
+		w.Log.Decide(d)
+	}
 }
 
 // readDocument hands a document that was read to the loop and waits until
