--- a/core/process/gossip/bench_test.go
+++ b/core/process/gossip/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"hawthornferry/core/process/fleet"
@@ -103,3 +104,41 @@
 		}
 	}
 }
+
+// BenchmarkHeldMemory reports what a process holds after more changes of the
+// list and the document than its history keeps.
+func BenchmarkHeldMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		before := heap()
+		var o Observer
+		var decoder VMs
+		n := &Node{Zone: "zone-00", Accept: func(Topic, State) error { return nil }}
+		n.Start(epoch)
+		vms := benchList()
+		for i := range historyLength + 2 {
+			vms[i].State = fleet.StateLeaving
+			next, _, err := o.Observe(n.Held(TopicVMs), vms)
+			if err != nil {
+				b.Fatal(err)
+			}
+			n.Read(TopicVMs, next, epoch)
+			n.Read(TopicDocument, benchDocument(b, uint64(i+1)), epoch)
+		}
+		held, err := decoder.Decode(n.Held(TopicVMs))
+		if err != nil {
+			b.Fatal(err)
+		}
+		vms = nil
+		b.ReportMetric((heap()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(n)
+		runtime.KeepAlive(held)
+		runtime.KeepAlive(&o)
+		runtime.KeepAlive(&decoder)
+	}
+}
--- a/core/process/gossip/replica.go
+++ b/core/process/gossip/replica.go
@@ -25,8 +25,10 @@
 	return m.above(r.topic, r.held.Mark) && m.above(r.topic, r.refused)
 }
 
-// adopt takes s as the held state.
+// adopt takes s as the held state. Items that have not changed are kept in
+// place of their equals, so that the states of the history share them.
 func (r *replica) adopt(s State) {
+	s.Items = share(r.held.Items, s.Items)
 	if r.held.Mark.Version > 0 {
 		r.history = append(r.history, r.held)
 	}
@@ -36,6 +38,21 @@
 	r.held = s
 }
 
+// share returns next with each item that old has as well taken from old.
+func share(old, next []Item) []Item {
+	out := make([]Item, 0, len(next))
+	for _, it := range next {
+		for len(old) > 0 && old[0].Name < it.Name {
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].Name == it.Name && old[0].sum == it.sum {
+			it = old[0]
+		}
+		out = append(out, it)
+	}
+	return out
+}
+
 // since returns the delta for a peer that holds have, in parts.
 func (r *replica) since(have Mark) []Delta {
 	from := State{}
