admin: let a metric that cannot be registered go missing

With -count=6 the test of the API panicked in the second round: a name was registered twice, and the reporter's default is to panic. In a process the same would follow from one name with two sets of tags, and end it. The reporter is now told to go on without that metric. go test -race -count=4 passes.

--- a/io/process/admin/meter.go
+++ b/io/process/admin/meter.go
@@ -18,7 +18,10 @@
 // NewMetrics returns the scope of the process's metrics, the handler that
 // shows them and what to close at the end. There is one for each process.
 func NewMetrics() (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// Two metrics of one name with different tags cannot both be registered;
+	// by default the reporter panics. A process that ends for the sake of a
+	// metric is worse than a metric that is missing.
+	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(error) {}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 metricsPrefix,
 		CachedReporter:         reporter,
