cmds: name the unit of a settings flag once

The help of entry and side showed the unit of the setting and then that of the flag that carries its text, "(ip:port) (text)". The latter is left out.

--- a/core/process/opt/opt.go
+++ b/core/process/opt/opt.go
@@ -80,12 +80,12 @@
 
 // Describe returns the help line with unit, default and bounds.
 func (f Field) Describe() string {
-	parts := []string{f.Unit}
-	if f.OneOf != "" {
-		parts = []string{"one of " + f.OneOf}
-	}
-	if f.IsBool() {
-		parts = nil
+	var parts []string
+	switch {
+	case f.OneOf != "":
+		parts = append(parts, "one of "+f.OneOf)
+	case f.Unit != "" && !f.IsBool():
+		parts = append(parts, f.Unit)
 	}
 	if f.Min != "" || f.Max != "" {
 		parts = append(parts, f.Min+" to "+f.Max)
--- a/io/process/cmds/process.go
+++ b/io/process/cmds/process.go
@@ -43,6 +43,7 @@
 		field := opt.Fields(&f.field)[0]
 		field.Key = o.Section + "-" + o.Key
 		field.Help = o.Describe()
+		field.Unit = ""
 		fields = append(fields, field)
 	}
 	return fields
