watch: end connections that are no longer preferred

Each VM that comes and ranks first gets a connection, and nothing ended the ones that it displaced: over weeks of replacements a process would creep up to its bound of 64 and refuse newcomers. Above 16, twice the mean, the opener now ends those outside its present choice.

--- a/io/process/watch/dial.go
+++ b/io/process/watch/dial.go
@@ -19,6 +19,8 @@
 	redialMax   = 30 * time.Second
 	maxRedials  = 1024
 	maxSeeds    = 2
+	// enoughPeers is twice the connections that a process has on average.
+	enoughPeers = 4 * (gossip.ZoneLinks + gossip.OtherLinks)
 	// briefStay is how long a connection to a seed stays at least: time for
 	// a whole document and VM list.
 	briefStay = 3 * exchange
@@ -43,18 +45,20 @@
 // connect opens the connections that are lacking.
 func (w *Watcher) connect(now time.Time) {
 	d := &w.dialer
-	w.fill(d.candidates.Zone, gossip.ZoneLinks, now)
-	w.fill(d.candidates.Other, gossip.OtherLinks, now)
+	wanted := map[string]bool{}
+	w.fill(d.candidates.Zone, gossip.ZoneLinks, wanted, now)
+	w.fill(d.candidates.Other, gossip.OtherLinks, wanted, now)
 	if len(w.peerNames()) == 0 {
 		w.fillSeeds(now)
 		return
 	}
 	w.dropBrief(now)
+	w.trim(wanted, now)
 }
 
 // fill makes sure that want of the candidates are connected, whichever side
-// opened the connection.
-func (w *Watcher) fill(candidates []fleet.VM, want int, now time.Time) {
+// opened the connection, and adds their names to wanted.
+func (w *Watcher) fill(candidates []fleet.VM, want int, wanted map[string]bool, now time.Time) {
 	connected := w.peerNames()
 	have := 0
 	for _, v := range candidates {
@@ -62,11 +66,29 @@
 			return
 		}
 		if connected[v.Name] || w.dial(v.Address, false, now) {
+			wanted[v.Name] = true
 			have++
 		}
 	}
 }
 
+// trim ends connections that this process opened and no longer prefers, when
+// there are many. VMs come and go for as long as a process lives, and each
+// newcomer that ranks before the others adds a connection; without an end to
+// the old ones their number would creep up to the bound over weeks.
+func (w *Watcher) trim(wanted map[string]bool, now time.Time) {
+	spare := len(w.conns) - enoughPeers
+	for _, p := range w.conns {
+		if spare <= 0 {
+			return
+		}
+		if p.dialed.IsValid() && !wanted[p.link.Peer.VM.Name] && now.Sub(p.joined) > briefStay {
+			p.end()
+			spare--
+		}
+	}
+}
+
 func (w *Watcher) fillSeeds(now time.Time) {
 	have := 0
 	for _, addr := range w.Seeds {
