--- a/io/process/watch/dial.go
+++ b/io/process/watch/dial.go
@@ -19,8 +19,9 @@
 	redialMax   = 30 * time.Second
 	maxRedials  = 1024
 	maxSeeds    = 2
-	// enoughPeers is twice the connections that a process has on average.
-	enoughPeers = 4 * (gossip.ZoneLinks + gossip.OtherLinks)
+	// enoughPeers is the connections that a process has on average: those
+	// that it opens and about as many that others open to it.
+	enoughPeers = 2 * (gossip.ZoneLinks + gossip.OtherLinks)
 	// briefStay is how long a connection to a seed stays at least: time for
 	// a whole document and VM list.
 	briefStay = 3 * exchange
@@ -75,7 +76,8 @@
 // trim ends connections that this process opened and no longer prefers, when
 // there are many. VMs come and go for as long as a process lives, and each
 // newcomer that ranks before the others adds a connection; without an end to
-// the old ones their number would creep up to the bound over weeks.
+// the old ones their number would creep up to the bound over weeks. A peer
+// that counts one of them as its own choice opens it again and then keeps it.
 func (w *Watcher) trim(wanted map[string]bool, now time.Time) {
 	spare := len(w.conns) - enoughPeers
 	for _, p := range w.conns {
