core/version/burst: spend less on each event

Profile at N=128 (machineBinds): 522 percent of a core, a third of it in looking for draws and imports on every event and in hashing ranks anew. Now ranks and upstreams are worked out once for each set, the search runs only after an event that can change it, peers are kept sorted, and news of a chunk is not sent to a peer that holds it.

--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -13,6 +13,8 @@
 	"os/signal"
 
 	"github.com/integrii/flaggy"
+
+	"hawthornferry/core/version/burst"
 )
 
 // fullChunks is the number of chunks of a version.
@@ -21,6 +23,7 @@
 var (
 	verbose   bool
 	profiled  bool
+	tuning    burst.Config
 	logWriter io.Writer = os.Stderr
 )
 
@@ -32,6 +35,7 @@
 	setting string
 	csv     string
 	plot    string
+	cpu     string
 }
 
 func main() {
@@ -43,12 +47,21 @@
 	p.String(&o.setting, "s", "setting", "Run only this setting: machineBinds or regionBinds.")
 	p.String(&o.csv, "c", "csv", "Write the results to this file.")
 	p.String(&o.plot, "p", "plot", "Write a plot to this file.")
+	p.Int(&tuning.Uploads, "o", "uploads", "Chunks that a side sends at a time.")
+	p.Int(&tuning.Inbound, "i", "inbound", "Chunks that a side takes at a time.")
+	p.Int(&tuning.Degree, "d", "degree", "Neighbours that a side dials.")
+	p.Int(&tuning.Turns, "t", "turns", "Chunks that cross between two regions at a time.")
+	p.Int(&tuning.Draws, "w", "draws", "Chunks that a region draws from the origin at a time.")
 	p.Bool(&profiled, "u", "profile", "Print how busy the links are while a version spreads.")
+	p.String(&o.cpu, "", "cpu", "Write a profile of the processors to this file.")
 	p.Bool(&verbose, "v", "verbose", "Log to standard error.")
 	if err := p.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	if o.cpu != "" {
+		defer profileCPU(o.cpu)()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	if err := measureAll(ctx, o); err != nil {
--- a/bench/burst/profile.go
+++ b/bench/burst/profile.go
@@ -4,9 +4,27 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"runtime/pprof"
 	"time"
 )
 
+// profileCPU starts a profile of the processors and returns how to end it.
+func profileCPU(path string) func() {
+	f, err := os.Create(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return func() {}
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	}
+}
+
 // profileEvery is the time between two lines of a profile.
 const profileEvery = 250 * time.Millisecond
 
--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -31,9 +31,9 @@
 	return append(out, rest[:k]...)
 }
 
-// upstream is the region from which the own region gets chunk i, empty for
+// upstreamOf is the region from which the own region gets chunk i, empty for
 // the origin.
-func (s *State) upstream(st *set, i int) string {
+func (s *State) upstreamOf(st *set, i int) string {
 	prev := ""
 	for _, r := range s.chain(st, i) {
 		if r == s.cfg.Self.Region {
@@ -68,7 +68,7 @@
 			s.recover(now, st, i)
 			continue
 		}
-		up := s.upstream(st, i)
+		up := st.upstream[i]
 		if taken[up] >= s.turns(up) {
 			continue
 		}
@@ -99,14 +99,26 @@
 	if it.pending() || now.Before(it.retryAt) {
 		return
 	}
-	up := s.upstream(st, i)
-	pos := rank.Position(string(it.ref.Digest), s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+	up := st.upstream[i]
+	pos := s.position(st, i)
 	if pos < 0 || late < s.stepIn(up, pos) {
 		return
 	}
 	s.fetchFrom(now, st, i, up, pos)
 }
 
+// unranked marks a rank that was not yet worked out.
+const unranked = -2
+
+// position is this side's rank for a chunk among the sides of the region.
+func (s *State) position(st *set, i int) int {
+	if st.place[i] == unranked {
+		key := string(st.items[i].ref.Digest)
+		st.place[i] = rank.Position(key, s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+	}
+	return st.place[i]
+}
+
 func (s *State) fetchFrom(now time.Time, st *set, i int, up string, pos int) {
 	it := st.items[i]
 	reason := "ranks first"
@@ -156,7 +168,7 @@
 	if it.lostAt.IsZero() {
 		it.lostAt = now
 	}
-	up := s.upstream(st, i)
+	up := st.upstream[i]
 	late := now.Sub(it.lostAt) - lostFactor*s.stepIn(up, 1)
 	if late < 0 {
 		return
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -75,6 +75,13 @@
 	sets   []*set
 	items  map[chunk.Digest]*item
 	peers  map[string]*peer
+	// order holds the peers by name, so that decisions do not hang on the
+	// order of a map.
+	order []*peer
+	// uploads counts the upload slots in use.
+	uploads int
+	// stale is set when the next settle must look for draws and imports.
+	stale bool
 	trades int
 	timing map[Via]*estimate
 	out    []Action
@@ -91,6 +98,8 @@
 	pending  Bits
 	seen     Bits     // held by some side of the region
 	copies   []uint16 // neighbours that hold each chunk
+	upstream []string // the region each chunk comes from, empty for the origin
+	place    []int    // this side's rank for each chunk, unranked until needed
 }
 
 // place is one position of a chunk in a set; a chunk may be in several.
@@ -207,7 +216,10 @@
 // settle takes every decision that the last event made possible and returns
 // the actions gathered since.
 func (s *State) settle(now time.Time) []Action {
-	s.acquire(now)
+	if s.stale {
+		s.stale = false
+		s.acquire(now)
+	}
 	s.offer(now)
 	out := s.out
 	s.out = nil
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -24,6 +24,7 @@
 	s.expire(now)
 	s.connect(now)
 	s.wake()
+	s.stale = true
 	return s.settle(now)
 }
 
@@ -47,7 +48,8 @@
 		return nil
 	}
 	p.connected = false
-	p.full, p.owed, p.upload = false, false, false
+	p.full, p.owed = false, false
+	s.release(p)
 	for id := range p.maps {
 		s.forgetMap(p, id)
 	}
@@ -116,9 +118,13 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, p := range s.sortedPeers() {
-		if s.near(p) && p.Name != from {
-			s.emit(Announce{Peer: p.Name, Manifest: st.id, Seen: news})
+	s.stale = true
+	for _, p := range s.order {
+		if !s.near(p) || p.Name == from {
+			continue
+		}
+		if seen := without(news, p.maps[st.id]); len(seen) > 0 {
+			s.emit(Announce{Peer: p.Name, Manifest: st.id, Seen: seen})
 		}
 	}
 }
@@ -144,14 +150,17 @@
 		pl.set.seen.Set(pl.index)
 		s.announceHeld(pl)
 	}
+	s.stale = true
 	s.unseal()
 	s.invite()
 	return s.settle(now)
 }
 
+// announceHeld tells the neighbours that lack a chunk that it is held here.
+// Those that hold it have no use for the news.
 func (s *State) announceHeld(pl place) {
-	for _, p := range s.sortedPeers() {
-		if s.near(p) {
+	for _, p := range s.order {
+		if s.near(p) && !p.maps[pl.set.id].Has(pl.index) {
 			s.emit(Announce{Peer: p.Name, Manifest: pl.set.id, Have: []int{pl.index}})
 		}
 	}
@@ -183,6 +192,17 @@
 	return s.settle(now)
 }
 
+// without returns the indexes that are not in held.
+func without(indexes []int, held Bits) []int {
+	var out []int
+	for _, i := range indexes {
+		if !held.Has(i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 func (s *State) set(id chunk.Digest) *set {
 	for _, st := range s.sets {
 		if st.id == id {
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -84,7 +84,7 @@
 	}
 	for _, p := range s.peers {
 		if p.upload && now.After(p.uploadEnd) {
-			p.upload = false
+			s.release(p)
 		}
 	}
 }
@@ -103,6 +103,7 @@
 		s.disbelieve(it)
 	}
 	s.clearPending(it)
+	s.stale = true
 	s.invite()
 }
 
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -19,29 +19,36 @@
 	if s.cfg.Direct {
 		return
 	}
-	used := 0
+	if s.uploads >= s.cfg.Uploads {
+		return
+	}
 	var open []*peer
-	for _, p := range s.sortedPeers() {
-		if p.upload {
-			used++
-			continue
-		}
+	for _, p := range s.order {
 		if s.eligible(now, p) {
 			open = append(open, p)
 		}
 	}
-	for ; used < s.cfg.Uploads && len(open) > 0; used++ {
+	for s.uploads < s.cfg.Uploads && len(open) > 0 {
 		k := s.pickPeer(open)
 		p := open[k]
 		open = append(open[:k], open[k+1:]...)
 		p.upload = true
 		p.uploadEnd = now.Add(offerLife)
+		s.uploads++
 		s.emit(Offer{Peer: p.Name})
 	}
 }
 
+// release frees the upload slot that a peer has, if it has one.
+func (s *State) release(p *peer) {
+	if p.upload {
+		p.upload = false
+		s.uploads--
+	}
+}
+
 func (s *State) eligible(now time.Time, p *peer) bool {
-	if !s.near(p) || now.Before(p.badUntil) {
+	if p.upload || !s.near(p) || now.Before(p.badUntil) {
 		return false
 	}
 	if p.full && now.Before(p.fullUntil) {
@@ -126,7 +133,7 @@
 	if !ok {
 		return nil
 	}
-	p.upload = false
+	s.release(p)
 	p.full = true
 	p.fullUntil = now.Add(fullLife)
 	return s.settle(now)
@@ -149,7 +156,7 @@
 	if !ok {
 		return nil
 	}
-	p.upload = false
+	s.release(p)
 	return s.settle(now)
 }
 
@@ -172,7 +179,7 @@
 		return
 	}
 	var owed []*peer
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if p.owed && s.near(p) && s.lacksOf(p) {
 			owed = append(owed, p)
 		}
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -1,6 +1,7 @@
 package burst
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 	s.dropUnwanted()
 	s.keepSeen(old)
 	s.updatePeers(now)
+	s.stale = true
 	return s.settle(now)
 }
 
@@ -46,6 +48,10 @@
 	}
 	slices.Sort(st.regions)
 	st.regions = rank.Order(string(w.ID), st.regions, func(r string) string { return r })
+	for i := range n {
+		st.upstream = append(st.upstream, s.upstreamOf(st, i))
+		st.place = append(st.place, unranked)
+	}
 	for _, d := range w.Staged {
 		s.adopt(d)
 	}
@@ -145,10 +151,11 @@
 			delete(s.peers, name)
 		}
 	}
+	s.sortPeers()
 	for _, n := range s.neighbours() {
 		s.peer(n, s.cfg.Self.Region)
 	}
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if p.connected {
 			s.greet(p)
 		}
@@ -192,22 +199,17 @@
 	if !ok {
 		p = &peer{Member: Member{Name: name, Region: region}, maps: map[chunk.Digest]Bits{}}
 		s.peers[name] = p
+		s.sortPeers()
 	}
 	return p
 }
 
-func (s *State) sortedPeers() []*peer {
-	out := make([]*peer, 0, len(s.peers))
+func (s *State) sortPeers() {
+	s.order = s.order[:0]
 	for _, p := range s.peers {
-		out = append(out, p)
+		s.order = append(s.order, p)
 	}
-	slices.SortFunc(out, func(a, b *peer) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
+	slices.SortFunc(s.order, func(a, b *peer) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 func (s *State) greet(p *peer) {
