--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -26,6 +26,7 @@
 	PurposeCalls   Purpose = "calls"
 	PurposeWeights Purpose = "weights"
 	PurposeConfig  Purpose = "config"
+	PurposeOrders  Purpose = "orders"
 )
 
 // HelloTimeout bounds the wait for the peer's Hello.
@@ -45,7 +46,7 @@
 // Check reports the first field that is out of its domain.
 func (h *Hello) Check() error {
 	switch h.Purpose {
-	case PurposeCalls, PurposeWeights, PurposeConfig:
+	case PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders:
 	default:
 		return errors.Newf("hello: unknown purpose %q", h.Purpose)
 	}
@@ -61,6 +62,27 @@
 	VM       fleet.VM
 	Boot     string
 	Revision atomic.Uint64
+	Totals   Totals
+
+	ahead atomic.Pointer[AheadFunc]
+}
+
+// AheadFunc is told of a peer that has shown a revision above the one held
+// here. It must not block.
+type AheadFunc func(peer fleet.VM, revision uint64)
+
+// NotifyAhead sets who is told of peers that are ahead, on connections of
+// every purpose.
+func (s *Self) NotifyAhead(f AheadFunc) { s.ahead.Store(&f) }
+
+// see compares the revision of a frame with the one held here.
+func (s *Self) see(peer fleet.VM, revision uint64) {
+	if revision <= s.Revision.Load() {
+		return
+	}
+	if f := s.ahead.Load(); f != nil {
+		(*f)(peer, revision)
+	}
 }
 
 // Conn is one connection after both Hellos. Send is safe for concurrent use,
@@ -69,7 +91,7 @@
 	Peer Hello
 
 	self *Self
-	nc   net.Conn
+	nc   *counted
 	w    *frame.Writer
 	r    *frame.Reader
 	// PeerRevision is the highest revision that the peer has shown.
@@ -91,6 +113,7 @@
 	if h.Revision > c.PeerRevision.Load() {
 		c.PeerRevision.Store(h.Revision)
 	}
+	c.self.see(c.Peer.VM, h.Revision)
 	return m, nil
 }
 
@@ -122,6 +145,7 @@
 		nc.Close()
 		return nil, fault.At("await hello", addr.String(), err)
 	}
+	c.nc.belong(self.Totals.Of(purpose))
 	return c, nil
 }
 
@@ -131,7 +155,8 @@
 		all[k] = f
 	}
 	all.Register(func() frame.Message { return &Hello{} })
-	return &Conn{self: self, nc: nc, w: frame.NewWriter(nc), r: frame.NewReader(nc, all)}
+	cc := &counted{Conn: nc}
+	return &Conn{self: self, nc: cc, w: frame.NewWriter(cc), r: frame.NewReader(cc, all)}
 }
 
 func (c *Conn) greet(p Purpose) error {
@@ -152,5 +177,6 @@
 	}
 	c.Peer = *hello
 	c.PeerRevision.Store(h.Revision)
+	c.self.see(c.Peer.VM, h.Revision)
 	return c.nc.SetReadDeadline(time.Time{})
 }
