swarm, pace: send blocks in turn, ask a few ahead, pace closer

Cause: the profile showed links 75 to 88 percent busy in the steady part. A receiver had asked for whole chunks from several senders, each of which sent one chunk after the other: links idled, then blocks came in clumps, and live calls waited behind the clumps. Now a sender serves its chunks block by block in turn, a receiver asks four blocks ahead, imports and draws go before trade, lines let transfers catch up by 4 ms only and leave 2 percent free.

Tests of failures found and now prove: chunks whose only holders are left alone are fetched anew; a corrupt peer is still served; a new version whose manifest is not yet read no longer discards what it shares with the old one.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -50,6 +50,9 @@
 // importers use add up to no more than the link, with no shared record.
 func (s *State) acquire(now time.Time) {
 	for _, st := range s.sets {
+		if st.keep {
+			continue
+		}
 		if s.cfg.Direct {
 			s.drawAll(now, st)
 			continue
@@ -158,10 +161,12 @@
 }
 
 // recover fetches a chunk that the region was heard to hold but that no
-// neighbour has had for long: the sides that held it may be gone.
+// neighbour has had for long, or that neighbours failed to send more than
+// once: those that held it may be gone, or hold it corrupt, and the side
+// would never be whole.
 func (s *State) recover(now time.Time, st *set, i int) {
 	it := st.items[i]
-	if it.pending() || st.copies[i] > 0 {
+	if it.pending() || (it.badTrades < mostBadTrades && s.withinReach(now, st, i)) {
 		it.lostAt = time.Time{}
 		return
 	}
@@ -176,6 +181,22 @@
 	s.start(now, st, i, late)
 }
 
+// withinReach reports whether a neighbour that is not left alone holds chunk i.
+func (s *State) withinReach(now time.Time, st *set, i int) bool {
+	if st.copies[i] == 0 || !s.blaming(now) {
+		return st.copies[i] > 0
+	}
+	for _, p := range s.order {
+		if s.near(p) && p.maps[st.id].Has(i) && !now.Before(p.badUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// blaming reports whether any peer is left alone now.
+func (s *State) blaming(now time.Time) bool { return now.Before(s.blameEnd) }
+
 func (s *State) drawAll(now time.Time, st *set) {
 	for _, it := range st.items {
 		if it.held || it.pending() || now.Before(it.retryAt) {
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -21,10 +21,9 @@
 const (
 	// DefaultDegree is how many neighbours a side dials; about as many
 	// dial it.
-	DefaultDegree = 8
-	// DefaultUploads is how many chunks a side sends at a time, one on the
-	// wire and the next one agreed.
-	DefaultUploads = 2
+	DefaultDegree = 6
+	// DefaultUploads is how many chunks a side sends at a time.
+	DefaultUploads = 3
 	// DefaultInbound is how many traded chunks a side takes at a time.
 	DefaultInbound = 4
 	// DefaultTurns is how many chunks cross a region link at a time for
@@ -48,6 +47,9 @@
 	ID       chunk.Digest
 	Manifest chunk.Manifest
 	Members  []Member
+	// Keep marks a version that is no longer wanted but whose chunks are not
+	// to be discarded yet; nothing of it is fetched.
+	Keep bool
 	// Staged are the chunks that were found in the staging area, verified.
 	Staged []chunk.Digest
 }
@@ -70,18 +72,20 @@
 // State is the belief and the plans of one side. It is not safe for
 // concurrent use.
 type State struct {
-	cfg    Config
-	rng    *rand.Rand
-	sets   []*set
-	items  map[chunk.Digest]*item
-	peers  map[string]*peer
+	cfg   Config
+	rng   *rand.Rand
+	sets  []*set
+	items map[chunk.Digest]*item
+	peers map[string]*peer
 	// order holds the peers by name, so that decisions do not hang on the
 	// order of a map.
 	order []*peer
 	// uploads counts the upload slots in use.
 	uploads int
+	// blameEnd is when the last peer that is left alone is asked again.
+	blameEnd time.Time
 	// stale is set when the next settle must look for draws and imports.
-	stale bool
+	stale  bool
 	trades int
 	timing map[Via]*estimate
 	out    []Action
@@ -90,6 +94,7 @@
 // set is one wanted version with the maps of what is where.
 type set struct {
 	id       chunk.Digest
+	keep     bool
 	manifest chunk.Manifest
 	items    []*item
 	members  map[string][]string // by region
@@ -118,11 +123,13 @@
 	since    time.Time
 	deadline time.Time
 	// dueAt is when this chunk's turn came; ranked step-in counts from it.
-	dueAt    time.Time
-	lostAt   time.Time
-	retryAt  time.Time
-	attempts int // sources tried since the last draw from the origin
-	fails    int
+	dueAt   time.Time
+	lostAt  time.Time
+	retryAt time.Time
+	// badTrades counts the neighbours' failures to send the chunk.
+	badTrades int
+	attempts  int // sources tried since the last draw from the origin
+	fails     int
 }
 
 func (it *item) pending() bool { return it.via != "" }
@@ -140,6 +147,9 @@
 	upload    bool
 	uploadEnd time.Time
 	badUntil  time.Time
+	// stalled is set when the last fault was a stall; nothing is offered
+	// to such a peer either, since it would hold an upload slot in vain.
+	stalled   bool
 	strikes   int
 	dialAt    time.Time
 	dialFails int
--- /dev/null
+++ b/core/version/burst/burst_test.go
@@ -0,0 +1,239 @@
+package burst
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/version/chunk"
+)
+
+// Whatever the number of sides, each chunk is drawn from the origin once and
+// enters each other region once, and every side ends whole.
+func TestOneCopyWhateverTheNumberOfSides(t *testing.T) {
+	tests := []struct {
+		name    string
+		regions []string
+	}{
+		{"one side", regionsOf(1)},
+		{"one region", regionsOf(5)},
+		{"three regions", regionsOf(2, 1, 1)},
+		{"three larger regions", regionsOf(9, 8, 7)},
+		{"none in the origin's region", regionsOf(0, 3, 4)},
+		{"five regions", regionsOf(3, 3, 3, 3, 3)},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNetwork(t, tc.regions...)
+			v := version("1", 0, 24).of(n.members())
+			n.update(v)
+			n.until(n.whole(v.ID))
+			if diff := cmp.Diff(24, n.draws()); diff != "" {
+				t.Errorf("draws from the origin (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Two sides of a region die half way, one of them before it has drawn its
+// chunks. Peers see their connections close; once the dead drawers' turns are
+// overdue the next in rank step in, and the living end whole.
+func TestSidesDieMidway(t *testing.T) {
+	n := newNetwork(t, regionsOf(5, 4, 4)...)
+	v := version("1", 0, 40).of(n.members())
+	n.update(v)
+	n.until(func() bool { return n.draws() > 10 })
+	n.kill("side01")
+	n.kill("side06")
+	n.until(n.whole(v.ID))
+}
+
+// A peer sends nothing but corrupt chunks. Each is refused on arrival, the
+// peer is left alone for longer and longer, and the chunks come from others.
+func TestCorruptPeerIsLeftAlone(t *testing.T) {
+	n := newNetwork(t, regionsOf(6)...)
+	bad := 0
+	n.corrupt = func(from, _ string) bool {
+		if from == "side02" {
+			bad++
+		}
+		return from == "side02"
+	}
+	v := version("1", 0, 60).of(n.members())
+	n.update(v)
+	n.until(n.whole(v.ID))
+	if bad == 0 || bad > 40 {
+		t.Errorf("asked the corrupt peer %d times, want a few", bad)
+	}
+}
+
+// One side's links stall: what is asked of it never comes. Each transfer is
+// given up at its deadline and asked for elsewhere.
+func TestStalledTransfersAreAskedForElsewhere(t *testing.T) {
+	n := newNetwork(t, regionsOf(4, 3, 3)...)
+	n.stall = func(from, _ string) bool { return from == "side01" || from == "side05" }
+	v := version("1", 0, 30).of(n.members())
+	n.update(v)
+	n.until(n.whole(v.ID))
+}
+
+// While version 1 is in flight the document names version 2, which shares
+// half the chunks. Transfers of the rest are stopped and what is held of them
+// is discarded; shared chunks are not fetched again.
+func TestVersionChangesMidway(t *testing.T) {
+	n := newNetwork(t, regionsOf(3, 3)...)
+	one := version("1", 0, 40).of(n.members())
+	two := version("2", 20, 40).of(n.members())
+	n.update(one)
+	n.until(func() bool { return n.draws() > 30 })
+	n.update(two)
+	n.until(n.whole(two.ID))
+	for _, s := range n.sides {
+		for d, k := range s.fetched {
+			if k > 1 {
+				t.Errorf("%s fetched %s %d times, want once", s.Name, d, k)
+			}
+		}
+		checkOnlyWanted(t, s, two)
+	}
+}
+
+func checkOnlyWanted(t *testing.T, s *fakeSide, v Set) {
+	t.Helper()
+	wanted := map[chunk.Digest]bool{}
+	for _, ref := range v.Manifest.Chunks {
+		wanted[ref.Digest] = true
+	}
+	for d := range s.fetched {
+		if !wanted[d] && !slices.Contains(s.dropped, d) {
+			t.Errorf("%s still holds %s, which no version wants", s.Name, d)
+		}
+	}
+}
+
+// The document names version 2, whose manifest is not yet read. Version 1 is
+// kept meanwhile, but nothing more of it is fetched.
+func TestKeptVersionIsNotFetched(t *testing.T) {
+	n := newNetwork(t, regionsOf(3)...)
+	v := version("1", 0, 40).of(n.members())
+	n.update(v)
+	n.until(func() bool { return n.draws() > 8 })
+	v.Keep = true
+	n.update(v)
+	begin := n.now
+	n.until(func() bool { return n.now > begin+time.Second })
+	before := n.draws()
+	n.until(func() bool { return n.now > begin+20*time.Second })
+	if diff := cmp.Diff(before, n.draws()); diff != "" {
+		t.Errorf("draws (-want +got):\n%s", diff)
+	}
+	v.Keep = false
+	n.update(v)
+	n.until(n.whole(v.ID))
+}
+
+// The version is withdrawn in mid-flight: every transfer is stopped and every
+// chunk discarded.
+func TestVersionWithdrawnMidway(t *testing.T) {
+	n := newNetwork(t, regionsOf(3)...)
+	n.update(version("1", 0, 20).of(n.members()))
+	n.until(func() bool { return n.draws() > 8 })
+	n.update()
+	for _, s := range n.sides {
+		checkOnlyWanted(t, s, Set{})
+		if diff := cmp.Diff(0, len(s.state.items)); diff != "" {
+			t.Errorf("%s chunks left (-want +got):\n%s", s.Name, diff)
+		}
+	}
+}
+
+// A side joins when the others are whole. It gets everything from its region
+// and the origin is not asked again.
+func TestSideJoinsLate(t *testing.T) {
+	n := newNetwork(t, regionsOf(3, 3)...)
+	v := version("1", 0, 20)
+	n.update(v.of(n.members()))
+	n.until(n.whole(v.ID))
+	n.add("side99", "r2", 99)
+	n.update(v.of(n.members()))
+	n.until(n.whole(v.ID))
+	if diff := cmp.Diff(20, n.draws()); diff != "" {
+		t.Errorf("draws from the origin (-want +got):\n%s", diff)
+	}
+}
+
+// A region loses both the other regions and the origin for a while. The rest
+// end whole meanwhile; when the partition ends the region catches up, and no
+// more is drawn than the failed tries asked for.
+func TestPartitionAndItsEnd(t *testing.T) {
+	n := newNetwork(t, regionsOf(3, 3, 3)...)
+	apart := true
+	inR3 := func(name string) bool { return n.sides[name].Region == "r3" }
+	n.cut = func(a, b string) bool { return apart && inR3(a) != inR3(b) }
+	n.origin = func(to string, _ chunk.Digest, _ int) (bool, time.Duration) { return !apart || !inR3(to), 0 }
+	v := version("1", 0, 30).of(n.members())
+	n.update(v)
+	n.until(func() bool {
+		for name, s := range n.sides {
+			if got, _ := s.state.Tally(v.ID); !inR3(name) && got.Have < got.Total {
+				return false
+			}
+		}
+		return true
+	})
+	apart = false
+	n.until(n.whole(v.ID))
+}
+
+// The origin answers every first draw of a chunk with 429 and a Retry-After.
+// The side that drew comes back no sooner, and the version gets through.
+func TestOriginRefusesFirstDraws(t *testing.T) {
+	const after = 2 * time.Second
+	n := newNetwork(t, regionsOf(3)...)
+	first := map[string]time.Duration{}
+	n.origin = func(to string, d chunk.Digest, _ int) (bool, time.Duration) {
+		k := to + string(d)
+		at, again := first[k]
+		if !again {
+			first[k] = n.now
+			return false, after
+		}
+		if n.now-at < after {
+			t.Errorf("%s came back after %v, want %v", to, n.now-at, after)
+		}
+		return true, 0
+	}
+	v := version("1", 0, 10).of(n.members())
+	n.update(v)
+	n.until(n.whole(v.ID))
+}
+
+// A peer claims in its map to hold what it has not. The claim is forgotten
+// after the first refusal, and the chunk comes from where it really is.
+func TestClaimsThatAreFalseAreForgotten(t *testing.T) {
+	n := newNetwork(t, regionsOf(3)...)
+	v := version("1", 0, 8).of(n.members())
+	liar := n.sides["side02"]
+	liar.dead = true
+	n.update(v)
+	s := n.sides["side00"]
+	all := NewBits(8)
+	for i := range 8 {
+		all.Set(i)
+	}
+	s.state.Connected(n.time(), liar.Member)
+	s.state.Greeted(n.time(), "side02", v.ID, all, nil)
+	got := s.state.Offered(n.time(), "side02")
+	f, ok := got[0].(Fetch)
+	if !ok {
+		t.Fatalf("answer to an offer is %T, want Fetch", got[0])
+	}
+	s.state.Failed(n.time(), f.Chunk.Digest, "side02", FailLacks, 0)
+	i := slices.Index(v.Manifest.Chunks, f.Chunk)
+	if s.state.peers["side02"].maps[v.ID].Has(i) {
+		t.Error("the false claim is still believed")
+	}
+	n.until(n.whole(v.ID))
+}
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -22,10 +22,13 @@
 	mostBad  = time.Minute
 	// corruptStrikes is how many faults a corrupt chunk counts for.
 	corruptStrikes = 3
-	firstRetry     = 100 * time.Millisecond
-	mostRetry      = 5 * time.Second
-	firstDial      = 200 * time.Millisecond
-	mostDial       = 5 * time.Second
+	// mostBadTrades is how many failures of neighbours to send a chunk are
+	// borne before it is fetched anew for the region.
+	mostBadTrades = 2
+	firstRetry    = 100 * time.Millisecond
+	mostRetry     = 5 * time.Second
+	firstDial     = 200 * time.Millisecond
+	mostDial      = 5 * time.Second
 )
 
 // estimate is a decaying mean of durations.
@@ -91,6 +94,9 @@
 
 func (s *State) failed(now time.Time, it *item, why Failure, after time.Duration) {
 	s.blame(now, it.from, why)
+	if it.via == ViaTrade && why != FailGone {
+		it.badTrades++
+	}
 	if it.via != ViaTrade {
 		it.attempts++
 		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, mostRetry)))
@@ -119,7 +125,11 @@
 		n = corruptStrikes
 	}
 	p.strikes += n
+	p.stalled = why == FailStalled
 	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
+	if p.badUntil.After(s.blameEnd) {
+		s.blameEnd = p.badUntil
+	}
 }
 
 // disbelieve forgets a peer's claim to hold a chunk that it could not send.
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -48,7 +48,7 @@
 }
 
 func (s *State) eligible(now time.Time, p *peer) bool {
-	if p.upload || !s.near(p) || now.Before(p.badUntil) {
+	if p.upload || !s.near(p) || (p.stalled && now.Before(p.badUntil)) {
 		return false
 	}
 	if p.full && now.Before(p.fullUntil) {
@@ -105,6 +105,9 @@
 	var copies uint16
 	ties := 0
 	for _, st := range s.sets {
+		if st.keep {
+			continue
+		}
 		m := p.maps[st.id]
 		for i, it := range st.items {
 			if it.held || it.pending() || !m.Has(i) {
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -32,6 +32,7 @@
 	n := len(w.Manifest.Chunks)
 	st := &set{
 		id:       w.ID,
+		keep:     w.Keep,
 		manifest: w.Manifest,
 		members:  map[string][]string{},
 		have:     NewBits(n),
--- /dev/null
+++ b/io/conn/frame/fuzz_test.go
@@ -0,0 +1,61 @@
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+type fuzzed struct {
+	Text string `msgpack:"text"`
+	Data []byte `msgpack:"data"`
+}
+
+func (*fuzzed) Kind() Kind { return "fuzzed" }
+
+func (f *fuzzed) Check() error {
+	if len(f.Text) > 10 {
+		return errors.New("text is too long")
+	}
+	return nil
+}
+
+// FuzzRead feeds a Reader with whatever a peer may send: it must return
+// messages that pass their check, or an error, and never panic.
+func FuzzRead(f *testing.F) {
+	var buf bytes.Buffer
+	w := NewWriter(&buf)
+	for _, m := range []*fuzzed{{Text: "a"}, {Data: []byte{1, 2}}} {
+		if err := w.Write(m, 3); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(buf.Bytes())
+	f.Add(binary.BigEndian.AppendUint32(nil, MaxFrame+1))
+	f.Add([]byte{0, 0, 0, 3, 0xc1, 0xff, 0xdf})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		kinds := Kinds{}
+		kinds.Register(func() Message { return &fuzzed{} })
+		r := NewReader(bytes.NewReader(b), kinds)
+		for {
+			m, _, err := r.Read()
+			if err != nil {
+				return
+			}
+			if err := m.Check(); err != nil {
+				t.Fatalf("message that fails its check was returned: %v", err)
+			}
+		}
+	})
+}
+
+// A frame over the bound is refused before anything is allocated for it.
+func TestFrameOverBoundIsRefused(t *testing.T) {
+	b := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	_, _, err := NewReader(bytes.NewReader(b), Kinds{}).Read()
+	if !errors.Is(err, ErrTooLong) {
+		t.Errorf("error is %v, want %v", err, ErrTooLong)
+	}
+}
--- a/io/version/pace/line.go
+++ b/io/version/pace/line.go
@@ -13,7 +13,11 @@
 // slack is how far a backlogged Line may lag behind its own schedule and
 // catch up. Timers fire late by up to a millisecond or so; without slack each
 // late wake-up is lost for good and the link is never filled.
-const slack = 10 * time.Millisecond
+const slack = 4 * time.Millisecond
+
+// headroom is the part of a line's rate that transfers never book, so that a
+// queue which built up before a live call drains.
+const headroom = 0.02
 
 // Line is one direction of a link that live traffic and transfers share.
 // Live traffic passes at once; transfers wait until the line is idle.
@@ -25,8 +29,9 @@
 	// busy live traffic keeps the line.
 	Floor float64
 
-	turn chan struct{}
-	once sync.Once
+	once  sync.Once
+	turn  chan struct{} // held by the next piece to pass
+	queue chan struct{} // held by the ordinary waiter that stands next
 
 	mu       sync.Mutex
 	free     time.Time // when all that was let through has passed
@@ -64,12 +69,24 @@
 	if l == nil || l.Rate <= 0 {
 		return ctx.Err()
 	}
-	l.once.Do(func() { l.turn = make(chan struct{}, 1) })
-	select {
-	case l.turn <- struct{}{}:
-	case <-ctx.Done():
+	l.init()
+	if err := take(ctx, l.queue); err != nil {
+		return err
+	}
+	defer func() { <-l.queue }()
+	return l.WaitFirst(ctx, n)
+}
+
+// WaitFirst is Wait for what others are waiting for. All ordinary waiters
+// together stand as one among these, so none is starved.
+func (l *Line) WaitFirst(ctx context.Context, n int) error {
+	if l == nil || l.Rate <= 0 {
 		return ctx.Err()
 	}
+	l.init()
+	if err := take(ctx, l.turn); err != nil {
+		return err
+	}
 	defer func() { <-l.turn }()
 	for {
 		wait := l.tryPass(n)
@@ -84,6 +101,22 @@
 	}
 }
 
+func (l *Line) init() {
+	l.once.Do(func() {
+		l.turn = make(chan struct{}, 1)
+		l.queue = make(chan struct{}, 1)
+	})
+}
+
+func take(ctx context.Context, place chan struct{}) error {
+	select {
+	case place <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // tryPass books n bytes of a transfer and returns zero, or how long to wait
 // before the next try.
 func (l *Line) tryPass(n int) time.Duration {
@@ -100,7 +133,7 @@
 	if wait > 0 {
 		return wait
 	}
-	l.free = later(l.free, now.Add(-slack)).Add(l.cost(n, 1))
+	l.free = later(l.free, now.Add(-slack)).Add(l.cost(n, 1-headroom))
 	if l.Floor > 0 {
 		l.bulkNext = now.Add(l.cost(n, l.Floor))
 	}
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -13,7 +13,7 @@
 )
 
 // window is how many blocks of a chunk are asked for ahead.
-const window = 8
+const window = 4
 
 // incoming is one chunk on its way to this side.
 type incoming struct {
@@ -86,7 +86,7 @@
 			if err := share.Wait(ctx, int(k)); err != nil {
 				return nil, err
 			}
-			if err := n.pacer.Down.Wait(ctx, int(k)); err != nil {
+			if err := n.waitDown(ctx, in.fetch.Via, int(k)); err != nil {
 				return nil, err
 			}
 			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
@@ -115,6 +115,15 @@
 	}
 }
 
+// waitDown paces what comes in. Imports go first: the rest of the region
+// waits for them.
+func (n *Node) waitDown(ctx context.Context, v burst.Via, k int) error {
+	if v == burst.ViaImport {
+		return n.pacer.Down.WaitFirst(ctx, k)
+	}
+	return n.pacer.Down.Wait(ctx, k)
+}
+
 // shareLine paces one import at its share of the region link.
 func (n *Node) shareLine(share float64) *pace.Line {
 	if share <= 0 {
--- a/io/version/swarm/source.go
+++ b/io/version/swarm/source.go
@@ -100,7 +100,7 @@
 	if err := s.pacer.Origin.Wait(ctx, n); err != nil {
 		return err
 	}
-	return s.pacer.Down.Wait(ctx, n)
+	return s.pacer.Down.WaitFirst(ctx, n)
 }
 
 func (s *source) get(ctx context.Context, addr netip.AddrPort, path string) (*http.Response, error) {
--- a/io/version/swarm/swarm_test.go
+++ b/io/version/swarm/swarm_test.go
@@ -36,6 +36,9 @@
 	chunks map[chunk.Digest][]byte
 	drawn  map[chunk.Digest]int
 	answer func(w http.ResponseWriter, d chunk.Digest, k int) bool
+	// manifest may take over the answer to a request for a manifest.
+	manifest func(w http.ResponseWriter) bool
+	once     sync.Once
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -52,7 +55,9 @@
 
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if d, ok := strings.CutPrefix(r.URL.Path, "/v1/manifests/"); ok {
-		w.Write(p.manifests[chunk.Digest(d)])
+		if p.manifest == nil || !p.manifest(w) {
+			w.Write(p.manifests[chunk.Digest(d)])
+		}
 		return
 	}
 	d := chunk.Digest(strings.TrimPrefix(r.URL.Path, "/v1/chunks/"))
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/envdoc"
@@ -33,17 +34,9 @@
 	n.do(func(s *state) {
 		s.view = v
 		s.wanted = wanted
-		keep := map[chunk.Digest]bool{}
 		for _, w := range wanted {
-			keep[w.Manifest] = true
 			n.learn(s, w)
 		}
-		for d, k := range s.manifests {
-			if !keep[d] {
-				k.cancel()
-				delete(s.manifests, d)
-			}
-		}
 		n.refresh(s)
 	})
 }
@@ -124,19 +117,40 @@
 	return out
 }
 
+// retire forgets the manifests that are no longer wanted, but not before all
+// wanted ones are read: until then it is not known which chunks they share,
+// and those would be discarded and fetched again.
+func (n *Node) retire(s *state) {
+	keep := map[chunk.Digest]bool{}
+	for _, w := range s.wanted {
+		keep[w.Manifest] = true
+		if k := s.manifests[w.Manifest]; k == nil || !k.ready {
+			return
+		}
+	}
+	for d, k := range s.manifests {
+		if !keep[d] {
+			k.cancel()
+			delete(s.manifests, d)
+		}
+	}
+}
+
 // refresh hands the wanted versions whose manifests are known to the
 // decisions; it is called with the state locked.
 func (n *Node) refresh(s *state) {
+	n.retire(s)
 	var sets []burst.Set
-	for _, w := range s.wanted {
-		k := s.manifests[w.Manifest]
-		if k == nil || !k.ready || hasSet(sets, w.Manifest) {
+	for _, d := range s.inOrder() {
+		k := s.manifests[d]
+		if k == nil || !k.ready {
 			continue
 		}
 		sets = append(sets, burst.Set{
-			ID:       w.Manifest,
+			ID:       d,
+			Keep:     !s.isWanted(d),
 			Manifest: k.manifest,
-			Members:  n.members(s, w.Manifest),
+			Members:  n.members(s, d),
 			Staged:   k.staged,
 		})
 	}
@@ -155,13 +169,24 @@
 	return n.OriginRegion
 }
 
-func hasSet(sets []burst.Set, d chunk.Digest) bool {
-	for _, s := range sets {
-		if s.ID == d {
-			return true
+func (s *state) isWanted(d chunk.Digest) bool {
+	return slices.ContainsFunc(s.wanted, func(w Wanted) bool { return w.Manifest == d })
+}
+
+// inOrder lists the known manifests, the wanted ones first.
+func (s *state) inOrder() []chunk.Digest {
+	var out []chunk.Digest
+	for _, w := range s.wanted {
+		if !slices.Contains(out, w.Manifest) {
+			out = append(out, w.Manifest)
+		}
+	}
+	for d := range s.manifests {
+		if !slices.Contains(out, d) {
+			out = append(out, d)
 		}
 	}
-	return false
+	return out
 }
 
 // members are the live sides whose service serves the manifest, this one
--- a/io/version/swarm/upload.go
+++ b/io/version/swarm/upload.go
@@ -21,15 +21,18 @@
 	far      bool // to another region
 	data     []byte
 	requests []*want
+	turn     int // when it was last served, in blocks
 }
 
-// uploads sends blocks to peers, one chunk after the other: a chunk that is
-// sent whole before the next starts can be passed on by its receiver sooner.
+// uploads sends blocks to peers in turn. Sent one chunk after the other, the
+// blocks would reach a receiver in clumps from several senders at once, with
+// its link idle in between.
 type uploads struct {
 	node *Node
 
 	mu   sync.Mutex
 	list []*outgoing
+	sent int // blocks
 	wake chan struct{}
 }
 
@@ -111,8 +114,9 @@
 	u.list = kept
 }
 
-// next takes the request to serve now: the first chunk's, but those to
-// another region before the rest, since a region link is the scarcer.
+// next takes the request to serve now: that of the chunk served longest ago,
+// but those to another region before the rest, since a region link is the
+// scarcer.
 func (u *uploads) next() (*outgoing, *want) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -121,7 +125,7 @@
 		if len(o.requests) == 0 || !u.node.held(o.ref.Digest) {
 			continue
 		}
-		if best == nil || (o.far && !best.far) {
+		if best == nil || o.before(best) {
 			best = o
 		}
 	}
@@ -130,9 +134,18 @@
 	}
 	w := best.requests[0]
 	best.requests = best.requests[1:]
+	u.sent++
+	best.turn = u.sent
 	return best, w
 }
 
+func (o *outgoing) before(other *outgoing) bool {
+	if o.far != other.far {
+		return o.far
+	}
+	return o.turn < other.turn
+}
+
 // run serves requests until ctx ends.
 func (u *uploads) run(ctx context.Context) {
 	for {
