core/version/burst: hand over turns early; extra copies for time

The profile at N=128 shows regions without the origin 84 percent busy at most while their import runs at 0.44 of the region link: each chunk's turn ended only once it was verified, staged and told, in which time its share of the link lay idle. Now the turn passes on when the last block is asked for; an import that fails after that is begun anew at once by the same side.

With weigh=time, sides of the origin's region draw chunks again once the first copies are all there, each keeping to its part of three further copies. Drawing extra copies from the start was ruled out: they would delay the first copies, on which all regions wait. Tests keep draws within four copies.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -58,6 +58,7 @@
 			continue
 		}
 		s.takeTurns(now, st)
+		s.drawExtra(now, st)
 	}
 }
 
@@ -67,6 +68,10 @@
 		if it.held {
 			continue
 		}
+		if it.early {
+			s.start(now, st, i, mostPatience*mostRank)
+			continue
+		}
 		if st.seen.Has(i) {
 			s.recover(now, st, i)
 			continue
@@ -110,6 +115,9 @@
 	s.fetchFrom(now, st, i, up, pos)
 }
 
+// mostRank is above every rank; late by that much a side need not wait.
+const mostRank = 1 << 16
+
 // unranked marks a rank that was not yet worked out.
 const unranked = -2
 
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -31,7 +31,7 @@
 	DefaultTurns = 2
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
-	DefaultDraws = 6
+	DefaultDraws = 4
 	// MaxPeers bounds the peers of which a side keeps state.
 	MaxPeers = 256
 )
@@ -105,6 +105,10 @@
 	copies   []uint16 // neighbours that hold each chunk
 	upstream []string // the region each chunk comes from, empty for the origin
 	place    []int    // this side's rank for each chunk, unranked until needed
+	// extra is what this side drew beyond the region's first copy, in bytes,
+	// and extraPlace its rank among those that may.
+	extra      int64
+	extraPlace int
 }
 
 // place is one position of a chunk in a set; a chunk may be in several.
@@ -126,6 +130,8 @@
 	dueAt   time.Time
 	lostAt  time.Time
 	retryAt time.Time
+	// early is set once this side has passed on its turn for the chunk.
+	early bool
 	// badTrades counts the neighbours' failures to send the chunk.
 	badTrades int
 	attempts  int // sources tried since the last draw from the origin
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"hawthornferry/core/process/envdoc"
 	"hawthornferry/core/version/chunk"
 )
 
@@ -37,6 +38,23 @@
 	}
 }
 
+// With time weighed over origin bytes more is drawn, but never more than the
+// four copies that the origin's link carries.
+func TestTimeDrawsWithinFourCopies(t *testing.T) {
+	for _, regions := range [][]string{regionsOf(1), regionsOf(2, 1, 1), regionsOf(6), regionsOf(9, 8, 7)} {
+		n := newNetwork(t, regions...)
+		for _, s := range n.sides {
+			s.state.SetWeigh(envdoc.WeighTime)
+		}
+		v := version("1", 0, 24).of(n.members())
+		n.update(v)
+		n.until(n.whole(v.ID))
+		if got := n.draws(); got < 24 || got > 4*24 {
+			t.Errorf("%d sides: %d draws, want 24 to 96", len(regions), got)
+		}
+	}
+}
+
 // Two sides of a region die half way, one of them before it has drawn its
 // chunks. Peers see their connections close; once the dead drawers' turns are
 // overdue the next in rank step in, and the living end whole.
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -181,6 +181,22 @@
 	}
 }
 
+// Asked tells that all of an import has been asked for: its share of the
+// region link is spent, so the turn passes on while the last bytes come in.
+// The region is told that the chunk is there; should the import fail after
+// all, this side at once begins anew.
+func (s *State) Asked(now time.Time, d chunk.Digest) []Action {
+	it, ok := s.items[d]
+	if !ok || it.via != ViaImport {
+		return nil
+	}
+	it.early = true
+	for _, pl := range it.places {
+		s.spread(pl.set, []int{pl.index}, "")
+	}
+	return s.settle(now)
+}
+
 // Failed tells that a transfer ended without the chunk. After is how long the
 // origin asked to be left alone, zero otherwise.
 func (s *State) Failed(now time.Time, d chunk.Digest, from string, why Failure, after time.Duration) []Action {
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -201,6 +201,11 @@
 	case Fetch:
 		s.transfer[a.Chunk.Digest]++
 		id := s.transfer[a.Chunk.Digest]
+		n.after(transferTime/2, func() {
+			if s.transfer[a.Chunk.Digest] == id && !s.dead {
+				n.act(s, s.state.Asked(n.time(), a.Chunk.Digest))
+			}
+		})
 		n.after(transferTime, func() { n.end(s, a, id) })
 	}
 }
@@ -273,7 +278,7 @@
 
 // version makes a manifest of the chunks from first on.
 func version(name string, first, count int) Set {
-	m := chunk.Manifest{Model: "m", Version: name}
+	m := chunk.Manifest{Model: "m", Version: name, Size: int64(count)}
 	for i := range count {
 		d := chunk.Sum([]byte(fmt.Sprint("chunk", first+i)))
 		m.Chunks = append(m.Chunks, chunk.Ref{Digest: d, Size: 1})
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -15,7 +15,7 @@
 	trickleFactor = 4
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
-	lostFactor = 3
+	lostFactor = 2
 	// firstBad is how long a peer is left alone after its first fault; each
 	// further one doubles it.
 	firstBad = time.Second
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -31,14 +31,15 @@
 func (s *State) newSet(w Set) *set {
 	n := len(w.Manifest.Chunks)
 	st := &set{
-		id:       w.ID,
-		keep:     w.Keep,
-		manifest: w.Manifest,
-		members:  map[string][]string{},
-		have:     NewBits(n),
-		pending:  NewBits(n),
-		seen:     NewBits(n),
-		copies:   make([]uint16, n),
+		id:         w.ID,
+		keep:       w.Keep,
+		extraPlace: unranked,
+		manifest:   w.Manifest,
+		members:    map[string][]string{},
+		have:       NewBits(n),
+		pending:    NewBits(n),
+		seen:       NewBits(n),
+		copies:     make([]uint16, n),
 	}
 	for _, m := range w.Members {
 		st.members[m.Region] = append(st.members[m.Region], m.Name)
@@ -115,6 +116,7 @@
 		for _, o := range old {
 			if o.id == st.id {
 				st.seen = o.seen.clone()
+				st.extra = o.extra
 			}
 		}
 		s.recount(st)
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -91,6 +91,9 @@
 			}
 			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
 			asked += k
+			if asked == size {
+				n.do(func(s *state) { s.add(s.core.Asked(s.now, in.fetch.Chunk.Digest)) })
+			}
 		}
 		select {
 		case <-ctx.Done():
