core/version/burst: take slots back from silent peers

A slot now ends when no block was sent for the patience of a trade, the peer is left alone, and after two stalls in a row its connection is closed and opened anew. Decisions no longer hang on the order of a map.

--- a/core/version/burst/action.go
+++ b/core/version/burst/action.go
@@ -63,15 +63,19 @@
 // Connect opens a connection to a neighbour.
 type Connect struct{ Peer string }
 
+// Disconnect closes the connection to a peer; it is opened anew when needed.
+type Disconnect struct{ Peer string }
+
 // Discard drops a chunk that no wanted version has from the staging area.
 type Discard struct{ Chunk chunk.Digest }
 
-func (Fetch) isAction()    {}
-func (Stop) isAction()     {}
-func (Offer) isAction()    {}
-func (Pass) isAction()     {}
-func (Ready) isAction()    {}
-func (Announce) isAction() {}
-func (Greet) isAction()    {}
-func (Connect) isAction()  {}
-func (Discard) isAction()  {}
+func (Fetch) isAction()      {}
+func (Stop) isAction()       {}
+func (Offer) isAction()      {}
+func (Pass) isAction()       {}
+func (Ready) isAction()      {}
+func (Announce) isAction()   {}
+func (Greet) isAction()      {}
+func (Connect) isAction()    {}
+func (Disconnect) isAction() {}
+func (Discard) isAction()    {}
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -53,8 +53,8 @@
 	for id := range p.maps {
 		s.forgetMap(p, id)
 	}
-	for _, it := range s.items {
-		if it.pending() && it.from == name {
+	for _, it := range s.pendingItems() {
+		if it.from == name {
 			s.failed(now, it, FailGone, 0)
 		}
 	}
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -193,6 +193,8 @@
 		n.tell(s, a.Peer, func(p *State) []Action { return p.Passed(n.time(), s.Name) })
 	case Ready:
 		n.tell(s, a.Peer, func(p *State) []Action { return p.Readied(n.time(), s.Name) })
+	case Disconnect:
+		n.after(messageTime, func() { n.disconnect(s.Name, a.Peer) })
 	case Discard:
 		s.dropped = append(s.dropped, a.Chunk)
 	case Stop:
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -20,6 +20,9 @@
 	// further one doubles it.
 	firstBad = time.Second
 	mostBad  = time.Minute
+	// silentStrikes is how many stalls in a row a connection may have before
+	// it is closed.
+	silentStrikes = 2
 	// corruptStrikes is how many faults a corrupt chunk counts for.
 	corruptStrikes = 3
 	// mostBadTrades is how many failures of neighbours to send a chunk are
@@ -78,20 +81,36 @@
 // expire ends transfers past their deadline and takes back upload slots from
 // silent peers.
 func (s *State) expire(now time.Time) {
-	for d, it := range s.items {
-		if !it.pending() || now.Before(it.deadline) {
+	for _, it := range s.pendingItems() {
+		if now.Before(it.deadline) {
 			continue
 		}
-		s.emit(Stop{Chunk: d, Peer: it.from, Reason: string(FailStalled)})
+		s.emit(Stop{Chunk: it.ref.Digest, Peer: it.from, Reason: string(FailStalled)})
 		s.failed(now, it, FailStalled, 0)
 	}
-	for _, p := range s.peers {
+	for _, p := range s.order {
 		if p.upload && now.After(p.uploadEnd) {
+			// The peer took an offer and went silent. Left in use, the slot
+			// would be lost, and with a few such peers all of them.
 			s.release(p)
+			s.blame(now, p.Name, FailStalled)
 		}
 	}
 }
 
+// pendingItems lists the chunks on the way, in a fixed order.
+func (s *State) pendingItems() []*item {
+	var out []*item
+	for _, st := range s.sets {
+		for i, it := range st.items {
+			if it.pending() && it.places[0] == (place{set: st, index: i}) {
+				out = append(out, it)
+			}
+		}
+	}
+	return out
+}
+
 func (s *State) failed(now time.Time, it *item, why Failure, after time.Duration) {
 	s.blame(now, it.from, why)
 	if it.via == ViaTrade && why != FailGone {
@@ -126,6 +145,10 @@
 	}
 	p.strikes += n
 	p.stalled = why == FailStalled
+	if why == FailStalled && p.strikes > silentStrikes && p.connected {
+		// A connection can go silent for good while a new one would work.
+		s.emit(Disconnect{Peer: name})
+	}
 	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
 	if p.badUntil.After(s.blameEnd) {
 		s.blameEnd = p.badUntil
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -4,8 +4,6 @@
 
 // Times of offers.
 const (
-	// offerLife bounds how long an upload slot waits for a silent peer.
-	offerLife = 10 * time.Second
 	// fullLife bounds how long a refusal is heeded: a Ready that was lost
 	// would otherwise leave the pair idle for good.
 	fullLife = time.Second
@@ -33,7 +31,7 @@
 		p := open[k]
 		open = append(open[:k], open[k+1:]...)
 		p.upload = true
-		p.uploadEnd = now.Add(offerLife)
+		p.uploadEnd = now.Add(s.patience(ViaTrade))
 		s.uploads++
 		s.emit(Offer{Peer: p.Name})
 	}
@@ -152,6 +150,14 @@
 	return s.settle(now)
 }
 
+// Sent tells that a block of the chunk a peer asked for has been sent; the
+// peer is given new time to ask for more.
+func (s *State) Sent(now time.Time, name string) {
+	if p, ok := s.peers[name]; ok && p.upload {
+		p.uploadEnd = now.Add(s.patience(ViaTrade))
+	}
+}
+
 // Served tells that the chunk a peer asked for on an offer has been sent, or
 // will not be.
 func (s *State) Served(now time.Time, name string) []Action {
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -94,7 +95,8 @@
 }
 
 func (s *State) dropUnwanted() {
-	for d, it := range s.items {
+	for _, d := range slices.Sorted(maps.Keys(s.items)) {
+		it := s.items[d]
 		if len(it.places) > 0 {
 			continue
 		}
--- a/io/version/swarm/act.go
+++ b/io/version/swarm/act.go
@@ -19,6 +19,8 @@
 		n.discard(a.Chunk)
 	case burst.Connect:
 		n.dial(s, a.Peer)
+	case burst.Disconnect:
+		n.toPeer(s, a.Peer, func(c *conn) { c.Close() })
 	case burst.Greet:
 		n.toPeer(s, a.Peer, func(c *conn) { c.send(&maps{Manifest: a.Manifest, Have: a.Have, Seen: a.Seen}) })
 	case burst.Announce:
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -114,6 +114,12 @@
 	n.do(func(s *state) { s.add(s.core.Served(s.now, peer)) })
 }
 
+func (n *Node) sentBlock(peer string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.core.Sent(n.Clock.Now(), peer)
+}
+
 func (n *Node) held(d chunk.Digest) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/version/swarm/upload.go
+++ b/io/version/swarm/upload.go
@@ -179,6 +179,7 @@
 	}
 	end := w.Offset + w.Length
 	o.conn.sendBlock(&block{Chunk: o.ref.Digest, Offset: w.Offset, Data: o.data[w.Offset:end]})
+	u.node.sentBlock(o.conn.name())
 	u.node.counters.sent.Inc(w.Length)
 	if end == o.ref.Size {
 		u.cancel(o.conn, o.ref.Digest)
