swarm: count only placed replicas as members

Spare VMs of a service fetch nothing, yet they were ranked as drawers and importers; each of their chunks then waited for the next in rank to step in. Members are now those that core/version/roll places. The load tool takes the number of chunks as an option and keeps the bytes the same. go test -race ./io/version/swarm passes; no timing was measured for this.

--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -17,7 +17,7 @@
 	"hawthornferry/core/version/burst"
 )
 
-// fullChunks is the number of chunks of a version.
+// fullChunks is the customary number of chunks of a version.
 const fullChunks = 128
 
 var (
@@ -36,10 +36,11 @@
 	csv     string
 	plot    string
 	cpu     string
+	chunks  int
 }
 
 func main() {
-	var o options
+	o := options{chunks: fullChunks}
 	p := flaggy.NewParser("burst")
 	p.Bool(&o.quick, "q", "quick", "Run a few small trials only.")
 	p.String(&o.only, "m", "mode", "Run only this mode: baseline, originBytes, time or faults.")
@@ -47,6 +48,7 @@
 	p.String(&o.setting, "s", "setting", "Run only this setting: machineBinds or regionBinds.")
 	p.String(&o.csv, "c", "csv", "Write the results to this file.")
 	p.String(&o.plot, "p", "plot", "Write a plot to this file.")
+	p.Int(&o.chunks, "k", "chunks", "Chunks of a version.")
 	p.Int(&tuning.Uploads, "o", "uploads", "Chunks that a side sends at a time.")
 	p.Int(&tuning.Inbound, "i", "inbound", "Chunks that a side takes at a time.")
 	p.Int(&tuning.Degree, "d", "degree", "Neighbours that a side dials.")
@@ -112,7 +114,7 @@
 			out = append(out, trialsOf(s, n, o)...)
 		}
 		if wantedMode(o, "faults") {
-			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: fullChunks, faults: true})
+			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: o.chunks, size: wholeBytes / o.chunks, faults: true})
 		}
 	}
 	return out
@@ -124,9 +126,9 @@
 		if !wantedMode(o, m.name) {
 			continue
 		}
-		t := trial{setting: s, mode: m, sides: n, chunks: fullChunks}
+		t := trial{setting: s, mode: m, sides: n, chunks: o.chunks, size: wholeBytes / o.chunks}
 		if m.direct {
-			t.chunks = max(1, 2*fullChunks/n)
+			t.chunks = max(1, 2*o.chunks/n)
 		}
 		out = append(out, t)
 	}
--- a/bench/burst/run.go
+++ b/bench/burst/run.go
@@ -22,7 +22,7 @@
 func run(ctx context.Context, t trial, seed uint64) (result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := t.rates(fullChunks)
+	r := t.rates()
 	w, err := newWorld(ctx, t, r, seed)
 	if err != nil {
 		return result{}, err
--- a/bench/burst/setup.go
+++ b/bench/burst/setup.go
@@ -10,7 +10,7 @@
 // origin's link carries two copies in that time and four in twice that time,
 // in which the machine links carry two.
 const (
-	chunkSize  = 64 << 10
+	wholeBytes = 8 << 20
 	blockSize  = 4 << 10
 	wholeTime  = 6 * time.Second
 	originRate = 2 // times the machine link's
@@ -48,10 +48,11 @@
 	mode    mode
 	sides   int
 	chunks  int
+	size    int // of a chunk
 	faults  bool
 }
 
-func (t trial) bytes() int64 { return int64(t.chunks) * chunkSize }
+func (t trial) bytes() int64 { return int64(t.chunks) * int64(t.size) }
 
 // rates of the links in bytes a second.
 type rates struct {
@@ -60,8 +61,8 @@
 	origin  float64
 }
 
-func (t trial) rates(chunks int) rates {
-	machine := float64(chunks*chunkSize) / wholeTime.Seconds()
+func (t trial) rates() rates {
+	machine := wholeBytes / wholeTime.Seconds()
 	return rates{machine: machine, region: t.setting.region * machine, origin: originRate * machine}
 }
 
--- a/bench/burst/world.go
+++ b/bench/burst/world.go
@@ -85,11 +85,11 @@
 	src := rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8), byte(seed >> 16)})
 	m := chunk.Manifest{Model: "model", Version: "1", Whole: chunk.Sum(nil), Size: w.trial.bytes()}
 	for range w.trial.chunks {
-		b := make([]byte, chunkSize)
+		b := make([]byte, w.trial.size)
 		_, _ = src.Read(b)
 		d := chunk.Sum(b)
 		w.chunks[d] = b
-		m.Chunks = append(m.Chunks, chunk.Ref{Digest: d, Size: chunkSize})
+		m.Chunks = append(m.Chunks, chunk.Ref{Digest: d, Size: int64(w.trial.size)})
 	}
 	b, err := m.Encode()
 	w.manifest, w.encoded, w.pinned = m, b, chunk.Sum(b)
@@ -226,6 +226,10 @@
 	for _, s := range w.sides {
 		v.VMs = append(v.VMs, s.vm)
 	}
+	for _, r := range regionNames {
+		svc := &v.Document.Services[0]
+		svc.Replicas = append(svc.Replicas, envdoc.Placement{Zone: r + "-a", Replicas: len(w.sides)})
+	}
 	return v
 }
 
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -11,6 +11,7 @@
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/roll"
 )
 
 // Waits between reads of a manifest.
@@ -189,32 +190,30 @@
 	return out
 }
 
-// members are the live sides whose service serves the manifest, this one
-// included.
+// members are the sides that the document has hold the manifest, this one
+// included. Spare VMs of a service are not among them: they fetch nothing and
+// would only be waited for.
 func (n *Node) members(s *state, d chunk.Digest) []burst.Member {
-	self := burst.Member{Name: n.Self.VM.Name, Region: n.Self.VM.Region}
-	out := []burst.Member{self}
-	serves := servicesOf(s.view, d)
-	for _, vm := range s.view.VMs {
-		if vm.Name == self.Name || vm.Role != fleet.RoleSide || vm.State != fleet.StateLive {
+	out := []burst.Member{{Name: n.Self.VM.Name, Region: n.Self.VM.Region}}
+	if s.view.Document == nil {
+		return out
+	}
+	for _, svc := range s.view.Document.Services {
+		m, ok := s.view.Document.ModelByName(svc.Model)
+		if !ok || m.Manifest != d {
 			continue
 		}
-		if serves[vm.Service] {
-			out = append(out, burst.Member{Name: vm.Name, Region: vm.Region})
+		for _, p := range svc.Replicas {
+			out = n.appendPlaced(out, roll.Placed(s.view, svc, fleet.VM{Zone: p.Zone}))
 		}
 	}
 	return out
 }
 
-func servicesOf(v view.View, d chunk.Digest) map[string]bool {
-	out := map[string]bool{}
-	if v.Document == nil {
-		return out
-	}
-	for _, svc := range v.Document.Services {
-		m, ok := v.Document.ModelByName(svc.Model)
-		if ok && m.Manifest == d {
-			out[svc.Name] = true
+func (n *Node) appendPlaced(out []burst.Member, vms []fleet.VM) []burst.Member {
+	for _, vm := range vms {
+		if vm.Name != n.Self.VM.Name {
+			out = append(out, burst.Member{Name: vm.Name, Region: vm.Region})
 		}
 	}
 	return out
