--- a/io/version/pace/pacer.go
+++ b/io/version/pace/pacer.go
@@ -1,6 +1,10 @@
 package pace
 
-import "github.com/jonboulle/clockwork"
+import (
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+)
 
 // DefaultFloor is the share of each link that transfers get at least.
 const DefaultFloor = 0.1
@@ -26,8 +30,8 @@
 	// Cross meters this side's live traffic over the region link; it paces
 	// nothing itself, see RegionLeft.
 	Cross  *Line
-	Region int64
 	Floor  float64
+	region atomic.Int64
 }
 
 // New returns the lines for cfg.
@@ -37,25 +41,30 @@
 		floor = DefaultFloor
 	}
 	line := func(rate int64) *Line { return &Line{Clock: clock, Rate: rate, Floor: floor} }
-	return &Pacer{
+	p := &Pacer{
 		Up:     line(cfg.Up),
 		Down:   line(cfg.Down),
 		Origin: line(cfg.Origin),
-		Cross:  line(cfg.Region),
-		Region: cfg.Region,
+		Cross:  line(max(cfg.Region, 1)),
 		Floor:  floor,
 	}
+	p.region.Store(cfg.Region)
+	return p
 }
 
+// SetRegion changes the rate of the whole region link in bytes a second.
+func (p *Pacer) SetRegion(rate int64) { p.region.Store(rate) }
+
 // RegionLeft estimates the bytes a second that live traffic leaves of the
 // region link, zero for an unpaced link. The link is shared and no process
 // sees all of it: calls spread evenly over the sides of a region, so the
 // side's own live rate times the number of sides stands for the whole. It is
 // never less than the floor.
 func (p *Pacer) RegionLeft(sides int) float64 {
-	if p.Region <= 0 {
+	rate := float64(p.region.Load())
+	if rate <= 0 {
 		return 0
 	}
-	left := float64(p.Region) - p.Cross.LiveRate()*float64(max(sides, 1))
-	return max(left, p.Floor*float64(p.Region))
+	left := rate - p.Cross.LiveRate()*float64(max(sides, 1))
+	return max(left, p.Floor*rate)
 }
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -158,6 +158,9 @@
 	if s.view.Document != nil {
 		s.core.SetWeigh(s.view.Document.Weigh)
 		s.core.SetOriginRegion(n.originRegion(s.view.Document))
+		if r, ok := s.view.Document.RegionByName(n.Self.VM.Region); ok && r.Link > 0 {
+			n.pacer.SetRegion(r.Link)
+		}
 	}
 	s.add(s.core.Update(s.now, sets))
 }
