core/version/burst: share region links by the regions still feeding

The share of a region link that one import may use was fixed by the number of regions. Now a share counts the regions that still have chunks for this one. Not yet measured.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -1,6 +1,7 @@
 package burst
 
 import (
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/rank"
@@ -141,10 +142,25 @@
 		s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaOrigin, Reason: reason})
 		return
 	}
-	pairs := max(len(st.regions)-1, 1)
-	share := 1 / float64(pairs*s.cfg.Turns)
 	s.peer(from, up)
-	s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaImport, Peer: from, Share: share, Reason: reason})
+	s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaImport, Peer: from, Share: s.share(st, up), Reason: reason})
+}
+
+// share is the part of the region link that one import from region up may
+// use. The own link inwards is shared by the regions that still have chunks
+// for this one, the other's link outwards by the regions that it feeds.
+func (s *State) share(st *set, up string) float64 {
+	feeds := len(st.regions) - 1
+	if up != s.cfg.OriginRegion && slices.Contains(st.regions, s.cfg.OriginRegion) {
+		feeds--
+	}
+	var from []string
+	for i, u := range st.upstream {
+		if u != "" && !st.seen.Has(i) && !slices.Contains(from, u) {
+			from = append(from, u)
+		}
+	}
+	return 1 / float64(max(feeds, len(from), 1)*s.cfg.Turns)
 }
 
 // exporter picks the side of region up to ask for a chunk: the one that ranks
