--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -13,14 +13,17 @@
 	"os/signal"
 
 	"github.com/integrii/flaggy"
+
+	"hawthornferry/core/version/burst"
 )
 
-// fullChunks is the number of chunks of a version.
+// fullChunks is the customary number of chunks of a version.
 const fullChunks = 128
 
 var (
 	verbose   bool
 	profiled  bool
+	tuning    burst.Config
 	logWriter io.Writer = os.Stderr
 )
 
@@ -32,10 +35,12 @@
 	setting string
 	csv     string
 	plot    string
+	cpu     string
+	chunks  int
 }
 
 func main() {
-	var o options
+	o := options{chunks: fullChunks}
 	p := flaggy.NewParser("burst")
 	p.Bool(&o.quick, "q", "quick", "Run a few small trials only.")
 	p.String(&o.only, "m", "mode", "Run only this mode: baseline, originBytes, time or faults.")
@@ -43,12 +48,22 @@
 	p.String(&o.setting, "s", "setting", "Run only this setting: machineBinds or regionBinds.")
 	p.String(&o.csv, "c", "csv", "Write the results to this file.")
 	p.String(&o.plot, "p", "plot", "Write a plot to this file.")
+	p.Int(&o.chunks, "k", "chunks", "Chunks of a version.")
+	p.Int(&tuning.Uploads, "o", "uploads", "Chunks that a side sends at a time.")
+	p.Int(&tuning.Inbound, "i", "inbound", "Chunks that a side takes at a time.")
+	p.Int(&tuning.Degree, "d", "degree", "Neighbours that a side dials.")
+	p.Int(&tuning.Turns, "t", "turns", "Chunks that cross between two regions at a time.")
+	p.Int(&tuning.Draws, "w", "draws", "Chunks that a region draws from the origin at a time.")
 	p.Bool(&profiled, "u", "profile", "Print how busy the links are while a version spreads.")
+	p.String(&o.cpu, "", "cpu", "Write a profile of the processors to this file.")
 	p.Bool(&verbose, "v", "verbose", "Log to standard error.")
 	if err := p.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	if o.cpu != "" {
+		defer profileCPU(o.cpu)()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	if err := measureAll(ctx, o); err != nil {
@@ -99,7 +114,7 @@
 			out = append(out, trialsOf(s, n, o)...)
 		}
 		if wantedMode(o, "faults") {
-			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: fullChunks, faults: true})
+			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: o.chunks, size: wholeBytes / o.chunks, faults: true})
 		}
 	}
 	return out
@@ -111,9 +126,9 @@
 		if !wantedMode(o, m.name) {
 			continue
 		}
-		t := trial{setting: s, mode: m, sides: n, chunks: fullChunks}
+		t := trial{setting: s, mode: m, sides: n, chunks: o.chunks, size: wholeBytes / o.chunks}
 		if m.direct {
-			t.chunks = max(1, 2*fullChunks/n)
+			t.chunks = max(1, 2*o.chunks/n)
 		}
 		out = append(out, t)
 	}
--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -1,6 +1,7 @@
 package burst
 
 import (
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/rank"
@@ -31,9 +32,9 @@
 	return append(out, rest[:k]...)
 }
 
-// upstream is the region from which the own region gets chunk i, empty for
+// upstreamOf is the region from which the own region gets chunk i, empty for
 // the origin.
-func (s *State) upstream(st *set, i int) string {
+func (s *State) upstreamOf(st *set, i int) string {
 	prev := ""
 	for _, r := range s.chain(st, i) {
 		if r == s.cfg.Self.Region {
@@ -50,11 +51,15 @@
 // importers use add up to no more than the link, with no shared record.
 func (s *State) acquire(now time.Time) {
 	for _, st := range s.sets {
+		if st.keep {
+			continue
+		}
 		if s.cfg.Direct {
 			s.drawAll(now, st)
 			continue
 		}
 		s.takeTurns(now, st)
+		s.drawExtra(now, st)
 	}
 }
 
@@ -64,11 +69,15 @@
 		if it.held {
 			continue
 		}
+		if it.early {
+			s.start(now, st, i, mostPatience*mostRank)
+			continue
+		}
 		if st.seen.Has(i) {
 			s.recover(now, st, i)
 			continue
 		}
-		up := s.upstream(st, i)
+		up := st.upstream[i]
 		if taken[up] >= s.turns(up) {
 			continue
 		}
@@ -99,14 +108,29 @@
 	if it.pending() || now.Before(it.retryAt) {
 		return
 	}
-	up := s.upstream(st, i)
-	pos := rank.Position(string(it.ref.Digest), s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+	up := st.upstream[i]
+	pos := s.position(st, i)
 	if pos < 0 || late < s.stepIn(up, pos) {
 		return
 	}
 	s.fetchFrom(now, st, i, up, pos)
 }
 
+// mostRank is above every rank; late by that much a side need not wait.
+const mostRank = 1 << 16
+
+// unranked marks a rank that was not yet worked out.
+const unranked = -2
+
+// position is this side's rank for a chunk among the sides of the region.
+func (s *State) position(st *set, i int) int {
+	if st.place[i] == unranked {
+		key := string(st.items[i].ref.Digest)
+		st.place[i] = rank.Position(key, s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+	}
+	return st.place[i]
+}
+
 func (s *State) fetchFrom(now time.Time, st *set, i int, up string, pos int) {
 	it := st.items[i]
 	reason := "ranks first"
@@ -118,10 +142,25 @@
 		s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaOrigin, Reason: reason})
 		return
 	}
-	pairs := max(len(st.regions)-1, 1)
-	share := 1 / float64(pairs*s.cfg.Turns)
 	s.peer(from, up)
-	s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaImport, Peer: from, Share: share, Reason: reason})
+	s.begin(now, it, Fetch{Chunk: it.ref, Via: ViaImport, Peer: from, Share: s.share(st, up), Reason: reason})
+}
+
+// share is the part of the region link that one import from region up may
+// use. The own link inwards is shared by the regions that still have chunks
+// for this one, the other's link outwards by the regions that it feeds.
+func (s *State) share(st *set, up string) float64 {
+	feeds := len(st.regions) - 1
+	if up != s.cfg.OriginRegion && slices.Contains(st.regions, s.cfg.OriginRegion) {
+		feeds--
+	}
+	var from []string
+	for i, u := range st.upstream {
+		if u != "" && !st.seen.Has(i) && !slices.Contains(from, u) {
+			from = append(from, u)
+		}
+	}
+	return 1 / float64(max(feeds, len(from), 1)*s.cfg.Turns)
 }
 
 // exporter picks the side of region up to ask for a chunk: the one that ranks
@@ -146,17 +185,19 @@
 }
 
 // recover fetches a chunk that the region was heard to hold but that no
-// neighbour has had for long: the sides that held it may be gone.
+// neighbour has had for long, or that neighbours failed to send more than
+// once: those that held it may be gone, or hold it corrupt, and the side
+// would never be whole.
 func (s *State) recover(now time.Time, st *set, i int) {
 	it := st.items[i]
-	if it.pending() || st.copies[i] > 0 {
+	if it.pending() || (it.badTrades < mostBadTrades && s.withinReach(now, st, i)) {
 		it.lostAt = time.Time{}
 		return
 	}
 	if it.lostAt.IsZero() {
 		it.lostAt = now
 	}
-	up := s.upstream(st, i)
+	up := st.upstream[i]
 	late := now.Sub(it.lostAt) - lostFactor*s.stepIn(up, 1)
 	if late < 0 {
 		return
@@ -164,6 +205,22 @@
 	s.start(now, st, i, late)
 }
 
+// withinReach reports whether a neighbour that is not left alone holds chunk i.
+func (s *State) withinReach(now time.Time, st *set, i int) bool {
+	if st.copies[i] == 0 || !s.blaming(now) {
+		return st.copies[i] > 0
+	}
+	for _, p := range s.order {
+		if s.near(p) && p.maps[st.id].Has(i) && !now.Before(p.badUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// blaming reports whether any peer is left alone now.
+func (s *State) blaming(now time.Time) bool { return now.Before(s.blameEnd) }
+
 func (s *State) drawAll(now time.Time, st *set) {
 	for _, it := range st.items {
 		if it.held || it.pending() || now.Before(it.retryAt) {
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -4,8 +4,6 @@
 
 // Times of offers.
 const (
-	// offerLife bounds how long an upload slot waits for a silent peer.
-	offerLife = 10 * time.Second
 	// fullLife bounds how long a refusal is heeded: a Ready that was lost
 	// would otherwise leave the pair idle for good.
 	fullLife = time.Second
@@ -19,29 +17,36 @@
 	if s.cfg.Direct {
 		return
 	}
-	used := 0
+	if s.uploads >= s.cfg.Uploads {
+		return
+	}
 	var open []*peer
-	for _, p := range s.sortedPeers() {
-		if p.upload {
-			used++
-			continue
-		}
+	for _, p := range s.order {
 		if s.eligible(now, p) {
 			open = append(open, p)
 		}
 	}
-	for ; used < s.cfg.Uploads && len(open) > 0; used++ {
+	for s.uploads < s.cfg.Uploads && len(open) > 0 {
 		k := s.pickPeer(open)
 		p := open[k]
 		open = append(open[:k], open[k+1:]...)
 		p.upload = true
-		p.uploadEnd = now.Add(offerLife)
+		p.uploadEnd = now.Add(s.patience(ViaTrade))
+		s.uploads++
 		s.emit(Offer{Peer: p.Name})
 	}
 }
 
+// release frees the upload slot that a peer has, if it has one.
+func (s *State) release(p *peer) {
+	if p.upload {
+		p.upload = false
+		s.uploads--
+	}
+}
+
 func (s *State) eligible(now time.Time, p *peer) bool {
-	if !s.near(p) || now.Before(p.badUntil) {
+	if p.upload || !s.near(p) || (p.stalled && now.Before(p.badUntil)) {
 		return false
 	}
 	if p.full && now.Before(p.fullUntil) {
@@ -98,6 +103,9 @@
 	var copies uint16
 	ties := 0
 	for _, st := range s.sets {
+		if st.keep {
+			continue
+		}
 		m := p.maps[st.id]
 		for i, it := range st.items {
 			if it.held || it.pending() || !m.Has(i) {
@@ -126,7 +134,7 @@
 	if !ok {
 		return nil
 	}
-	p.upload = false
+	s.release(p)
 	p.full = true
 	p.fullUntil = now.Add(fullLife)
 	return s.settle(now)
@@ -142,6 +150,14 @@
 	return s.settle(now)
 }
 
+// Sent tells that a block of the chunk a peer asked for has been sent; the
+// peer is given new time to ask for more.
+func (s *State) Sent(now time.Time, name string) {
+	if p, ok := s.peers[name]; ok && p.upload {
+		p.uploadEnd = now.Add(s.patience(ViaTrade))
+	}
+}
+
 // Served tells that the chunk a peer asked for on an offer has been sent, or
 // will not be.
 func (s *State) Served(now time.Time, name string) []Action {
@@ -149,7 +165,7 @@
 	if !ok {
 		return nil
 	}
-	p.upload = false
+	s.release(p)
 	return s.settle(now)
 }
 
@@ -172,7 +188,7 @@
 		return
 	}
 	var owed []*peer
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if p.owed && s.near(p) && s.lacksOf(p) {
 			owed = append(owed, p)
 		}
