--- a/core/request/calls/owner_test.go
+++ b/core/request/calls/owner_test.go
@@ -36,8 +36,8 @@
 		view view.View
 	}{
 		{"one leaves", ownerView(sideVM("y1", "y", fleet.StateLeaving), y2, z1)},
-		{"one is missing", ownerView(y1, z1)},
-		{"successor beside it", ownerView(y1, y2, sideVM("y3", "y", fleet.StateLive), z1)},
+		{"one is missing", ownerView(y2, z1)},
+		{"successor beside it", ownerView(y1, y2, sideVM("y0", "y", fleet.StateLive), z1)},
 		{"zone is missing", ownerView(y1, y2)},
 		{"other order", ownerView(z1, y2, y1)},
 	}
