io/conn/sessn: bound request bodies over all connections of a side

Bodies were bounded for each connection and only until they had come whole: 256 calls of 8 MiB could be held. Room is taken over all connections, to the end of the call. The test was seen to fail without the bound (third call runs) and to hang without giving room back.

--- a/io/conn/sessn/server.go
+++ b/io/conn/sessn/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,9 @@
 	// MaxCalls bounds the calls open on one connection.
 	MaxCalls int
 
+	// bodies is the number of bytes of the request bodies of open calls.
+	bodies atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*sideConn]bool
 }
@@ -59,9 +63,7 @@
 
 	mu      sync.Mutex
 	streams map[Channel]*Stream
-	// arriving is the number of body bytes held for calls not yet whole.
-	arriving int
-	silence  lease.Silence
+	silence lease.Silence
 	// beaten counts heartbeats sent, alive those that the entry has answered;
 	// heardFrom is closed and renewed with each answer.
 	beaten    int
@@ -69,8 +71,8 @@
 	heardFrom chan struct{}
 }
 
-// maxArriving bounds the bodies that one connection may leave unfinished.
-const maxArriving = 2 * MaxBody
+// maxBodies bounds the request bodies of open calls, over all connections.
+const maxBodies = 2 * MaxBody
 
 // serve runs one connection. It returns when the connection has ended and
 // every call on it has returned.
@@ -84,6 +86,7 @@
 	c.wg.Go(func() { c.beats(ctx) })
 	_ = c.receive(ctx)
 	c.gone()
+	c.dropUnfinished()
 	cancel()
 	l.Close()
 	c.wg.Wait()
@@ -210,10 +213,14 @@
 }
 
 func (c *sideConn) onStart(ctx context.Context, m *Start) error {
-	if c.arriving+m.Size > maxArriving {
+	if c.server.bodies.Add(int64(m.Size)) > maxBodies {
+		c.server.bodies.Add(-int64(m.Size))
 		return c.busy(m)
 	}
 	s, err := c.open(ctx, m.Channel)
+	if err != nil || s == nil {
+		c.server.bodies.Add(-int64(m.Size))
+	}
 	if err != nil {
 		return err
 	}
@@ -223,7 +230,6 @@
 	s.Start, s.want = m, m.Size
 	s.Body = m.Body
 	m.Body = nil
-	c.arriving += m.Size
 	c.beginWhole(s)
 	return nil
 }
@@ -257,8 +263,9 @@
 	if len(s.Body) < s.want {
 		return
 	}
-	c.arriving -= s.want
+	s.begun = true
 	c.wg.Go(func() {
+		defer c.server.bodies.Add(-int64(s.want))
 		defer s.cancel()
 		defer c.forget(s.channel)
 		c.server.Service.Begin(s)
@@ -286,9 +293,20 @@
 	if s == nil {
 		return
 	}
-	if s.Start != nil && len(s.Body) < s.want {
-		c.arriving -= s.want
+	if s.unfinished() {
+		c.server.bodies.Add(-int64(s.want))
 		c.forget(id)
 	}
 	s.cancel()
 }
+
+// dropUnfinished gives up the calls whose bodies never came whole.
+func (c *sideConn) dropUnfinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.streams {
+		if s.unfinished() {
+			c.server.bodies.Add(-int64(s.want))
+		}
+	}
+}
--- a/io/conn/sessn/stream.go
+++ b/io/conn/sessn/stream.go
@@ -27,9 +27,14 @@
 	more   chan struct{}
 
 	position int
-	want     int
+	// want is the length of the body, begun is set once it is whole; both
+	// belong to the connection's reader.
+	want  int
+	begun bool
 }
 
+func (s *Stream) unfinished() bool { return s.Start != nil && !s.begun }
+
 func newStream(ctx context.Context, c *sideConn, id Channel) *Stream {
 	s := &Stream{conn: c, channel: id, credit: Window, more: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
--- a/io/request/front/retry_test.go
+++ b/io/request/front/retry_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,6 +95,32 @@
 	}
 }
 
+// Bodies of calls that are under way fill the side's room for them. A further
+// call is refused as not run, and served when the others have ended.
+func TestBodiesAtASideAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.entryLimits = Limits{MaxBody: 8 << 20, MaxBodies: 64 << 20}
+	p := newPayments()
+	w.addSide("b1", "booking", p)
+	e := w.addEntry("e1")
+	w.ready(e, "booking", 1)
+	body := func(name string) string { return name + strings.Repeat("x", 6<<20) }
+	first, second := w.goCall(e, body("hold-1"), nil), w.goCall(e, body("hold-2"), nil)
+	<-p.began
+	<-p.began
+	check(t, "third", "notRun", toldOf(<-w.goCall(e, body("third"), nil)).Outcome)
+	close(p.release)
+	check(t, "first", "done", toldOf(<-first).Outcome)
+	check(t, "second", "done", toldOf(<-second).Outcome)
+	for range 4 {
+		for toldOf(<-w.goCall(e, body("later"), nil)).Outcome == "notRun" {
+			// The room of an ended call is given back after its answer is sent.
+			time.Sleep(time.Millisecond)
+		}
+	}
+	check(t, "runs of later ones", 4, p.ran(body("later")))
+}
+
 // Answers around the bounds of a block, of the credit and of what is held
 // back come whole.
 func TestLargeAnswersAreWhole(t *testing.T) {
