io/request/front: say when to ask again after a deadline

A repeatable call that passed its deadline got no Retry-After though asking again is safe. A once-call gets none, but the ticket to ask by; the test fails when the header is left in for it. The deadline runs on a clock that the test advances once the target has begun.

--- a/io/request/front/once_test.go
+++ b/io/request/front/once_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/request/calls"
 )
@@ -264,3 +265,29 @@
 	check(t, "with another", told{Outcome: "done", Body: "paid fee"}, toldOf(<-w.goCall(e, "fee", nil)))
 	check(t, "runs", 1, p.ran("fee"))
 }
+
+// The deadline passes while the target works. A call that may be repeated is
+// told when to ask again; a once-call is told unknown, with the ticket to ask
+// by and no invitation to send it again.
+func TestDeadlineTellsWhatIsSafe(t *testing.T) {
+	w := newWorld(t)
+	clock := clockwork.NewFakeClock()
+	w.entryClock = clock
+	p := newPayments()
+	w.addSide("b1", "booking", p)
+	e := w.addEntry("e1")
+	w.ready(e, "booking", 1)
+	late := func(path string) reply {
+		c := make(chan reply, 1)
+		go func() { c <- w.call(e, http.MethodPost, path, "hold", http.Header{headerDeadline: {"100"}}) }()
+		<-p.began
+		clock.Advance(100 * time.Millisecond)
+		return <-c
+	}
+	once, repeatable := late(payPath), late("/v1/services/booking/search")
+	close(p.release)
+	check(t, "once", "unknown", once.Header.Get(headerOutcome))
+	check(t, "once, retry after", "", once.Header.Get("Retry-After"))
+	check(t, "once, has a ticket", true, once.Problem.Ticket != "")
+	check(t, "repeatable, retry after", "1", repeatable.Header.Get("Retry-After"))
+}
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -174,7 +174,7 @@
 	defer cancel()
 	v, ok := f.policy.admit(ctx, k.req)
 	if !ok {
-		f.fail(w, k, gaveUp(ctx, k.unsentOutcome()))
+		f.fail(w, k, onceEnding(gaveUp(ctx, k.unsentOutcome())))
 		return
 	}
 	f.logAdmission(k, v)
--- a/io/request/front/work.go
+++ b/io/request/front/work.go
@@ -212,7 +212,10 @@
 // gaveUp is the ending of a call whose deadline has passed or whose caller
 // has left.
 func gaveUp(ctx context.Context, o calls.Outcome) ending {
-	e := ending{outcome: o, reason: string(calls.ReasonTimeout), status: http.StatusGatewayTimeout}
+	e := ending{
+		outcome: o, reason: string(calls.ReasonTimeout),
+		status: http.StatusGatewayTimeout, retryAfter: retryAfter,
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		e.reason = string(calls.ReasonCancel)
 	}
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -45,6 +45,7 @@
 	log        trail.Log
 	// entryLimits, when set before an entry is added, are its limits.
 	entryLimits Limits
+	entryClock  clockwork.Clock
 
 	mu      sync.Mutex
 	view    view.View
@@ -181,6 +182,7 @@
 	}
 	f.Limits = w.entryLimits
 	f.Limits.Notice = 10 * time.Millisecond
+	f.Clock = or(w.entryClock, f.Clock)
 	f.Limits.Subset = 4
 	if len(first) > 0 {
 		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
