io/request/front: let the test proxy read on while it holds back

Cause: what a silent connection held back was left in the kernel, where a reset from the other end may drop it.

--- a/io/request/front/proxy_test.go
+++ b/io/request/front/proxy_test.go
@@ -60,24 +60,44 @@
 	}
 }
 
+// maxHeld is the most pieces that one direction of a pair holds back.
+const maxHeld = 4096
+
+// copy passes on what it reads, in order, while the gate is open. It reads on
+// while the gate is closed: left in the kernel, what was held back could be
+// dropped by a reset from the other end.
 func (p *proxy) copy(pr *pair, to, from net.Conn) {
-	buf := make([]byte, 64<<10)
+	held := make(chan []byte, maxHeld)
+	go p.deliver(pr, to, held)
+	defer close(held)
 	for {
+		buf := make([]byte, 64<<10)
 		n, err := from.Read(buf)
-		p.mu.Lock()
-		gate := pr.gate
-		p.mu.Unlock()
-		<-gate
 		if n > 0 {
-			_, _ = to.Write(buf[:n])
+			held <- buf[:n]
 		}
 		if err != nil {
-			to.Close()
 			return
 		}
 	}
 }
 
+func (p *proxy) deliver(pr *pair, to net.Conn, held <-chan []byte) {
+	defer to.Close()
+	for b := range held {
+		p.await(pr)
+		_, _ = to.Write(b)
+	}
+	p.await(pr)
+}
+
+func (p *proxy) await(pr *pair) {
+	p.mu.Lock()
+	gate := pr.gate
+	p.mu.Unlock()
+	<-gate
+}
+
 // silence loses track of the connections that are open now. The returned
 // function lets go what they have held back.
 func (p *proxy) silence() func() {
