demo: silence the connections to two sides under FAULTS=1

A killed process is noticed by its closed connections; one whose connections go silent is the harder case. The script now also pauses two sides for 5 s; not yet run.

--- a/script/demo.sh
+++ b/script/demo.sh
@@ -10,7 +10,9 @@
 #   SIZE_MIB=64    size of version 2; version 1 has a quarter of it
 #   LIMIT=180      most seconds for each rollout
 #   DEMO_NET=20    second number of the IP numbers, 127.DEMO_NET.x.y
-#   FAULTS=1       kills two sides and an entry in mid-rollout, and starts them anew
+#   FAULTS=1       in mid-rollout makes the connections to two sides go silent,
+#                  kills two others and an entry, pauses two more for 5 s, and
+#                  starts the killed anew
 #   OVERHEAD=1     measures at the end what the entries add to a call
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -51,6 +53,7 @@
   local code=$? pid tenths=0
   trap - EXIT INT TERM
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do
     while running "$pid" && ((tenths < grace_tenths)); do
       sleep 0.1
@@ -130,17 +133,26 @@
   done <"$dir/processes"
 }
 
-# break_some kills a side of each kind and an entry while version 2 is under
-# way, and replaces them after a while.
+# break_some makes the connections to a side of each kind go silent, then kills
+# a side of each kind and an entry and pauses two other sides while version 2 is
+# under way. After a while it replaces the killed and resumes the paused.
 break_some() {
   local name
   local -r names=("$chat-1" "$once-1" entry-1)
-  sleep 5
+  local -r paused=("$chat-3" "$once-3")
+  sleep 3
+  bin/standin silence --fleet "$dir" --name "$chat-2"
+  bin/standin silence --fleet "$dir" --name "$once-2"
+  sleep 3
   echo "killing ${names[*]}"
   for name in "${names[@]}"; do kill -9 "${pids[$name]}"; done
+  for name in "${names[@]}"; do wait "${pids[$name]}" 2>/dev/null || true; done
+  echo "pausing ${paused[*]}"
+  for name in "${paused[@]}"; do kill -STOP "${pids[$name]}"; done
   sleep 5
-  echo "replacing ${names[*]}"
+  echo "replacing ${names[*]}, resuming ${paused[*]}"
   for name in "${names[@]}"; do restart "$name"; done
+  for name in "${paused[@]}"; do kill -CONT "${pids[$name]}"; done
 }
 
 for program in standin hawthornferry; do
@@ -148,7 +160,9 @@
 done
 rm -rf "$dir"
 mkdir -p "$dir"
-bin/standin fleet --document "examples/$deployment.ini" --out "$dir" --net "$net" --entries 2
+layout=()
+if [[ $faults == 1 ]]; then layout=(--relay); fi
+bin/standin fleet --document "examples/$deployment.ini" --out "$dir" --net "$net" --entries 2 "${layout[@]}"
 
 echo "$deployment: starting $(wc -l <"$dir/processes") processes, logs in $dir"
 start_all standin
--- a/standin/demo/demo_test.go
+++ b/standin/demo/demo_test.go
@@ -35,7 +35,7 @@
 		{deployment: "schools", engines: 6, plain: 4},
 	}
 	for _, tc := range tests {
-		f, err := Plan(example(tc.deployment), 20, 2)
+		f, err := Plan(example(tc.deployment), Layout{Net: 20, Entries: 2, Relay: true})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -76,15 +76,14 @@
 	tests := []struct {
 		name     string
 		document string
-		net      int
-		entries  int
+		layout   Layout
 	}{
-		{name: "no document", document: "missing.ini", net: 20, entries: 2},
-		{name: "net", document: example("pindan"), net: 256, entries: 2},
-		{name: "no entry", document: example("pindan"), net: 20},
+		{name: "no document", document: "missing.ini", layout: Layout{Net: 20, Entries: 2}},
+		{name: "net", document: example("pindan"), layout: Layout{Net: 256, Entries: 2}},
+		{name: "no entry", document: example("pindan"), layout: Layout{Net: 20}},
 	}
 	for _, tc := range tests {
-		if _, err := Plan(tc.document, tc.net, tc.entries); err == nil {
+		if _, err := Plan(tc.document, tc.layout); err == nil {
 			t.Errorf("%s: no error", tc.name)
 		}
 	}
@@ -93,7 +92,7 @@
 // The rendered document differs from the example in the version and digest
 // of the models alone, and is sound.
 func TestRender(t *testing.T) {
-	f, err := Plan(example("pindan"), 20, 2)
+	f, err := Plan(example("pindan"), Layout{Net: 20, Entries: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -16,7 +16,9 @@
 )
 
 // Fleet is every process of a demonstration and where it listens. Document is
-// the path of the document that it was planned from.
+// the path of the document that it was planned from. Relay takes the control
+// calls of the relay that leads to the sides, and is the zero address when
+// there is none.
 type Fleet struct {
 	Environment string         `json:"environment"`
 	Document    string         `json:"document"`
@@ -24,6 +26,7 @@
 	VMList      netip.AddrPort `json:"vmList"`
 	Store       netip.AddrPort `json:"store"`
 	Origin      netip.AddrPort `json:"origin"`
+	Relay       netip.AddrPort `json:"relay"`
 	Links       Links          `json:"links"`
 	Entries     []Node         `json:"entries"`
 	Sides       []Node         `json:"sides"`
@@ -37,10 +40,12 @@
 }
 
 // Node is one process of the system, an entry or a side with its target.
-// Callers is an entry's own address for them; Target, Kind, Fencing and
+// Listed is the address under which the platform lists it, its own or a
+// relay's that leads to it. Callers is an entry's address for them; Target, Kind, Fencing and
 // Model are a side's.
 type Node struct {
 	VM      fleet.VM       `json:"vm"`
+	Listed  netip.AddrPort `json:"listed"`
 	Admin   netip.AddrPort `json:"admin"`
 	Callers netip.AddrPort `json:"callers"`
 	Target  netip.AddrPort `json:"target"`
--- a/standin/demo/plan.go
+++ b/standin/demo/plan.go
@@ -21,6 +21,7 @@
 	portCallers = 8001
 	portAdmin   = 9001
 	portTarget  = 5001
+	portRelay   = 7900
 )
 
 // The third number of the IP of each group of processes.
@@ -29,6 +30,7 @@
 	groupEntry    = 1
 	groupSide     = 2
 	groupTarget   = 3
+	groupRelay    = 4
 )
 
 // maxGroup bounds a group of processes.
@@ -41,9 +43,31 @@
 	originCopies  = 4
 )
 
-// Plan lays out the fleet of the document at path, with entries in turn over
-// the zones. net is the second number of its IP numbers, 127.net.x.y.
-func Plan(path string, net, entries int) (*Fleet, error) {
+// Layout says how a fleet is laid out: the second number of its IP numbers,
+// 127.Net.x.y, the number of entries, which go in turn over the zones, and
+// whether the sides are reached through a relay.
+type Layout struct {
+	Net     int
+	Entries int
+	Relay   bool
+}
+
+// Check reports the first field that is out of its domain.
+func (l Layout) Check() error {
+	if l.Net < 0 || l.Net > 255 {
+		return errors.Newf("net %d: want 0 to 255", l.Net)
+	}
+	if l.Entries < 1 || l.Entries > maxGroup {
+		return errors.Newf("entries %d: want 1 to %d", l.Entries, maxGroup)
+	}
+	return nil
+}
+
+// Plan lays out the fleet of the document at path.
+func Plan(path string, l Layout) (*Fleet, error) {
+	if err := l.Check(); err != nil {
+		return nil, err
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read document")
@@ -52,10 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if net < 0 || net > 255 || entries < 1 || entries > maxGroup {
-		return nil, errors.Newf("net %d, entries %d: want 0 to 255 and 1 to %d", net, entries, maxGroup)
-	}
-	p := planner{doc: doc, net: byte(net)}
+	p := planner{doc: doc, layout: l}
 	f := &Fleet{
 		Environment: doc.Name,
 		Document:    path,
@@ -64,8 +85,11 @@
 		Store:       p.address(groupPlatform, 1, portStore),
 		Origin:      p.address(groupPlatform, 1, portOrigin),
 	}
+	if l.Relay {
+		f.Relay = p.address(groupPlatform, 2, portRelay)
+	}
 	f.Links = p.links()
-	for i := range entries {
+	for i := range l.Entries {
 		f.Entries = append(f.Entries, p.entry(i))
 	}
 	for _, s := range doc.Services {
@@ -78,12 +102,12 @@
 }
 
 type planner struct {
-	doc *envdoc.Document
-	net byte
+	doc    *envdoc.Document
+	layout Layout
 }
 
 func (p planner) address(group, i int, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, p.net, byte(group), byte(i + 1)}), port)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(p.layout.Net), byte(group), byte(i + 1)}), port)
 }
 
 // links sets all links by the thinnest region link.
@@ -108,6 +132,7 @@
 			Address: p.address(groupEntry, i, portPeers),
 			State:   fleet.StateLive,
 		},
+		Listed:  p.address(groupEntry, i, portPeers),
 		Admin:   p.address(groupEntry, i, portAdmin),
 		Callers: p.address(groupEntry, i, portCallers),
 	}
@@ -127,6 +152,10 @@
 
 func (p planner) side(i, n int, s envdoc.Service, zone string) Node {
 	z, _ := p.doc.ZoneByName(zone)
+	listed := p.address(groupSide, i, portPeers)
+	if p.layout.Relay {
+		listed = p.address(groupRelay, i, portPeers)
+	}
 	return Node{
 		VM: fleet.VM{
 			Name:    fmt.Sprintf("%s-%d", s.Name, n),
@@ -137,6 +166,7 @@
 			Address: p.address(groupSide, i, portPeers),
 			State:   fleet.StateLive,
 		},
+		Listed:  listed,
 		Admin:   p.address(groupSide, i, portAdmin),
 		Target:  p.address(groupTarget, i, portTarget),
 		Kind:    s.Kind,
--- a/standin/demo/version.go
+++ b/standin/demo/version.go
@@ -82,7 +82,9 @@
 // register puts every VM on the platform's list.
 func (f *Fleet) register(ctx context.Context) error {
 	for _, n := range f.Nodes() {
-		err := exchange(ctx, http.MethodPut, f.VMList, "/control/vms/"+n.VM.Name, n.VM, nil)
+		listed := n.VM
+		listed.Address = n.Listed
+		err := exchange(ctx, http.MethodPut, f.VMList, "/control/vms/"+n.VM.Name, listed, nil)
 		if err != nil {
 			return errors.Wrapf(err, "register %s", n.VM.Name)
 		}
--- a/standin/demo/write.go
+++ b/standin/demo/write.go
@@ -94,7 +94,7 @@
 	var out []string
 	for _, n := range append(append([]Node{}, f.Entries...), f.Sides...) {
 		if n.VM.Name != self.VM.Name && len(out) < maxSeeds {
-			out = append(out, n.VM.Address.String())
+			out = append(out, n.Listed.String())
 		}
 	}
 	return out
@@ -106,6 +106,9 @@
 		fmt.Sprintf("platform %s platform --config %s --vms %s", programStandin, f.Config, f.VMList),
 		fmt.Sprintf("weights %s weights --store %s --origin %s --link %d", programStandin, f.Store, f.Origin, f.Links.Origin),
 	}
+	if f.Relay.IsValid() {
+		out = append(out, f.relay())
+	}
 	for _, service := range f.services() {
 		out = append(out, f.targets(service))
 	}
@@ -115,6 +118,15 @@
 	return out
 }
 
+// relay is the process through which the sides are reached.
+func (f *Fleet) relay() string {
+	var routes []string
+	for _, n := range f.Sides {
+		routes = append(routes, fmt.Sprintf("%s=%s", n.Listed, n.VM.Address))
+	}
+	return fmt.Sprintf("relay %s relay --control %s --routes %s", programStandin, f.Relay, strings.Join(routes, ","))
+}
+
 // services are the names of the services, in the order of the sides.
 func (f *Fleet) services() []string {
 	var out []string
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -16,18 +16,19 @@
 // fleetCommand plans a demonstration.
 func fleetCommand() command {
 	var document, dir string
-	net, entries := 20, 2
+	l := demo.Layout{Net: 20, Entries: 2}
 	f := flaggy.NewSubcommand("fleet")
 	f.Description = "plan a demonstration: settings and list of its processes"
 	f.String(&document, "", "document", "path of the environment document")
 	f.String(&dir, "", "out", "directory that the plan is written to")
-	f.Int(&net, "", "net", "second number of the IP numbers, 127.NET.x.y")
-	f.Int(&entries, "", "entries", "number of entries")
+	f.Int(&l.Net, "", "net", "second number of the IP numbers, 127.NET.x.y")
+	f.Int(&l.Entries, "", "entries", "number of entries")
+	f.Bool(&l.Relay, "", "relay", "list the sides under the addresses of a relay that leads to them")
 	return command{flags: f, run: func(context.Context) error {
 		if document == "" || dir == "" {
 			return usageError{fmt.Errorf("document, out: %w", errMissing)}
 		}
-		p, err := demo.Plan(document, net, entries)
+		p, err := demo.Plan(document, l)
 		if err != nil {
 			return usageError{err}
 		}
--- a/standin/main.go
+++ b/standin/main.go
@@ -42,7 +42,7 @@
 	p.DisableShowVersionWithVersion()
 	commands := []command{
 		platformCommand(), weightsCommand(), engineCommand(), serviceCommand(),
-		callersCommand(), relayCommand(), fleetCommand(), publishCommand(), promoteCommand(), tableCommand(),
+		callersCommand(), relayCommand(), fleetCommand(), publishCommand(), promoteCommand(), silenceCommand(), tableCommand(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.flags, 1)
