--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -21,10 +21,9 @@
 const (
 	// DefaultDegree is how many neighbours a side dials; about as many
 	// dial it.
-	DefaultDegree = 8
-	// DefaultUploads is how many chunks a side sends at a time, one on the
-	// wire and the next one agreed.
-	DefaultUploads = 2
+	DefaultDegree = 6
+	// DefaultUploads is how many chunks a side sends at a time.
+	DefaultUploads = 3
 	// DefaultInbound is how many traded chunks a side takes at a time.
 	DefaultInbound = 4
 	// DefaultTurns is how many chunks cross a region link at a time for
@@ -32,7 +31,7 @@
 	DefaultTurns = 2
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
-	DefaultDraws = 6
+	DefaultDraws = 4
 	// MaxPeers bounds the peers of which a side keeps state.
 	MaxPeers = 256
 )
@@ -48,6 +47,9 @@
 	ID       chunk.Digest
 	Manifest chunk.Manifest
 	Members  []Member
+	// Keep marks a version that is no longer wanted but whose chunks are not
+	// to be discarded yet; nothing of it is fetched.
+	Keep bool
 	// Staged are the chunks that were found in the staging area, verified.
 	Staged []chunk.Digest
 }
@@ -70,11 +72,20 @@
 // State is the belief and the plans of one side. It is not safe for
 // concurrent use.
 type State struct {
-	cfg    Config
-	rng    *rand.Rand
-	sets   []*set
-	items  map[chunk.Digest]*item
-	peers  map[string]*peer
+	cfg   Config
+	rng   *rand.Rand
+	sets  []*set
+	items map[chunk.Digest]*item
+	peers map[string]*peer
+	// order holds the peers by name, so that decisions do not hang on the
+	// order of a map.
+	order []*peer
+	// uploads counts the upload slots in use.
+	uploads int
+	// blameEnd is when the last peer that is left alone is asked again.
+	blameEnd time.Time
+	// stale is set when the next settle must look for draws and imports.
+	stale  bool
 	trades int
 	timing map[Via]*estimate
 	out    []Action
@@ -83,6 +94,7 @@
 // set is one wanted version with the maps of what is where.
 type set struct {
 	id       chunk.Digest
+	keep     bool
 	manifest chunk.Manifest
 	items    []*item
 	members  map[string][]string // by region
@@ -91,6 +103,12 @@
 	pending  Bits
 	seen     Bits     // held by some side of the region
 	copies   []uint16 // neighbours that hold each chunk
+	upstream []string // the region each chunk comes from, empty for the origin
+	place    []int    // this side's rank for each chunk, unranked until needed
+	// extra is what this side drew beyond the region's first copy, in bytes,
+	// and extraPlace its rank among those that may.
+	extra      int64
+	extraPlace int
 }
 
 // place is one position of a chunk in a set; a chunk may be in several.
@@ -109,11 +127,15 @@
 	since    time.Time
 	deadline time.Time
 	// dueAt is when this chunk's turn came; ranked step-in counts from it.
-	dueAt    time.Time
-	lostAt   time.Time
-	retryAt  time.Time
-	attempts int // sources tried since the last draw from the origin
-	fails    int
+	dueAt   time.Time
+	lostAt  time.Time
+	retryAt time.Time
+	// early is set once this side has passed on its turn for the chunk.
+	early bool
+	// badTrades counts the neighbours' failures to send the chunk.
+	badTrades int
+	attempts  int // sources tried since the last draw from the origin
+	fails     int
 }
 
 func (it *item) pending() bool { return it.via != "" }
@@ -131,6 +153,9 @@
 	upload    bool
 	uploadEnd time.Time
 	badUntil  time.Time
+	// stalled is set when the last fault was a stall; nothing is offered
+	// to such a peer either, since it would hold an upload slot in vain.
+	stalled   bool
 	strikes   int
 	dialAt    time.Time
 	dialFails int
@@ -211,7 +236,10 @@
 // settle takes every decision that the last event made possible and returns
 // the actions gathered since.
 func (s *State) settle(now time.Time) []Action {
-	s.acquire(now)
+	if s.stale {
+		s.stale = false
+		s.acquire(now)
+	}
 	s.offer(now)
 	out := s.out
 	s.out = nil
--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -22,7 +22,7 @@
 	MaxBody   = 8 << 20
 	MaxAnswer = 1 << 20
 	MaxHeader = 64 << 10
-	Window    = 256 << 10
+	Window    = 64 << 10
 )
 
 // Channel numbers a call on one connection, from 1. Another connection gives
@@ -151,11 +151,13 @@
 	return checkCall("verdict", m.Channel)
 }
 
-// Head is the status and header of an answer.
+// Head is the status and header of an answer. Again is set when the call had
+// come before and did not run again for this answer.
 type Head struct {
 	Channel Channel     `msgpack:"c"`
 	Status  int         `msgpack:"s"`
 	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
 }
 
 // Kind names the message.
@@ -199,6 +201,36 @@
 	return checkCall("end", m.Channel)
 }
 
+// Answer is a whole small answer: Head, Data and End in one.
+type Answer struct {
+	Channel Channel     `msgpack:"c"`
+	Status  int         `msgpack:"s"`
+	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
+	Data    []byte      `msgpack:"d"`
+}
+
+// Kind names the message.
+func (*Answer) Kind() frame.Kind { return "answer" }
+
+// Check reports the first field that is out of its domain.
+func (m *Answer) Check() error {
+	if err := checkBlock("answer", m.Channel, 0, m.Data); err != nil {
+		return err
+	}
+	return (&Head{Channel: m.Channel, Status: m.Status}).Check()
+}
+
+// parts returns the messages that m stands for.
+func (m *Answer) parts() []frame.Message {
+	head := &Head{Channel: m.Channel, Status: m.Status, Header: m.Header, Again: m.Again}
+	end := &End{Channel: m.Channel, Size: len(m.Data)}
+	if len(m.Data) == 0 {
+		return []frame.Message{head, end}
+	}
+	return []frame.Message{head, &Data{Channel: m.Channel, Data: m.Data}, end}
+}
+
 // Refusal ends a call that has no whole answer. RetryAfter is set where
 // asking again is safe.
 type Refusal struct {
@@ -244,6 +276,33 @@
 // Check reports the first field that is out of its domain.
 func (m *Heartbeat) Check() error { return m.Reading.Check() }
 
+// PrefixEvent says that the target now holds a prompt prefix in its cache, or
+// does so no longer.
+type PrefixEvent struct {
+	Prefix uint64 `msgpack:"p"`
+	Stored bool   `msgpack:"s"`
+}
+
+// MaxEvents bounds the events of one message.
+const MaxEvents = 1024
+
+// Events carries the target's cache events on, in their order. They come
+// late and some are lost.
+type Events struct {
+	Events []PrefixEvent `msgpack:"e"`
+}
+
+// Kind names the message.
+func (*Events) Kind() frame.Kind { return "events" }
+
+// Check reports the first field that is out of its domain.
+func (m *Events) Check() error {
+	if len(m.Events) > MaxEvents {
+		return errors.Newf("events: %d, want at most %d", len(m.Events), MaxEvents)
+	}
+	return nil
+}
+
 // Alive answers a Heartbeat, so that the side too finds a silent connection.
 type Alive struct{}
 
@@ -271,7 +330,9 @@
 func entryKinds() frame.Kinds {
 	k := frame.Kinds{}
 	k.Register(func() frame.Message { return &Heartbeat{} })
+	k.Register(func() frame.Message { return &Events{} })
 	k.Register(func() frame.Message { return &Verdict{} })
+	k.Register(func() frame.Message { return &Answer{} })
 	k.Register(func() frame.Message { return &Head{} })
 	k.Register(func() frame.Message { return &Data{} })
 	k.Register(func() frame.Message { return &End{} })
