callers: name once-calls by idempotency keys

A caller's own key is the third way to call once, and its repeat through another entry after an unknown outcome is where a second owner would show as a duplicate; the callers used only tickets and bare calls. Every third call now takes a ticket, every third a key. After notRun the key is given up for a new one, since its call never will run. Test: the same key after unknown, a new one after notRun.

--- a/standin/caller/call.go
+++ b/standin/caller/call.go
@@ -28,6 +28,7 @@
 const (
 	headerCustomer = "X-Customer"
 	headerTicket   = "X-Ticket"
+	headerKey      = "Idempotency-Key"
 	headerManifest = "X-Manifest"
 )
 
@@ -47,6 +48,7 @@
 	customer string
 	key      string
 	ticket   string
+	idemKey  string
 	start    time.Time
 
 	attempts int
@@ -84,8 +86,8 @@
 	}
 }
 
-// settle fits the attempt's result to those before it. A ticket whose call
-// will never run is given up, so that the next attempt takes a new one.
+// settle fits the attempt's result to those before it. A ticket or key whose
+// call will never run is given up, so that the next attempt takes a new one.
 func (c *call) settle() {
 	if c.result.unsent && c.unsure {
 		c.result.outcome = Unknown
@@ -93,6 +95,7 @@
 	c.unsure = c.result.outcome == Unknown
 	if c.result.outcome == NotRun {
 		c.ticket = ""
+		c.idemKey = ""
 	}
 }
 
@@ -113,7 +116,7 @@
 
 // final reports whether the outcome settles the call. A call that did not run
 // may be made again. One of which the outcome is unknown may be made again
-// only when it can do no harm: not a once-call without a ticket.
+// only when it can do no harm: not a once-call without a ticket or a key.
 func (c *call) final() bool {
 	switch c.result.outcome {
 	case Done:
@@ -121,7 +124,7 @@
 	case NotRun:
 		return false
 	default:
-		return c.kind != KindLookup && c.ticket == ""
+		return c.kind != KindLookup && c.ticket == "" && c.idemKey == ""
 	}
 }
 
@@ -154,6 +157,9 @@
 	if c.ticket != "" {
 		req.Header.Set(headerTicket, c.ticket)
 	}
+	if c.idemKey != "" {
+		req.Header.Set(headerKey, c.idemKey)
+	}
 	return c.load.client.Do(req)
 }
 
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -161,6 +161,33 @@
 	}
 }
 
+// A caller that named its call by a key asks again under the same key after
+// an unknown outcome, and under a new one after "not run": the first key's
+// call never will run.
+func TestKeyIsSentAgain(t *testing.T) {
+	tests := []struct {
+		told Outcome
+		want []string
+	}{
+		{told: Unknown, want: []string{"-1-1", "-1-1"}},
+		{told: NotRun, want: []string{"-1-1", "-1-2"}},
+	}
+	for _, tc := range tests {
+		var seen []string
+		l := newLoad(address(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen = append(seen, r.Header.Get(headerKey))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(problem{Outcome: tc.told})
+		})))
+		l.KeyEvery = 3
+		c := &call{load: l, kind: KindOnce, lane: &l.Entries, serial: 1, customer: "a", start: l.Clock.Now()}
+		c.do()
+		if diff := cmp.Diff(tc.want, seen); diff != "" {
+			t.Errorf("%s: keys (-want +got):\n%s", tc.told, diff)
+		}
+	}
+}
+
 func TestLostNotDialled(t *testing.T) {
 	dead := address(t, http.NotFoundHandler())
 	l := newLoad(dead)
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -42,7 +42,8 @@
 
 // Load is one run. Set the exported fields before Run. Direct is empty
 // unless the same calls go past the entries in every other Slice. TicketEvery
-// makes every so manyth once-call take a ticket; 0 takes none. Replicas are
+// makes every so manyth once-call take a ticket, KeyEvery every so manyth carry
+// an idempotency key; 0 makes none. Replicas are
 // the stand-ins whose executions are read at the end.
 type Load struct {
 	Entries     Lane
@@ -54,6 +55,7 @@
 	Attempts    int
 	Tokens      int
 	TicketEvery int
+	KeyEvery    int
 	Chat        string
 	Lookup      string
 	Once        string
--- a/standin/caller/plain.go
+++ b/standin/caller/plain.go
@@ -41,6 +41,7 @@
 			return res
 		}
 	}
+	c.takeKey()
 	url := c.lane.plainURL(c.route(), c.load.Once, c.load.OncePath)
 	resp, err := c.send(ctx, http.MethodPost, url, onceBody{Key: c.key})
 	if err != nil {
--- a/standin/caller/ticket.go
+++ b/standin/caller/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -22,6 +23,20 @@
 	return every > 0 && c.serial%every == 0 && c.ticket == "" && !c.lane.Past
 }
 
+// keyTurn is the remainder of the calls that carry a key, so that with the
+// same period for both a call carries a ticket or a key and not both.
+const keyTurn = 1
+
+// takeKey gives the call an idempotency key of its own if it is its turn.
+// After a "not run" the attempts count makes it a new one.
+func (c *call) takeKey() {
+	every := uint64(c.load.KeyEvery)
+	if every == 0 || c.serial%every != keyTurn%every || c.ticket != "" || c.idemKey != "" || c.lane.Past {
+		return
+	}
+	c.idemKey = fmt.Sprintf("%s-%d", c.key, c.attempts)
+}
+
 // takeTicket takes a ticket. Without one the call has not run: nothing of it
 // was sent.
 func (c *call) takeTicket(ctx context.Context) (result, bool) {
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -31,6 +31,7 @@
 	attempts      int
 	tokens        int
 	ticketEvery   int
+	keyEvery      int
 	chat          string
 	lookup        string
 	once          string
@@ -57,7 +58,8 @@
 		timeout:     30 * time.Second,
 		attempts:    4,
 		tokens:      32,
-		ticketEvery: 2,
+		ticketEvery: 3,
+		keyEvery:    3,
 		chat:        "helper",
 		lookup:      "booking",
 		once:        "booking",
@@ -98,6 +100,7 @@
 	f.Int(&v.attempts, "", "attempts", "most attempts of a call that may be made again")
 	f.Int(&v.tokens, "", "tokens", "tokens of each chat")
 	f.Int(&v.ticketEvery, "", "ticket-every", "every so manyth once-call takes a ticket; 0 takes none")
+	f.Int(&v.keyEvery, "", "key-every", "every so manyth once-call carries an idempotency key; 0 carries none")
 	f.String(&v.chat, "", "chat-service", "service of the chats")
 	f.String(&v.lookup, "", "lookup-service", "service of the lookups")
 	f.String(&v.once, "", "once-service", "service of the once-calls")
@@ -137,6 +140,7 @@
 		Attempts:    v.attempts,
 		Tokens:      v.tokens,
 		TicketEvery: v.ticketEvery,
+		KeyEvery:    v.keyEvery,
 		Chat:        v.chat,
 		Lookup:      v.lookup,
 		Once:        v.once,
