callers: carry no idempotency keys unless asked

Cause: by design a side refuses keyed calls as unknown for KeyWindow, two minutes after its start (doc/calls.md), which is longer than the run; ruled out that the kills did it: fault-free seconds showed the same. A run without keys, SIZE_MIB=8 and no faults (a check, not a measurement; the machine was shared): 543 done, 0 unknown, every outcome held.

--- a/script/demo.sh
+++ b/script/demo.sh
@@ -212,7 +212,7 @@
   echo "what the entries add, in turn with the same calls past them"
   follow bin/standin callers --fleet "$dir" --direct --duration 12s --slice 1s --customers "$customers" \
     --lookup-service "$lookup" --lookup-path "$path" --once-service "$once" --once-path "$once_path" \
-    --stream 2 --whole 0 --lookups 2 --onces 2 --ticket-every 0 --key-every 0 >"$dir/overhead.json"
+    --stream 2 --whole 0 --lookups 2 --onces 2 --ticket-every 0 >"$dir/overhead.json"
 fi
 
 table=0
