--- a/bench/policy/entry.go
+++ b/bench/policy/entry.go
@@ -121,6 +121,10 @@
 		return
 	}
 	c.ended = c.s.now
+	if c.outputs > 1 {
+		pace := c.ended.Sub(c.first) / time.Duration(c.outputs-1)
+		c.entry.policy.paced(c.s.now, c.target, pace)
+	}
 	c.leave()
 }
 
--- a/bench/policy/policies.go
+++ b/bench/policy/policies.go
@@ -16,6 +16,7 @@
 	done(now time.Time, d admit.Done) []admit.Verdict
 	report(now time.Time, target string, r route.Report)
 	event(now time.Time, target string, block uint64, stored bool)
+	paced(now time.Time, target string, pace time.Duration)
 	tick(now time.Time) []admit.Verdict
 }
 
@@ -28,6 +29,7 @@
 func (open) done(time.Time, admit.Done) []admit.Verdict { return nil }
 func (open) report(time.Time, string, route.Report)     {}
 func (open) event(time.Time, string, uint64, bool)      {}
+func (open) paced(time.Time, string, time.Duration)     {}
 func (open) tick(time.Time) []admit.Verdict             { return nil }
 
 // roundRobin takes the targets in turn.
@@ -73,6 +75,10 @@
 	return got.VM.Name
 }
 
+func (p *chosen) paced(now time.Time, target string, pace time.Duration) {
+	p.c.Paced(now, target, pace)
+}
+
 func (p *chosen) event(now time.Time, target string, block uint64, stored bool) {
 	if stored {
 		p.c.Stored(now, target, block)
--- a/core/request/route/choose.go
+++ b/core/request/route/choose.go
@@ -24,6 +24,7 @@
 	leftAvoided = "failedThisCall"
 	leftZone    = "otherZone"
 	leftLoad    = "moreLoaded"
+	leftSlow    = "slow"
 	leftPrefix  = "lessOfPrefix"
 	leftUndrawn = "notDrawn"
 )
@@ -35,6 +36,7 @@
 	DefaultFreeShare  = 0.75
 	DefaultSpill      = 1.0
 	DefaultReportAge  = 5 * time.Second
+	DefaultSpeedAge   = 5 * time.Minute
 	DefaultPrefixAge  = 10 * time.Minute
 	DefaultPrefixes   = 1 << 16
 	DefaultTargets    = 1 << 12
@@ -61,6 +63,8 @@
 	Spill float64
 	// ReportAge is how old a load report may be and still count.
 	ReportAge time.Duration
+	// SpeedAge is how long a target's speed is remembered without a sample.
+	SpeedAge time.Duration
 	// PrefixAge is how long a prefix is remembered.
 	PrefixAge time.Duration
 	// Prefixes and Targets bound the tables.
@@ -71,6 +75,7 @@
 
 	prefixes prefixes
 	loads    loads
+	speeds   speeds
 	ready    bool
 }
 
@@ -78,6 +83,7 @@
 type Sizes struct {
 	Prefixes int
 	Targets  int
+	Speeds   int
 }
 
 // NoTarget is the error of Choose when every candidate is left out.
@@ -101,7 +107,7 @@
 	if len(eligible) == 0 {
 		return Choice{}, &NoTarget{Service: r.Service, Left: s.left}
 	}
-	near := c.nearest(eligible, &s)
+	near := c.nearest(c.quick(now, eligible, &s), &s)
 	chosen, reason := c.pick(now, r, near, &s)
 	for _, prefix := range r.Prefix {
 		c.prefixes.stored(now, chosen.vm.Name, prefix)
@@ -121,9 +127,15 @@
 	c.prefixes.evicted(now, target, prefix)
 }
 
+// Paced takes how long target took from token to token of one answer.
+func (c *Chooser) Paced(now time.Time, target string, pace time.Duration) {
+	c.prepare()
+	c.speeds.observe(now, target, pace)
+}
+
 // Sizes returns the numbers of entries in the tables.
 func (c *Chooser) Sizes() Sizes {
-	return Sizes{Prefixes: c.prefixes.table.Len(), Targets: c.loads.table.Len()}
+	return Sizes{Prefixes: c.prefixes.table.Len(), Targets: c.loads.table.Len(), Speeds: c.speeds.table.Len()}
 }
 
 // Tick drops what is too old; call it about once a minute.
@@ -131,6 +143,7 @@
 	c.prepare()
 	c.prefixes.table.Expire(now)
 	c.loads.table.Expire(now)
+	c.speeds.table.Expire(now)
 }
 
 func (c *Chooser) prepare() {
@@ -147,6 +160,8 @@
 	c.loads.reportAge = orDefault(c.ReportAge, DefaultReportAge)
 	c.loads.table.Age = c.loads.reportAge
 	c.loads.capacity = orDefault(c.Capacity, DefaultCapacity)
+	c.speeds.table.Max = c.loads.table.Max
+	c.speeds.table.Age = orDefault(c.SpeedAge, DefaultSpeedAge)
 }
 
 func orDefault[T comparable](v, def T) T {
@@ -159,8 +174,9 @@
 
 // weighed is a candidate that may be chosen.
 type weighed struct {
-	vm   fleet.VM
-	load load
+	vm       fleet.VM
+	load     load
+	inFlight int
 }
 
 // selection collects the candidates left out on the way.
@@ -179,7 +195,7 @@
 			s.leave(cand.VM.Name, reason)
 			continue
 		}
-		out = append(out, weighed{vm: cand.VM, load: c.loads.estimate(now, cand)})
+		out = append(out, weighed{vm: cand.VM, load: c.loads.estimate(now, cand), inFlight: cand.InFlight})
 	}
 	return out
 }
@@ -201,6 +217,18 @@
 	return ""
 }
 
+// quick leaves out slow targets while the others have room.
+func (c *Chooser) quick(now time.Time, all []weighed, s *selection) []weighed {
+	usual, slow := c.speeds.split(now, all)
+	if len(slow) == 0 || meanRatio(usual) > c.Spill {
+		return all
+	}
+	for _, w := range slow {
+		s.leave(w.vm.Name, leftSlow)
+	}
+	return usual
+}
+
 // nearest returns the candidates of the entry's zone, and adds those of its
 // region and then all others while what it has is loaded above Spill.
 func (c *Chooser) nearest(all []weighed, s *selection) []weighed {
--- a/core/request/route/choose_test.go
+++ b/core/request/route/choose_test.go
@@ -216,3 +216,38 @@
 		}
 	})
 }
+
+// One of three targets takes four times as long from token to token as the
+// others, and reports as many free places. While the others have room it gets
+// a call now and then only, so that few callers wait; when it has recovered
+// it gets its part again.
+func TestSlowTargetIsTriedNowAndThen(t *testing.T) {
+	c := newChooser()
+	cands := []Candidate{target("t1", "a1"), target("t2", "a1"), target("t3", "a1")}
+	now := start
+	run := func(slowest time.Duration) int {
+		slow := 0
+		for range 600 {
+			now = now.Add(100 * time.Millisecond)
+			got, err := c.Choose(now, Request{}, cands)
+			if err != nil {
+				t.Fatal(err)
+			}
+			pace := 25 * time.Millisecond
+			if got.VM.Name == "t1" {
+				slow++
+				pace = slowest
+			}
+			c.Paced(now, got.VM.Name, pace)
+		}
+		return slow
+	}
+	run(100 * time.Millisecond)
+	if got := run(100 * time.Millisecond); got > 7 {
+		t.Errorf("the slow target got %d of 600 calls in a minute, want at most 7", got)
+	}
+	run(25 * time.Millisecond)
+	if got := run(25 * time.Millisecond); got < 100 {
+		t.Errorf("the recovered target got %d of 600 calls, want at least 100", got)
+	}
+}
--- a/io/request/front/repeat.go
+++ b/io/request/front/repeat.go
@@ -135,6 +135,7 @@
 	}
 	ended := false
 	defer func() { call.Close(ended) }()
+	pace := newPacer(rl)
 	for {
 		msg, err := call.Next(ctx)
 		if err != nil {
@@ -147,12 +148,14 @@
 			}
 		case *sessn.Data:
 			k.began(f.Clock.Now())
+			pace.data(f.Clock.Now())
 			err = rl.data(msg.Data)
 		case *sessn.Refusal:
 			ended = true
 			return &refusedError{msg}
 		case *sessn.End:
 			ended = true
+			f.policy.paced(m.client.VM.Name, pace)
 			return rl.end()
 		}
 		if err != nil {
