--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -15,17 +15,23 @@
 	trickleFactor = 4
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
-	lostFactor = 3
+	lostFactor = 2
 	// firstBad is how long a peer is left alone after its first fault; each
 	// further one doubles it.
 	firstBad = time.Second
 	mostBad  = time.Minute
+	// silentStrikes is how many stalls in a row a connection may have before
+	// it is closed.
+	silentStrikes = 2
 	// corruptStrikes is how many faults a corrupt chunk counts for.
 	corruptStrikes = 3
-	firstRetry     = 100 * time.Millisecond
-	mostRetry      = 5 * time.Second
-	firstDial      = 200 * time.Millisecond
-	mostDial       = 5 * time.Second
+	// mostBadTrades is how many failures of neighbours to send a chunk are
+	// borne before it is fetched anew for the region.
+	mostBadTrades = 2
+	firstRetry    = 100 * time.Millisecond
+	mostRetry     = 5 * time.Second
+	firstDial     = 200 * time.Millisecond
+	mostDial      = 5 * time.Second
 )
 
 // estimate is a decaying mean of durations.
@@ -75,22 +81,41 @@
 // expire ends transfers past their deadline and takes back upload slots from
 // silent peers.
 func (s *State) expire(now time.Time) {
-	for d, it := range s.items {
-		if !it.pending() || now.Before(it.deadline) {
+	for _, it := range s.pendingItems() {
+		if now.Before(it.deadline) {
 			continue
 		}
-		s.emit(Stop{Chunk: d, Peer: it.from, Reason: string(FailStalled)})
+		s.emit(Stop{Chunk: it.ref.Digest, Peer: it.from, Reason: string(FailStalled)})
 		s.failed(now, it, FailStalled, 0)
 	}
-	for _, p := range s.peers {
+	for _, p := range s.order {
 		if p.upload && now.After(p.uploadEnd) {
-			p.upload = false
+			// The peer took an offer and went silent. Left in use, the slot
+			// would be lost, and with a few such peers all of them.
+			s.release(p)
+			s.blame(now, p.Name, FailStalled)
 		}
 	}
 }
 
+// pendingItems lists the chunks on the way, in a fixed order.
+func (s *State) pendingItems() []*item {
+	var out []*item
+	for _, st := range s.sets {
+		for i, it := range st.items {
+			if it.pending() && it.places[0] == (place{set: st, index: i}) {
+				out = append(out, it)
+			}
+		}
+	}
+	return out
+}
+
 func (s *State) failed(now time.Time, it *item, why Failure, after time.Duration) {
 	s.blame(now, it.from, why)
+	if it.via == ViaTrade && why != FailGone {
+		it.badTrades++
+	}
 	if it.via != ViaTrade {
 		it.attempts++
 		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, mostRetry)))
@@ -103,6 +128,7 @@
 		s.disbelieve(it)
 	}
 	s.clearPending(it)
+	s.stale = true
 	s.invite()
 }
 
@@ -118,7 +144,15 @@
 		n = corruptStrikes
 	}
 	p.strikes += n
+	p.stalled = why == FailStalled
+	if why == FailStalled && p.strikes > silentStrikes && p.connected {
+		// A connection can go silent for good while a new one would work.
+		s.emit(Disconnect{Peer: name})
+	}
 	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
+	if p.badUntil.After(s.blameEnd) {
+		s.blameEnd = p.badUntil
+	}
 }
 
 // disbelieve forgets a peer's claim to hold a chunk that it could not send.
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/envdoc"
@@ -10,6 +11,7 @@
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/roll"
 )
 
 // Waits between reads of a manifest.
@@ -33,17 +35,9 @@
 	n.do(func(s *state) {
 		s.view = v
 		s.wanted = wanted
-		keep := map[chunk.Digest]bool{}
 		for _, w := range wanted {
-			keep[w.Manifest] = true
 			n.learn(s, w)
 		}
-		for d, k := range s.manifests {
-			if !keep[d] {
-				k.cancel()
-				delete(s.manifests, d)
-			}
-		}
 		n.refresh(s)
 	})
 }
@@ -124,25 +118,49 @@
 	return out
 }
 
+// retire forgets the manifests that are no longer wanted, but not before all
+// wanted ones are read: until then it is not known which chunks they share,
+// and those would be discarded and fetched again.
+func (n *Node) retire(s *state) {
+	keep := map[chunk.Digest]bool{}
+	for _, w := range s.wanted {
+		keep[w.Manifest] = true
+		if k := s.manifests[w.Manifest]; k == nil || !k.ready {
+			return
+		}
+	}
+	for d, k := range s.manifests {
+		if !keep[d] {
+			k.cancel()
+			delete(s.manifests, d)
+		}
+	}
+}
+
 // refresh hands the wanted versions whose manifests are known to the
 // decisions; it is called with the state locked.
 func (n *Node) refresh(s *state) {
+	n.retire(s)
 	var sets []burst.Set
-	for _, w := range s.wanted {
-		k := s.manifests[w.Manifest]
-		if k == nil || !k.ready || hasSet(sets, w.Manifest) {
+	for _, d := range s.inOrder() {
+		k := s.manifests[d]
+		if k == nil || !k.ready {
 			continue
 		}
 		sets = append(sets, burst.Set{
-			ID:       w.Manifest,
+			ID:       d,
+			Keep:     !s.isWanted(d),
 			Manifest: k.manifest,
-			Members:  n.members(s, w.Manifest),
+			Members:  n.members(s, d),
 			Staged:   k.staged,
 		})
 	}
 	if s.view.Document != nil {
 		s.core.SetWeigh(s.view.Document.Weigh)
 		s.core.SetOriginRegion(n.originRegion(s.view.Document))
+		if r, ok := s.view.Document.RegionByName(n.Self.VM.Region); ok && r.Link > 0 {
+			n.pacer.SetRegion(r.Link)
+		}
 	}
 	s.add(s.core.Update(s.now, sets))
 }
@@ -155,41 +173,50 @@
 	return n.OriginRegion
 }
 
-func hasSet(sets []burst.Set, d chunk.Digest) bool {
-	for _, s := range sets {
-		if s.ID == d {
-			return true
+func (s *state) isWanted(d chunk.Digest) bool {
+	return slices.ContainsFunc(s.wanted, func(w Wanted) bool { return w.Manifest == d })
+}
+
+// inOrder lists the known manifests, the wanted ones first.
+func (s *state) inOrder() []chunk.Digest {
+	var out []chunk.Digest
+	for _, w := range s.wanted {
+		if !slices.Contains(out, w.Manifest) {
+			out = append(out, w.Manifest)
 		}
 	}
-	return false
+	for d := range s.manifests {
+		if !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
 }
 
-// members are the live sides whose service serves the manifest, this one
-// included.
+// members are the sides that the document has hold the manifest, this one
+// included. Spare VMs of a service are not among them: they fetch nothing and
+// would only be waited for.
 func (n *Node) members(s *state, d chunk.Digest) []burst.Member {
-	self := burst.Member{Name: n.Self.VM.Name, Region: n.Self.VM.Region}
-	out := []burst.Member{self}
-	serves := servicesOf(s.view, d)
-	for _, vm := range s.view.VMs {
-		if vm.Name == self.Name || vm.Role != fleet.RoleSide || vm.State != fleet.StateLive {
+	out := []burst.Member{{Name: n.Self.VM.Name, Region: n.Self.VM.Region}}
+	if s.view.Document == nil {
+		return out
+	}
+	for _, svc := range s.view.Document.Services {
+		m, ok := s.view.Document.ModelByName(svc.Model)
+		if !ok || m.Manifest != d {
 			continue
 		}
-		if serves[vm.Service] {
-			out = append(out, burst.Member{Name: vm.Name, Region: vm.Region})
+		for _, p := range svc.Replicas {
+			out = n.appendPlaced(out, roll.Placed(s.view, svc, fleet.VM{Zone: p.Zone}))
 		}
 	}
 	return out
 }
 
-func servicesOf(v view.View, d chunk.Digest) map[string]bool {
-	out := map[string]bool{}
-	if v.Document == nil {
-		return out
-	}
-	for _, svc := range v.Document.Services {
-		m, ok := v.Document.ModelByName(svc.Model)
-		if ok && m.Manifest == d {
-			out[svc.Name] = true
+func (n *Node) appendPlaced(out []burst.Member, vms []fleet.VM) []burst.Member {
+	for _, vm := range vms {
+		if vm.Name != n.Self.VM.Name {
+			out = append(out, burst.Member{Name: vm.Name, Region: vm.Region})
 		}
 	}
 	return out
