--- a/io/request/front/pool.go
+++ b/io/request/front/pool.go
@@ -134,8 +134,11 @@
 	var live []fleet.VM
 	services := map[string]bool{}
 	for _, vm := range v.VMs {
-		if vm.Role == fleet.RoleSide && vm.State == fleet.StateLive {
-			live = append(live, vm)
+		if vm.State != fleet.StateLive {
+			continue
+		}
+		live = append(live, vm)
+		if vm.Role == fleet.RoleSide {
 			services[vm.Service] = true
 		}
 	}
