--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
 
-.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf
+.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf failures
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -57,3 +57,7 @@
 else
 	bin/conf --csv docs/conf.csv
 endif
+
+# Kills, pauses and cuts off real processes on loopback and judges the outcomes.
+failures: build
+	script/failures.sh
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -15,6 +15,9 @@
 // loads are the offered loads in parts of the capacity.
 var loads = []float64{0.7, 1.0, 1.5, 2.0}
 
+// burstLoad is the load of the runs that jump to it from a tenth of it.
+const burstLoad = 0.9
+
 // slowLoad is the load of the runs with one slow engine.
 const slowLoad = 0.7
 
@@ -40,6 +43,7 @@
 			all = append(all, scenario{policy: p, rate: l * capacity, load: l, seed: seed})
 		}
 		all = append(all, scenario{policy: p, rate: slowLoad * capacity, load: slowLoad, slow: true, seed: seed})
+		all = append(all, scenario{policy: p, rate: burstLoad * capacity, load: burstLoad, burst: true, seed: seed})
 	}
 	results := runAll(all)
 	printTable(os.Stdout, results)
--- a/bench/policy/measure.go
+++ b/bench/policy/measure.go
@@ -28,6 +28,7 @@
 	policy  string
 	load    float64
 	slow    bool
+	burst   bool
 	offered float64
 	goodput float64
 	refused float64
@@ -45,9 +46,33 @@
 	rate   float64
 	load   float64
 	slow   bool
+	burst  bool
 	seed   uint64
 }
 
+// A burst run has burstFrom of the load until warm has passed, and counts
+// burstMeasured from there.
+const (
+	burstFrom     = 0.1
+	burstMeasured = 5 * time.Second
+)
+
+// until is the length of what is counted.
+func (sc scenario) until() time.Duration {
+	if sc.burst {
+		return warm + burstMeasured
+	}
+	return warm + measured
+}
+
+// gap is the mean time between arrivals at a time since the start.
+func (sc scenario) gap(at time.Duration) float64 {
+	if sc.burst && at < warm {
+		return 1 / (burstFrom * sc.rate)
+	}
+	return 1 / sc.rate
+}
+
 // slowFactor is how many times longer the steps of the slow engine take.
 const slowFactor = 4
 
@@ -64,21 +89,21 @@
 		c := &call{arrival: w.next(s.now.Sub(epoch)), s: s, entry: s.entries[gaps.IntN(zones)]}
 		calls = append(calls, c)
 		c.entry.arrive(c)
-		if c.at < warm+measured {
-			s.after(time.Duration(gaps.ExpFloat64()/sc.rate*float64(time.Second)), arrive)
+		if c.at < sc.until() {
+			s.after(time.Duration(gaps.ExpFloat64()*sc.gap(c.at)*float64(time.Second)), arrive)
 		}
 	}
 	s.after(0, arrive)
-	s.run(epoch.Add(warm + measured + settle))
+	s.run(epoch.Add(sc.until() + settle))
 	return sc.sum(calls)
 }
 
 func (sc scenario) sum(calls []*call) result {
-	r := result{policy: sc.policy.name, load: sc.load, slow: sc.slow}
+	r := result{policy: sc.policy.name, load: sc.load, slow: sc.slow, burst: sc.burst}
 	first := hdrhistogram.New(1, histogramMax, histogramDigits)
 	var counted, good, refused, late, blocks, hit, small, smallGood int
 	for _, c := range calls {
-		if c.at < warm || c.at >= warm+measured {
+		if c.at < warm || c.at >= sc.until() {
 			continue
 		}
 		counted++
@@ -107,8 +132,8 @@
 			_ = first.RecordValue(c.first.Sub(c.begun).Microseconds())
 		}
 	}
-	r.offered = float64(counted) / measured.Seconds()
-	r.goodput = float64(good) / measured.Seconds()
+	r.offered = float64(counted) / (sc.until() - warm).Seconds()
+	r.goodput = float64(good) / (sc.until() - warm).Seconds()
 	r.refused = float64(refused) / float64(counted)
 	r.late = float64(late) / float64(counted)
 	r.hits = float64(hit) / float64(blocks)
--- a/bench/policy/output.go
+++ b/bench/policy/output.go
@@ -16,7 +16,7 @@
 )
 
 var columns = []string{
-	"policy", "load", "slowReplica", "offered/s", "goodput/s", "refused", "late",
+	"policy", "load", "slowReplica", "burst", "offered/s", "goodput/s", "refused", "late",
 	"p50 ms", "p99 ms", "prefixHits", "smallCustomersGood",
 }
 
@@ -24,7 +24,7 @@
 	f := func(v float64, digits int) string { return strconv.FormatFloat(v, 'f', digits, 64) }
 	ms := func(d time.Duration) string { return f(float64(d)/float64(time.Millisecond), 0) }
 	return []string{
-		r.policy, f(r.load, 1), strconv.FormatBool(r.slow), f(r.offered, 1), f(r.goodput, 1),
+		r.policy, f(r.load, 1), strconv.FormatBool(r.slow), strconv.FormatBool(r.burst), f(r.offered, 1), f(r.goodput, 1),
 		f(r.refused, 3), f(r.late, 3), ms(r.p50), ms(r.p99), f(r.hits, 3), f(r.small, 3),
 	}
 }
@@ -78,7 +78,7 @@
 func points(policy string, results []result) plotter.XYs {
 	var out plotter.XYs
 	for _, r := range results {
-		if r.policy == policy && !r.slow {
+		if r.policy == policy && !r.slow && !r.burst {
 			out = append(out, plotter.XY{X: r.load, Y: r.goodput})
 		}
 	}
