admit: fill the entry's own part of the capacity at once

In a burst the limit had to grow from what quiet hours left. Each entry now learns its part of the targets' calls, and while they have room its limit is at least that part of their capacity.

--- a/core/request/admit/limit.go
+++ b/core/request/admit/limit.go
@@ -47,6 +47,13 @@
 // nearLimit is the use of the limit, as a share, that lets it grow.
 const nearLimit = 0.8
 
+// How an entry's part of the targets' calls is learnt: the weight of a new
+// sample, and the fewest calls that give one.
+const (
+	partSmoothing = 0.1
+	leastCalls    = 4
+)
+
 // maxStep bounds the change of one adjustment, as a share of the limit.
 const maxStep = 0.3
 
@@ -65,6 +72,8 @@
 	value    float64
 	adjusted time.Time
 	peak     int
+	inFlight int
+	part     float64
 	first    window
 	usual    time.Duration
 }
@@ -82,7 +91,10 @@
 func (l *limit) calls() int { return int(l.value) }
 
 // use notes the calls in flight.
-func (l *limit) use(inFlight int) { l.peak = max(l.peak, inFlight) }
+func (l *limit) use(inFlight int) {
+	l.peak = max(l.peak, inFlight)
+	l.inFlight = inFlight
+}
 
 // due reports whether the next adjustment is due.
 func (l *limit) due(now time.Time) bool { return now.Sub(l.adjusted) >= l.set.Every }
@@ -102,6 +114,10 @@
 func (l *limit) byReports(p pressure, used bool) {
 	full := float64(p.capacity) * (1 + l.set.Queued)
 	room := (full - float64(p.calls)) / float64(p.capacity)
+	if room > 0 {
+		l.learnPart(p)
+		l.value = math.Max(l.value, l.part*full)
+	}
 	if room > 0 && !used {
 		return
 	}
@@ -122,6 +138,18 @@
 	}
 }
 
+// learnPart estimates which part of the targets' calls is this entry's. The
+// entry may fill that part of their capacity at once: a limit that had to
+// grow step by step from what quiet hours left would hold up the first
+// seconds of each burst.
+func (l *limit) learnPart(p pressure) {
+	if p.calls < leastCalls {
+		return
+	}
+	part := math.Min(1, float64(l.inFlight)/float64(p.calls))
+	l.part += partSmoothing * (part - l.part)
+}
+
 // slow compares the window's median time to the first byte with the usual
 // one, the least of medians so far, and begins a new window.
 func (l *limit) slow() bool {
--- a/core/request/admit/service.go
+++ b/core/request/admit/service.go
@@ -106,6 +106,7 @@
 		return
 	}
 	s.inFlight--
+	s.limit.use(s.inFlight)
 	held := now.Sub(c.admitted).Seconds()
 	s.slotTime.add(held)
 	c.customer.slotTime.add(held)
