route: weigh affinity by the part of the prompt that is held

In a burst on cold caches calls went where the customer's instructions, a short common beginning, had gone first, up to three quarters of that target's places. The free share now falls with the square of the part held.

--- a/core/request/route/choose.go
+++ b/core/request/route/choose.go
@@ -56,7 +56,8 @@
 	// to this many times the mean load.
 	LoadFactor float64
 	// FreeShare is the share of a target's capacity up to which affinity
-	// holds whatever the mean.
+	// holds whatever the mean, for a prompt that the target holds whole. It
+	// falls with the square of the part that is held.
 	FreeShare float64
 	// Spill is the load per capacity of a zone above which the next zone is
 	// asked too.
@@ -296,21 +297,24 @@
 // The bound is what keeps a popular prefix from drawing all its calls to one
 // target while others idle, which shows as a first token that waits behind a
 // queue: above the bound the call goes elsewhere, and that target then holds
-// the prefix too.
+// the prefix too. A short common beginning, such as a customer's instructions,
+// weighs little: in a burst on cold caches all calls would else go where the
+// first one went.
 func (c *Chooser) holding(now time.Time, r Request, ws []weighed) int {
 	if len(r.Prefix) == 0 {
 		return -1
 	}
-	bound := max(c.LoadFactor*meanRatio(ws), c.FreeShare)
+	mean := meanRatio(ws)
 	best, bestDepth := -1, 0
 	for i, w := range ws {
-		if w.load.ratio() > bound {
-			continue
-		}
 		d := c.prefixes.depth(now, w.vm.Name, r.Prefix)
 		if d == 0 || d < bestDepth {
 			continue
 		}
+		held := float64(d) / float64(len(r.Prefix))
+		if w.load.ratio() > max(c.LoadFactor*mean, c.FreeShare*held*held) {
+			continue
+		}
 		if d == bestDepth && w.load.ratio() >= ws[best].load.ratio() {
 			continue
 		}
