--- a/core/request/proof/soak_test.go
+++ b/core/request/proof/soak_test.go
@@ -141,6 +141,7 @@
 		panic(err)
 	}
 	s.chooser.Stored(s.now, c.VM.Name, s.rand.Uint64())
+	s.chooser.Paced(s.now, c.VM.Name, 25*time.Millisecond)
 	// One call in a thousand is never told to be done, as when its goroutine
 	// was lost.
 	if s.rand.IntN(1000) > 0 {
@@ -176,6 +177,7 @@
 	sizes := s.chooser.Sizes()
 	s.tracker.Size(s.now, "prefixes", sizes.Prefixes)
 	s.tracker.Size(s.now, "targets", sizes.Targets)
+	s.tracker.Size(s.now, "speeds", sizes.Speeds)
 	s.tracker.Size(s.now, "admission", s.admit.Size(s.now))
 	s.tracker.Size(s.now, "ledger", s.ledger.Len())
 	s.tracker.Count(s.now, "refused", s.refused)
--- a/script/failures.sh
+++ b/script/failures.sh
@@ -157,6 +157,7 @@
 done
 rm -rf "$dir"
 mkdir -p "$dir"
+: >"$dir/memory"
 bin/standin fleet --document examples/pindan.ini --out "$dir" --net "$net" --entries 2
 start_all standin
 sleep 1
