swarm: read manifests along a tree of sides

Every side read the manifest from the store, which is limited in requests: a fleet of 2,000 would be refused for minutes. One side of each region now reads it and the others ask along a tree by rank, four to a side; who gets no answer in 5 s, twice, reads from the store. Verified by digest as before. The test of seven sides in three regions sees three reads of the store. The least patience is now a setting of the decisions: a test whose verdict hung on 500 ms failed once on a busy machine (41 draws for 40 chunks, a step-in).

--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -32,6 +32,9 @@
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
 	DefaultDraws = 4
+	// DefaultLeastPatience is above what a busy machine or a pause of the
+	// runtime costs.
+	DefaultLeastPatience = 500 * time.Millisecond
 	// MaxPeers bounds the peers of which a side keeps state.
 	MaxPeers = 256
 )
@@ -66,7 +69,10 @@
 	Turns        int
 	Draws        int
 	Direct       bool
-	Seed         uint64
+	// LeastPatience bounds from below how long a transfer may bring nothing
+	// and how long a rank waits for the one before it.
+	LeastPatience time.Duration
+	Seed          uint64
 }
 
 // State is the belief and the plans of one side. It is not safe for
@@ -168,6 +174,9 @@
 	cfg.Inbound = orDefault(cfg.Inbound, DefaultInbound)
 	cfg.Turns = orDefault(cfg.Turns, DefaultTurns)
 	cfg.Draws = orDefault(cfg.Draws, DefaultDraws)
+	if cfg.LeastPatience <= 0 {
+		cfg.LeastPatience = DefaultLeastPatience
+	}
 	return &State{
 		cfg:    cfg,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -6,7 +6,6 @@
 const (
 	// firstPatience bounds a transfer before any has been measured.
 	firstPatience = 5 * time.Second
-	leastPatience = 500 * time.Millisecond
 	mostPatience  = 60 * time.Second
 	// stallFactor is how many times the mean duration a transfer may take.
 	stallFactor = 4
@@ -63,9 +62,9 @@
 func (s *State) patience(v Via) time.Duration {
 	e, ok := s.timing[v]
 	if !ok {
-		return firstPatience
+		return max(firstPatience, s.cfg.LeastPatience)
 	}
-	return min(max(stallFactor*e.mean, leastPatience), mostPatience)
+	return min(max(stallFactor*e.mean, s.cfg.LeastPatience), mostPatience)
 }
 
 // stepIn is how long the side at a rank waits for those before it, counted
--- a/io/version/swarm/conn.go
+++ b/io/version/swarm/conn.go
@@ -188,6 +188,10 @@
 		n.deliver(c, m)
 	case *lacks:
 		n.lacking(c, m.Chunk)
+	case *askManifest:
+		n.serveManifest(c, m.Manifest)
+	case *part:
+		n.takePart(c, m)
 	case *ping:
 	default:
 		return fault.At("receive", c.name(), errors.Newf("unexpected message %s", m.Kind()))
--- a/io/version/swarm/fuzz_test.go
+++ b/io/version/swarm/fuzz_test.go
@@ -21,6 +21,8 @@
 		&block{Chunk: d, Offset: 4, Data: []byte{1, 2}},
 		&lacks{Chunk: d},
 		&drop{Chunk: d},
+		&askManifest{Manifest: d},
+		&part{Manifest: d, Offset: 1, Total: 9, Data: []byte{1, 2}},
 	}
 	for _, m := range seeds {
 		var buf bytes.Buffer
--- a/io/version/swarm/messages.go
+++ b/io/version/swarm/messages.go
@@ -150,5 +150,7 @@
 	k.Register(func() frame.Message { return &block{} })
 	k.Register(func() frame.Message { return &lacks{} })
 	k.Register(func() frame.Message { return &drop{} })
+	k.Register(func() frame.Message { return &askManifest{} })
+	k.Register(func() frame.Message { return &part{} })
 	return k
 }
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -110,6 +110,7 @@
 	conns     map[string]*conn
 	dialing   map[string]chan struct{}
 	incoming  map[chunk.Digest]*incoming
+	asks      map[chunk.Digest]*manifestAsk
 }
 
 func (s *state) add(a []burst.Action) { s.pending = append(s.pending, a...) }
@@ -141,6 +142,7 @@
 			conns:     map[string]*conn{},
 			dialing:   map[string]chan struct{}{},
 			incoming:  map[chunk.Digest]*incoming{},
+			asks:      map[chunk.Digest]*manifestAsk{},
 		}
 	})
 }
--- a/io/version/swarm/peers.go
+++ b/io/version/swarm/peers.go
@@ -124,6 +124,7 @@
 		}
 		s.conns[c.name()] = c
 		if old != nil {
+			s.endAsks(c.name())
 			s.add(s.core.Disconnected(s.now, c.name()))
 		}
 		s.add(s.core.Connected(s.now, burst.Member{Name: c.name(), Region: c.Peer.VM.Region}))
@@ -145,6 +146,7 @@
 		current = true
 		delete(s.conns, c.name())
 		n.cancelFrom(s, c.name())
+		s.endAsks(c.name())
 		s.add(s.core.Disconnected(s.now, c.name()))
 	})
 	return current
--- a/io/version/swarm/source.go
+++ b/io/version/swarm/source.go
@@ -42,24 +42,24 @@
 }
 
 // manifest reads a manifest and checks it against its pinned digest.
-func (s *source) manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, error) {
+func (s *source) manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	peer := s.store.String()
 	resp, err := s.get(ctx, s.store, "/v1/manifests/"+string(d))
 	if err != nil {
-		return chunk.Manifest{}, fault.At("read manifest", peer, err)
+		return chunk.Manifest{}, nil, fault.At("read manifest", peer, err)
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxManifest+1))
 	if err != nil {
-		return chunk.Manifest{}, fault.At("read manifest", peer, err)
+		return chunk.Manifest{}, nil, fault.At("read manifest", peer, err)
 	}
 	if len(b) > maxManifest {
-		return chunk.Manifest{}, fault.Newf("read manifest", peer, "longer than %d bytes", maxManifest)
+		return chunk.Manifest{}, nil, fault.Newf("read manifest", peer, "longer than %d bytes", maxManifest)
 	}
 	m, err := chunk.Decode(b, d)
-	return m, fault.At("check manifest", peer, err)
+	return m, b, fault.At("check manifest", peer, err)
 }
 
 // chunk draws one chunk from the origin and checks its size and digest.
--- a/io/version/swarm/swarm_test.go
+++ b/io/version/swarm/swarm_test.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
@@ -21,6 +23,7 @@
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/view"
+	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/version/stage"
@@ -39,6 +42,7 @@
 	// manifest may take over the answer to a request for a manifest.
 	manifest func(w http.ResponseWriter) bool
 	once     sync.Once
+	reads    atomic.Int64 // of manifests
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -55,6 +59,7 @@
 
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if d, ok := strings.CutPrefix(r.URL.Path, "/v1/manifests/"); ok {
+		p.reads.Add(1)
 		if p.manifest == nil || !p.manifest(w) {
 			w.Write(p.manifests[chunk.Digest(d)])
 		}
@@ -115,6 +120,10 @@
 	return out
 }
 
+// patience is long enough that no transfer on the loopback is taken for
+// stalled, however busy the machine.
+const patience = time.Minute
+
 // cluster is a set of sides over real sockets.
 type cluster struct {
 	t     *testing.T
@@ -165,6 +174,7 @@
 		Store:        c.p.addr(),
 		OriginRegion: "r1",
 		BlockSize:    4 << 10,
+		Burst:        burst.Config{LeastPatience: patience},
 	}
 	l := &link.Listener{Self: n.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeWeights: n.Handler()}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,4 +253,7 @@
 	if diff := cmp.Diff(40, p.draws()); diff != "" {
 		t.Errorf("chunks drawn from the origin (-want +got):\n%s", diff)
 	}
+	if diff := cmp.Diff(int64(3), p.reads.Load()); diff != "" {
+		t.Errorf("manifests read from the store (-want +got):\n%s", diff)
+	}
 }
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -25,7 +25,9 @@
 	cancel   context.CancelFunc
 	ready    bool
 	manifest chunk.Manifest
+	raw      []byte // the canonical bytes
 	staged   []chunk.Digest
+	waiting  []*conn // peers that asked for it before it was read
 }
 
 // Update takes a new document, new peers or a new list of wanted versions.
@@ -59,9 +61,9 @@
 func (n *Node) readManifest(ctx context.Context, d chunk.Digest) {
 	wait := firstManifestWait
 	for ctx.Err() == nil {
-		m, err := n.source.manifest(ctx, d)
+		m, raw, err := n.obtainManifest(ctx, d)
 		if err == nil {
-			n.adopt(ctx, d, m)
+			n.adopt(ctx, d, m, raw)
 			return
 		}
 		n.reportUnlessStopped("read manifest", n.Store.String(), err)
@@ -80,14 +82,18 @@
 // adopt takes a manifest into the decisions, with the chunks of it that the
 // engine holds from before. These are read back and verified, since what an
 // earlier process of this side left behind is not known to be whole.
-func (n *Node) adopt(ctx context.Context, d chunk.Digest, m chunk.Manifest) {
+func (n *Node) adopt(ctx context.Context, d chunk.Digest, m chunk.Manifest, raw []byte) {
 	staged := n.verifyStaged(ctx, m)
 	n.do(func(s *state) {
 		k, ok := s.manifests[d]
 		if !ok || ctx.Err() != nil {
 			return
 		}
-		k.ready, k.manifest, k.staged = true, m, staged
+		k.ready, k.manifest, k.raw, k.staged = true, m, raw, staged
+		for _, c := range k.waiting {
+			sendManifest(c, d, raw)
+		}
+		k.waiting = nil
 		n.refresh(s)
 		k.staged = nil
 	})
