core/version/burst: shorten the tail under faults

Cause, found in the deterministic network of the tests (64 sides in three regions, 256 chunks, faults half way; virtual time until all are whole, 1.9 s without faults): corrupt chunks 4.8 s, since one corrupt chunk set a peer aside for 4 s and soon all neighbours were; dead sides 4.8 s, since each chunk for which a dead side ranks first held a turn; stalled links 6.0 s, since patience counted the time in which a peer still fetched the chunk itself.

Now a peer is set aside for the patience of a trade at first and asked all the same when no other is left; a side that missed its turn is passed over by all who saw it; patience counts from the first byte, and a pause of a whole transfer is a stall. Also a side with few neighbours uses more than one upload slot for each.

--- a/bench/burst/world.go
+++ b/bench/burst/world.go
@@ -148,6 +148,7 @@
 	}
 	cfg := tuning
 	cfg.Direct, cfg.Seed = w.trial.mode.direct, seed
+	cfg.LeastPatience = leastPatience
 	return &swarm.Node{
 		Self:         &link.Self{VM: s.vm, Boot: s.vm.Name},
 		Clock:        clock,
--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -86,9 +86,9 @@
 		}
 		late := now.Sub(it.dueAt)
 		if late < s.stepIn(up, 1) {
-			// A chunk whose first importer is dead would hold its turn
-			// and slow the link; once overdue it no longer counts.
 			taken[up]++
+		} else {
+			s.suspectFirst(now, st, i)
 		}
 		s.start(now, st, i, late)
 	}
@@ -126,7 +126,7 @@
 func (s *State) position(st *set, i int) int {
 	if st.place[i] == unranked {
 		key := string(st.items[i].ref.Digest)
-		st.place[i] = rank.Position(key, s.cfg.Self.Name, st.members[s.cfg.Self.Region])
+		st.place[i] = rank.Position(key, s.cfg.Self.Name, s.trusted(st))
 	}
 	return st.place[i]
 }
@@ -247,6 +247,7 @@
 	it.via = f.Via
 	it.from = f.Peer
 	it.since = now
+	it.flowing = false
 	it.deadline = now.Add(s.patience(f.Via))
 	for _, pl := range it.places {
 		pl.set.pending.Set(pl.index)
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -88,6 +88,9 @@
 	order []*peer
 	// uploads counts the upload slots in use.
 	uploads int
+	// suspects are sides that missed their turn, with the time until which
+	// they are passed over.
+	suspects map[string]time.Time
 	// blameEnd is when the last peer that is left alone is asked again.
 	blameEnd time.Time
 	// stale is set when the next settle must look for draws and imports.
@@ -136,6 +139,8 @@
 	dueAt   time.Time
 	lostAt  time.Time
 	retryAt time.Time
+	// flowing is set once bytes of the transfer came in.
+	flowing bool
 	// early is set once this side has passed on its turn for the chunk.
 	early bool
 	// badTrades counts the neighbours' failures to send the chunk.
@@ -155,8 +160,9 @@
 	full      bool
 	fullUntil time.Time
 	// owed is set while this side has refused the peer's offer.
-	owed      bool
-	upload    bool
+	owed bool
+	// uploads counts the upload slots in use for the peer.
+	uploads   int
 	uploadEnd time.Time
 	badUntil  time.Time
 	// stalled is set when the last fault was a stall; nothing is offered
@@ -178,11 +184,12 @@
 		cfg.LeastPatience = DefaultLeastPatience
 	}
 	return &State{
-		cfg:    cfg,
-		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
-		items:  map[chunk.Digest]*item{},
-		peers:  map[string]*peer{},
-		timing: map[Via]*estimate{},
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		items:    map[chunk.Digest]*item{},
+		peers:    map[string]*peer{},
+		timing:   map[Via]*estimate{},
+		suspects: map[string]time.Time{},
 	}
 }
 
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -22,6 +22,7 @@
 // starts overdue ones and dials again.
 func (s *State) Tick(now time.Time) []Action {
 	s.expire(now)
+	s.forgive(now)
 	s.connect(now)
 	s.wake()
 	s.stale = true
@@ -49,7 +50,7 @@
 	}
 	p.connected = false
 	p.full, p.owed = false, false
-	s.release(p)
+	s.releaseAll(p)
 	for id := range p.maps {
 		s.forgetMap(p, id)
 	}
@@ -98,6 +99,7 @@
 		if s.near(p) {
 			st.copies[i]++
 		}
+		s.trust(name)
 	}
 	s.spread(st, append(have, seen...), name)
 	return s.settle(now)
@@ -166,15 +168,22 @@
 	}
 }
 
-// Progressed tells that some bytes of a transfer came in; the peer is given
-// new time. A transfer from a peer may not take for ever all the same.
+// Progressed tells that some bytes of a transfer came in. Once they flow, a
+// pause as long as a whole transfer means that it has stalled. A transfer from
+// a peer may not trickle for ever either.
 func (s *State) Progressed(now time.Time, d chunk.Digest) {
 	it, ok := s.items[d]
 	if !ok || !it.pending() {
 		return
 	}
+	if !it.flowing {
+		// The time that the peer needed to get the chunk itself says
+		// nothing of how long a transfer takes.
+		it.flowing = true
+		it.since = now
+	}
 	p := s.patience(it.via)
-	it.deadline = now.Add(p)
+	it.deadline = now.Add(max(p/stallFactor, s.cfg.LeastPatience))
 	last := it.since.Add(trickleFactor * p)
 	if it.via != ViaOrigin && it.deadline.After(last) {
 		it.deadline = last
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -14,16 +14,15 @@
 	trickleFactor = 4
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
-	lostFactor = 2
-	// firstBad is how long a peer is left alone after its first fault; each
-	// further one doubles it.
-	firstBad = time.Second
-	mostBad  = time.Minute
+	lostFactor = 1
+	// mostBad bounds how long a peer is left alone. The first time it is the
+	// patience of a trade; each further fault in a row doubles it.
+	mostBad = time.Minute
 	// silentStrikes is how many stalls in a row a connection may have before
 	// it is closed.
 	silentStrikes = 2
-	// corruptStrikes is how many faults a corrupt chunk counts for.
-	corruptStrikes = 3
+	// suspectFor is how long a side that missed its turn is passed over.
+	suspectFor = 30 * time.Second
 	// mostBadTrades is how many failures of neighbours to send a chunk are
 	// borne before it is fetched anew for the region.
 	mostBadTrades = 2
@@ -88,10 +87,10 @@
 		s.failed(now, it, FailStalled, 0)
 	}
 	for _, p := range s.order {
-		if p.upload && now.After(p.uploadEnd) {
+		if p.uploads > 0 && now.After(p.uploadEnd) {
 			// The peer took an offer and went silent. Left in use, the slot
 			// would be lost, and with a few such peers all of them.
-			s.release(p)
+			s.releaseAll(p)
 			s.blame(now, p.Name, FailStalled)
 		}
 	}
@@ -138,17 +137,13 @@
 	if !ok || why == FailGone {
 		return
 	}
-	n := 1
-	if why == FailCorrupt {
-		n = corruptStrikes
-	}
-	p.strikes += n
+	p.strikes++
 	p.stalled = why == FailStalled
 	if why == FailStalled && p.strikes > silentStrikes && p.connected {
 		// A connection can go silent for good while a new one would work.
 		s.emit(Disconnect{Peer: name})
 	}
-	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
+	p.badUntil = now.Add(doubled(s.patience(ViaTrade), p.strikes-1, mostBad))
 	if p.badUntil.After(s.blameEnd) {
 		s.blameEnd = p.badUntil
 	}
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -29,24 +29,43 @@
 	for s.uploads < s.cfg.Uploads && len(open) > 0 {
 		k := s.pickPeer(open)
 		p := open[k]
-		open = append(open[:k], open[k+1:]...)
-		p.upload = true
+		if p.uploads+1 >= s.slotsEach() {
+			open = append(open[:k], open[k+1:]...)
+		}
+		p.uploads++
 		p.uploadEnd = now.Add(s.patience(ViaTrade))
 		s.uploads++
 		s.emit(Offer{Peer: p.Name})
 	}
 }
 
-// release frees the upload slot that a peer has, if it has one.
+// slotsEach is how many upload slots one peer may have. One is the rule; a
+// side with few neighbours would leave slots, and so its link, idle by it.
+func (s *State) slotsEach() int {
+	near := 0
+	for _, p := range s.order {
+		if s.near(p) {
+			near++
+		}
+	}
+	return max(1, (s.cfg.Uploads+near-1)/max(near, 1))
+}
+
+// release frees one upload slot of a peer, if it has any.
 func (s *State) release(p *peer) {
-	if p.upload {
-		p.upload = false
+	if p.uploads > 0 {
+		p.uploads--
 		s.uploads--
 	}
 }
 
+func (s *State) releaseAll(p *peer) {
+	s.uploads -= p.uploads
+	p.uploads = 0
+}
+
 func (s *State) eligible(now time.Time, p *peer) bool {
-	if p.upload || !s.near(p) || (p.stalled && now.Before(p.badUntil)) {
+	if !s.near(p) || (p.uploads > 0 && p.uploads >= s.slotsEach()) || (p.stalled && now.Before(p.badUntil)) {
 		return false
 	}
 	if p.full && now.Before(p.fullUntil) {
@@ -96,7 +115,7 @@
 }
 
 func (s *State) pickChunk(now time.Time, p *peer) *item {
-	if now.Before(p.badUntil) {
+	if now.Before(p.badUntil) && s.anyGood(now) {
 		return nil
 	}
 	var best *item
@@ -128,6 +147,16 @@
 	return best
 }
 
+// anyGood reports whether some neighbour is not left alone now.
+func (s *State) anyGood(now time.Time) bool {
+	for _, p := range s.order {
+		if s.near(p) && !now.Before(p.badUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // Passed tells that a peer refused an offer.
 func (s *State) Passed(now time.Time, name string) []Action {
 	p, ok := s.peers[name]
@@ -153,7 +182,7 @@
 // Sent tells that a block of the chunk a peer asked for has been sent; the
 // peer is given new time to ask for more.
 func (s *State) Sent(now time.Time, name string) {
-	if p, ok := s.peers[name]; ok && p.upload {
+	if p, ok := s.peers[name]; ok && p.uploads > 0 {
 		p.uploadEnd = now.Add(s.patience(ViaTrade))
 	}
 }
