--- a/bench/burst/world.go
+++ b/bench/burst/world.go
@@ -149,6 +149,10 @@
 	cfg := tuning
 	cfg.Direct, cfg.Seed = w.trial.mode.direct, seed
 	cfg.LeastPatience = leastPatience
+	if cfg.Direct {
+		// All wait for the origin's link at once; that is no stall.
+		cfg.LeastPatience = giveUpLeast
+	}
 	return &swarm.Node{
 		Self:         &link.Self{VM: s.vm, Boot: s.vm.Name},
 		Clock:        clock,
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -29,6 +29,10 @@
 	// DefaultTurns is how many chunks cross a region link at a time for
 	// each pair of regions.
 	DefaultTurns = 2
+	// WideTurns is the same for a link that carries more than the sides can
+	// take in: the wait for each next chunk then weighs more than the time
+	// that a chunk takes along the chain.
+	WideTurns = 4
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
 	DefaultDraws = 4
@@ -203,6 +207,9 @@
 // SetWeigh takes the document's weighing of origin bytes against time.
 func (s *State) SetWeigh(w envdoc.Weigh) { s.cfg.Weigh = w }
 
+// SetTurns changes how many chunks cross a region link at a time.
+func (s *State) SetTurns(n int) { s.cfg.Turns = n }
+
 // SetOriginRegion changes the region in which the origin lies; it takes
 // effect at the next Update.
 func (s *State) SetOriginRegion(region string) { s.cfg.OriginRegion = region }
--- a/io/version/pace/pacer.go
+++ b/io/version/pace/pacer.go
@@ -55,6 +55,13 @@
 // SetRegion changes the rate of the whole region link in bytes a second.
 func (p *Pacer) SetRegion(rate int64) { p.region.Store(rate) }
 
+// RegionBinds reports whether the region link carries less than this side's
+// own link downwards.
+func (p *Pacer) RegionBinds() bool {
+	rate := p.region.Load()
+	return rate > 0 && (p.Down.Rate <= 0 || rate < p.Down.Rate)
+}
+
 // RegionLeft estimates the bytes a second that live traffic leaves of the
 // region link, zero for an unpaced link. The link is shared and no process
 // sees all of it: calls spread evenly over the sides of a region, so the
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -12,6 +12,14 @@
 	"hawthornferry/io/version/pace"
 )
 
+// Times that one block may take on a machine's link and on a region link,
+// and the size under which the cost of a message is more than it saves.
+const (
+	blockTime      = 4 * time.Millisecond
+	crossBlockTime = 2 * time.Millisecond
+	leastBlock     = 2 << 10
+)
+
 // window is how many blocks of a chunk are asked for ahead.
 const window = 4
 
@@ -79,10 +87,11 @@
 	size := in.fetch.Chunk.Size
 	buf := make([]byte, size)
 	share := n.shareLine(in.fetch.Share)
+	piece := n.pieceSize(in.fetch.Via)
 	var asked, got int64
 	for got < size {
-		for asked < size && asked-got < window*n.blockSize() {
-			k := min(n.blockSize(), size-asked)
+		for asked < size && asked-got < window*piece {
+			k := min(piece, size-asked)
 			if err := share.Wait(ctx, int(k)); err != nil {
 				return nil, err
 			}
@@ -110,6 +119,22 @@
 	return buf, nil
 }
 
+// pieceSize is the size of the blocks to ask for: what the link carries in a
+// few milliseconds, since a live call may wait behind a block of each transfer
+// that shares the link.
+func (n *Node) pieceSize(v burst.Via) int64 {
+	rate := float64(n.pacer.Down.Rate)
+	most := blockTime
+	if v == burst.ViaImport {
+		rate = n.pacer.RegionLeft(n.sidesInRegion())
+		most = crossBlockTime
+	}
+	if rate <= 0 {
+		return n.BlockSize
+	}
+	return min(max(int64(rate*most.Seconds()), leastBlock), n.BlockSize)
+}
+
 func (n *Node) advance(in *incoming) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -143,8 +143,6 @@
 	return n.state.core.Wanted(d)
 }
 
-func (n *Node) blockSize() int64 { return n.BlockSize }
-
 // bytesOf returns a held chunk, from the cache or the staging area.
 func (n *Node) bytesOf(ctx context.Context, ref chunk.Ref) ([]byte, error) {
 	if b, ok := n.cache.get(ref.Digest); ok {
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -168,9 +168,20 @@
 			n.pacer.SetRegion(r.Link)
 		}
 	}
+	if n.Burst.Turns == 0 {
+		s.core.SetTurns(n.turns())
+	}
 	s.add(s.core.Update(s.now, sets))
 }
 
+// turns is how many chunks may cross between two regions at a time.
+func (n *Node) turns() int {
+	if n.pacer.RegionBinds() {
+		return burst.DefaultTurns
+	}
+	return burst.WideTurns
+}
+
 // originRegion is what the document says, or the setting where it is silent.
 func (n *Node) originRegion(d *envdoc.Document) string {
 	if d.Origin.Region != "" {
