--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -82,10 +82,10 @@
 		}
 		fmt.Println(tableLine(r))
 		results = append(results, r)
-	}
-	if o.csv != "" {
-		if err := writeCSV(o.csv, results); err != nil {
-			return err
+		if o.csv != "" {
+			if err := writeCSV(o.csv, results); err != nil {
+				return err
+			}
 		}
 	}
 	if o.plot != "" {
@@ -106,21 +106,30 @@
 		sides, faultSides = []int{o.sides}, o.sides
 	}
 	var out []trial
-	for _, s := range settings {
-		if o.setting != "" && o.setting != s.name {
-			continue
-		}
-		for _, n := range sides {
+	for _, n := range sides {
+		for _, s := range settings {
 			out = append(out, trialsOf(s, n, o)...)
 		}
-		if wantedMode(o, "faults") {
-			out = append(out, trial{setting: s, mode: modeOrigin, sides: faultSides, chunks: o.chunks, size: wholeBytes / o.chunks, faults: true})
-		}
+	}
+	for _, s := range settings {
+		out = append(out, faultTrial(s, faultSides, o)...)
 	}
 	return out
 }
 
+func faultTrial(s setting, n int, o options) []trial {
+	if !wantedMode(o, "faults") || !wantedSetting(o, s) {
+		return nil
+	}
+	return []trial{{setting: s, mode: modeOrigin, sides: n, chunks: o.chunks, size: wholeBytes / o.chunks, faults: true}}
+}
+
+func wantedSetting(o options, s setting) bool { return o.setting == "" || o.setting == s.name }
+
 func trialsOf(s setting, n int, o options) []trial {
+	if !wantedSetting(o, s) {
+		return nil
+	}
 	var out []trial
 	for _, m := range []mode{modeBaseline, modeOrigin, modeTime} {
 		if !wantedMode(o, m.name) {
--- a/bench/burst/run.go
+++ b/bench/burst/run.go
@@ -12,7 +12,7 @@
 
 // Times of a run.
 const (
-	beforeTime = 2 * time.Second
+	beforeTime = 1500 * time.Millisecond
 	// giveUp is how many times the bound a run may take.
 	giveUp      = 4
 	giveUpLeast = 30 * time.Second
--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -246,9 +246,10 @@
 func (s *State) begin(now time.Time, it *item, f Fetch) {
 	it.via = f.Via
 	it.from = f.Peer
+	it.began = now
 	it.since = now
 	it.flowing = false
-	it.deadline = now.Add(s.patience(f.Via))
+	it.deadline = now.Add(s.startPatience(f.Via))
 	for _, pl := range it.places {
 		pl.set.pending.Set(pl.index)
 	}
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -100,7 +100,7 @@
 	// stale is set when the next settle must look for draws and imports.
 	stale  bool
 	trades int
-	timing map[Via]*estimate
+	timing map[Via]*timing
 	out    []Action
 }
 
@@ -137,7 +137,8 @@
 	held     bool
 	via      Via
 	from     string
-	since    time.Time
+	began    time.Time
+	since    time.Time // of the first byte, once bytes flow
 	deadline time.Time
 	// dueAt is when this chunk's turn came; ranked step-in counts from it.
 	dueAt   time.Time
@@ -192,7 +193,7 @@
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
 		items:    map[chunk.Digest]*item{},
 		peers:    map[string]*peer{},
-		timing:   map[Via]*estimate{},
+		timing:   map[Via]*timing{},
 		suspects: map[string]time.Time{},
 	}
 }
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -4,9 +4,10 @@
 
 // Times of recovery.
 const (
-	// firstPatience bounds a transfer before any has been measured.
-	firstPatience = 5 * time.Second
-	mostPatience  = 60 * time.Second
+	// firstFactor is how many least patiences a transfer may take before any
+	// has been measured.
+	firstFactor  = 10
+	mostPatience = 60 * time.Second
 	// stallFactor is how many times the mean duration a transfer may take.
 	stallFactor = 4
 	// trickleFactor is how many times its patience a transfer from a peer
@@ -47,21 +48,40 @@
 	e.mean += (d - e.mean) / 8
 }
 
+// timing holds what one way of transfer took lately: flow counts from the
+// first byte, whole from when the chunk was asked for, with the time in which
+// the peer still fetched the chunk itself.
+type timing struct {
+	flow  estimate
+	whole estimate
+}
+
 func (s *State) measure(it *item, now time.Time) {
-	e, ok := s.timing[it.via]
+	t := s.timingOf(it.via)
+	t.flow.add(now.Sub(it.since))
+	t.whole.add(now.Sub(it.began))
+}
+
+func (s *State) timingOf(v Via) *timing {
+	t, ok := s.timing[v]
 	if !ok {
-		e = &estimate{}
-		s.timing[it.via] = e
+		t = &timing{}
+		s.timing[v] = t
 	}
-	e.add(now.Sub(it.since))
+	return t
 }
 
-// patience is how long a transfer may take before the chunk is asked for
-// elsewhere: a multiple of what such transfers took lately.
-func (s *State) patience(v Via) time.Duration {
-	e, ok := s.timing[v]
-	if !ok {
-		return max(firstPatience, s.cfg.LeastPatience)
+// patience is how long a transfer may bring nothing once its bytes flow: a
+// multiple of what such transfers took lately.
+func (s *State) patience(v Via) time.Duration { return s.patienceOf(s.timingOf(v).flow) }
+
+// startPatience is how long a transfer may take to bring its first byte, and
+// how long a rank waits for the one before it.
+func (s *State) startPatience(v Via) time.Duration { return s.patienceOf(s.timingOf(v).whole) }
+
+func (s *State) patienceOf(e estimate) time.Duration {
+	if e.n == 0 {
+		return firstFactor * s.cfg.LeastPatience
 	}
 	return min(max(stallFactor*e.mean, s.cfg.LeastPatience), mostPatience)
 }
@@ -73,7 +93,7 @@
 	if up == "" {
 		via = ViaOrigin
 	}
-	return time.Duration(pos) * s.patience(via)
+	return time.Duration(pos) * s.startPatience(via)
 }
 
 // expire ends transfers past their deadline and takes back upload slots from
--- a/core/version/burst/trade.go
+++ b/core/version/burst/trade.go
@@ -33,7 +33,7 @@
 			open = append(open[:k], open[k+1:]...)
 		}
 		p.uploads++
-		p.uploadEnd = now.Add(s.patience(ViaTrade))
+		p.uploadEnd = now.Add(s.startPatience(ViaTrade))
 		s.uploads++
 		s.emit(Offer{Peer: p.Name})
 	}
@@ -183,7 +183,7 @@
 // peer is given new time to ask for more.
 func (s *State) Sent(now time.Time, name string) {
 	if p, ok := s.peers[name]; ok && p.uploads > 0 {
-		p.uploadEnd = now.Add(s.patience(ViaTrade))
+		p.uploadEnd = now.Add(s.startPatience(ViaTrade))
 	}
 }
 
--- a/io/version/swarm/swarm_test.go
+++ b/io/version/swarm/swarm_test.go
@@ -132,11 +132,18 @@
 	nodes []*Node
 	stops []func()
 	vms   []fleet.VM
+
+	patience time.Duration
 }
 
 func newCluster(t *testing.T, p *platform, regions ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, p: p}
+	return newClusterWith(t, p, patience, regions...)
+}
+
+func newClusterWith(t *testing.T, p *platform, least time.Duration, regions ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, p: p, patience: least}
 	logger, hook := test.NewNullLogger()
 	c.logs = hook
 	for i, region := range regions {
@@ -174,7 +181,7 @@
 		Store:        c.p.addr(),
 		OriginRegion: "r1",
 		BlockSize:    4 << 10,
-		Burst:        burst.Config{LeastPatience: patience},
+		Burst:        burst.Config{LeastPatience: c.patience},
 	}
 	l := &link.Listener{Self: n.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeWeights: n.Handler()}}
 	ctx, cancel := context.WithCancel(context.Background())
