bench/burst: let a connection have more than one block under way

A block is now handed over 8 ms before the end of its way; every wire still books each block at its rate.

--- a/bench/burst/live.go
+++ b/bench/burst/live.go
@@ -94,7 +94,7 @@
 		s.pacer.Cross.Live(liveAnswer)
 	}
 	s.pacer.Down.Live(liveAsk)
-	if passAll(ctx, liveAsk, false, in...) != nil {
+	if passLive(ctx, liveAsk, in...) != nil {
 		return
 	}
 	service := liveService + rand.N(liveJitter)
@@ -102,7 +102,7 @@
 		return
 	}
 	s.pacer.Up.Live(liveAnswer)
-	if passAll(ctx, liveAnswer, false, out...) != nil {
+	if passLive(ctx, liveAnswer, out...) != nil {
 		return
 	}
 	l.mu.Lock()
--- a/bench/burst/wire.go
+++ b/bench/burst/wire.go
@@ -50,15 +50,31 @@
 
 func newWire(rate float64) *wire { return &wire{rate: rate} }
 
-// passAll books n bytes on each wire in turn and waits until they have left
-// the last.
-func passAll(ctx context.Context, n int, bulk bool, wires ...*wire) error {
+// ahead is how long before the end of its way a block of a transfer is handed
+// to the receiver. Without it a connection would have one block under way at a
+// time, where a network has a window of them; the wires still carry no more
+// than their rates, since each block is booked on all of them.
+const ahead = 8 * time.Millisecond
+
+// passBulk books n bytes of a transfer on each wire in turn and waits until
+// they are about to leave the last.
+func passBulk(ctx context.Context, n int, wires ...*wire) error {
+	return sleepUntil(ctx, book(n, true, wires).Add(-ahead))
+}
+
+// passLive books n bytes of a live request and waits until they have left the
+// last wire.
+func passLive(ctx context.Context, n int, wires ...*wire) error {
+	return sleepUntil(ctx, book(n, false, wires))
+}
+
+func book(n int, bulk bool, wires []*wire) time.Time {
 	now := time.Now()
 	s := span{begin: now, end: now}
 	for _, w := range wires {
 		s = w.pass(s, n, bulk)
 	}
-	return sleepUntil(ctx, s.end)
+	return s.end
 }
 
 func sleepUntil(ctx context.Context, t time.Time) error {
--- a/bench/burst/world.go
+++ b/bench/burst/world.go
@@ -180,7 +180,7 @@
 	if a.region != b.region {
 		wires = append(wires, w.regions[a.region].out, w.regions[b.region].in)
 	}
-	return passAll(ctx, n, true, append(wires, b.down)...)
+	return passBulk(ctx, n, append(wires, b.down)...)
 }
 
 // serveTo runs a store and an origin for one side, so that the bytes pass
@@ -210,7 +210,7 @@
 	wires = append(wires, s.down)
 	for off := 0; off < len(b); off += blockSize {
 		end := min(off+blockSize, len(b))
-		if passAll(r.Context(), end-off, true, wires...) != nil {
+		if passBulk(r.Context(), end-off, wires...) != nil {
 			return
 		}
 		if _, err := rw.Write(b[off:end]); err != nil {
