core/version/burst: let a flowing import pause for longer

The log showed eleven imports of one side stopped as stalled and begun anew by the same side, all from two busy exporters. A flowing import may now pause for as long as its first byte may take.

--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -183,7 +183,13 @@
 		it.since = now
 	}
 	p := s.patience(it.via)
-	it.deadline = now.Add(max(p/stallFactor, s.cfg.LeastPatience))
+	pause := max(p/stallFactor, s.cfg.LeastPatience)
+	if it.via == ViaImport {
+		// An exporter serves several regions and its own; begun anew, an
+		// import crosses the region link twice.
+		pause = s.startPatience(it.via)
+	}
+	it.deadline = now.Add(pause)
 	last := it.since.Add(trickleFactor * p)
 	if it.via != ViaOrigin && it.deadline.After(last) {
 		it.deadline = last
--- a/io/version/pace/line.go
+++ b/io/version/pace/line.go
@@ -17,7 +17,7 @@
 
 // headroom is the part of a line's rate that transfers never book, so that a
 // queue which built up before a live call drains.
-const headroom = 0.02
+const headroom = 0.04
 
 // Line is one direction of a link that live traffic and transfers share.
 // Live traffic passes at once; transfers wait until the line is idle.
