--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -4,10 +4,10 @@
 
 // Times of recovery.
 const (
-	// firstPatience bounds a transfer before any has been measured.
-	firstPatience = 5 * time.Second
-	leastPatience = 500 * time.Millisecond
-	mostPatience  = 60 * time.Second
+	// firstFactor is how many least patiences a transfer may take before any
+	// has been measured.
+	firstFactor  = 10
+	mostPatience = 60 * time.Second
 	// stallFactor is how many times the mean duration a transfer may take.
 	stallFactor = 4
 	// trickleFactor is how many times its patience a transfer from a peer
@@ -15,16 +15,15 @@
 	trickleFactor = 4
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
-	lostFactor = 2
-	// firstBad is how long a peer is left alone after its first fault; each
-	// further one doubles it.
-	firstBad = time.Second
-	mostBad  = time.Minute
+	lostFactor = 1
+	// mostBad bounds how long a peer is left alone. The first time it is the
+	// patience of a trade; each further fault in a row doubles it.
+	mostBad = time.Minute
 	// silentStrikes is how many stalls in a row a connection may have before
 	// it is closed.
 	silentStrikes = 2
-	// corruptStrikes is how many faults a corrupt chunk counts for.
-	corruptStrikes = 3
+	// suspectFor is how long a side that missed its turn is passed over.
+	suspectFor = 30 * time.Second
 	// mostBadTrades is how many failures of neighbours to send a chunk are
 	// borne before it is fetched anew for the region.
 	mostBadTrades = 2
@@ -49,23 +48,42 @@
 	e.mean += (d - e.mean) / 8
 }
 
+// timing holds what one way of transfer took lately: flow counts from the
+// first byte, whole from when the chunk was asked for, with the time in which
+// the peer still fetched the chunk itself.
+type timing struct {
+	flow  estimate
+	whole estimate
+}
+
 func (s *State) measure(it *item, now time.Time) {
-	e, ok := s.timing[it.via]
+	t := s.timingOf(it.via)
+	t.flow.add(now.Sub(it.since))
+	t.whole.add(now.Sub(it.began))
+}
+
+func (s *State) timingOf(v Via) *timing {
+	t, ok := s.timing[v]
 	if !ok {
-		e = &estimate{}
-		s.timing[it.via] = e
+		t = &timing{}
+		s.timing[v] = t
 	}
-	e.add(now.Sub(it.since))
+	return t
 }
 
-// patience is how long a transfer may take before the chunk is asked for
-// elsewhere: a multiple of what such transfers took lately.
-func (s *State) patience(v Via) time.Duration {
-	e, ok := s.timing[v]
-	if !ok {
-		return firstPatience
+// patience is how long a transfer may bring nothing once its bytes flow: a
+// multiple of what such transfers took lately.
+func (s *State) patience(v Via) time.Duration { return s.patienceOf(s.timingOf(v).flow) }
+
+// startPatience is how long a transfer may take to bring its first byte, and
+// how long a rank waits for the one before it.
+func (s *State) startPatience(v Via) time.Duration { return s.patienceOf(s.timingOf(v).whole) }
+
+func (s *State) patienceOf(e estimate) time.Duration {
+	if e.n == 0 {
+		return firstFactor * s.cfg.LeastPatience
 	}
-	return min(max(stallFactor*e.mean, leastPatience), mostPatience)
+	return min(max(stallFactor*e.mean, s.cfg.LeastPatience), mostPatience)
 }
 
 // stepIn is how long the side at a rank waits for those before it, counted
@@ -75,7 +93,7 @@
 	if up == "" {
 		via = ViaOrigin
 	}
-	return time.Duration(pos) * s.patience(via)
+	return time.Duration(pos) * s.startPatience(via)
 }
 
 // expire ends transfers past their deadline and takes back upload slots from
@@ -89,10 +107,10 @@
 		s.failed(now, it, FailStalled, 0)
 	}
 	for _, p := range s.order {
-		if p.upload && now.After(p.uploadEnd) {
+		if p.uploads > 0 && now.After(p.uploadEnd) {
 			// The peer took an offer and went silent. Left in use, the slot
 			// would be lost, and with a few such peers all of them.
-			s.release(p)
+			s.releaseAll(p)
 			s.blame(now, p.Name, FailStalled)
 		}
 	}
@@ -139,17 +157,13 @@
 	if !ok || why == FailGone {
 		return
 	}
-	n := 1
-	if why == FailCorrupt {
-		n = corruptStrikes
-	}
-	p.strikes += n
+	p.strikes++
 	p.stalled = why == FailStalled
 	if why == FailStalled && p.strikes > silentStrikes && p.connected {
 		// A connection can go silent for good while a new one would work.
 		s.emit(Disconnect{Peer: name})
 	}
-	p.badUntil = now.Add(doubled(firstBad, p.strikes-1, mostBad))
+	p.badUntil = now.Add(doubled(s.patience(ViaTrade), p.strikes-1, mostBad))
 	if p.badUntil.After(s.blameEnd) {
 		s.blameEnd = p.badUntil
 	}
