--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -126,7 +126,7 @@
 }
 
 // keptListener keeps its port when it is closed: a port given back may be
-// taken by any connection of the machine before a side's successor listens.
+// taken by any process of the machine before a side's successor listens.
 type keptListener struct{ *net.TCPListener }
 
 func (l keptListener) Close() error { return l.SetDeadline(time.Unix(1, 0)) }
