core/version/burst: keep the time since a chunk was out of reach

The region's only pair of sides had a stalled link; each time the peer's term of being left alone ended, the wait for a fetch anew began from zero. The time since a chunk was first out of reach is now kept. The new test in the tests' network passes with and without the change: it holds the outcome, not this cause.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -191,7 +191,9 @@
 func (s *State) recover(now time.Time, st *set, i int) {
 	it := st.items[i]
 	if it.pending() || (it.badTrades < mostBadTrades && s.withinReach(now, st, i)) {
-		it.lostAt = time.Time{}
+		// The time since it was first out of reach is kept: a neighbour
+		// whose link has stalled comes within reach between its faults,
+		// and counting anew each time would never end.
 		return
 	}
 	if it.lostAt.IsZero() {
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -97,6 +97,24 @@
 	n.until(n.whole(v.ID))
 }
 
+// The link between the only two sides of a region stalls for good, half way.
+// Each gets the rest over the region link, within a time that the faults of
+// its neighbour do not stretch.
+func TestOnlyNeighbourStalls(t *testing.T) {
+	n := newNetwork(t, regionsOf(3, 2)...)
+	stalled := false
+	n.stall = func(from, to string) bool { return stalled && key(from, to) == key("side03", "side04") }
+	v := version("1", 0, 120).of(n.members())
+	n.update(v)
+	n.until(func() bool { return n.draws() > 60 })
+	stalled = true
+	begin := n.now
+	n.until(n.whole(v.ID))
+	if got := n.now - begin; got > 20*time.Second {
+		t.Errorf("whole after %v of virtual time, want at most 20s", got)
+	}
+}
+
 // While version 1 is in flight the document names version 2, which shares
 // half the chunks. Transfers of the rest are stopped and what is held of them
 // is discarded; shared chunks are not fetched again.
