bench/burst: span the range even when cut short

The ends of the range come first now, an interrupt ends the run with what it has, and results are sorted on output.

--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -6,11 +6,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 
 	"github.com/integrii/flaggy"
 
@@ -77,15 +79,19 @@
 	fmt.Println(tableHead)
 	for i, t := range trials(o) {
 		r, err := run(ctx, t, uint64(i))
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			return err
 		}
 		fmt.Println(tableLine(r))
 		results = append(results, r)
-		if o.csv != "" {
-			if err := writeCSV(o.csv, results); err != nil {
-				return err
-			}
+	}
+	slices.SortStableFunc(results, byTrial)
+	if o.csv != "" {
+		if err := writeCSV(o.csv, results); err != nil {
+			return err
 		}
 	}
 	if o.plot != "" {
@@ -94,9 +100,20 @@
 	return nil
 }
 
+// byTrial orders results by setting, mode, faults and number of sides.
+func byTrial(a, b result) int {
+	return cmp.Or(
+		cmp.Compare(a.trial.setting.name, b.trial.setting.name),
+		cmp.Compare(a.trial.mode.name, b.trial.mode.name),
+		cmp.Compare(fmt.Sprint(a.trial.faults), fmt.Sprint(b.trial.faults)),
+		cmp.Compare(a.trial.sides, b.trial.sides),
+	)
+}
+
 // trials lists the runs that the options ask for.
 func trials(o options) []trial {
-	sides := []int{4, 8, 16, 32, 64, 128}
+	// The ends come first: a run that is cut short still spans the range.
+	sides := []int{4, 16, 64, 128, 8, 32}
 	faultSides := 64
 	if o.quick {
 		sides = []int{4, 32}
