--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -22,7 +22,7 @@
 	MaxBody   = 8 << 20
 	MaxAnswer = 1 << 20
 	MaxHeader = 64 << 10
-	Window    = 256 << 10
+	Window    = 64 << 10
 )
 
 // Channel numbers a call on one connection, from 1. Another connection gives
@@ -151,11 +151,13 @@
 	return checkCall("verdict", m.Channel)
 }
 
-// Head is the status and header of an answer.
+// Head is the status and header of an answer. Again is set when the call had
+// come before and did not run again for this answer.
 type Head struct {
 	Channel Channel     `msgpack:"c"`
 	Status  int         `msgpack:"s"`
 	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
 }
 
 // Kind names the message.
@@ -199,6 +201,36 @@
 	return checkCall("end", m.Channel)
 }
 
+// Answer is a whole small answer: Head, Data and End in one.
+type Answer struct {
+	Channel Channel     `msgpack:"c"`
+	Status  int         `msgpack:"s"`
+	Header  http.Header `msgpack:"h"`
+	Again   bool        `msgpack:"a,omitempty"`
+	Data    []byte      `msgpack:"d"`
+}
+
+// Kind names the message.
+func (*Answer) Kind() frame.Kind { return "answer" }
+
+// Check reports the first field that is out of its domain.
+func (m *Answer) Check() error {
+	if err := checkBlock("answer", m.Channel, 0, m.Data); err != nil {
+		return err
+	}
+	return (&Head{Channel: m.Channel, Status: m.Status}).Check()
+}
+
+// parts returns the messages that m stands for.
+func (m *Answer) parts() []frame.Message {
+	head := &Head{Channel: m.Channel, Status: m.Status, Header: m.Header, Again: m.Again}
+	end := &End{Channel: m.Channel, Size: len(m.Data)}
+	if len(m.Data) == 0 {
+		return []frame.Message{head, end}
+	}
+	return []frame.Message{head, &Data{Channel: m.Channel, Data: m.Data}, end}
+}
+
 // Refusal ends a call that has no whole answer. RetryAfter is set where
 // asking again is safe.
 type Refusal struct {
@@ -219,40 +251,6 @@
 	return checkCall("refusal", m.Channel)
 }
 
-// Load is the target's own account of its load. Known is false until the
-// side has heard of it.
-type Load struct {
-	Known    bool `msgpack:"k"`
-	Running  int  `msgpack:"r"`
-	Queued   int  `msgpack:"q"`
-	Capacity int  `msgpack:"c"`
-}
-
-// Heartbeat is sent by the side at a steady rate, and at once when something
-// in it has changed. Kinds of service without weights have an empty Serving.
-type Heartbeat struct {
-	Reading lease.Reading `msgpack:"r"`
-	Leaving bool          `msgpack:"l"`
-	Ready   bool          `msgpack:"y"`
-	Serving chunk.Digest  `msgpack:"s"`
-	Load    Load          `msgpack:"o"`
-}
-
-// Kind names the message.
-func (*Heartbeat) Kind() frame.Kind { return "beat" }
-
-// Check reports the first field that is out of its domain.
-func (m *Heartbeat) Check() error { return m.Reading.Check() }
-
-// Alive answers a Heartbeat, so that the side too finds a silent connection.
-type Alive struct{}
-
-// Kind names the message.
-func (*Alive) Kind() frame.Kind { return "alive" }
-
-// Check finds nothing to check.
-func (*Alive) Check() error { return nil }
-
 func checkCall(kind string, id Channel) error {
 	if id == 0 {
 		return errors.Newf("%s: channel is 0", kind)
@@ -271,7 +269,9 @@
 func entryKinds() frame.Kinds {
 	k := frame.Kinds{}
 	k.Register(func() frame.Message { return &Heartbeat{} })
+	k.Register(func() frame.Message { return &Events{} })
 	k.Register(func() frame.Message { return &Verdict{} })
+	k.Register(func() frame.Message { return &Answer{} })
 	k.Register(func() frame.Message { return &Head{} })
 	k.Register(func() frame.Message { return &Data{} })
 	k.Register(func() frame.Message { return &End{} })
--- a/io/conn/sessn/server.go
+++ b/io/conn/sessn/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,9 @@
 	Beat() Heartbeat
 	// Changed returns a channel that is closed when Beat says something new.
 	Changed() <-chan struct{}
+	// Events returns the target's cache events after a position, at most
+	// MaxEvents of them, and the position of the last.
+	Events(after uint64) ([]PrefixEvent, uint64)
 }
 
 // Server accepts the sessions of entries. Set the exported fields first.
@@ -34,6 +38,12 @@
 	Timing  Timing
 	// MaxCalls bounds the calls open on one connection.
 	MaxCalls int
+
+	// bodies is the number of bytes of the request bodies of open calls.
+	bodies atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*sideConn]bool
 }
 
 // DefaultMaxCalls bounds the calls open on one connection where nothing is
@@ -53,23 +63,30 @@
 
 	mu      sync.Mutex
 	streams map[Channel]*Stream
-	// arriving is the number of body bytes held for calls not yet whole.
-	arriving int
-	silence  lease.Silence
+	silence lease.Silence
+	// beaten counts heartbeats sent, alive those that the entry has answered;
+	// heardFrom is closed and renewed with each answer.
+	beaten    int
+	alive     int
+	heardFrom chan struct{}
 }
 
-// maxArriving bounds the bodies that one connection may leave unfinished.
-const maxArriving = 2 * MaxBody
+// maxBodies bounds the request bodies of open calls, over all connections.
+const maxBodies = 2 * MaxBody
 
 // serve runs one connection. It returns when the connection has ended and
 // every call on it has returned.
 func (s *Server) serve(ctx context.Context, l *link.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &sideConn{link: l, server: s, streams: map[Channel]*Stream{}}
+	c := &sideConn{link: l, server: s, streams: map[Channel]*Stream{}, heardFrom: make(chan struct{})}
+	s.add(c)
+	defer s.remove(c)
 	c.silence.After = s.Timing.orDefault().Silent
 	c.heard(s.Clock.Now())
 	c.wg.Go(func() { c.beats(ctx) })
 	_ = c.receive(ctx)
+	c.gone()
+	c.dropUnfinished()
 	cancel()
 	l.Close()
 	c.wg.Wait()
@@ -80,12 +97,21 @@
 func (c *sideConn) beats(ctx context.Context) {
 	tick := c.server.Clock.NewTicker(c.server.Timing.orDefault().Beat)
 	defer tick.Stop()
+	var seen uint64
 	for {
 		changed := c.server.Service.Changed()
 		hb := c.server.Service.Beat()
+		c.mu.Lock()
+		c.beaten++
+		c.mu.Unlock()
 		if err := c.send(&hb); err != nil {
 			return
 		}
+		var events []PrefixEvent
+		events, seen = c.server.Service.Events(seen)
+		if len(events) > 0 && c.send(&Events{Events: events}) != nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -140,6 +166,8 @@
 		return c.onBody(m)
 	case *Query:
 		return c.onQuery(ctx, m)
+	case *Alive:
+		c.onAlive()
 	case *Cancel:
 		c.onCancel(m.Channel)
 	case *Credit:
@@ -185,10 +213,14 @@
 }
 
 func (c *sideConn) onStart(ctx context.Context, m *Start) error {
-	if c.arriving+m.Size > maxArriving {
+	if c.server.bodies.Add(int64(m.Size)) > maxBodies {
+		c.server.bodies.Add(-int64(m.Size))
 		return c.busy(m)
 	}
 	s, err := c.open(ctx, m.Channel)
+	if err != nil || s == nil {
+		c.server.bodies.Add(-int64(m.Size))
+	}
 	if err != nil {
 		return err
 	}
@@ -198,7 +230,6 @@
 	s.Start, s.want = m, m.Size
 	s.Body = m.Body
 	m.Body = nil
-	c.arriving += m.Size
 	c.beginWhole(s)
 	return nil
 }
@@ -232,8 +263,9 @@
 	if len(s.Body) < s.want {
 		return
 	}
-	c.arriving -= s.want
+	s.begun = true
 	c.wg.Go(func() {
+		defer c.server.bodies.Add(-int64(s.want))
 		defer s.cancel()
 		defer c.forget(s.channel)
 		c.server.Service.Begin(s)
@@ -261,9 +293,20 @@
 	if s == nil {
 		return
 	}
-	if s.Start != nil && len(s.Body) < s.want {
-		c.arriving -= s.want
+	if s.unfinished() {
+		c.server.bodies.Add(-int64(s.want))
 		c.forget(id)
 	}
 	s.cancel()
 }
+
+// dropUnfinished gives up the calls whose bodies never came whole.
+func (c *sideConn) dropUnfinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.streams {
+		if s.unfinished() {
+			c.server.bodies.Add(-int64(s.want))
+		}
+	}
+}
--- a/io/conn/sessn/stream.go
+++ b/io/conn/sessn/stream.go
@@ -27,9 +27,14 @@
 	more   chan struct{}
 
 	position int
-	want     int
+	// want is the length of the body, begun is set once it is whole; both
+	// belong to the connection's reader.
+	want  int
+	begun bool
 }
 
+func (s *Stream) unfinished() bool { return s.Start != nil && !s.begun }
+
 func newStream(ctx context.Context, c *sideConn, id Channel) *Stream {
 	s := &Stream{conn: c, channel: id, credit: Window, more: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
@@ -94,6 +99,23 @@
 	}
 }
 
+// Answer sends a whole answer. One of up to a block goes in one message,
+// which spares both ends two system calls and two wake-ups.
+func (s *Stream) Answer(h Head, body []byte) error {
+	if len(body) <= BlockSize {
+		return s.last(&Answer{
+			Channel: s.channel, Status: h.Status, Header: h.Header, Again: h.Again, Data: body,
+		})
+	}
+	if err := s.Head(h); err != nil {
+		return err
+	}
+	if _, err := s.Write(body); err != nil {
+		return err
+	}
+	return s.End()
+}
+
 // End says that the answer is whole.
 func (s *Stream) End() error {
 	return s.last(&End{Channel: s.channel, Size: s.position})
--- a/io/request/front/world_test.go
+++ b/io/request/front/world_test.go
@@ -31,6 +31,10 @@
 // fastTiming keeps the tests short; no verdict depends on it.
 var fastTiming = sessn.Timing{Beat: 20 * time.Millisecond, Silent: time.Second, Redial: 10 * time.Millisecond}
 
+// sideListen is where sides listen. A side that is replaced listens on the
+// same port again; on 127.0.0.1 a connection going out may have taken it.
+const sideListen = "127.0.0.2:0"
+
 // world is a fleet on loopback: entries and sides over real sockets, with
 // test servers as targets.
 type world struct {
@@ -41,9 +45,11 @@
 	limits calls.Limits
 	// sideSilent and log, when set before a side is added, are the side's.
 	sideSilent time.Duration
+	timing     sessn.Timing
 	log        trail.Log
 	// entryLimits, when set before an entry is added, are its limits.
 	entryLimits Limits
+	entryClock  clockwork.Clock
 
 	mu      sync.Mutex
 	view    view.View
@@ -52,7 +58,7 @@
 
 func newWorld(t *testing.T) *world {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{t: t, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	w := &world{t: t, ctx: ctx, cancel: cancel, timing: fastTiming, changed: make(chan struct{})}
 	w.view.Document = &envdoc.Document{
 		Revision: 1,
 		Zones:    []envdoc.Zone{{Name: "z", Region: "r"}},
@@ -118,7 +124,7 @@
 	w.t.Helper()
 	ts := httptest.NewServer(target)
 	w.t.Cleanup(ts.Close)
-	return w.runSide(name, service, netip.MustParseAddrPort(ts.Listener.Addr().String()), "127.0.0.1:0")
+	return w.runSide(name, service, netip.MustParseAddrPort(ts.Listener.Addr().String()), sideListen)
 }
 
 // runSide starts a side process of a new boot on listen.
@@ -136,7 +142,7 @@
 	self := &link.Self{VM: s.vm, Boot: name + "-" + time.Now().Format("150405.000000000")}
 	s.gate = &gate.Gate{
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
-		Source: w, Target: target, Service: service, Timing: fastTiming, Limits: w.limits,
+		Source: w, Target: target, Service: service, Timing: w.timing, Limits: w.limits,
 	}
 	s.gate.Timing.Silent = or(w.sideSilent, s.gate.Timing.Silent)
 	s.gate.Log = or(w.log, s.gate.Log)
@@ -176,10 +182,11 @@
 	}}
 	f := &Front{
 		Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope,
-		Source: w, Net: nl, Timing: fastTiming,
+		Source: w, Net: nl, Timing: w.timing,
 	}
 	f.Limits = w.entryLimits
 	f.Limits.Notice = 10 * time.Millisecond
+	f.Clock = or(w.entryClock, f.Clock)
 	f.Limits.Subset = 4
 	if len(first) > 0 {
 		f.Chooser = firstOf{name: first[0], rest: newPolicy(f.Clock, self.VM)}
--- a/io/request/gate/once.go
+++ b/io/request/gate/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -17,7 +18,9 @@
 // run is one once-call that was handed to the target. Its fields but done
 // are set before done is closed; answer is nil when it is not kept.
 type run struct {
-	id     calls.ID
+	id calls.ID
+	// at is the gate's clock when the call was settled.
+	at     time.Duration
 	done   chan struct{}
 	state  calls.State
 	reason calls.Reason
@@ -57,7 +60,7 @@
 	if act.Act == calls.ActRun {
 		go g.execute(r, s)
 	}
-	g.answer(s, r)
+	g.answer(s, r, act.Act != calls.ActRun)
 }
 
 func refusalOf(a calls.Action) sessn.Refusal {
@@ -148,19 +151,44 @@
 	if r.reason == calls.ReasonTooLarge {
 		r.answer = nil
 	}
+	r.at = g.now()
 	g.kept = append(g.kept, r.id)
 	g.keptSize += r.size()
 	for g.keptSize > g.MaxKept && len(g.kept) > 1 {
-		old := g.runs[g.kept[0]]
-		g.kept = g.kept[1:]
-		if old == nil {
-			continue
+		g.dropLocked()
+	}
+}
+
+// dropLocked drops the oldest held call.
+func (g *Gate) dropLocked() {
+	id := g.kept[0]
+	g.kept = g.kept[1:]
+	if r := g.runs[id]; r != nil {
+		g.keptSize -= r.size()
+		delete(g.runs, id)
+	}
+}
+
+// forgetLocked drops the held calls and the records that have passed their
+// age.
+func (g *Gate) forgetLocked() {
+	now := g.now()
+	g.ledger.Expire(now)
+	for len(g.kept) > 0 {
+		r := g.runs[g.kept[0]]
+		if r != nil && now-r.at <= g.Limits.Keep {
+			return
 		}
-		g.keptSize -= old.size()
-		delete(g.runs, old.id)
+		g.dropLocked()
 	}
 }
 
+func (g *Gate) measureLocked() {
+	g.Metrics.Gauge("gate.records").Update(float64(g.ledger.Len()))
+	g.Metrics.Gauge("gate.keptBytes").Update(float64(g.keptSize))
+	g.Metrics.Gauge("gate.inFlight").Update(float64(g.inFlight))
+}
+
 // recordSize is what a held call takes beside its answer, in bytes, roughly.
 const recordSize = 512
 
@@ -171,8 +199,9 @@
 	return recordSize + len(r.answer.body)
 }
 
-// answer sends what became of r once it is known.
-func (g *Gate) answer(s *sessn.Stream, r *run) {
+// answer sends what became of r once it is known. again tells that the call
+// had come before.
+func (g *Gate) answer(s *sessn.Stream, r *run, again bool) {
 	if r == nil {
 		_ = s.Refuse(sessn.Refusal{Outcome: calls.Done, Reason: calls.ReasonTooLarge})
 		return
@@ -186,18 +215,14 @@
 		_ = s.Refuse(sessn.Refusal{Outcome: outcomeOf(r.state), Reason: r.reason})
 		return
 	}
-	if s.Head(sessn.Head{Status: r.answer.status, Header: r.answer.header}) != nil {
-		return
-	}
-	if _, err := s.Write(r.answer.body); err != nil {
-		return
-	}
-	_ = s.End()
+	_ = s.Answer(sessn.Head{Status: r.answer.status, Header: r.answer.header, Again: again}, r.answer.body)
 }
 
 // Ask answers a query: the state first, then the answer when there is or
 // will be one.
 func (g *Gate) Ask(s *sessn.Stream, q *sessn.Query) {
+	g.hold()
+	defer g.answered()
 	g.mu.Lock()
 	state := g.ledger.Query(g.now(), calls.Query{Ticket: q.Ticket, Mark: q.Mark})
 	r := g.runs[q.Ticket.Call]
@@ -210,7 +235,7 @@
 	if s.Verdict(sessn.Verdict{State: state}, open) != nil || !open {
 		return
 	}
-	g.answer(s, r)
+	g.answer(s, r, false)
 }
 
 func (g *Gate) note(m *sessn.Start, a calls.Action) {
