calls: a key that another side may have run is unknown, not notRun

Exploring a change of a key's owner gave two counterexamples. A key ran at its old owner; an entry with the new members asked a side that did not see them yet, which marked the key and said notRun (14 moves). With that mended, a start that was on its way for longer than the window was refused as stale and said notRun (16 moves). A caller would pay again under a new key. What may have run elsewhere is now answered unknown and not marked: the members differ, or the attempt began before the window had passed; queries carry the members too.

--- a/core/request/calls/ledger.go
+++ b/core/request/calls/ledger.go
@@ -63,11 +63,14 @@
 
 // Start is a call that asks to run. Echo is the reading that it carries,
 // Refuse a reason of the side itself against any new work, such as leaving.
+// Unsure is set when the sender and the side see other members among which
+// keys have their owners.
 type Start struct {
 	Ticket Ticket
 	Echo   lease.Reading
 	Print  string
 	Refuse Reason
+	Unsure bool
 }
 
 // Act is what the side is to do with a call.
@@ -107,7 +110,7 @@
 	if s.Ticket.Bind == BindTicket && s.Ticket.expired(clock, l.Limits.Keep) {
 		return refuse(Unknown, ReasonExpired)
 	}
-	if s.Ticket.Bind == BindKey && now < l.keysFrom {
+	if l.mayBeElsewhere(s.Ticket, s.Unsure) {
 		return refuse(Unknown, ReasonYoung)
 	}
 	if why := l.against(clock, s); why != "" {
@@ -117,6 +120,15 @@
 	return Action{Act: ActRun}
 }
 
+// mayBeElsewhere reports whether another side may have run the key: one that
+// owned it until now, or one that the sender or this side wrongly takes for
+// the owner. What counts is when the attempt began: one that was on its way
+// for longer than the window tells nothing of what ran before it. A caller who then hears notRun would pay a second time under a
+// new key, and a mark made here would have the same said later.
+func (l *Ledger) mayBeElsewhere(t Ticket, unsure bool) bool {
+	return t.Bind == BindKey && (unsure || t.Issued.At < l.keysFrom)
+}
+
 // against returns the reason why a call of which no record is held may not
 // run, and "" when it may.
 func (l *Ledger) against(clock lease.Reading, s Start) Reason {
@@ -186,6 +198,7 @@
 type Query struct {
 	Ticket Ticket
 	Mark   bool
+	Unsure bool
 }
 
 // Query returns the state of a call at the side's clock now.
@@ -206,6 +219,9 @@
 	if q.Ticket.expired(clock, l.Limits.Keep) {
 		return StateGone
 	}
+	if l.mayBeElsewhere(q.Ticket, q.Unsure) {
+		return StateGone
+	}
 	if !q.Mark {
 		return StateAbsent
 	}
--- a/core/request/proof/moves_test.go
+++ b/core/request/proof/moves_test.go
@@ -39,7 +39,7 @@
 		change(c)
 		out = append(out, move{Name: name, Next: c})
 	}
-	if w.now < x.bounds.ticks {
+	if w.now < x.bounds.ticks && !x.mustLearn(w) {
 		add("time passes", func(c *world) { c.now++ })
 	}
 	for i := range w.sides {
@@ -59,9 +59,40 @@
 	for i := range w.entries {
 		x.entryMoves(w, i, add)
 	}
+	if x.bounds.owner {
+		x.ownerMoves(w, add)
+	}
 	return out
 }
 
+// mustLearn reports whether the time is up within which all processes learn
+// of the change of owner.
+func (x explorer) mustLearn(w *world) bool {
+	if x.bounds.lag == noBound || w.changed == notYet || w.learned.all() {
+		return false
+	}
+	return w.now-w.changed >= x.bounds.lag
+}
+
+func (x explorer) ownerMoves(w *world, add func(string, func(*world))) {
+	if w.changed == notYet {
+		add("the owner of the key changes", func(c *world) { c.changed = c.now })
+		return
+	}
+	for i := range w.entries {
+		if !w.learned.entries[i] {
+			add(fmt.Sprintf("entry %d learns of the owner", i), func(c *world) { c.learned.entries[i] = true })
+		}
+		if !w.learned.sides[i] {
+			add(fmt.Sprintf("side %d learns of the owner", i), func(c *world) {
+				c.learned.sides[i] = true
+				c.sides[i].ledger.Renew(c.clock(i))
+				c.sides[i].renewed = c.now
+			})
+		}
+	}
+}
+
 func (m message) String() string {
 	return fmt.Sprintf("%s of %s between entry %d and side %d %s%s", m.kind, m.ticket.Call, m.entry, m.side, m.state, m.outcome)
 }
@@ -98,6 +129,9 @@
 	if w.posts >= x.bounds.posts || w.now > x.bounds.postUntil {
 		return false
 	}
+	if x.bounds.postSpan > 0 && w.firstPost != notYet && w.now-w.firstPost > x.bounds.postSpan {
+		return false
+	}
 	if x.bounds.binding != calls.BindFree {
 		return true
 	}
@@ -117,8 +151,15 @@
 // the same whatever entry it comes through.
 func (x explorer) post(w *world, i int) {
 	w.posts++
-	w.entries[i] = entry{busy: true}
-	x.try(w, i, 0)
+	if w.firstPost == notYet && x.bounds.postSpan > 0 {
+		w.firstPost = w.now
+	}
+	w.entries[i] = entry{busy: true, newView: w.learned.entries[i]}
+	owner := 0
+	if w.learned.entries[i] {
+		owner = 1
+	}
+	x.try(w, i, owner)
 }
 
 func (x explorer) try(w *world, i, sideNo int) {
@@ -168,7 +209,7 @@
 	if x.bounds.binding == calls.BindTicket {
 		echo = w.reading(e.side)
 	}
-	return message{kind: kindStart, entry: i, side: e.side, ticket: e.ticket, echo: echo}
+	return message{kind: kindStart, entry: i, side: e.side, newView: e.newView, ticket: e.ticket, echo: echo}
 }
 
 func (x explorer) follow(w *world, i int, step calls.Step) {
@@ -177,7 +218,7 @@
 	case calls.StepAsk:
 		e.asks++
 		w.leave(i)
-		w.flying = append(w.flying, message{kind: kindQuery, entry: i, side: e.side, ticket: e.ticket})
+		w.flying = append(w.flying, message{kind: kindQuery, entry: i, side: e.side, newView: e.newView, ticket: e.ticket})
 	case calls.StepSettle:
 		x.settle(w, i)
 	}
@@ -232,7 +273,9 @@
 	if x.removed == theRecord {
 		ledger = calls.NewLedger(s.ledger.Boot, s.ledger.Limits)
 	}
-	act := ledger.Start(w.clock(m.side), calls.Start{Ticket: t, Echo: echo, Print: "payment"})
+	start := calls.Start{Ticket: t, Echo: echo, Print: "payment"}
+	start.Unsure = x.unsure(w, m)
+	act := ledger.Start(w.clock(m.side), start)
 	switch act.Act {
 	case calls.ActRun:
 		w.execs = append(w.execs, exec{side: m.side, boot: s.boot, id: t.Call})
@@ -253,6 +296,11 @@
 	}
 }
 
+// unsure reports whether entry and side see other members.
+func (x explorer) unsure(w *world, m message) bool {
+	return m.newView != w.learned.sides[m.side] && x.removed != theFellow
+}
+
 func reply(w *world, to, m message) {
 	if to.left {
 		return
@@ -263,7 +311,7 @@
 
 func (x explorer) queryAt(w *world, m message) {
 	s := &w.sides[m.side]
-	q := calls.Query{Ticket: m.ticket, Mark: x.removed != theMark}
+	q := calls.Query{Ticket: m.ticket, Mark: x.removed != theMark, Unsure: x.unsure(w, m)}
 	if x.removed == theBoot {
 		q.Ticket.Issued = lease.Reading{Boot: s.ledger.Boot, At: w.clock(m.side)}
 	}
--- a/core/request/proof/once_test.go
+++ b/core/request/proof/once_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// owner is a key whose owner changes, known to all within the tick. The
+// window is over the lag, the caller's span and the age of a reading together;
+// the exploration begins when that of the sides' boots has passed.
+func owner() bounds {
+	return bounds{
+		binding: calls.BindKey, ticks: 6, posts: 2, attempts: 1, asks: 0,
+		postUntil: 6, postSpan: 1, owner: true, lag: 0, begin: 3, limits: ownerLimits(),
+	}
+}
+
+func ownerLimits() calls.Limits {
+	l := limits()
+	l.Keep = 8 * tick
+	return l
+}
+
+// unbounded is the same where processes may never learn of the change.
+func unbounded() bounds {
+	b := owner()
+	b.lag = noBound
+	b.begin, b.ticks, b.postUntil = 2, 4, 4
+	b.limits.KeyWindow = 2 * tick
+	return b
+}
+
 // A caller's payment meets every order of crash, restart, silent and lost
 // connection, late arrival, pause and second posting through the other entry
 // that the bounds allow. It runs at most once, and "not run" is true
@@ -60,6 +85,7 @@
 		{"free, posted again", again()},
 		{"ticket", ticket()},
 		{"key", key()},
+		{"key, its owner changes", owner()},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -91,6 +117,7 @@
 		{theExpiry, ticket()},
 		{theBound, ticket()},
 		{theWindow, key()},
+		{theFellow, owner()},
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.removed), func(t *testing.T) {
@@ -103,3 +130,16 @@
 		})
 	}
 }
+
+// Half of the fleet never learns that a key has another owner, and the caller
+// posts to both halves. Each half's side runs the payment. Nothing in the code
+// prevents this: what does is that views differ for less than the window, and
+// the checker shows that this is needed.
+func TestKeyNeedsViewsThatAgreeInTime(t *testing.T) {
+	t.Parallel()
+	got := explorer{bounds: unbounded()}.run()
+	if got.Err == nil {
+		t.Fatalf("no rule was broken: %v", got)
+	}
+	t.Log(got)
+}
--- a/core/request/proof/world_test.go
+++ b/core/request/proof/world_test.go
@@ -28,8 +28,25 @@
 	limits   calls.Limits
 	// postUntil is the last tick at which the caller posts again.
 	postUntil int
+	// postSpan, when set, is for how long after its first post the caller
+	// posts again.
+	postSpan int
+	// owner lets the owner of the key change from side 0 to side 1. lag is the
+	// time within which all processes learn of it; noBound is no bound.
+	owner bool
+	lag   int
+	// begin is the time at which the exploration begins; the sides were there
+	// from time 0 on.
+	begin int
 }
 
+// noBound and notYet stand for no bound on a lag and for a time that has not
+// come.
+const (
+	noBound = -1
+	notYet  = -1
+)
+
 // removed is a safeguard that a run leaves out.
 type removed string
 
@@ -42,6 +59,7 @@
 	theAge    removed = "the check of the reading's age"
 	theExpiry removed = "the check of the ticket's age"
 	theWindow removed = "the key window after a boot"
+	theFellow removed = "the check that both see the same members"
 	theBound  removed = "asking before a bound call is said not to have run"
 )
 
@@ -50,8 +68,11 @@
 type side struct {
 	boot   int
 	bootAt int
-	ledger *calls.Ledger
-	joins  []join
+	// renewed is when the key window last began anew, which the ledger does
+	// not show.
+	renewed int
+	ledger  *calls.Ledger
+	joins   []join
 }
 
 // join is a stream that waits for a call's answer.
@@ -87,6 +108,7 @@
 	entry   int
 	side    int
 	left    bool
+	newView bool
 	ticket  calls.Ticket
 	echo    lease.Reading
 	state   calls.State
@@ -99,6 +121,7 @@
 	attempt calls.Attempt
 	ticket  calls.Ticket
 	side    int
+	newView bool
 	tries   int
 	asks    int
 }
@@ -110,18 +133,31 @@
 	crashes int
 	posts   int
 	ids     int
-	stopped bool
-	ticket  calls.Ticket
-	sides   [2]side
-	entries [2]entry
-	flying  []message
-	execs   []exec
-	ran     map[calls.ID]int
-	settled map[calls.ID]map[calls.Outcome]bool
+	// firstPost and changed are times, or notYet. learned says which entries
+	// and sides know of the change of owner.
+	firstPost int
+	changed   int
+	learned   learned
+	stopped   bool
+	ticket    calls.Ticket
+	sides     [2]side
+	entries   [2]entry
+	flying    []message
+	execs     []exec
+	ran       map[calls.ID]int
+	settled   map[calls.ID]map[calls.Outcome]bool
 }
 
+// learned says which processes know of the change of owner.
+type learned struct {
+	entries [2]bool
+	sides   [2]bool
+}
+
+func (l learned) all() bool { return l == learned{[2]bool{true, true}, [2]bool{true, true}} }
+
 func newWorld(b bounds, r removed) *world {
-	w := &world{ran: map[calls.ID]int{}, settled: map[calls.ID]map[calls.Outcome]bool{}}
+	w := &world{now: b.begin, firstPost: notYet, changed: notYet, ran: map[calls.ID]int{}, settled: map[calls.ID]map[calls.Outcome]bool{}}
 	for i := range w.sides {
 		w.sides[i].ledger = calls.NewLedger(bootName(i, 0), limitsOf(b, r))
 	}
@@ -202,7 +238,9 @@
 // since any of them may be the next to arrive.
 func (w *world) key() string {
 	k := newKeyer()
-	k.num(w.now, w.crashes, w.posts, w.ids)
+	k.num(w.now, w.crashes, w.posts, w.ids, w.firstPost, w.changed)
+	k.flag(w.learned.entries[:]...)
+	k.flag(w.learned.sides[:]...)
 	k.flag(w.stopped)
 	for _, id := range slices.Sorted(maps.Keys(w.ran)) {
 		k.text(string(id))
@@ -220,6 +258,7 @@
 		k.text(string(e.attempt.Phase))
 		k.ticket(e.ticket)
 		k.num(e.side, e.tries, e.asks)
+		k.flag(e.newView)
 	}
 	k.set(len(w.flying), func(i int, k *keyer) { w.flying[i].key(k) })
 	k.set(len(w.execs), func(i int, k *keyer) {
@@ -232,7 +271,7 @@
 }
 
 func (s *side) key(k *keyer) {
-	k.num(s.boot, s.bootAt)
+	k.num(s.boot, s.bootAt, s.renewed)
 	for _, r := range s.ledger.Records() {
 		k.text(string(r.ID))
 		k.text(string(r.Record.State))
@@ -247,7 +286,7 @@
 func (m message) key(k *keyer) {
 	k.text(string(m.kind))
 	k.num(m.entry, m.side)
-	k.flag(m.left)
+	k.flag(m.left, m.newView)
 	k.ticket(m.ticket)
 	k.reading(m.echo)
 	k.text(string(m.state))
--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -121,6 +121,8 @@
 	Channel Channel      `msgpack:"c"`
 	Ticket  calls.Ticket `msgpack:"t"`
 	Mark    bool         `msgpack:"m"`
+	// Members is as in Start.
+	Members string `msgpack:"k,omitempty"`
 }
 
 // Kind names the message.
--- a/io/request/front/try.go
+++ b/io/request/front/try.go
@@ -170,7 +170,7 @@
 	defer cancel()
 	for {
 		next := t.member.client.Next()
-		call, err := t.member.client.Query(&sessn.Query{Ticket: *t.work.ticket, Mark: true})
+		call, err := t.member.client.Query(&sessn.Query{Ticket: *t.work.ticket, Mark: true, Members: t.work.members})
 		if err == nil {
 			t.follow(ctx, call)
 			return
--- a/io/request/gate/once.go
+++ b/io/request/gate/once.go
@@ -41,10 +41,8 @@
 	print := fingerprint(m, s.Body)
 	g.mu.Lock()
 	why := g.refusalLocked("")
-	if why == "" && m.Ticket.Bind == calls.BindKey && m.Members != g.members {
-		why = calls.ReasonYoung
-	}
-	act := g.ledger.Start(g.now(), calls.Start{Ticket: *m.Ticket, Echo: m.Echo, Print: print, Refuse: why})
+	unsure := m.Members != g.members
+	act := g.ledger.Start(g.now(), calls.Start{Ticket: *m.Ticket, Echo: m.Echo, Print: print, Refuse: why, Unsure: unsure})
 	r := g.runs[m.Ticket.Call]
 	if act.Act == calls.ActRun {
 		r = &run{id: m.Ticket.Call, done: make(chan struct{})}
@@ -224,7 +222,7 @@
 	g.hold()
 	defer g.answered()
 	g.mu.Lock()
-	state := g.ledger.Query(g.now(), calls.Query{Ticket: q.Ticket, Mark: q.Mark})
+	state := g.ledger.Query(g.now(), calls.Query{Ticket: q.Ticket, Mark: q.Mark, Unsure: q.Members != g.members})
 	r := g.runs[q.Ticket.Call]
 	g.mu.Unlock()
 	g.Log.Decide(trail.Decision{
