--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -29,9 +29,16 @@
 	// DefaultTurns is how many chunks cross a region link at a time for
 	// each pair of regions.
 	DefaultTurns = 2
+	// WideTurns is the same for a link that carries more than the sides can
+	// take in: the wait for each next chunk then weighs more than the time
+	// that a chunk takes along the chain.
+	WideTurns = 4
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
 	DefaultDraws = 4
+	// DefaultLeastPatience is above what a busy machine or a pause of the
+	// runtime costs.
+	DefaultLeastPatience = 500 * time.Millisecond
 	// MaxPeers bounds the peers of which a side keeps state.
 	MaxPeers = 256
 )
@@ -66,7 +73,10 @@
 	Turns        int
 	Draws        int
 	Direct       bool
-	Seed         uint64
+	// LeastPatience bounds from below how long a transfer may bring nothing
+	// and how long a rank waits for the one before it.
+	LeastPatience time.Duration
+	Seed          uint64
 }
 
 // State is the belief and the plans of one side. It is not safe for
@@ -82,12 +92,15 @@
 	order []*peer
 	// uploads counts the upload slots in use.
 	uploads int
+	// suspects are sides that missed their turn, with the time until which
+	// they are passed over.
+	suspects map[string]time.Time
 	// blameEnd is when the last peer that is left alone is asked again.
 	blameEnd time.Time
 	// stale is set when the next settle must look for draws and imports.
 	stale  bool
 	trades int
-	timing map[Via]*estimate
+	timing map[Via]*timing
 	out    []Action
 }
 
@@ -124,12 +137,15 @@
 	held     bool
 	via      Via
 	from     string
-	since    time.Time
+	began    time.Time
+	since    time.Time // of the first byte, once bytes flow
 	deadline time.Time
 	// dueAt is when this chunk's turn came; ranked step-in counts from it.
 	dueAt   time.Time
 	lostAt  time.Time
 	retryAt time.Time
+	// flowing is set once bytes of the transfer came in.
+	flowing bool
 	// early is set once this side has passed on its turn for the chunk.
 	early bool
 	// badTrades counts the neighbours' failures to send the chunk.
@@ -149,8 +165,9 @@
 	full      bool
 	fullUntil time.Time
 	// owed is set while this side has refused the peer's offer.
-	owed      bool
-	upload    bool
+	owed bool
+	// uploads counts the upload slots in use for the peer.
+	uploads   int
 	uploadEnd time.Time
 	badUntil  time.Time
 	// stalled is set when the last fault was a stall; nothing is offered
@@ -168,12 +185,16 @@
 	cfg.Inbound = orDefault(cfg.Inbound, DefaultInbound)
 	cfg.Turns = orDefault(cfg.Turns, DefaultTurns)
 	cfg.Draws = orDefault(cfg.Draws, DefaultDraws)
+	if cfg.LeastPatience <= 0 {
+		cfg.LeastPatience = DefaultLeastPatience
+	}
 	return &State{
-		cfg:    cfg,
-		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
-		items:  map[chunk.Digest]*item{},
-		peers:  map[string]*peer{},
-		timing: map[Via]*estimate{},
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		items:    map[chunk.Digest]*item{},
+		peers:    map[string]*peer{},
+		timing:   map[Via]*timing{},
+		suspects: map[string]time.Time{},
 	}
 }
 
@@ -187,6 +208,9 @@
 // SetWeigh takes the document's weighing of origin bytes against time.
 func (s *State) SetWeigh(w envdoc.Weigh) { s.cfg.Weigh = w }
 
+// SetTurns changes how many chunks cross a region link at a time.
+func (s *State) SetTurns(n int) { s.cfg.Turns = n }
+
 // SetOriginRegion changes the region in which the origin lies; it takes
 // effect at the next Update.
 func (s *State) SetOriginRegion(region string) { s.cfg.OriginRegion = region }
