swarm: give the test of a corrupt peer the time scale of its faults

The test waited a minute and more since the least patience of the tests became one minute: a peer is set aside for that long, and a chunk that only it holds is fetched anew after as long. It now runs with 50 ms; what it checks is unchanged.

--- a/io/version/swarm/fail_test.go
+++ b/io/version/swarm/fail_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
@@ -101,7 +102,7 @@
 func TestPeerSendsCorruptChunks(t *testing.T) {
 	p := newPlatform(t)
 	d := p.publish(t, "1", 8<<10, seq(0, 12)...)
-	c := newCluster(t, p, "r1", "r1", "r1")
+	c := newClusterWith(t, p, 50*time.Millisecond, "r1", "r1", "r1")
 	bad := c.nodes[1]
 	bad.Staging = &badStaging{}
 	bad.cache.max = 1
