swarm: blame malformed blocks; bound the time of its tests

A block at the wrong place or beyond what was asked for ended the transfer as if the peer were gone, so the peer was not left alone; it now counts as corrupt.

--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -109,7 +109,8 @@
 			return nil, ctx.Err()
 		case b := <-in.blocks:
 			if b.Offset != got || b.Offset+int64(len(b.Data)) > asked {
-				return nil, fault.Newf("receive chunk", c.name(), "block at %d of %d bytes, want offset %d up to %d", b.Offset, len(b.Data), got, asked)
+				err := errors.Wrapf(errCorrupt, "block at %d of %d bytes, want offset %d up to %d", b.Offset, len(b.Data), got, asked)
+				return nil, fault.At("receive chunk", c.name(), err)
 			}
 			got += int64(copy(buf[got:], b.Data))
 			n.count(in.fetch.Via, int64(len(b.Data)))
@@ -173,7 +174,8 @@
 	select {
 	case in.blocks <- b:
 	default:
-		in.cancel(fault.Newf("receive chunk", c.name(), "more blocks of %s than asked for", b.Chunk))
+		err := errors.Wrapf(errCorrupt, "more blocks of %s than asked for", b.Chunk)
+		in.cancel(fault.At("receive chunk", c.name(), err))
 	}
 }
 
--- a/io/version/swarm/fail_test.go
+++ b/io/version/swarm/fail_test.go
@@ -118,7 +118,7 @@
 func TestSideDiesMidway(t *testing.T) {
 	p := newPlatform(t)
 	d := p.publish(t, "1", 64<<10, seq(0, 30)...)
-	c := newCluster(t, p, "r1", "r1", "r1", "r2", "r2")
+	c := newClusterWith(t, p, 50*time.Millisecond, "r1", "r1", "r1", "r2", "r2")
 	dying := c.vms[1].Name
 	p.answer = func(_ http.ResponseWriter, _ chunk.Digest, _ int) bool {
 		p.once.Do(func() { go c.stops[1]() })
--- a/io/version/swarm/liar_test.go
+++ b/io/version/swarm/liar_test.go
@@ -122,6 +122,9 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
+			// The liar is also asked for the manifest and does not answer,
+			// which takes ten seconds.
+			t.Parallel()
 			p := newPlatform(t)
 			d := p.publish(t, "1", 8<<10, seq(0, 8)...)
 			// The liar never draws what it ranks first for; the side is to
