script: measure what a role costs at several sizes

Cause: docs/CAPACITY.md is to rest on measured slopes, and there was no command that reads processor time, memory, bytes by purpose and reads of the service of real processes at more than one size. `make bench-capacity` starts 8, 32 and 96 sides with 2, 4 and 8 entries, a larger document and a longer VM list, then engines that get versions of four sizes and speak at three rates, writes the tables and prints the slopes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
 
-.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf failures
+.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf bench-capacity failures
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -58,6 +58,12 @@
 	bin/conf --csv docs/conf.csv
 endif
 
+# Measures what each role costs at several sizes; see docs/CAPACITY.md.
+bench-capacity: build
+	script/capacity.sh control docs/capacity.csv
+	script/capacity.sh data docs/capacity-data.csv
+	script/capacity-slopes.sh docs/capacity.csv docs/capacity-data.csv
+
 # Kills, pauses and cuts off real processes on loopback and judges the outcomes.
 failures: build
 	script/failures.sh
