script: vary sessions, versions and the memory limit; table of the engines

Cause: with 8 sessions at every entry there was no slope over sessions, and one run of an engine's versions could not tell what bends the curve: 8, 16 and 32 MiB took a side 0.40, 0.84 and 1.37 s of processor time, 64 MiB 10.6 s. The memory limit is a flag now, to try it alone. Calls at rest count as a point of the slopes over calls now; a line through three points at one rate gave nonsense for once-calls.

--- a/Makefile
+++ b/Makefile
@@ -61,8 +61,10 @@
 # Measures what each role costs at several sizes; see docs/CAPACITY.md.
 bench-capacity: build
 	script/capacity.sh control docs/capacity.csv
+	SIZES="32:4:100:0:2 32:4:100:0:8 32:4:100:0:32" script/capacity.sh control docs/capacity-sessions.csv
 	script/capacity.sh data docs/capacity-data.csv
-	script/capacity-slopes.sh docs/capacity.csv docs/capacity-data.csv
+	MEMORY=256MiB VERSIONS="2 32 64" script/capacity.sh data docs/capacity-memory.csv
+	script/capacity-slopes.sh docs/capacity.csv docs/capacity-sessions.csv docs/capacity-data.csv
 
 # Kills, pauses and cuts off real processes on loopback and judges the outcomes.
 failures: build
--- a/script/capacity-slopes.sh
+++ b/script/capacity-slopes.sh
@@ -2,11 +2,10 @@
 # Prints the slopes of the tables that script/capacity.sh writes: least squares
 # over all sizes of a kind, as what, points, value at zero, slope.
 #
-#   script/capacity-slopes.sh CONTROL.csv DATA.csv
+#   script/capacity-slopes.sh FILE.csv...
 set -euo pipefail
 
-control=${1:?usage: script/capacity-slopes.sh CONTROL.csv DATA.csv}
-data=${2:?usage: script/capacity-slopes.sh CONTROL.csv DATA.csv}
+: "${1:?usage: script/capacity-slopes.sh FILE.csv...}"
 
 awk -F, '
   FNR == 1 { for (i = 1; i <= NF; i++) at[$i] = i; next }
@@ -20,7 +19,13 @@
     core = $at["corePercent"]; rss = $at["rssMiB"]; calls = $at["callsPerS"]; tokens = $at["tokensPerS"]
     config = $at["configInPerS"] + $at["configOutPerS"]
     session = $at["callsInPerS"] + $at["callsOutPerS"]
-    plain = $at["customers"] == 100 && $at["listed"] == 0
+    other = FILENAME ~ /sessions/
+    plain = $at["customers"] == 100 && $at["listed"] == 0 && !other
+  }
+  (phase == "idle" || phase == "change") && $at["customers"] == 100 && $at["listed"] == 0 && $at["sides"] == 32 && role == "entry" {
+    point("entry " phase ": core % over sessions", $at["sessions"], core)
+    point("entry " phase ": MiB resident over sessions", $at["sessions"], rss)
+    point("entry " phase ": call bytes/s over sessions", $at["sessions"], session)
   }
   (phase == "idle" || phase == "change") && plain {
     point(role " " phase ": core % over processes", fleet, core)
@@ -30,9 +35,14 @@
       point("service " phase ": reads/s over processes", fleet, $at["serviceReadsPerS"])
       point("reader " phase ": platform bytes/s over processes", fleet, $at["platformInPerS"])
     }
-    if (role == "entry") point("entry " phase ": call bytes/s over sessions", $at["sessions"], session)
+    if (phase == "idle" && role == "entry") {
+      point("called entry: core % over calls/s", 0, core)
+      point("called entry: core % over onces/s", 0, core)
+      point("all sides: core % over calls/s", 0, 0)
+      point("all sides: core % over onces/s", 0, 0)
+    }
   }
-  (phase == "idle" || phase == "change") && $at["sides"] == 32 {
+  (phase == "idle" || phase == "change") && $at["sides"] == 32 && !other {
     if ($at["listed"] == 0) {
       point(role " " phase ": core % over customers", $at["customers"], core)
       point(role " " phase ": MiB resident over customers", $at["customers"], rss)
@@ -44,7 +54,8 @@
       if (role == "reader") point("reader " phase ": platform bytes/s over VMs listed", fleet + $at["listed"], $at["platformInPerS"])
     }
   }
-  phase == "idle" && plain && role == "side" { rest[fleet] = core }
+  # At the smallest size all sides read; their rest is that of readers.
+  phase == "idle" && plain && (role == "side" || !(fleet in rest)) { rest[fleet] = core }
   phase == "calls" || phase == "onces" {
     if (role == "called") { called = calls; point("called entry: core % over " phase "/s", calls, core); point("called entry: call bytes/s over " phase "/s", calls, session) }
     if (role == "side") point("all sides: core % over " phase "/s", called, (core - rest[fleet]) * $at["processes"])
@@ -69,4 +80,4 @@
       slope = (n[w] * sxy[w] - sx[w] * sy[w]) / d
       printf "%-62s %2d points  at zero %.4g  slope %.4g\n", w, n[w], (sy[w] - slope * sx[w]) / n[w], slope
     }
-  }' "$control" "$data"
+  }' "$@"
--- a/script/capacity.sh
+++ b/script/capacity.sh
@@ -9,9 +9,12 @@
 #                                         and streams at three rates
 #
 # Environment:
-#   SIZES="…"      sides:entries:customers:listed of each size; listed is how many
+#   SIZES="…"      sides:entries:customers:listed:subset of each size; listed is how many
 #                  VMs more the VM list names, leaving and in a zone of their own,
-#                  without a process
+#                  without a process; subset is how many sessions an entry keeps
+#   VERSIONS="…"   sizes of the versions in MiB
+#   STREAMS="…"    streams at once
+#   MEMORY=64MiB   soft limit of memory in the part data
 #   INTERVAL=6     seconds of each phase
 #   CAPACITY_NET=40   second number of the IP numbers, 127.CAPACITY_NET.x.y
 #
@@ -38,10 +41,11 @@
 readonly few=2 many=8
 
 # The streams of the phases under streams, and the tokens of each.
-readonly streams="4 12 36" tokens=200
+streams=${STREAMS-4 12 36}
+readonly tokens=200
 
 # The sizes of the versions in MiB; the first is there before the measurement.
-readonly versions="2 8 16 32 64"
+versions=${VERSIONS:-2 8 16 32 64}
 
 # A process that was asked to end and has not is killed after this many tenths
 # of a second.
@@ -127,7 +131,7 @@
     curl -sS --fail -o /dev/null -X PUT --data-binary @- "http://$config/control/documents/capacity"
 }
 
-# add ROLE NAME GROUP I lists a VM and writes the settings of its process.
+# add ROLE NAME GROUP I [SUBSET] lists a VM and writes the settings of its process.
 add() {
   local role=$1 name=$2 group=$3 i=$4 zone=${zones[$4 % 3]} region=${regions[$4 % 3]}
   local ip=127.$net.$group.$((i + 1)) service=
@@ -140,6 +144,7 @@
     if [[ $role == side ]]; then
       printf '[target]\naddress = 127.%s.3.%s:5001\nservice = booking\nkind = plain\n' "$net" $((i + 1))
     fi
+    if [[ $role == entry ]]; then printf '[limits]\nsubset = %d\n' "$5"; fi
     printf '[log]\nlevel = warning\ndecisions = %s/%s.decisions\n' "$dir" "$name"
   } >"$dir/$name.ini"
   if [[ $role == side ]]; then service=booking; fi
@@ -153,6 +158,7 @@
 # list_more COUNT lists VMs without a process.
 list_more() {
   local i
+  (($1 > 0)) || return 0
   for ((i = 0; i < $1; i++)); do
     if ((i > 0)); then echo next; fi
     echo "url = http://$vms/control/vms/far-$i"
@@ -299,8 +305,9 @@
 }
 
 measure() {
-  local size=$1 sides entries customers listed i targets= revision=1
-  IFS=: read -r sides entries customers listed <<<"$size"
+  local size=$1 sides entries customers listed subset i targets= revision=1
+  IFS=: read -r sides entries customers listed subset <<<"$size"
+  subset=${subset:-8}
   rm -rf "$dir"
   mkdir -p "$dir"
   start platform standin platform --config "$config" --vms "$vms"
@@ -309,7 +316,7 @@
   sleep 0.5
   check_all
   promote "$sides" "$customers" 1
-  for ((i = 0; i < entries; i++)); do add entry "entry-$((i + 1))" 1 "$i"; done
+  for ((i = 0; i < entries; i++)); do add entry "entry-$((i + 1))" 1 "$i" "$subset"; done
   for ((i = 0; i < sides; i++)); do add side "booking-$((i + 1))" 2 "$i"; done
   list_more "$listed"
   sleep 1.5
@@ -330,7 +337,7 @@
   phase_end change "$size"
   wait_for_revision $((revision + interval))
 
-  if ((customers == 100 && listed == 0)); then
+  if ((customers == 100 && listed == 0 && subset == 8)); then
     call "$few" GET
     measure_calls "$size" calls
     call $((many - few)) GET
@@ -386,7 +393,7 @@
   while read -r name line; do
     read -ra words <<<"$line"
     [[ ${words[0]} == hawthornferry ]] || continue
-    start "$name" "${words[@]}"
+    start "$name" "${words[@]}" --limits-memory "${MEMORY:-64MiB}"
     names+=("$name")
     roles[$name]=${words[1]}
     if [[ $name == assistant-* ]]; then roles[$name]=engineSide; fi
