side: meter calls for the pacer, bound the cache of chunks

Cause: the pacer knew of no live traffic, so transfers gave way to nothing; and a cache of 48 MiB under a soft limit of 64 MiB kept the collector busy.

--- a/io/conn/link/count.go
+++ b/io/conn/link/count.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"hawthornferry/core/process/fleet"
 )
 
 // Traffic counts the bytes of all connections of one purpose since the
@@ -24,8 +26,12 @@
 	weights Traffic
 	config  Traffic
 	orders  Traffic
+	abroad  Traffic
 }
 
+// Abroad is the traffic of calls whose other end lies in another region.
+func (t *Totals) Abroad() *Traffic { return &t.abroad }
+
 // Of returns the traffic of purpose p, nil for an unknown one.
 func (t *Totals) Of(p Purpose) *Traffic {
 	switch p {
@@ -52,24 +58,39 @@
 	net.Conn
 	received atomic.Uint64
 	sent     atomic.Uint64
-	total    atomic.Pointer[Traffic]
+	totals   atomic.Pointer[[]*Traffic]
+}
+
+// belong adds the connection to the totals that it counts towards, with the
+// bytes of its Hellos.
+func (c *counted) belong(self *Self, p Purpose, peer fleet.VM) {
+	var totals []*Traffic
+	if t := self.Totals.Of(p); t != nil {
+		totals = append(totals, t)
+	}
+	if p == PurposeCalls && peer.Region != self.VM.Region {
+		totals = append(totals, &self.Totals.abroad)
+	}
+	for _, t := range totals {
+		t.received.Add(c.received.Load())
+		t.sent.Add(c.sent.Load())
+	}
+	c.totals.Store(&totals)
 }
 
-// belong adds the connection to t, with the bytes of its Hellos.
-func (c *counted) belong(t *Traffic) {
-	if t == nil {
-		return
+// total lists what the connection counts towards, nothing before belong.
+func (c *counted) total() []*Traffic {
+	if p := c.totals.Load(); p != nil {
+		return *p
 	}
-	t.received.Add(c.received.Load())
-	t.sent.Add(c.sent.Load())
-	c.total.Store(t)
+	return nil
 }
 
 // Read counts what was read.
 func (c *counted) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(uint64(n))
-	if t := c.total.Load(); t != nil {
+	for _, t := range c.total() {
 		t.received.Add(uint64(n))
 	}
 	return n, err
@@ -79,7 +100,7 @@
 func (c *counted) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.sent.Add(uint64(n))
-	if t := c.total.Load(); t != nil {
+	for _, t := range c.total() {
 		t.sent.Add(uint64(n))
 	}
 	return n, err
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -145,7 +145,7 @@
 		nc.Close()
 		return nil, fault.At("await hello", addr.String(), err)
 	}
-	c.nc.belong(self.Totals.Of(purpose))
+	c.nc.belong(self, purpose, c.Peer.VM)
 	return c, nil
 }
 
--- a/io/conn/link/listen.go
+++ b/io/conn/link/listen.go
@@ -90,7 +90,7 @@
 		l.reject(fault.At("greet", c.Peer.VM.Name, err))
 		return
 	}
-	c.nc.belong(l.Self.Totals.Of(c.Peer.Purpose))
+	c.nc.belong(l.Self, c.Peer.Purpose, c.Peer.VM)
 	h.Serve(ctx, c)
 }
 
--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -29,6 +29,7 @@
 	gate    *gate.Gate
 	node    *swarm.Node
 	orderer *order.Orderer
+	pacer   *pace.Pacer
 }
 
 // Run runs the side until ctx ends and it has drained.
@@ -66,9 +67,13 @@
 	h.Parts = append(h.Parts, host.Part{Name: "gate", Run: s.gate.Run})
 }
 
+// cacheShare is the part of the memory limit that the cache of chunks may use.
+const cacheShare = 4
+
 func (s *Side) buildNode() {
 	h := s.Host
 	links := h.Settings.Links
+	s.pacer = pace.New(pace.Config{Up: links.Up, Down: links.Down, Region: links.Region}, h.Clock)
 	s.node = &swarm.Node{
 		Self:    h.Self,
 		Clock:   h.Clock,
@@ -79,12 +84,17 @@
 		Origin:  h.Settings.Platform.Origin,
 		Store:   h.Settings.Platform.Store,
 		Burst:   burst.Config{Uploads: h.Settings.Limits.UploadSlots},
-		Pace:    pace.Config{Up: links.Up, Down: links.Down, Region: links.Region},
+		Pacer:   s.pacer,
+		// The engine's staging area holds every chunk; the cache only spares
+		// reading back what several peers ask for at once. With most of the
+		// memory limit in it the collector never rests.
+		CacheBytes: h.Settings.Limits.Memory / cacheShare,
 	}
 	h.Handlers[link.PurposeWeights] = s.node.Handler()
 	h.Parts = append(h.Parts,
 		host.Part{Name: "weights", Run: s.node.Run},
 		host.Part{Name: "wanted versions", Run: s.follow},
+		host.Part{Name: "live traffic", Run: s.meterCalls},
 	)
 }
 
