conf: keep sessions to 32 targets of a service by default

Cause: by the capacity page's sum a subset of 8 leaves at least 80 of 256 targets of a zone without any session at the size designed for, and at today's dozen replicas an entry saw 8 of them. Measured before (capacity-sessions.csv): a session costs 0.021% of a core and 270 bytes/s, so 24 more cost 0.5% of a core.

--- a/io/process/conf/conf.go
+++ b/io/process/conf/conf.go
@@ -76,7 +76,7 @@
 	MaxInFlight int           `key:"maxInFlight" default:"1024" min:"1" max:"65536" help:"most calls in flight"`
 	MaxRecords  int           `key:"maxRecords" default:"65536" min:"16" max:"4194304" role:"side" help:"most calls of which the outcome is remembered"`
 	RecordAge   time.Duration `key:"recordAge" default:"10m" min:"10s" max:"24h" role:"side" help:"how long the outcome of a call is remembered"`
-	Subset      int           `key:"subset" default:"8" min:"1" max:"256" help:"targets of each service to which an entry keeps sessions" role:"entry"`
+	Subset      int           `key:"subset" default:"32" min:"1" max:"256" help:"targets of each service to which an entry keeps sessions" role:"entry"`
 	UploadSlots int           `key:"uploadSlots" default:"2" min:"1" max:"64" help:"peers to which a side sends chunks at once" role:"side"`
 	Grace       time.Duration `key:"grace" default:"30s" min:"0s" max:"1h" help:"most time for calls in flight to finish at shutdown"`
 	Memory      int64         `key:"memory" default:"64MiB" min:"16MiB" max:"64GiB" help:"soft limit of the process's memory"`
