swarm: end the transfers of a connection that is replaced

Cause: when a second connection took the place of a peer's first one, the decisions gave the peer's transfers up but the goroutines that carried them waited on the old connection for good, each with a chunk's buffer. Ruled out: the stall deadline (it belongs to the decisions, which had moved on).

--- a/io/version/swarm/peers.go
+++ b/io/version/swarm/peers.go
@@ -124,6 +124,9 @@
 		}
 		s.conns[c.name()] = c
 		if old != nil {
+			// Nobody answers over the old connection any more; a transfer left
+			// waiting on it would keep its buffer until the process ends.
+			n.cancelFrom(s, c.name())
 			s.endAsks(c.name())
 			s.add(s.core.Disconnected(s.now, c.name()))
 		}
