swarm: keep a manifest's ask that comes before the version is known

Cause: documents reach the sides of a region some milliseconds apart. A side asked the one above it for a manifest before that one had heard of the version; the ask was dropped and the asker waited out its 5 s with no manifest, so others stepped in for its draws and imports from it failed with 'not offered'.

--- a/io/version/swarm/manifest.go
+++ b/io/version/swarm/manifest.go
@@ -164,7 +164,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k := n.state.manifests[d]
-	if k == nil || len(k.waiting) >= maxManifestAsks {
+	if k == nil {
+		n.state.keepEarly(c, d)
+		return
+	}
+	if len(k.waiting) >= maxManifestAsks {
 		return
 	}
 	if !k.ready {
@@ -174,6 +178,28 @@
 	sendManifest(c, d, k.raw)
 }
 
+// keepEarly remembers an ask for a manifest that this side has not heard of.
+// Documents reach the sides of a region some milliseconds apart; dropped, the
+// ask would end by its timeout, and the asker, without a manifest for that
+// long, would neither draw its chunks nor pass them on. All are forgotten at
+// the bound, which only asks for what no document names can reach.
+func (s *state) keepEarly(c *conn, d chunk.Digest) {
+	if s.earlyAsks >= maxManifestAsks || s.early == nil {
+		s.early = map[chunk.Digest][]*conn{}
+		s.earlyAsks = 0
+	}
+	s.early[d] = append(s.early[d], c)
+	s.earlyAsks++
+}
+
+// takeEarly returns the asks for a manifest that came before it was wanted.
+func (s *state) takeEarly(d chunk.Digest) []*conn {
+	out := s.early[d]
+	delete(s.early, d)
+	s.earlyAsks -= len(out)
+	return out
+}
+
 func sendManifest(c *conn, d chunk.Digest, raw []byte) {
 	total := int64(len(raw))
 	for off := int64(0); off < total; off += MaxBlock {
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -111,6 +111,8 @@
 	dialing   map[string]chan struct{}
 	incoming  map[chunk.Digest]*incoming
 	asks      map[chunk.Digest]*manifestAsk
+	early     map[chunk.Digest][]*conn
+	earlyAsks int
 }
 
 func (s *state) add(a []burst.Action) { s.pending = append(s.pending, a...) }
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -50,7 +50,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(n.ctx)
-	s.manifests[w.Manifest] = &known{cancel: cancel}
+	s.manifests[w.Manifest] = &known{cancel: cancel, waiting: s.takeEarly(w.Manifest)}
 	n.decide("want", w.Manifest, w.Model, w.Version, "document")
 	n.wg.Go(func() {
 		defer cancel()
