cmds: print status tables through one function

The tables of bounds and of traffic repeated the same loop with its heading; one more would have been the next copy.

--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -177,27 +177,30 @@
 }
 
 func printTables(w io.Writer, all []admin.Status) {
-	first := true
-	for _, s := range all {
-		for _, b := range s.Tables {
-			if first {
-				fmt.Fprintln(w, "\nTABLE\tOF\tENTRIES\tBOUND")
-				first = false
-			}
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Name, s.Process.Name, b.Entries, b.Bound)
-		}
-	}
+	tables := func(s admin.Status) []admin.Table { return s.Tables }
+	printRows(w, all, "TABLE\tOF\tENTRIES\tBOUND", tables, func(of string, t admin.Table) {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Name, of, t.Entries, t.Bound)
+	})
 }
 
 func printTraffic(w io.Writer, all []admin.Status) {
+	traffic := func(s admin.Status) []admin.Traffic { return s.Traffic }
+	printRows(w, all, "TRAFFIC\tOF\tRECEIVED\tSENT", traffic, func(of string, t admin.Traffic) {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Purpose, of, t.Received, t.Sent)
+	})
+}
+
+// printRows prints the rows of all processes under one heading, and nothing
+// when there are none. of is the name of the process.
+func printRows[T any](w io.Writer, all []admin.Status, heading string, rows func(admin.Status) []T, write func(of string, row T)) {
 	first := true
 	for _, s := range all {
-		for _, b := range s.Traffic {
+		for _, r := range rows(s) {
 			if first {
-				fmt.Fprintln(w, "\nTRAFFIC\tOF\tRECEIVED\tSENT")
+				fmt.Fprintln(w, "\n"+heading)
 				first = false
 			}
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", b.Purpose, s.Process.Name, b.Received, b.Sent)
+			write(s.Process.Name, r)
 		}
 	}
 }
