--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -41,6 +41,15 @@
 	Reason   string    `json:"reason,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
 	Left     []Left    `json:"left,omitempty"`
+	// Status is that of an answer, Load the requests at the choice. WaitedMS,
+	// ExpectedMS and TookMS are of the request; AgeMS is how long ago what the
+	// decision rests on was last confirmed.
+	Status     int   `json:"status,omitempty"`
+	Load       int   `json:"load,omitempty"`
+	WaitedMS   int64 `json:"waitedMs,omitempty"`
+	ExpectedMS int64 `json:"expectedMs,omitempty"`
+	TookMS     int64 `json:"tookMs,omitempty"`
+	AgeMS      int64 `json:"ageMs,omitempty"`
 }
 
 // Log takes decisions. Implementations fill Time, Process and Boot, must be
--- /dev/null
+++ b/core/request/place/choose.go
@@ -0,0 +1,242 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/table"
+)
+
+// The thresholds of placement.
+const (
+	// onTime is the part of an objective that a foreseen first answer may
+	// take: the rest is for what is not foreseen, such as prompts that other
+	// entries send at the same moment.
+	onTime = 0.85
+	// hop is the round trip to the caller and the target together.
+	hop = 12 * time.Millisecond
+	// distanceCost is how much longer a first answer may take at a near
+	// target before a farther one is chosen, a step of distance each.
+	distanceCost = 25 * time.Millisecond
+	// lateShare is the part of an engine's slots up to which it takes work
+	// whose objective has passed: the rest is kept for work that can still be
+	// on time.
+	lateShare = 0.75
+	// leastRetry and mostRetry bound what a refused caller is told to wait.
+	leastRetry = 300 * time.Millisecond
+	mostRetry  = 2 * time.Second
+	// plainQueue is how many requests a plain target may have beyond its
+	// slots: it queues a few itself.
+	plainQueue = 2
+	// defaultSlots stands for a target that does not tell its slots.
+	defaultSlots = 8
+	// mostWait bounds how long begun work waits for a target.
+	mostWait = time.Second
+)
+
+// try places a request when a target can take it.
+func (p *Placer) try(now time.Time, s *service, q *wait) (Verdict, bool) {
+	best, expected := p.choose(now, s, &q.work)
+	if best == nil {
+		return Verdict{}, false
+	}
+	best.own++
+	best.unread += q.work.Prompt
+	p.running[q.work.ID] = &run{work: q.work, target: best, since: now}
+	return Verdict{
+		ID: q.work.ID, Decision: Placed, Target: best.Target,
+		Waited: now.Sub(q.since), Expected: expected, Load: best.load(now),
+	}, true
+}
+
+// choose returns the target with the earliest first answer, among those that
+// have room for the work, and when that answer is foreseen.
+func (p *Placer) choose(now time.Time, s *service, w *Work) (*target, time.Duration) {
+	var best *target
+	var bestExpected, bestCost time.Duration
+	ties := 0
+	for _, t := range s.targets {
+		if !usable(now, s, t, w) {
+			continue
+		}
+		expected := s.expect(now, t, w)
+		if !s.room(now, t, w, expected) {
+			continue
+		}
+		cost := expected + time.Duration(t.distance)*distanceCost
+		switch {
+		case best == nil || cost < bestCost:
+			best, bestExpected, bestCost, ties = t, expected, cost, 1
+		case cost == bestCost:
+			// Entries that all took the first of equals would meet there.
+			ties++
+			if p.Rand.IntN(ties) == 0 {
+				best, bestExpected = t, expected
+			}
+		}
+	}
+	return best, bestExpected
+}
+
+// usable reports whether a target may have the work at all.
+func usable(now time.Time, s *service, t *target, w *Work) bool {
+	if t.Leaving || now.Before(t.pausedTo) || slices.Contains(w.Avoid, t.ID) {
+		return false
+	}
+	if s.engine == nil {
+		return true
+	}
+	if t.fresh(now) && (!t.alive || t.busy) {
+		return false
+	}
+	v := t.serves(now, s.engine.Model)
+	return v > 0 && v >= w.Version
+}
+
+// expect foresees the time to the first answer at a target.
+func (s *service) expect(now time.Time, t *target, w *Work) time.Duration {
+	if s.engine == nil {
+		over := max(0, t.load(now)+1-slotsOf(t.Target))
+		return hop + t.spent*time.Duration(1+over)
+	}
+	e := s.engine
+	n := t.load(now) + 1
+	pass := passTime(e, n)
+	unread := t.unread + w.Prompt
+	if t.fresh(now) {
+		unread += t.othersWait * e.UsualPrompt
+	}
+	read := time.Duration(float64(unread) / e.ReadRate * float64(time.Second))
+	out := pass + pass/2 + read
+	if t.fresh(now) && t.pace > 1 {
+		out = time.Duration(float64(out) * t.pace)
+	}
+	return hop + out
+}
+
+// passTime is how long an engine takes to write one event for n requests.
+func passTime(e *table.Engine, n int) time.Duration {
+	step := e.Step + time.Duration(n)*e.PerSequence +
+		time.Duration(float64(n*(e.UsualPrompt+e.UsualAnswer/2))/1000*float64(e.PerContext))
+	return time.Duration(e.Stride) * step
+}
+
+func slotsOf(t facts.Target) int {
+	if t.Slots <= 0 {
+		return defaultSlots
+	}
+	return t.Slots
+}
+
+// room reports whether a target can take the work now.
+func (s *service) room(now time.Time, t *target, w *Work, expected time.Duration) bool {
+	load := t.load(now)
+	slots := slotsOf(t.Target)
+	if s.engine == nil {
+		return load < slots+plainQueue
+	}
+	if w.Begun {
+		return load < slots+plainQueue
+	}
+	if w.late(now, expected) {
+		return w.returned(now) && float64(load) < lateShare*float64(slots)
+	}
+	return load < slots
+}
+
+// late reports whether a first answer after expected misses the objective.
+func (w *Work) late(now time.Time, expected time.Duration) bool {
+	if w.Objective <= 0 {
+		return false
+	}
+	return now.Add(expected).Sub(w.Asked) > time.Duration(onTime*float64(w.Objective))
+}
+
+// returned reports whether the objective has passed already: the caller was
+// refused before and has come back.
+func (w *Work) returned(now time.Time) bool {
+	return w.Objective > 0 && now.Sub(w.Asked) > w.Objective
+}
+
+// hopeless refuses a request that waiting does not help.
+func (p *Placer) hopeless(now time.Time, s *service, q *wait) (Verdict, bool) {
+	w := &q.work
+	reason, ok := p.hope(now, s, q)
+	if ok {
+		return Verdict{}, false
+	}
+	return Verdict{
+		ID: w.ID, Decision: Refused, Reason: reason,
+		RetryAfter: s.retryAfter(), Waited: now.Sub(q.since),
+	}, true
+}
+
+// hope reports whether the request may still be served by waiting, and why
+// not.
+func (p *Placer) hope(now time.Time, s *service, q *wait) (Reason, bool) {
+	w := &q.work
+	if w.Begun {
+		return ReasonFull, now.Sub(q.since) < mostWait && now.Before(w.Deadline)
+	}
+	if !anyUsable(now, s, w) {
+		return ReasonNoTarget, false
+	}
+	if s.engine == nil {
+		return ReasonFull, now.Sub(q.since) < w.Objective/2
+	}
+	if w.returned(now) {
+		return ReasonFull, false
+	}
+	least := s.leastTime(w)
+	if w.late(now, least) {
+		return ReasonLate, false
+	}
+	return "", true
+}
+
+// leastTime is the time to the first answer at an engine with a single place
+// left.
+func (s *service) leastTime(w *Work) time.Duration {
+	read := time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second))
+	pass := passTime(s.engine, s.engine.Slots)
+	return hop + pass + pass/2 + read
+}
+
+func anyUsable(now time.Time, s *service, w *Work) bool {
+	for _, t := range s.targets {
+		if !t.Leaving && !slices.Contains(w.Avoid, t.ID) && (s.engine == nil || t.serves(now, s.engine.Model) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// retryAfter is when a refused caller should find room.
+func (s *service) retryAfter() time.Duration { return time.Second }
+
+// sort puts the most pressing first: begun answers, then by priority, then
+// by the latest time at which the work can be placed and be on time.
+func (s *service) sort() {
+	slices.SortStableFunc(s.waiting, func(a, b *wait) int {
+		if a.work.Begun != b.work.Begun {
+			if a.work.Begun {
+				return -1
+			}
+			return 1
+		}
+		if a.work.Priority != b.work.Priority {
+			return a.work.Priority - b.work.Priority
+		}
+		return s.latest(&a.work).Compare(s.latest(&b.work))
+	})
+}
+
+// latest is when a request must be placed to be answered on time.
+func (s *service) latest(w *Work) time.Time {
+	at := w.Asked.Add(w.Objective)
+	if s.engine != nil {
+		at = at.Add(-time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second)))
+	}
+	return at
+}
--- /dev/null
+++ b/core/request/spend/spend.go
@@ -0,0 +1,72 @@
+// Package spend bounds how many requests an entry sends once more. The bound
+// holds over all entries of the system: each keeps to a part of its own
+// requests, so that the sum keeps to that part of all of them without any
+// message between them.
+package spend
+
+import "time"
+
+// The entry's part of what the operator allows.
+const (
+	// ratioShare is the part of the ratio that is used: the windows in which
+	// the operator counts are not those of the entry.
+	ratioShare = 0.8
+	// slackShare is the part of the slack that one entry uses. It does not
+	// know how many others there are; below a dozen they keep to it together.
+	slackShare = 0.08
+	// buckets is how many parts a window is counted in.
+	buckets = 10
+)
+
+// Budget counts the requests and repeats of one service within a sliding
+// window. Set the exported fields before the first call.
+type Budget struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+
+	requests [buckets]float64
+	repeats  [buckets]float64
+	last     int64
+}
+
+// Earn counts a request of a caller.
+func (b *Budget) Earn(now time.Time) {
+	b.turn(now)
+	b.requests[b.last%buckets]++
+}
+
+// Take reports whether a request may be sent once more, and counts it.
+func (b *Budget) Take(now time.Time) bool {
+	b.turn(now)
+	allowed := ratioShare*b.Ratio*sum(b.requests) + slackShare*b.Slack
+	if sum(b.repeats)+1 > allowed {
+		return false
+	}
+	b.repeats[b.last%buckets]++
+	return true
+}
+
+// turn clears the buckets that have left the window.
+func (b *Budget) turn(now time.Time) {
+	width := max(b.Window/buckets, time.Millisecond)
+	at := now.UnixNano() / int64(width)
+	if at-b.last >= buckets {
+		b.requests, b.repeats = [buckets]float64{}, [buckets]float64{}
+		b.last = at
+		return
+	}
+	for b.last < at {
+		b.last++
+		b.requests[b.last%buckets] = 0
+		b.repeats[b.last%buckets] = 0
+	}
+}
+
+func sum(v [buckets]float64) float64 {
+	var out float64
+	for _, x := range v {
+		out += x
+	}
+	return out
+}
--- /dev/null
+++ b/io/process/feed/feed.go
@@ -0,0 +1,421 @@
+// Package feed keeps a process's belief of the platform: it lists and watches
+// the platform's store, asks peers while the store does not answer, and hands
+// out facts with the age of what they rest on.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/table"
+	"hawthornferry/io/conn/link"
+)
+
+// ErrHistory is returned by a watch whose starting point the store has
+// dropped; everything has to be listed anew.
+var ErrHistory = errors.New("the store no longer has this history")
+
+// Item is one key of the store. Deleted marks one that was removed at
+// Revision; it has no value.
+type Item struct {
+	Key      string `msgpack:"key"`
+	Value    []byte `msgpack:"value"`
+	Revision uint64 `msgpack:"revision"`
+	Deleted  bool   `msgpack:"deleted,omitempty"`
+}
+
+// Page is one page of a list. At is the store's revision when it was read.
+type Page struct {
+	Items []Item
+	More  bool
+	At    uint64
+}
+
+// Changes are what a watch brought; the next one goes on from At.
+type Changes struct {
+	Items []Item
+	At    uint64
+}
+
+// Store is the platform's store. Both calls return within their context.
+type Store interface {
+	List(ctx context.Context, after string) (Page, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+}
+
+// Fact is what one item says. At most one field is set; none is for an item
+// that is not the system's concern.
+type Fact struct {
+	Config  *Config
+	Target  *facts.Target
+	Version *facts.Named
+}
+
+// Config is the operator's configuration with the origin that it names.
+type Config struct {
+	Table  *table.Table
+	Origin facts.Origin
+}
+
+// Reader decodes items. An error means that the item is not usable.
+type Reader interface {
+	Read(it Item) (Fact, error)
+}
+
+// Times of the feed.
+const (
+	// callTimeout bounds a list and what a watch takes beyond its wait. The
+	// store answers in milliseconds, and within half a second when it is a
+	// hundred times slower.
+	callTimeout = time.Second
+	// leastPause parts two calls after one that brought changes. Changes come
+	// in bursts of ten and more a second; each watch would return with one.
+	leastPause = 100 * time.Millisecond
+	// firstRetry and mostRetry part calls that failed.
+	firstRetry = 100 * time.Millisecond
+	mostRetry  = 800 * time.Millisecond
+	// returnGrace is how long a target that is missing when the store comes
+	// back is kept: targets that live register anew within two seconds.
+	returnGrace = 1800 * time.Millisecond
+	// lapseEvery is how often the grace of missing targets is looked at.
+	lapseEvery = 250 * time.Millisecond
+	// outage is the gap between two answers from which the store counts as
+	// having been away.
+	outage = time.Second
+)
+
+// Feed holds the belief. Set the exported fields before Run.
+type Feed struct {
+	Self    *link.Self
+	Clock   clockwork.Clock
+	Log     trail.Log
+	Metrics tally.Scope
+	Store   Store
+	Reader  Reader
+	// Awake is a clock that also counts the time in which the machine was
+	// suspended; ages are measured on it.
+	Awake func() time.Duration
+	// Wait is how long one watch waits: the belief is confirmed that often.
+	Wait time.Duration
+	// Drain bounds how long a target may be used after it was removed.
+	Drain time.Duration
+	// Peers returns the processes to ask while the store does not answer.
+	Peers func() []Peer
+
+	mu       sync.Mutex
+	items    map[string]Item
+	facts    map[string]Fact
+	lapsing  map[string]time.Time
+	revision uint64
+	// confirmed is when, on Awake, the belief was last known to be true.
+	confirmed time.Duration
+	known     bool
+	backSince time.Time
+	current   atomic.Pointer[facts.Facts]
+	changed   chan struct{}
+	prepared  sync.Once
+	// storeUp and told are what was last written down.
+	storeUp bool
+	told    bool
+}
+
+func (f *Feed) init() {
+	f.prepared.Do(func() {
+		f.items = map[string]Item{}
+		f.facts = map[string]Fact{}
+		f.lapsing = map[string]time.Time{}
+		f.changed = make(chan struct{})
+		f.current.Store(&facts.Facts{})
+		if f.Metrics == nil {
+			f.Metrics = tally.NoopScope
+		}
+	})
+}
+
+// Current returns the belief.
+func (f *Feed) Current() *facts.Facts {
+	f.init()
+	return f.current.Load()
+}
+
+// Changed returns a channel that is closed at the next change of the belief.
+func (f *Feed) Changed() <-chan struct{} {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Age returns how long ago the belief was last confirmed by the store, by
+// this process or by the peer that told it. It returns false while nothing is
+// believed.
+func (f *Feed) Age() (time.Duration, bool) {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Awake() - f.confirmed, f.known
+}
+
+// Run follows the store until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	f.init()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { f.askPeers(ctx) })
+	pause := time.Duration(0)
+	fails := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.Clock.After(pause):
+		}
+		began := f.Clock.Now()
+		err := f.step(ctx)
+		f.noteStore(err)
+		if err != nil {
+			pause = retryPause(fails)
+			fails++
+			continue
+		}
+		fails = 0
+		pause = max(0, leastPause-f.Clock.Since(began))
+	}
+}
+
+func retryPause(fails int) time.Duration {
+	bound := min(firstRetry<<min(fails, 8), mostRetry)
+	return bound/2 + rand.N(bound/2)
+}
+
+// step lists the store, or waits for one set of changes.
+func (f *Feed) step(ctx context.Context) error {
+	f.mu.Lock()
+	revision, listed, wait := f.revision, f.known, f.Wait
+	if len(f.lapsing) > 0 {
+		wait = min(wait, lapseEvery)
+	}
+	f.mu.Unlock()
+	if !listed {
+		return f.list(ctx)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	asked := f.Awake()
+	c, err := f.Store.Watch(callCtx, revision, wait)
+	if errors.Is(err, ErrHistory) {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: revision})
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// A peer may have told of more meanwhile.
+	if c.At >= f.revision {
+		f.returned()
+		f.apply(c.Items)
+		f.confirm(asked, c.At)
+	}
+	return nil
+}
+
+// list reads every page and takes it for the whole.
+func (f *Feed) list(ctx context.Context) error {
+	asked := f.Awake()
+	var items []Item
+	var first uint64
+	after := ""
+	for {
+		p, err := f.page(ctx, after)
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			first = p.At
+		}
+		items = append(items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// Pages are not a snapshot: what changed between them comes again with
+	// the watch from the first page's revision.
+	if first < f.revision {
+		return nil
+	}
+	f.returned()
+	f.replace(items, first)
+	f.confirm(asked, first)
+	return nil
+}
+
+func (f *Feed) page(ctx context.Context, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f.Store.List(ctx, after)
+}
+
+// returned notes that the store answers again after it was away; it is called
+// with the feed locked.
+func (f *Feed) returned() {
+	if f.known && f.Awake()-f.confirmed > f.Wait+outage {
+		f.backSince = f.Clock.Now()
+	}
+}
+
+// replace takes items as all that there is; it is called with the feed locked.
+func (f *Feed) replace(items []Item, at uint64) {
+	there := map[string]bool{}
+	for _, it := range items {
+		there[it.Key] = true
+	}
+	for key := range f.items {
+		if !there[key] {
+			items = append(items, Item{Key: key, Revision: at, Deleted: true})
+		}
+	}
+	f.apply(items)
+}
+
+// apply takes changes in; it is called with the feed locked.
+func (f *Feed) apply(items []Item) {
+	for _, it := range items {
+		if old, ok := f.items[it.Key]; ok && old.Revision > it.Revision {
+			continue
+		}
+		if it.Deleted {
+			f.remove(it)
+			continue
+		}
+		if f.items[it.Key].Revision == it.Revision {
+			continue
+		}
+		f.items[it.Key] = it
+		delete(f.lapsing, it.Key)
+		f.read(it)
+	}
+}
+
+// remove drops an item. A target that is missing just after an outage may only
+// have been unable to renew its entry: taken for gone, a whole service could
+// lose its targets at once. One that lives is back within the grace.
+func (f *Feed) remove(it Item) {
+	delete(f.items, it.Key)
+	fact, ok := f.facts[it.Key]
+	if !ok {
+		return
+	}
+	now := f.Clock.Now()
+	if fact.Target != nil && !f.backSince.IsZero() && now.Sub(f.backSince) < returnGrace {
+		if _, waiting := f.lapsing[it.Key]; !waiting {
+			f.lapsing[it.Key] = now.Add(min(returnGrace, f.Drain))
+		}
+		return
+	}
+	delete(f.facts, it.Key)
+	f.noteTarget("lost", fact, it.Revision)
+}
+
+// read decodes an item. What cannot be read leaves the last good one in
+// force, but for a target: an entry that names none is not to be used.
+func (f *Feed) read(it Item) {
+	fact, err := f.Reader.Read(it)
+	old, had := f.facts[it.Key]
+	if err != nil {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
+		f.Metrics.Counter("items_rejected").Inc(1)
+		if had && old.Target != nil {
+			delete(f.facts, it.Key)
+			f.noteTarget("lost", old, it.Revision)
+		}
+		return
+	}
+	if fact == (Fact{}) {
+		return
+	}
+	if v := fact.Version; v != nil {
+		v.Since = f.Clock.Now()
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: it.Revision})
+	}
+	if c := fact.Config; c != nil {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
+	}
+	if fact.Target != nil && (!had || old.Target == nil || old.Target.Leaving != fact.Target.Leaving) {
+		action := "gained"
+		if fact.Target.Leaving {
+			action = "leaving"
+		}
+		f.noteTarget(action, fact, it.Revision)
+	}
+	f.facts[it.Key] = fact
+}
+
+// confirm makes what is held the belief of the moment asked; it is called
+// with the feed locked.
+func (f *Feed) confirm(asked time.Duration, at uint64) {
+	f.known = true
+	f.revision = max(f.revision, at)
+	f.confirmed = max(f.confirmed, asked)
+	f.lapse()
+	f.publish()
+}
+
+// lapse drops the targets whose grace has ended.
+func (f *Feed) lapse() {
+	now := f.Clock.Now()
+	for key, end := range f.lapsing {
+		if now.Before(end) {
+			continue
+		}
+		f.noteTarget("lost", f.facts[key], f.revision)
+		delete(f.lapsing, key)
+		delete(f.facts, key)
+	}
+}
+
+// publish hands the belief out when it has changed.
+func (f *Feed) publish() {
+	old := f.current.Load()
+	now := &facts.Facts{Revision: f.revision}
+	for _, key := range sortedKeys(f.facts) {
+		fact := f.facts[key]
+		switch {
+		case fact.Config != nil:
+			now.Table, now.Origin = fact.Config.Table, fact.Config.Origin
+		case fact.Version != nil:
+			now.Versions = append(now.Versions, *fact.Version)
+		case fact.Target != nil:
+			now.Targets = append(now.Targets, *fact.Target)
+		}
+	}
+	f.current.Store(now)
+	f.Self.Revision.Store(f.revision)
+	if old.Revision != now.Revision || old.Table != now.Table || len(old.Targets) != len(now.Targets) {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+func sortedKeys(m map[string]Fact) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/io/process/feed/note.go
@@ -0,0 +1,34 @@
+package feed
+
+import (
+	"strconv"
+
+	"hawthornferry/core/process/trail"
+)
+
+func versionText(v uint64) string { return strconv.FormatUint(v, 10) }
+
+// noteStore writes down that the store was lost or has come back.
+func (f *Feed) noteStore(err error) {
+	up := err == nil
+	if up == f.storeUp && f.told {
+		return
+	}
+	f.storeUp, f.told = up, true
+	d := trail.Decision{Area: trail.AreaConfig, Action: "storeBack", Revision: f.Self.Revision.Load()}
+	if !up {
+		d.Action, d.Reason = "storeLost", err.Error()
+	}
+	f.Log.Decide(d)
+}
+
+func (f *Feed) noteTarget(action string, fact Fact, revision uint64) {
+	t := fact.Target
+	if t == nil {
+		return
+	}
+	f.Log.Decide(trail.Decision{
+		Area: trail.AreaMember, Action: action, Service: t.Service, Subject: t.ID,
+		Choice: t.Address.String(), Revision: revision,
+	})
+}
--- /dev/null
+++ b/io/process/feed/peers.go
@@ -0,0 +1,225 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/frame"
+	"hawthornferry/io/conn/link"
+)
+
+// Times of the relay between peers.
+const (
+	// askEvery is how often peers are asked while the store does not answer.
+	askEvery = 300 * time.Millisecond
+	// askTimeout bounds one question; peers are milliseconds apart.
+	askTimeout = 600 * time.Millisecond
+	// askedAtOnce is how many peers are asked each time: one of them may be
+	// cut off itself.
+	askedAtOnce = 2
+	// tellBytes is how much of the items one message carries, well under the
+	// bound of a frame.
+	tellBytes = 256 << 10
+)
+
+// Peer is a process that may know what the store says.
+type Peer struct {
+	Address netip.AddrPort
+}
+
+// ask is the question of a process that holds the store's revision After.
+type ask struct {
+	After uint64 `msgpack:"after"`
+}
+
+// Kind names the message.
+func (*ask) Kind() frame.Kind { return "factsAsk" }
+
+// Check accepts every question.
+func (*ask) Check() error { return nil }
+
+// tell is one part of an answer. The ages of processes travel as durations,
+// since their clocks differ. Keys lists every key there is, so that the asker
+// finds out what was removed; Last marks the last part.
+type tell struct {
+	Known bool          `msgpack:"known"`
+	At    uint64        `msgpack:"at"`
+	Age   time.Duration `msgpack:"age"`
+	Items []Item        `msgpack:"items"`
+	Keys  []string      `msgpack:"keys"`
+	Last  bool          `msgpack:"last"`
+}
+
+// Kind names the message.
+func (*tell) Kind() frame.Kind { return "factsTell" }
+
+// Check reports the first field that is out of its domain.
+func (t *tell) Check() error {
+	if t.Age < 0 {
+		return errors.Newf("factsTell: age %s is below 0", t.Age)
+	}
+	return nil
+}
+
+func kinds() frame.Kinds {
+	k := frame.Kinds{}
+	k.Register(func() frame.Message { return &ask{} })
+	k.Register(func() frame.Message { return &tell{} })
+	return k
+}
+
+// Handler answers peers that ask.
+func (f *Feed) Handler() link.Handler {
+	return link.Handler{Kinds: kinds(), Serve: f.answer}
+}
+
+func (f *Feed) answer(_ context.Context, c *link.Conn) {
+	f.init()
+	if err := c.SetReadDeadline(time.Now().Add(askTimeout)); err != nil {
+		return
+	}
+	m, err := c.Receive()
+	if err != nil {
+		return
+	}
+	q, ok := m.(*ask)
+	if !ok {
+		return
+	}
+	for _, t := range f.answerTo(q) {
+		// An answer that does not arrive is as good as none: the peer asks
+		// another one.
+		if c.Send(t) != nil {
+			return
+		}
+	}
+}
+
+// answerTo collects what has changed since the asker's revision.
+func (f *Feed) answerTo(q *ask) []*tell {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed)}
+	if !f.known || f.revision <= q.After {
+		t.Last = true
+		return []*tell{t}
+	}
+	var out []*tell
+	size := 0
+	for key, it := range f.items {
+		t.Keys = append(t.Keys, key)
+		if it.Revision <= q.After {
+			continue
+		}
+		t.Items = append(t.Items, it)
+		size += len(it.Value)
+		if size > tellBytes {
+			out = append(out, t)
+			t = &tell{Known: true, At: f.revision, Age: t.Age}
+			size = 0
+		}
+	}
+	t.Last = true
+	return append(out, t)
+}
+
+// askPeers asks peers while the belief is older than the store would leave it.
+func (f *Feed) askPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(askEvery):
+		}
+		age, known := f.Age()
+		if known && age <= f.Wait+askEvery {
+			continue
+		}
+		f.askSome(ctx)
+	}
+}
+
+func (f *Feed) askSome(ctx context.Context) {
+	peers := f.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(askedAtOnce, len(peers))] {
+		if err := f.askOne(ctx, p); err != nil {
+			f.Metrics.Counter("peer_asks_failed").Inc(1)
+		}
+	}
+}
+
+func (f *Feed) askOne(ctx context.Context, p Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := f.Awake()
+	c, err := link.Dial(ctx, f.Self, p.Address, link.PurposeConfig, kinds())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	f.mu.Lock()
+	after := f.revision
+	f.mu.Unlock()
+	if err := c.Send(&ask{After: after}); err != nil {
+		return err
+	}
+	whole := &tell{}
+	for !whole.Last {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		t, ok := m.(*tell)
+		if !ok {
+			return errors.Newf("answer is %s", m.Kind())
+		}
+		t.Items = append(whole.Items, t.Items...)
+		t.Keys = append(whole.Keys, t.Keys...)
+		whole = t
+	}
+	f.take(asked, after, c.Peer.VM.Name, whole)
+	return nil
+}
+
+// take adopts a peer's answer. What the peer had confirmed Age before it
+// answered was true at the latest Age before it was asked.
+func (f *Feed) take(asked time.Duration, after uint64, peer string, t *tell) {
+	if !t.Known {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := asked - t.Age
+	if t.At < f.revision || f.revision != after || (f.known && since <= f.confirmed) {
+		return
+	}
+	if t.At > after {
+		f.takeItems(t)
+	}
+	if age := f.Awake() - f.confirmed; !f.known || age > f.Wait+callTimeout {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "told", Choice: peer, Reason: "age " + t.Age.String(), Revision: t.At})
+	}
+	f.confirm(since, t.At)
+}
+
+func (f *Feed) takeItems(t *tell) {
+	there := make(map[string]bool, len(t.Keys))
+	for _, k := range t.Keys {
+		there[k] = true
+	}
+	items := t.Items
+	for key := range f.items {
+		if !there[key] {
+			items = append(items, Item{Key: key, Revision: t.At, Deleted: true})
+		}
+	}
+	f.apply(items)
+}
--- /dev/null
+++ b/io/process/hosted/frame.go
@@ -0,0 +1,230 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"hawthornferry/core/process/fault"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/admin"
+	"hawthornferry/io/process/feed"
+	"hawthornferry/io/process/trace"
+)
+
+// Platform is what the processes need of the platform.
+type Platform struct {
+	Store  feed.Store
+	Reader feed.Reader
+}
+
+// Sizes and times of a process.
+const (
+	// logLines is how many lines wait for an output that is slow; a burst of
+	// a second writes about two hundred.
+	logLines = 2048
+	// collectAt makes the collector run when the heap has grown by this many
+	// percent. Memory is priced by its peak and the live heap is a few
+	// megabytes, so that collecting often costs little.
+	collectAt = 60
+	// memoryShare is the part of the limit above which the collector works
+	// harder.
+	memoryShare = 0.8
+	// entryWait and sideWait are how long one watch of the store waits. An
+	// entry must vouch for keys and confirms its belief that often; a side
+	// only has to hear of changes.
+	entryWait = 1200 * time.Millisecond
+	sideWait  = 4 * time.Second
+)
+
+// part is one component of a process.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// frame is what an entry and a side have in common.
+type frame struct {
+	settings Settings
+	self     *link.Self
+	clock    clockwork.Clock
+	logger   *logrus.Logger
+	log      trail.Log
+	metrics  tally.Scope
+	feed     *feed.Feed
+
+	sink     *trace.Sink
+	closer   io.Closer
+	expose   http.Handler
+	handlers map[link.Purpose]link.Handler
+	parts    []part
+	started  time.Time
+	// ready says why the process takes no callers, and drain stops new work.
+	ready func() error
+	drain func(ctx context.Context) error
+}
+
+func newFrame(s Settings, p Platform, out io.Writer) (*frame, error) {
+	debug.SetGCPercent(collectAt)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	}
+	f := &frame{settings: s, clock: clockwork.NewRealClock(), ready: func() error { return nil }}
+	f.started = f.clock.Now()
+	f.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
+	f.metrics, f.expose, f.closer = admin.NewMetrics()
+	f.sink = &trace.Sink{Out: out, Buffer: logLines, Metrics: f.metrics}
+	logger, err := trace.NewLogger(f.sink, logrus.InfoLevel.String())
+	if err != nil {
+		return nil, err
+	}
+	f.logger = logger
+	f.log = &trace.Log{Process: s.VM.Name, Boot: f.self.Boot, Clock: f.clock, Logger: logger}
+	f.feed = &feed.Feed{
+		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
+		Store: p.Store, Reader: p.Reader, Awake: awake, Wait: entryWait,
+		Drain: s.Bounds.Drain, Peers: f.peers,
+	}
+	if s.VM.Role == fleet.RoleSide {
+		f.feed.Wait = sideWait
+	}
+	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
+	return f, nil
+}
+
+// awake is a clock that counts the time in which the machine was suspended.
+func awake() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The call fails on no system that has the clock at all; the steady
+		// clock is the nearest there is.
+		return time.Since(processStart)
+	}
+	return time.Duration(ts.Nano())
+}
+
+var processStart = time.Now()
+
+// peers are the processes that may know what the store says: the seeds, and
+// the sides of all engines.
+func (f *frame) peers() []feed.Peer {
+	var out []feed.Peer
+	for _, a := range f.settings.Seeds {
+		if a != f.settings.Control {
+			out = append(out, feed.Peer{Address: a})
+		}
+	}
+	facts := f.feed.Current()
+	if facts.Table == nil {
+		return out
+	}
+	for _, t := range facts.Targets {
+		if s, ok := facts.Table.ServiceByName(t.Service); !ok || s.Engine == nil {
+			continue
+		}
+		if a := netip.AddrPortFrom(t.Address.Addr(), f.settings.SidePort); a != f.settings.VM.Address {
+			out = append(out, feed.Peer{Address: a})
+		}
+	}
+	return out
+}
+
+// listen opens a listener; the error names the setting.
+func listen(what string, addr netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr.String())
+	return l, fault.At("listen for "+what, addr.String(), err)
+}
+
+// run runs the parts until ctx ends, then drains within the grace period.
+func (f *frame) run(ctx context.Context, peers []net.Listener, api []net.Listener) error {
+	sinkCtx, stopSink := context.WithCancel(context.Background())
+	var sink errgroup.Group
+	sink.Go(func() error { return f.sink.Run(sinkCtx) })
+	f.logger.WithFields(logrus.Fields{
+		"vm": f.settings.VM.Name, "role": f.settings.VM.Role, "zone": f.settings.VM.Zone,
+		"boot": f.self.Boot, "pid": os.Getpid(),
+	}).Info("started")
+	err := f.runParts(ctx, peers, api)
+	f.logger.WithField("vm", f.settings.VM.Name).WithField("reason", reasonOf(err)).Info("stopped")
+	stopSink()
+	return errors.CombineErrors(err, errors.CombineErrors(sink.Wait(), f.closer.Close()))
+}
+
+func reasonOf(err error) string {
+	if err == nil {
+		return "asked to stop"
+	}
+	return err.Error()
+}
+
+func (f *frame) runParts(ctx context.Context, peers, api []net.Listener) error {
+	partCtx, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	g, partCtx := errgroup.WithContext(partCtx)
+	parts := append([]part{{"store feed", f.feed.Run}}, f.parts...)
+	for _, nl := range peers {
+		l := &link.Listener{Self: f.self, Net: nl, Handlers: f.handlers, Rejected: f.rejected}
+		parts = append(parts, part{"peers", l.Run})
+	}
+	for _, nl := range api {
+		a := &admin.Server{Listener: nl, Status: f.status, Ready: f.ready, Metrics: f.expose}
+		parts = append(parts, part{"administration", a.Run})
+	}
+	for _, p := range parts {
+		g.Go(func() error { return fault.At("run "+p.name, "", p.run(partCtx)) })
+	}
+	select {
+	case <-partCtx.Done():
+		return g.Wait()
+	case <-ctx.Done():
+	}
+	f.logger.WithField("vm", f.settings.VM.Name).Info("draining")
+	err := f.drainWithin()
+	stopParts()
+	return errors.CombineErrors(err, g.Wait())
+}
+
+// killReserve is how long before the kill a process ends by itself.
+const killReserve = 200 * time.Millisecond
+
+func (f *frame) drainWithin() error {
+	if f.drain == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.settings.Bounds.Grace-killReserve)
+	defer cancel()
+	return fault.At("drain within the grace period", "", f.drain(ctx))
+}
+
+func (f *frame) rejected(err error) {
+	f.metrics.Counter("peers_rejected").Inc(1)
+	f.logger.WithError(err).Debug("peer rejected")
+}
+
+func (f *frame) status() admin.Status {
+	vm := f.settings.VM
+	s := admin.Status{Process: admin.Process{
+		Name: vm.Name, Role: vm.Role, Zone: vm.Zone, Region: vm.Region,
+		Boot: f.self.Boot, Started: f.started, Ready: true,
+	}}
+	if err := f.ready(); err != nil {
+		s.Process.Ready, s.Process.Reason = false, err.Error()
+	}
+	s.Config = admin.Config{Revision: f.self.Revision.Load(), VMs: len(f.feed.Current().Targets)}
+	return s
+}
--- /dev/null
+++ b/io/request/direct/handle.go
@@ -0,0 +1,268 @@
+package direct
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
+	"hawthornferry/io/request/gate"
+)
+
+// What refused callers are told to wait.
+const (
+	// settleWait is for a belief that is not there yet or too old: peers are
+	// asked three times a second.
+	settleWait = 400 * time.Millisecond
+	// unservedWait is for a service whose targets all fail: they are tried
+	// anew after pauses of this order.
+	unservedWait = 800 * time.Millisecond
+)
+
+// request is one request of a caller on its way.
+type request struct {
+	in       *http.Request
+	call     Call
+	body     []byte
+	facts    *facts.Facts
+	route    table.Route
+	service  table.Service
+	customer string
+	arrived  time.Time
+	// asked is when the caller first asked, as far as its deadline tells.
+	asked    time.Time
+	deadline time.Time
+
+	// attempts counts the targets that were reached, failed those to avoid.
+	attempts int
+	failed   []string
+	// ran is set once the request may have run.
+	ran bool
+	// lastEvent is the last event that the caller has.
+	lastEvent string
+	begun     bool
+	target    string
+	reason    string
+}
+
+// serve is the way of each request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{in: r, arrived: s.Clock.Now()}
+	if a, ok := s.prepare(w, q); !ok {
+		s.answer(w, q, a)
+		return
+	}
+	ctx, cancel := clockwork.WithDeadline(r.Context(), s.Clock, q.deadline)
+	defer cancel()
+	s.earn(q.service.Name)
+	s.run(ctx, w, q)
+}
+
+// prepare reads a request and finds out what serves it, or why it is not
+// served.
+func (s *Server) prepare(w http.ResponseWriter, q *request) (answer, bool) {
+	var err error
+	if q.call, err = s.Dialect.Call(q.in); err != nil {
+		return answer{status: http.StatusBadRequest, reason: err.Error()}, false
+	}
+	q.facts = s.Source.Current()
+	if q.facts.Table == nil {
+		return answer{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: settleWait}, false
+	}
+	if a, ok := s.find(q); !ok {
+		return a, false
+	}
+	if a, ok := s.identify(q); !ok {
+		return a, false
+	}
+	if a, ok := s.readBody(w, q); !ok {
+		return a, false
+	}
+	s.setDeadline(q)
+	return answer{}, true
+}
+
+// outdated reports whether the belief is too old to tell a caller that
+// something does not exist.
+func (s *Server) outdated() bool {
+	age, known := s.Source.Age()
+	return !known || age > s.Rules.TableAge
+}
+
+func (s *Server) find(q *request) (answer, bool) {
+	host := q.in.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	path, _, _ := strings.Cut(q.in.RequestURI, "?")
+	route, ok := q.facts.Table.Match(strings.ToLower(host), path)
+	if !ok {
+		return s.denied(http.StatusNotFound, "noRoute"), false
+	}
+	q.route = route
+	name := pickService(route.Shares, q.call.ID)
+	q.service, ok = q.facts.Table.ServiceByName(name)
+	if !ok {
+		q.service = table.Service{Name: name}
+	}
+	return answer{}, true
+}
+
+// denied tells a caller that what it names does not exist, or to come back
+// when this process does not know for sure: a configuration that brings it
+// may just not have come here.
+func (s *Server) denied(status int, reason string) answer {
+	if s.outdated() {
+		return answer{status: http.StatusServiceUnavailable, reason: reason + "ByOldBelief", retryAfter: settleWait}
+	}
+	return answer{status: status, reason: reason}
+}
+
+// pickService shares a route's requests between its services by a hash of the
+// request.
+func pickService(shares []table.Share, id string) string {
+	if len(shares) == 1 {
+		return shares[0].Service
+	}
+	total := 0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	at := int(h.Sum32() % uint32(max(total, 1)))
+	for _, s := range shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+// identify finds the customer. A key that was revoked must not be honoured by
+// a process that has not heard of it: past KeyAge the belief cannot vouch for
+// any key, and the caller has to turn to another entry.
+func (s *Server) identify(q *request) (answer, bool) {
+	if !q.facts.Table.Keyed() || q.route.Anonymous {
+		return answer{}, true
+	}
+	age, known := s.Source.Age()
+	if s.Rules.KeyAge > 0 && (!known || age > s.Rules.KeyAge) {
+		return answer{status: http.StatusServiceUnavailable, reason: "keysTooOld", retryAfter: settleWait}, false
+	}
+	c, ok := q.facts.Table.CustomerOf(q.call.Key)
+	if !ok {
+		return s.denied(http.StatusUnauthorized, "unknownKey"), false
+	}
+	q.customer = c.Name
+	if c.Priority != nil {
+		q.route.Priority = *c.Priority
+	}
+	return answer{}, true
+}
+
+func (s *Server) readBody(w http.ResponseWriter, q *request) (answer, bool) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	limit := q.facts.Table.Limits.MaxBody
+	body := io.Reader(q.in.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, q.in.Body, limit)
+	}
+	b, err := io.ReadAll(body)
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return answer{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}, false
+	case err != nil:
+		return answer{status: http.StatusBadRequest, reason: "bodyUnreadable", closing: true}, false
+	}
+	q.body = b
+	return answer{}, true
+}
+
+// setDeadline bounds the request by what its caller, its route and a stop of
+// this process leave.
+func (s *Server) setDeadline(q *request) {
+	d := q.route.Timeout
+	if q.call.Deadline > 0 {
+		d = min(d, q.call.Deadline)
+		q.asked = q.arrived.Add(-s.patience.spent(q.route.Name, q.call.Deadline))
+	} else {
+		q.asked = q.arrived
+	}
+	q.deadline = q.arrived.Add(d)
+	q.lastEvent = q.call.LastEvent
+}
+
+// work is what the placer is told of a request.
+func (s *Server) work(q *request) place.Work {
+	answerTokens := q.call.Hint
+	if answerTokens <= 0 {
+		answerTokens = q.call.Answer
+	}
+	return place.Work{
+		ID: q.call.ID, Service: q.service.Name, Prompt: q.call.Prompt, Answer: answerTokens,
+		Asked: q.asked, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
+		Version: s.demanded(q), Avoid: q.failed, Begun: q.begun,
+	}
+}
+
+// versionReserve is how long before the operator's bound a version is
+// demanded of the targets: a request that an engine holds back begins later
+// than it was sent.
+const versionReserve = 1500 * time.Millisecond
+
+// demanded is the version that a request must be answered by: none while the
+// targets load a new one, and that one when the time for it has passed. The
+// engine checks it when the request begins.
+func (s *Server) demanded(q *request) uint64 {
+	e := q.service.Engine
+	if e == nil || s.Rules.Version <= 0 {
+		return 0
+	}
+	f := s.Source.Current()
+	v, ok := f.VersionOf(e.Model)
+	if !ok {
+		return 0
+	}
+	if s.Clock.Since(v.Since) > s.Rules.Version-versionReserve {
+		return v.Version
+	}
+	return 0
+}
+
+// outgoing makes the request for a target.
+func (s *Server) outgoing(ctx context.Context, q *request, target string, version uint64) *http.Request {
+	h := q.in.Header.Clone()
+	gate.StripHops(h)
+	if h.Get("User-Agent") == "" {
+		// An empty value keeps the library from writing its own.
+		h.Set("User-Agent", "")
+	}
+	s.Dialect.Forward(h, Forward{
+		Target: target, Left: q.deadline.Sub(s.Clock.Now()), Customer: q.customer,
+		LastEvent: q.lastEvent, Version: version,
+	})
+	out := (&http.Request{Method: q.in.Method, Host: q.in.Host, Header: h, Close: true}).WithContext(ctx)
+	u := *q.in.URL
+	u.Scheme, u.Host, u.RawQuery, u.ForceQuery = "http", q.in.Host, "", false
+	u.Opaque = q.in.RequestURI
+	out.URL = &u
+	return out
+}
--- /dev/null
+++ b/io/request/direct/run.go
@@ -0,0 +1,251 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
+)
+
+// outcome is how one attempt ended.
+type outcome string
+
+// The outcomes of an attempt. Relayed means that the caller has the whole
+// answer; broken that it ended early, after the request may have run.
+const (
+	outcomeRelayed   outcome = "relayed"
+	outcomeFailure   outcome = "failureOfTarget"
+	outcomeNotRun    outcome = "notRun"
+	outcomeUnsent    outcome = "unsent"
+	outcomeBroken    outcome = "broken"
+	outcomeCaller    outcome = "callerGone"
+	outcomeLateReply outcome = "replyOfAnother"
+)
+
+// results tells the placer how an attempt ended.
+var results = map[outcome]place.Result{
+	outcomeRelayed:   place.ResultDone,
+	outcomeFailure:   place.ResultDone,
+	outcomeNotRun:    place.ResultTurned,
+	outcomeUnsent:    place.ResultUnreached,
+	outcomeBroken:    place.ResultFailed,
+	outcomeCaller:    place.ResultLeft,
+	outcomeLateReply: place.ResultFailed,
+}
+
+// relay hands a target's answers to the caller. A second attempt may follow
+// on one that broke off.
+type relay interface {
+	// take reads the answer of one attempt.
+	take(x *exchange) outcome
+	// begun reports whether the caller has a part of an answer.
+	begun() bool
+	// final hands over a failure that a target answered and that was held
+	// back in the hope of a better one; it returns false when there is none.
+	final() bool
+}
+
+// run makes attempts until the caller has its answer or there is none to be
+// had.
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, q *request) {
+	out := s.newRelay(w, q)
+	for {
+		v, ok := s.desk.place(ctx, s.work(q))
+		if !ok {
+			s.giveUp(w, q, out)
+			return
+		}
+		s.logPlacement(q, v)
+		if v.Decision == place.Refused {
+			s.turnAway(w, q, out, v)
+			return
+		}
+		o, err := s.attempt(ctx, q, v, out)
+		s.desk.done(q.call.ID, results[o])
+		s.logAttempt(q, v, o, err)
+		if o == outcomeRelayed {
+			s.finish(q, string(o), http.StatusOK)
+			return
+		}
+		if ctx.Err() != nil || o == outcomeCaller {
+			s.giveUp(w, q, out)
+			return
+		}
+		if !s.again(q, o) {
+			s.fail(w, q, out)
+			return
+		}
+		q.failed = append(q.failed, v.Target.ID)
+		q.begun = out.begun()
+	}
+}
+
+// attempt sends the request to one target.
+func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (outcome, error) {
+	q.target = v.Target.ID
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req := s.outgoing(ctx, q, v.Target.ID, s.demanded(q))
+	x, err := s.sender.send(ctx, v.Target.Address, req, q.body)
+	if errors.Is(err, errUnsent) {
+		return outcomeUnsent, err
+	}
+	q.attempts++
+	if err != nil {
+		q.ran = true
+		return outcomeBroken, err
+	}
+	defer x.close()
+	reply := s.Dialect.Reply(x.resp.StatusCode, x.resp.Header)
+	if reply.NotRun {
+		return outcomeNotRun, errors.Newf("status %d", x.resp.StatusCode)
+	}
+	q.ran = true
+	if reply.Call != "" && reply.Call != q.call.ID {
+		return outcomeLateReply, errors.Newf("the answer is to %q", reply.Call)
+	}
+	if x.resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
+		return outcomeBroken, errors.New("the answer is not signed")
+	}
+	return out.take(x), nil
+}
+
+// maxUnreached bounds the targets tried that were not reached: each costs
+// time that the caller does not have.
+const maxUnreached = 4
+
+// again reports whether another attempt may follow on one that ended so.
+func (s *Server) again(q *request, o outcome) bool {
+	switch o {
+	case outcomeUnsent:
+		return len(q.failed) < maxUnreached
+	case outcomeNotRun:
+	case outcomeBroken, outcomeFailure, outcomeLateReply:
+		if !q.route.Repeatable() {
+			return false
+		}
+	case outcomeRelayed, outcomeCaller:
+		return false
+	}
+	if q.attempts >= q.route.Attempts {
+		return false
+	}
+	if !s.retry(q.service.Name) {
+		q.reason = "retryBudget"
+		return false
+	}
+	return true
+}
+
+// giveUp ends a request whose deadline has passed or whose caller has left.
+func (s *Server) giveUp(w http.ResponseWriter, q *request, out relay) {
+	if q.in.Context().Err() != nil {
+		s.finish(q, "callerGone", 0)
+		panic(http.ErrAbortHandler)
+	}
+	q.reason = "deadline"
+	if out.begun() {
+		s.breakOff(q)
+	}
+	s.answer(w, q, answer{status: http.StatusGatewayTimeout, reason: q.reason})
+}
+
+// turnAway ends a request for which there is no place.
+func (s *Server) turnAway(w http.ResponseWriter, q *request, out relay, v place.Verdict) {
+	q.reason = string(v.Reason)
+	if out.begun() {
+		s.breakOff(q)
+	}
+	if out.final() {
+		s.finish(q, "failureOfTarget", 0)
+		return
+	}
+	if q.ran {
+		s.answer(w, q, answer{status: http.StatusBadGateway, reason: q.reason})
+		return
+	}
+	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: q.reason, retryAfter: v.RetryAfter})
+}
+
+// fail ends a request after its last attempt.
+func (s *Server) fail(w http.ResponseWriter, q *request, out relay) {
+	if out.begun() {
+		s.breakOff(q)
+	}
+	if out.final() {
+		s.finish(q, "failureOfTarget", 0)
+		return
+	}
+	if q.ran {
+		s.answer(w, q, answer{status: http.StatusBadGateway, reason: or(q.reason, "brokenOff")})
+		return
+	}
+	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: or(q.reason, "notRun"), retryAfter: unservedWait})
+}
+
+// breakOff ends an answer that its caller has a part of: the connection is
+// closed in the middle of it, so that it cannot be taken for whole.
+func (s *Server) breakOff(q *request) {
+	s.finish(q, "brokenOff", 0)
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) newRelay(w http.ResponseWriter, q *request) relay {
+	out := callerWriter{w: w, rc: http.NewResponseController(w)}
+	if q.route.Repeat == table.RepeatStream {
+		return &streamRelay{server: s, q: q, out: out}
+	}
+	return &wholeRelay{q: q, out: out}
+}
+
+func (s *Server) logPlacement(q *request, v place.Verdict) {
+	s.Log.Decide(trail.Decision{
+		Area: trail.AreaRouting, Action: string(v.Decision), Request: q.call.ID, Customer: q.customer,
+		Service: q.service.Name, Subject: q.route.Name, Choice: v.Target.ID, Reason: string(v.Reason),
+		Revision: q.facts.Revision, WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(), Load: v.Load,
+	})
+}
+
+func (s *Server) logAttempt(q *request, v place.Verdict, o outcome, err error) {
+	if o == outcomeRelayed {
+		return
+	}
+	d := trail.Decision{
+		Area: trail.AreaCall, Action: "attempt", Request: q.call.ID, Service: q.service.Name,
+		Choice: v.Target.ID, Outcome: string(o), Revision: q.facts.Revision,
+	}
+	if err != nil {
+		d.Reason = err.Error()
+	}
+	s.Log.Decide(d)
+}
+
+// finish counts and logs the end of a request.
+func (s *Server) finish(q *request, how string, status int) {
+	took := s.Clock.Since(q.arrived)
+	s.meter.ended(how, status, took)
+	age, _ := s.Source.Age()
+	s.Log.Decide(trail.Decision{
+		Area: trail.AreaCall, Action: "answer", Request: q.call.ID, Customer: q.customer,
+		Service: q.service.Name, Subject: q.route.Name, Choice: q.target, Outcome: how, Reason: q.reason,
+		Revision: q.revision(), Status: status, TookMS: took.Milliseconds(), AgeMS: age.Milliseconds(),
+	})
+}
+
+func (q *request) revision() uint64 {
+	if q.facts == nil {
+		return 0
+	}
+	return q.facts.Revision
+}
+
+func or(v, def string) string {
+	if v == "" {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/io/request/direct/send.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/fault"
+)
+
+// dialTimeout bounds the wait for a target's connection. Targets are
+// milliseconds away; one that is dark never answers, and the request can
+// still be on time elsewhere.
+const dialTimeout = 250 * time.Millisecond
+
+// readBuffer is the size of the buffer for answers, in bytes.
+const readBuffer = 4 << 10
+
+// errUnsent marks a request of which no byte came to its target.
+var errUnsent = errors.New("not sent")
+
+// sender sends requests to targets, each on a connection of its own. On a
+// kept one a late second answer, or bytes after an answer, could be taken for
+// the next answer; and one that has gone silent would swallow a request that
+// may not be sent twice. A connection costs a target a millisecond.
+type sender struct {
+	clock clockwork.Clock
+}
+
+// exchange is one request at one target, from the head of its answer on.
+type exchange struct {
+	conn net.Conn
+	resp *http.Response
+	stop func() bool
+}
+
+// close ends the exchange; a target stops its work when its connection ends.
+func (x *exchange) close() {
+	x.stop()
+	x.conn.Close()
+}
+
+// send sends the request to addr and reads the head of the answer. An error
+// that is errUnsent means that the target has not seen the request. The
+// exchange ends when ctx does.
+func (s *sender) send(ctx context.Context, addr netip.AddrPort, req *http.Request, body []byte) (*exchange, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, errors.Mark(fault.At("connect to target", addr.String(), err), errUnsent)
+	}
+	x := &exchange{conn: conn}
+	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	if err := x.roundTrip(req, body); err != nil {
+		x.close()
+		return nil, fault.At("exchange with target", addr.String(), err)
+	}
+	return x, nil
+}
+
+// roundTrip writes the request and reads the head. A target may answer and
+// reset before it has read a long body; its answer counts all the same.
+func (x *exchange) roundTrip(req *http.Request, body []byte) error {
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
+	w := bufio.NewWriterSize(x.conn, readBuffer)
+	writeErr := req.Write(w)
+	if writeErr == nil {
+		writeErr = w.Flush()
+	}
+	r := bufio.NewReaderSize(x.conn, readBuffer)
+	for {
+		resp, err := http.ReadResponse(r, req)
+		if err != nil {
+			return errors.CombineErrors(err, writeErr)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			x.resp = resp
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/request/direct/stream.go
@@ -0,0 +1,155 @@
+package direct
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 1 << 20
+
+// errOrder is returned for an event that does not follow the last one.
+var errOrder = errors.New("event out of order")
+
+// event is one event of a stream: its bytes, the blank line included, and its
+// id where it has one.
+type event struct {
+	raw   []byte
+	id    uint64
+	hasID bool
+}
+
+// readEvent reads one whole event. It returns io.EOF at the end of a stream,
+// and io.ErrUnexpectedEOF when the stream ended in the middle of one.
+func readEvent(r *bufio.Reader) (event, error) {
+	var e event
+	for {
+		line, err := r.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(e.raw)+len(line) > 0 {
+				return event{}, io.ErrUnexpectedEOF
+			}
+			return event{}, err
+		}
+		e.raw = append(e.raw, line...)
+		if len(e.raw) > maxEvent {
+			return event{}, errors.Newf("event is over %d bytes", maxEvent)
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		if text == "" {
+			if len(bytes.TrimSpace(e.raw)) == 0 {
+				e.raw = nil
+				continue
+			}
+			return e, nil
+		}
+		if v, ok := strings.CutPrefix(text, "id:"); ok {
+			id, err := strconv.ParseUint(strings.TrimSpace(v), 10, 64)
+			if err == nil {
+				e.id, e.hasID = id, true
+			}
+		}
+	}
+}
+
+// streamRelay passes events on as they come. The head of the first answer is
+// written with its first event, so that a target that fails before it can be
+// replaced unseen.
+type streamRelay struct {
+	server *Server
+	q      *request
+	out    callerWriter
+
+	started bool
+	// fresh is set until the present target has sent its first event.
+	fresh bool
+	last    uint64
+	hasLast bool
+	// whole takes an answer that is not a stream.
+	whole *wholeRelay
+}
+
+func (r *streamRelay) take(x *exchange) outcome {
+	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
+		return r.takeWhole(x)
+	}
+	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
+	r.fresh = true
+	for {
+		e, err := readEvent(in)
+		if errors.Is(err, io.EOF) {
+			return r.end(x)
+		}
+		if err != nil {
+			return outcomeBroken
+		}
+		if !r.follows(e) {
+			r.q.reason = errOrder.Error()
+			return outcomeBroken
+		}
+		if err := r.pass(x, e); err != nil {
+			return outcomeCaller
+		}
+	}
+}
+
+// follows reports whether an event is the next one.
+func (r *streamRelay) follows(e event) bool {
+	if !e.hasID || !r.hasLast {
+		return true
+	}
+	return e.id == r.last+1
+}
+
+func (r *streamRelay) pass(x *exchange, e event) error {
+	if r.fresh {
+		r.fresh = false
+		r.server.desk.began(r.q.call.ID)
+	}
+	if !r.started {
+		r.started = true
+		r.server.meter.first(r.server.Clock.Since(r.q.arrived))
+		r.out.head(x.resp, -1)
+	}
+	if e.hasID {
+		r.last, r.hasLast = e.id, true
+		r.q.lastEvent = strconv.FormatUint(e.id, 10)
+	}
+	if err := r.out.send(e.raw); err != nil {
+		return err
+	}
+	return r.out.rc.Flush()
+}
+
+// end takes the end of a stream that its target marked as complete.
+func (r *streamRelay) end(x *exchange) outcome {
+	if !r.started {
+		r.out.head(x.resp, -1)
+		r.started = true
+	}
+	return outcomeRelayed
+}
+
+// takeWhole takes an answer that is not a stream of events: a failure.
+func (r *streamRelay) takeWhole(x *exchange) outcome {
+	if r.started {
+		return outcomeBroken
+	}
+	if r.whole == nil {
+		r.whole = &wholeRelay{q: r.q, out: r.out}
+	}
+	return r.whole.take(x)
+}
+
+func (r *streamRelay) begun() bool { return r.started || (r.whole != nil && r.whole.passed) }
+
+func (r *streamRelay) final() bool { return r.whole != nil && !r.started && r.whole.final() }
