--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -44,12 +44,13 @@
 	// Status is that of an answer, Load the requests at the choice. WaitedMS,
 	// ExpectedMS and TookMS are of the request; AgeMS is how long ago what the
 	// decision rests on was last confirmed.
-	Status     int   `json:"status,omitempty"`
-	Load       int   `json:"load,omitempty"`
-	WaitedMS   int64 `json:"waitedMs,omitempty"`
-	ExpectedMS int64 `json:"expectedMs,omitempty"`
-	TookMS     int64 `json:"tookMs,omitempty"`
-	AgeMS      int64 `json:"ageMs,omitempty"`
+	Status     int    `json:"status,omitempty"`
+	Load       int    `json:"load,omitempty"`
+	Version    uint64 `json:"version,omitempty"`
+	WaitedMS   int64  `json:"waitedMs,omitempty"`
+	ExpectedMS int64  `json:"expectedMs,omitempty"`
+	TookMS     int64  `json:"tookMs,omitempty"`
+	AgeMS      int64  `json:"ageMs,omitempty"`
 }
 
 // Log takes decisions. Implementations fill Time, Process and Boot, must be
--- a/core/version/chunk/manifest.go
+++ b/core/version/chunk/manifest.go
@@ -29,6 +29,9 @@
 	return Digest(digestPrefix + hex.EncodeToString(s[:]))
 }
 
+// OfHex returns the digest that is written in hexadecimal digits.
+func OfHex(s string) Digest { return Digest(digestPrefix + strings.ToLower(s)) }
+
 // Check reports whether d has the form of a digest.
 func (d Digest) Check() error {
 	rest, ok := strings.CutPrefix(string(d), digestPrefix)
--- a/core/version/roll/machine.go
+++ b/core/version/roll/machine.go
@@ -35,6 +35,9 @@
 	Target      Target
 	TargetKnown bool
 	Draining    bool
+	// Overdue is set when the old version may soon not be served any more,
+	// so that a target that keeps to the floor serves nobody.
+	Overdue bool
 }
 
 // Status is a side's answer to a replica that asks it. Serving is what its
@@ -80,6 +83,7 @@
 	ReasonDraining     Reason = "draining"
 	ReasonBackoff      Reason = "waiting after a refusal"
 	ReasonFirstLoad    Reason = "target serves nothing"
+	ReasonOverdue      Reason = "the old version may not be served any longer"
 	ReasonAsking       Reason = "asking the replicas of the zone"
 	ReasonFloor        Reason = "floor of serving replicas"
 	ReasonBehind       Reason = "a replica holds a higher revision"
@@ -130,6 +134,9 @@
 	if f.Target.Serving == "" && !now.Before(m.retryAt) {
 		return m.order(now, f, ReasonFirstLoad)
 	}
+	if f.Overdue && !now.Before(m.retryAt) {
+		return m.order(now, f, ReasonOverdue)
+	}
 	if m.manifest != f.Want.Manifest {
 		m.manifest = f.Want.Manifest
 		m.retryAt = now.Add(time.Duration(f.Want.Rank) * perRank)
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,10 @@
 	PurposeWeights Purpose = "weights"
 	PurposeConfig  Purpose = "config"
 	PurposeOrders  Purpose = "orders"
+	// PurposeLoad carries an engine's load from its side to the entries, and
+	// PurposeEditions the manifests of versions between sides.
+	PurposeLoad     Purpose = "load"
+	PurposeEditions Purpose = "editions"
 )
 
 // HelloTimeout bounds the wait for the peer's Hello.
@@ -45,9 +50,7 @@
 
 // Check reports the first field that is out of its domain.
 func (h *Hello) Check() error {
-	switch h.Purpose {
-	case PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders:
-	default:
+	if !slices.Contains(Purposes(), h.Purpose) {
 		return errors.Newf("hello: unknown purpose %q", h.Purpose)
 	}
 	if h.Boot == "" {
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -5,9 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/spend"
+	"hawthornferry/io/process/pulse"
 	"hawthornferry/io/request/direct"
 )
 
@@ -57,7 +59,14 @@
 	if b.StrictKeys {
 		server.Rules.KeyAge = scaled(b.Revoke, keyShare)
 	}
-	f.parts = append(f.parts, part{"callers", server.Run})
+	loads := &pulse.Listener{Self: f.self, Clock: f.clock}
+	loads.Heard = func(addr netip.AddrPort, l pulse.Load) { e.heard(f, server, addr, l) }
+	f.parts = append(
+		f.parts,
+		part{"callers", server.Run},
+		part{"load reports", loads.Run},
+		part{"sides to hear", func(ctx context.Context) error { return e.followSides(ctx, f, loads) }},
+	)
 	f.ready, f.drain = server.Ready, server.Drain
 	peers, api, err := e.listeners()
 	if err != nil {
@@ -66,6 +75,31 @@
 	return f.run(ctx, peers, api)
 }
 
+// followSides keeps the listener at the sides of the engines there are.
+func (e *Entry) followSides(ctx context.Context, f *frame, loads *pulse.Listener) error {
+	for {
+		changed := f.feed.Changed()
+		loads.Want(f.sides())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// heard hands on what a side tells of the engine on its machine.
+func (e *Entry) heard(f *frame, server *direct.Server, addr netip.AddrPort, l pulse.Load) {
+	for _, t := range f.feed.Current().Targets {
+		if t.Address.Addr() != addr.Addr() {
+			continue
+		}
+		server.Report(t.ID, place.Report{
+			Alive: l.Alive, Active: l.Active, Queued: l.Queued, Pace: l.Pace, Serving: l.Serving, Busy: l.Loading,
+		})
+	}
+}
+
 func (e *Entry) listeners() (peers, api []net.Listener, err error) {
 	s := e.Settings
 	ready, err := listen("readiness", s.Ready)
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	f.logger = logger
-	f.log = &trace.Log{Process: s.VM.Name, Boot: f.self.Boot, Clock: f.clock, Logger: logger}
+	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
 		Store: p.Store, Reader: p.Reader, Awake: awake, Wait: entryWait,
@@ -129,21 +129,29 @@
 			out = append(out, feed.Peer{Address: a})
 		}
 	}
-	facts := f.feed.Current()
-	if facts.Table == nil {
-		return out
-	}
-	for _, t := range facts.Targets {
-		if s, ok := facts.Table.ServiceByName(t.Service); !ok || s.Engine == nil {
-			continue
-		}
-		if a := netip.AddrPortFrom(t.Address.Addr(), f.settings.SidePort); a != f.settings.VM.Address {
+	for _, a := range f.sides() {
+		if a != f.settings.VM.Address {
 			out = append(out, feed.Peer{Address: a})
 		}
 	}
 	return out
 }
 
+// sides are the addresses of the sides of all engines.
+func (f *frame) sides() []netip.AddrPort {
+	var out []netip.AddrPort
+	known := f.feed.Current()
+	if known.Table == nil {
+		return nil
+	}
+	for _, t := range known.Targets {
+		if s, ok := known.Table.ServiceByName(t.Service); ok && s.Engine != nil {
+			out = append(out, netip.AddrPortFrom(t.Address.Addr(), f.settings.SidePort))
+		}
+	}
+	return out
+}
+
 // listen opens a listener; the error names the setting.
 func listen(what string, addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
@@ -156,11 +164,11 @@
 	var sink errgroup.Group
 	sink.Go(func() error { return f.sink.Run(sinkCtx) })
 	f.logger.WithFields(logrus.Fields{
-		"vm": f.settings.VM.Name, "role": f.settings.VM.Role, "zone": f.settings.VM.Zone,
+		"vm": f.settings.Node, "address": f.settings.VM.Name, "role": f.settings.VM.Role, "zone": f.settings.VM.Zone,
 		"boot": f.self.Boot, "pid": os.Getpid(),
 	}).Info("started")
 	err := f.runParts(ctx, peers, api)
-	f.logger.WithField("vm", f.settings.VM.Name).WithField("reason", reasonOf(err)).Info("stopped")
+	f.logger.WithField("vm", f.settings.Node).WithField("reason", reasonOf(err)).Info("stopped")
 	stopSink()
 	return errors.CombineErrors(err, errors.CombineErrors(sink.Wait(), f.closer.Close()))
 }
@@ -193,7 +201,7 @@
 		return g.Wait()
 	case <-ctx.Done():
 	}
-	f.logger.WithField("vm", f.settings.VM.Name).Info("draining")
+	f.logger.WithField("vm", f.settings.Node).Info("draining")
 	err := f.drainWithin()
 	stopParts()
 	return errors.CombineErrors(err, g.Wait())
--- /dev/null
+++ b/io/process/hosted/rollout.go
@@ -0,0 +1,131 @@
+package hosted
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+	"sync"
+
+	"hawthornferry/core/process/envdoc"
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/view"
+	"hawthornferry/core/request/table"
+	"hawthornferry/io/version/shelf"
+)
+
+// firstVersion is the version that engines hold before any is named.
+const firstVersion = 1
+
+// loadingPart is the part of a zone's replicas that may load at once. With
+// half, a version takes two rounds of about two seconds after its weights
+// have come, which the bound on versions leaves; with a third it takes three.
+const loadingPart = 2
+
+// rollout is the view by which a side distributes and loads weights: the
+// platform's facts in the terms of an environment document.
+type rollout struct {
+	settings Settings
+
+	mu      sync.Mutex
+	view    view.View
+	changed chan struct{}
+}
+
+func newRollout(s Settings) *rollout { return &rollout{settings: s, changed: make(chan struct{})} }
+
+// Current returns the view.
+func (r *rollout) Current() view.View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *rollout) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *rollout) set(v view.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view = v
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// wantedOf returns the model of a service and the version that is wanted.
+func wantedOf(f *facts.Facts, service string) (string, uint64, bool) {
+	if f.Table == nil {
+		return "", 0, false
+	}
+	s, ok := f.Table.ServiceByName(service)
+	if !ok || s.Engine == nil || s.Engine.Model == "" {
+		return "", 0, false
+	}
+	if v, ok := f.VersionOf(s.Engine.Model); ok {
+		return s.Engine.Model, v.Version, true
+	}
+	return s.Engine.Model, firstVersion, true
+}
+
+// viewOf puts the facts into the terms of an environment document in which
+// the service's model has the given edition.
+func viewOf(s Settings, f *facts.Facts, service table.Service, e *shelf.Edition) view.View {
+	vms := vmsOf(s, f, service.Name)
+	d := &envdoc.Document{
+		Revision: f.Revision,
+		Stage:    envdoc.StageProduction,
+		Weigh:    envdoc.WeighOrigin,
+		Origin:   envdoc.Origin{Region: s.Regions[f.Origin.Zone]},
+		Models: []envdoc.Model{{
+			Name: e.Model, Version: strconv.FormatUint(e.Version, 10), Manifest: e.Digest,
+		}},
+	}
+	sv := envdoc.Service{Name: service.Name, Kind: envdoc.KindEngine, Model: e.Model, Floor: floorOf(vms)}
+	for zone, region := range s.Regions {
+		d.Zones = append(d.Zones, envdoc.Zone{Name: zone, Region: region})
+		sv.Replicas = append(sv.Replicas, envdoc.Placement{Zone: zone, Replicas: math.MaxInt32})
+	}
+	d.Services = []envdoc.Service{sv}
+	return view.View{Document: d, VMs: vms}
+}
+
+// vmsOf lists the sides beside the targets of a service, this one included.
+func vmsOf(s Settings, f *facts.Facts, service string) []fleet.VM {
+	out := []fleet.VM{s.VM}
+	for _, t := range f.Targets {
+		name := t.Address.Addr().String()
+		if t.Service != service || name == s.VM.Name {
+			continue
+		}
+		state := fleet.StateLive
+		if t.Leaving {
+			state = fleet.StateLeaving
+		}
+		out = append(out, fleet.VM{
+			Name: name, Role: fleet.RoleSide, Zone: t.Zone, Region: s.Regions[t.Zone], Service: service,
+			Address: netip.AddrPortFrom(t.Address.Addr(), s.SidePort), State: state,
+		})
+	}
+	return out
+}
+
+// floorOf is how many replicas of each zone keep serving while others load.
+func floorOf(vms []fleet.VM) int {
+	zones := map[string]int{}
+	for _, vm := range vms {
+		if vm.State == fleet.StateLive {
+			zones[vm.Zone]++
+		}
+	}
+	least := 0
+	for _, n := range zones {
+		if least == 0 || n < least {
+			least = n
+		}
+	}
+	return least - max(1, least/loadingPart)
+}
--- a/io/process/hosted/settings.go
+++ b/io/process/hosted/settings.go
@@ -13,7 +13,10 @@
 
 // Settings is what a process is told at its start.
 type Settings struct {
-	VM fleet.VM
+	// VM is this process for its peers. They know each other by address, so
+	// that is its name; Node is what operators call the machine.
+	VM   fleet.VM
+	Node string
 	// Regions maps each zone to its region.
 	Regions map[string]string
 	// Seeds are processes to ask about the others; some may be gone.
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -4,7 +4,32 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"time"
+
+	"hawthornferry/core/version/burst"
+	"hawthornferry/core/version/chunk"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/pulse"
+	"hawthornferry/io/version/order"
+	"hawthornferry/io/version/pace"
+	"hawthornferry/io/version/shelf"
+	"hawthornferry/io/version/swarm"
+)
+
+// Times and sizes of a side.
+const (
+	// leastPatience is how long a transfer may bring nothing at the least. A
+	// chunk takes 40 ms on a link of 9.4 Mbit/s, and a version has seconds.
+	leastPatience = 150 * time.Millisecond
+	// linkShare is the part of a machine's link that weights may take: the
+	// answers of the engine pass there too.
+	linkShare = 0.8
+	// cacheBytes holds the chunks that several peers ask for at once.
+	cacheBytes = 1 << 20
+	// overdueReserve is how long before the bound on versions a side loads
+	// whatever the others do: a load takes about two seconds.
+	overdueReserve = 3 * time.Second
 )
 
 func scaled(d time.Duration, share float64) time.Duration {
@@ -15,7 +40,16 @@
 type Side struct {
 	Settings Settings
 	Platform Platform
-	Log      io.Writer
+	Engine   shelf.Engine
+	// Origin makes the client of the origin, whose address may change.
+	Origin func(address func() netip.AddrPort) shelf.Origin
+	Log    io.Writer
+
+	frame   *frame
+	shelf   *shelf.Shelf
+	library *shelf.Library
+	node    *swarm.Node
+	rollout *rollout
 }
 
 // Run runs the side until ctx ends.
@@ -24,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	s.frame = f
 	peers, err := listen("peers", s.Settings.VM.Address)
 	if err != nil {
 		return err
@@ -32,5 +67,106 @@
 	if err != nil {
 		return err
 	}
+	s.build()
 	return f.run(ctx, []net.Listener{peers}, []net.Listener{metrics})
 }
+
+func (s *Side) build() {
+	f := s.frame
+	s.rollout = newRollout(s.Settings)
+	s.shelf = &shelf.Shelf{Clock: f.clock, Log: f.log, Engine: s.Engine, Origin: s.Origin(s.originAddress)}
+	s.library = &shelf.Library{
+		Self: f.self, Clock: f.clock, Log: f.log, Shelf: s.shelf,
+		Peers: s.sides, Read: func(*shelf.Edition) { s.refresh() },
+	}
+	rate := scaledRate(s.Settings.Link, linkShare)
+	s.node = &swarm.Node{
+		Self: f.self, Clock: f.clock, Log: f.log, Logger: f.logger, Metrics: f.metrics,
+		Staging: s.shelf, Source: s.shelf, CacheBytes: cacheBytes,
+		Burst: burst.Config{LeastPatience: leastPatience},
+		Pacer: pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
+	}
+	orderer := &order.Orderer{
+		Self: f.self, Clock: f.clock, Log: f.log, Source: s.rollout, Engine: s.shelf,
+		Verified: s.verified, Draining: func() bool { return false }, Overdue: s.overdue,
+	}
+	teller := &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
+	f.handlers[link.PurposeWeights] = s.node.Handler()
+	f.handlers[link.PurposeOrders] = orderer.Handler()
+	f.handlers[link.PurposeLoad] = teller.Handler()
+	f.handlers[link.PurposeEditions] = s.library.Handler()
+	f.parts = append(
+		f.parts,
+		part{"weights", s.node.Run},
+		part{"load orders", orderer.Run},
+		part{"manifests", s.library.Run},
+		part{"load reports", teller.Run},
+		part{"wanted version", s.follow},
+	)
+}
+
+func scaledRate(rate int64, share float64) int64 { return int64(float64(rate) * share) }
+
+// follow takes each new belief to the parts that bring and load weights.
+func (s *Side) follow(ctx context.Context) error {
+	for {
+		changed := s.frame.feed.Changed()
+		s.refresh()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Side) refresh() {
+	f := s.frame.feed.Current()
+	model, version, ok := wantedOf(f, s.Settings.VM.Service)
+	if !ok {
+		return
+	}
+	s.library.Want(model, version)
+	e, ok := s.shelf.Find(model, version)
+	if !ok {
+		return
+	}
+	service, _ := f.Table.ServiceByName(s.Settings.VM.Service)
+	v := viewOf(s.Settings, f, service, e)
+	s.rollout.set(v)
+	s.node.Update(v, []swarm.Wanted{{Model: model, Version: e.Manifest.Version, Manifest: e.Digest}})
+}
+
+func (s *Side) originAddress() netip.AddrPort { return s.frame.feed.Current().Origin.Address }
+
+// sides are the addresses of the other sides.
+func (s *Side) sides() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, vm := range vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service) {
+		if vm.Name != s.Settings.VM.Name {
+			out = append(out, vm.Address)
+		}
+	}
+	return out
+}
+
+// verified returns the manifest of a version that is staged whole.
+func (s *Side) verified(d chunk.Digest) (chunk.Manifest, bool) {
+	for _, p := range s.node.Progress() {
+		if p.Wanted.Manifest == d && p.Verified {
+			return p.Manifest, true
+		}
+	}
+	return chunk.Manifest{}, false
+}
+
+// overdue reports whether the time for the wanted version is running out.
+func (s *Side) overdue() bool {
+	f := s.frame.feed.Current()
+	model, _, ok := wantedOf(f, s.Settings.VM.Service)
+	if !ok {
+		return false
+	}
+	v, ok := f.VersionOf(model)
+	return ok && s.frame.clock.Since(v.Since) > s.Settings.Bounds.Version-overdueReserve
+}
--- /dev/null
+++ b/io/process/pulse/listen.go
@@ -0,0 +1,107 @@
+package pulse
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/io/conn/link"
+)
+
+// Times of a listener.
+const (
+	dialTimeout = 500 * time.Millisecond
+	redialAfter = 300 * time.Millisecond
+	// silence is after how long without a word a connection is opened anew:
+	// one that went silent for good shows by nothing else.
+	silence = 3 * repeatEvery
+)
+
+// Listener hears the sides of engines. Set the exported fields before Run.
+type Listener struct {
+	Self  *link.Self
+	Clock clockwork.Clock
+	// Heard is told what the side at addr says. It must not block.
+	Heard func(addr netip.AddrPort, l Load)
+
+	mu    sync.Mutex
+	ctx   context.Context
+	wg    sync.WaitGroup
+	heard map[netip.AddrPort]context.CancelFunc
+}
+
+// Run keeps the connections until ctx ends.
+func (l *Listener) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.heard = map[netip.AddrPort]context.CancelFunc{}
+	l.mu.Unlock()
+	<-ctx.Done()
+	l.wg.Wait()
+	return nil
+}
+
+// Want takes the sides to hear from now on.
+func (l *Listener) Want(addrs []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx == nil || l.ctx.Err() != nil {
+		return
+	}
+	wanted := make(map[netip.AddrPort]bool, len(addrs))
+	for _, a := range addrs {
+		wanted[a] = true
+		if l.heard[a] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(l.ctx)
+		l.heard[a] = cancel
+		l.wg.Go(func() { l.hear(ctx, a) })
+	}
+	for a, cancel := range l.heard {
+		if !wanted[a] {
+			cancel()
+			delete(l.heard, a)
+		}
+	}
+}
+
+// hear keeps one connection.
+func (l *Listener) hear(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		l.hearOnce(ctx, addr)
+		select {
+		case <-ctx.Done():
+		case <-l.Clock.After(redialAfter):
+		}
+	}
+}
+
+func (l *Listener) hearOnce(ctx context.Context, addr netip.AddrPort) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := link.Dial(dialCtx, l.Self, addr, link.PurposeLoad, kinds())
+	if err != nil {
+		// The side may not have started, or be gone; without its reports the
+		// entry goes by its own requests.
+		return
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			return
+		}
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		if load, ok := m.(*Load); ok {
+			l.Heard(addr, *load)
+		}
+	}
+}
--- /dev/null
+++ b/io/process/pulse/pulse.go
@@ -0,0 +1,179 @@
+// Package pulse tells entries, as it changes, of the load of the engine
+// beside a side. An entry sees only its own requests; without the others' it
+// would fill engines that are full already.
+package pulse
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/frame"
+	"hawthornferry/io/conn/link"
+	"hawthornferry/io/version/shelf"
+)
+
+// Times of the exchange.
+const (
+	// readEvery is how often the engine is read. A pass takes about 50 ms; a
+	// report within a pass tells nothing new.
+	readEvery = 50 * time.Millisecond
+	// restEvery is the same while the engine has no requests.
+	restEvery = 200 * time.Millisecond
+	// repeatEvery is how often an unchanged load is told, so that an entry
+	// can tell a quiet engine from a lost side.
+	repeatEvery = 300 * time.Millisecond
+	// silentAfter is how many reads in a row must fail for an engine to
+	// count as dead: one may be lost by a busy machine.
+	silentAfter = 2
+	readTimeout = 150 * time.Millisecond
+	sendTimeout = time.Second
+)
+
+// Load is what entries are told.
+type Load struct {
+	Alive   bool    `msgpack:"alive"`
+	Active  int     `msgpack:"active"`
+	Queued  int     `msgpack:"queued"`
+	Pace    float64 `msgpack:"pace"`
+	Serving uint64  `msgpack:"serving"`
+	Loading bool    `msgpack:"loading"`
+}
+
+// Kind names the message.
+func (*Load) Kind() frame.Kind { return "load" }
+
+// Check reports the first field that is out of its domain.
+func (l *Load) Check() error {
+	if l.Active < 0 || l.Queued < 0 || l.Pace < 0 {
+		return errors.Newf("load: %d active, %d queued, pace %g: want none below 0", l.Active, l.Queued, l.Pace)
+	}
+	return nil
+}
+
+func kinds() frame.Kinds {
+	k := frame.Kinds{}
+	k.Register(func() frame.Message { return &Load{} })
+	return k
+}
+
+// Teller reads the engine and tells the entries that are connected. Set the
+// exported fields before Run.
+type Teller struct {
+	Clock  clockwork.Clock
+	Log    trail.Log
+	Engine shelf.Engine
+
+	mu      sync.Mutex
+	load    Load
+	told    bool
+	fails   int
+	changed chan struct{}
+}
+
+// Handler serves the entries that connect.
+func (t *Teller) Handler() link.Handler {
+	return link.Handler{Kinds: kinds(), Serve: t.serve}
+}
+
+// Run reads the engine until ctx ends.
+func (t *Teller) Run(ctx context.Context) error {
+	for {
+		t.read(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.Clock.After(t.pause()):
+		}
+	}
+}
+
+func (t *Teller) pause() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.load.Active+t.load.Queued == 0 && t.load.Alive && !t.load.Loading {
+		return restEvery
+	}
+	return readEvery
+}
+
+func (t *Teller) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	r, err := t.Engine.Report(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := Load{Alive: true, Active: r.Active, Queued: r.Queued, Pace: r.Pace, Serving: r.Serving, Loading: r.Loading}
+	if err != nil {
+		t.fails++
+		if t.fails < silentAfter {
+			return
+		}
+		next = Load{}
+	} else {
+		t.fails = 0
+	}
+	if next == t.load && t.told {
+		return
+	}
+	if next.Alive != t.load.Alive || next.Serving != t.load.Serving || !t.told {
+		t.note(next, err)
+	}
+	t.load, t.told = next, true
+	if t.changed != nil {
+		close(t.changed)
+	}
+	t.changed = make(chan struct{})
+}
+
+func (t *Teller) note(l Load, err error) {
+	d := trail.Decision{Area: trail.AreaMember, Action: "engineAlive", Load: l.Active, Version: l.Serving}
+	if !l.Alive {
+		d.Action = "engineSilent"
+	}
+	if err != nil {
+		d.Reason = err.Error()
+	}
+	t.Log.Decide(d)
+}
+
+func (t *Teller) current() (Load, bool, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.load, t.told, t.changed
+}
+
+// serve tells one entry until its connection ends.
+func (t *Teller) serve(ctx context.Context, c *link.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// An entry sends nothing; this returns when the connection ends.
+		_, _ = c.Receive()
+		cancel()
+	}()
+	for {
+		l, told, changed := t.current()
+		if told {
+			if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+				return
+			}
+			if c.Send(&l) != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-t.Clock.After(repeatEvery):
+		}
+	}
+}
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -71,7 +71,7 @@
 
 	started bool
 	// fresh is set until the present target has sent its first event.
-	fresh bool
+	fresh   bool
 	last    uint64
 	hasLast bool
 	// whole takes an answer that is not a stream.
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -20,6 +20,15 @@
 	askTimeout = time.Second
 )
 
+// Target is the control interface of one engine.
+type Target interface {
+	// State returns what the engine serves and loads.
+	State(ctx context.Context) (roll.Target, error)
+	// Load orders the engine to load m, pinned by digest, under number. The
+	// load goes on after the engine has accepted it.
+	Load(ctx context.Context, number uint64, digest chunk.Digest, m chunk.Manifest) error
+}
+
 // Orderer brings one target to the version that the document names. Set the
 // exported fields before Run.
 type Orderer struct {
@@ -27,12 +36,15 @@
 	Clock  clockwork.Clock
 	Log    trail.Log
 	Source view.Source
-	Engine *Engine
+	Engine Target
 	// Verified returns the manifest that has the given digest once all of its
 	// chunks are staged and verified.
 	Verified func(chunk.Digest) (chunk.Manifest, bool)
 	// Draining reports whether this process is shutting down.
 	Draining func() bool
+	// Overdue reports whether the wanted version must be loaded whatever the
+	// other replicas do; it may be nil.
+	Overdue func() bool
 
 	mu      sync.Mutex
 	machine roll.Machine
@@ -99,6 +111,7 @@
 	if want.Manifest == "" {
 		return f, true
 	}
+	f.Overdue = o.Overdue != nil && o.Overdue()
 	_, f.Verified = o.Verified(want.Manifest)
 	t, err := o.Engine.State(ctx)
 	if err == nil {
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -60,7 +60,7 @@
 
 func (n *Node) obtain(ctx context.Context, in *incoming) ([]byte, error) {
 	if in.fetch.Via == burst.ViaOrigin {
-		return n.source.chunk(ctx, in.fetch.Chunk, func(k int) {
+		return n.source.Chunk(ctx, in.fetch.Chunk, func(k int) {
 			n.counters.origin.Inc(int64(k))
 			n.advance(in)
 		})
--- a/io/version/swarm/manifest.go
+++ b/io/version/swarm/manifest.go
@@ -70,6 +70,9 @@
 // tree, or from the store when there is none or it does not answer in time.
 func (n *Node) obtainManifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, []byte, error) {
 	for range peerManifestTries {
+		if n.Source != nil {
+			break
+		}
 		peer := n.manifestPeer(d)
 		if peer == "" {
 			break
@@ -80,7 +83,7 @@
 		}
 		n.reportUnlessStopped("read manifest", peer, err)
 	}
-	return n.source.manifest(ctx, d)
+	return n.source.Manifest(ctx, d)
 }
 
 // endAsks ends what was asked of a peer whose connection is gone; it is
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -38,6 +38,15 @@
 	Delete(ctx context.Context, d chunk.Digest) error
 }
 
+// Source is where manifests and chunks come from that no peer has.
+type Source interface {
+	// Manifest returns a manifest with its canonical bytes.
+	Manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, []byte, error)
+	// Chunk draws one chunk and checks its size and digest. progress is told
+	// of each piece.
+	Chunk(ctx context.Context, ref chunk.Ref, progress func(n int)) ([]byte, error)
+}
+
 // Wanted is a version that this side is to hold.
 type Wanted struct {
 	Model    string
@@ -68,12 +77,15 @@
 // live traffic; when nil, one is made from Pace. BlockSize and CacheBytes may
 // be left zero.
 type Node struct {
-	Self         *link.Self
-	Clock        clockwork.Clock
-	Log          trail.Log
-	Logger       logrus.FieldLogger
-	Metrics      tally.Scope
-	Staging      Staging
+	Self    *link.Self
+	Clock   clockwork.Clock
+	Log     trail.Log
+	Logger  logrus.FieldLogger
+	Metrics tally.Scope
+	Staging Staging
+	// Source, when set, takes the place of Origin and Store. Such a source
+	// has the manifests at hand, and peers are not asked for them.
+	Source       Source
 	Origin       netip.AddrPort
 	Store        netip.AddrPort
 	OriginRegion string
@@ -89,7 +101,7 @@
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
 	pacer    *pace.Pacer
-	source   *source
+	source   Source
 	cache    *cache
 	uploads  *uploads
 	counters counters
@@ -130,7 +142,10 @@
 		if n.CacheBytes <= 0 {
 			n.CacheBytes = DefaultCacheBytes
 		}
-		n.source = &source{store: n.Store, origin: n.Origin, http: &http.Client{Transport: newTransport()}, pacer: n.pacer}
+		n.source = n.Source
+		if n.source == nil {
+			n.source = &source{store: n.Store, origin: n.Origin, http: &http.Client{Transport: newTransport()}, pacer: n.pacer}
+		}
 		n.cache = newCache(n.CacheBytes)
 		n.uploads = &uploads{node: n, wake: make(chan struct{}, 1)}
 		n.counters = newCounters(n.Metrics)
--- a/io/version/swarm/source.go
+++ b/io/version/swarm/source.go
@@ -41,8 +41,8 @@
 	pacer  *pace.Pacer
 }
 
-// manifest reads a manifest and checks it against its pinned digest.
-func (s *source) manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, []byte, error) {
+// Manifest reads a manifest and checks it against its pinned digest.
+func (s *source) Manifest(ctx context.Context, d chunk.Digest) (chunk.Manifest, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	peer := s.store.String()
@@ -62,9 +62,9 @@
 	return m, b, fault.At("check manifest", peer, err)
 }
 
-// chunk draws one chunk from the origin and checks its size and digest.
+// Chunk draws one chunk from the origin and checks its size and digest.
 // progress is told of each piece.
-func (s *source) chunk(ctx context.Context, ref chunk.Ref, progress func(n int)) ([]byte, error) {
+func (s *source) Chunk(ctx context.Context, ref chunk.Ref, progress func(n int)) ([]byte, error) {
 	peer := s.origin.String()
 	resp, err := s.get(ctx, s.origin, "/v1/chunks/"+string(ref.Digest))
 	if err != nil {
