--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -3,7 +3,9 @@
 package facts
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"hawthornferry/core/request/table"
@@ -45,7 +47,7 @@
 
 // Facts is one consistent belief; it is never changed once it is handed out.
 // Table is nil until a configuration was read. Revision is that of the store
-// from which all of it was read.
+// from which all of it was read. Versions holds the latest few of each model.
 type Facts struct {
 	Revision uint64
 	Table    *table.Table
@@ -54,12 +56,36 @@
 	Origin   Origin
 }
 
-// VersionOf returns the version that is wanted of a model.
-func (f *Facts) VersionOf(model string) (Named, bool) {
+// Latest returns the newest version that is wanted of a model.
+func (f *Facts) Latest(model string) (Named, bool) {
+	return f.newest(model, func(Named) bool { return true })
+}
+
+// Due returns the newest version of a model that was named before the given
+// time. Each version has its own bound: one that is named soon after another
+// does not put off the time for the first.
+func (f *Facts) Due(model string, before time.Time) (Named, bool) {
+	return f.newest(model, func(v Named) bool { return v.Since.Before(before) })
+}
+
+func (f *Facts) newest(model string, ok func(Named) bool) (Named, bool) {
+	var best Named
+	for _, v := range f.Versions {
+		if v.Model == model && v.Version > best.Version && ok(v) {
+			best = v
+		}
+	}
+	return best, best.Version > 0
+}
+
+// Named returns the versions that were named of a model, the newest first.
+func (f *Facts) Named(model string) []Named {
+	var out []Named
 	for _, v := range f.Versions {
 		if v.Model == model {
-			return v, true
+			out = append(out, v)
 		}
 	}
-	return Named{}, false
+	slices.SortFunc(out, func(a, b Named) int { return cmp.Compare(b.Version, a.Version) })
+	return out
 }
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -44,8 +44,13 @@
 	best.own++
 	best.unread += q.work.Prompt
 	p.running[q.work.ID] = &run{work: q.work, target: best, since: now}
+	var serving uint64
+	if s.engine != nil {
+		serving = best.serves(now, s.engine.Model)
+	}
 	return Verdict{
-		ID: q.work.ID, Decision: Placed, Target: best.Target,
+		Serving: serving,
+		ID:      q.work.ID, Decision: Placed, Target: best.Target,
 		Waited: now.Sub(q.since), Expected: expected, Load: best.load(now),
 	}, true
 }
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -72,6 +72,8 @@
 	Waited     time.Duration
 	// Expected is the time to the first answer that was foreseen.
 	Expected time.Duration
+	// Serving is the version of the model that the target is known to serve.
+	Serving uint64
 	// Load is the number of requests at the target, this one included.
 	Load int
 }
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -39,6 +39,9 @@
 	// DefaultLeastPatience is above what a busy machine or a pause of the
 	// runtime costs.
 	DefaultLeastPatience = 500 * time.Millisecond
+	// DefaultMostPause keeps a thousand sides that wait for one origin to
+	// some hundred tries a second.
+	DefaultMostPause = 5 * time.Second
 	// MaxPeers bounds the peers of which a side keeps state.
 	MaxPeers = 256
 )
@@ -76,7 +79,10 @@
 	// LeastPatience bounds from below how long a transfer may bring nothing
 	// and how long a rank waits for the one before it.
 	LeastPatience time.Duration
-	Seed          uint64
+	// MostPause bounds how long a source that failed, or a peer that does not
+	// answer, is left alone. After an outage that much time may be lost.
+	MostPause time.Duration
+	Seed      uint64
 }
 
 // State is the belief and the plans of one side. It is not safe for
@@ -185,6 +191,9 @@
 	cfg.Inbound = orDefault(cfg.Inbound, DefaultInbound)
 	cfg.Turns = orDefault(cfg.Turns, DefaultTurns)
 	cfg.Draws = orDefault(cfg.Draws, DefaultDraws)
+	if cfg.MostPause <= 0 {
+		cfg.MostPause = DefaultMostPause
+	}
 	if cfg.LeastPatience <= 0 {
 		cfg.LeastPatience = DefaultLeastPatience
 	}
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -16,9 +16,10 @@
 	// lostFactor is how many step-in waits a chunk that was heard of may
 	// stay out of reach.
 	lostFactor = 1
-	// mostBad bounds how long a peer is left alone. The first time it is the
-	// patience of a trade; each further fault in a row doubles it.
-	mostBad = time.Minute
+	// mostBadPauses bounds, in longest pauses, how long a peer is left alone.
+	// The first time it is the patience of a trade; each further fault in a
+	// row doubles it.
+	mostBadPauses = 12
 	// silentStrikes is how many stalls in a row a connection may have before
 	// it is closed.
 	silentStrikes = 2
@@ -136,7 +137,7 @@
 	}
 	if it.via != ViaTrade {
 		it.attempts++
-		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, mostRetry)))
+		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, s.cfg.MostPause)))
 		it.fails++
 	}
 	if it.via == ViaOrigin {
@@ -163,7 +164,7 @@
 		// A connection can go silent for good while a new one would work.
 		s.emit(Disconnect{Peer: name})
 	}
-	p.badUntil = now.Add(doubled(s.patience(ViaTrade), p.strikes-1, mostBad))
+	p.badUntil = now.Add(doubled(s.patience(ViaTrade), p.strikes-1, mostBadPauses*s.cfg.MostPause))
 	if p.badUntil.After(s.blameEnd) {
 		s.blameEnd = p.badUntil
 	}
@@ -200,4 +201,6 @@
 	return d
 }
 
-func dialWait(fails int) time.Duration { return doubled(firstDial, fails, mostDial) }
+func (s *State) dialWait(fails int) time.Duration {
+	return doubled(firstDial, fails, s.cfg.MostPause)
+}
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -193,7 +193,7 @@
 		if p.connected || now.Before(p.dialAt) {
 			continue
 		}
-		p.dialAt = now.Add(dialWait(p.dialFails))
+		p.dialAt = now.Add(s.dialWait(p.dialFails))
 		p.dialFails++
 		s.emit(Connect{Peer: n})
 	}
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -112,10 +112,12 @@
 	// Peers returns the processes to ask while the store does not answer.
 	Peers func() []Peer
 
-	mu       sync.Mutex
-	items    map[string]Item
-	facts    map[string]Fact
-	lapsing  map[string]time.Time
+	mu      sync.Mutex
+	items   map[string]Item
+	facts   map[string]Fact
+	lapsing map[string]time.Time
+	// named are the versions that newer ones have replaced.
+	named    []facts.Named
 	revision uint64
 	// confirmed is when, on Awake, the belief was last known to be true.
 	confirmed time.Duration
@@ -172,6 +174,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { f.askPeers(ctx) })
+	wg.Go(func() { f.askAges(ctx) })
 	pause := time.Duration(0)
 	fails := 0
 	for {
@@ -350,6 +353,12 @@
 	}
 	if v := fact.Version; v != nil {
 		v.Since = f.Clock.Now()
+		if !f.known {
+			v.Since = v.Since.Add(-unknownAge)
+		}
+		if had && old.Version != nil {
+			f.name(*old.Version)
+		}
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: it.Revision})
 	}
 	if c := fact.Config; c != nil {
@@ -365,6 +374,54 @@
 	f.facts[it.Key] = fact
 }
 
+// unknownAge is how long ago a version is taken to have been named that a
+// process finds at its start: the time by which it was to be served may be
+// over. A peer that has heard it named tells better.
+const unknownAge = time.Hour
+
+// agesOf returns how long ago the versions were named that this process has
+// heard of as it happened; it is called with the feed locked.
+func (f *Feed) agesOf() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for key, fact := range f.facts {
+		if fact.Version == nil {
+			continue
+		}
+		if age := f.Clock.Since(fact.Version.Since); age < unknownAge {
+			out[key] = age
+		}
+	}
+	return out
+}
+
+// takeAges adopts a peer's knowledge of when versions were named; it is
+// called with the feed locked.
+func (f *Feed) takeAges(ages map[string]time.Duration) {
+	for key, age := range ages {
+		v := f.facts[key].Version
+		if v == nil {
+			continue
+		}
+		since := f.Clock.Now().Add(-age)
+		own := f.Clock.Since(v.Since)
+		if own >= unknownAge || since.Before(v.Since) {
+			v.Since = since
+		}
+	}
+}
+
+// mostNamed bounds the replaced versions that are remembered.
+const mostNamed = 8
+
+// name remembers a version that a newer one replaces: the time by which it
+// was to be served still runs.
+func (f *Feed) name(v facts.Named) {
+	f.named = append(f.named, v)
+	if len(f.named) > mostNamed {
+		f.named = f.named[1:]
+	}
+}
+
 // confirm makes what is held the belief of the moment asked; it is called
 // with the feed locked.
 func (f *Feed) confirm(asked time.Duration, at uint64) {
@@ -391,7 +448,7 @@
 // publish hands the belief out when it has changed.
 func (f *Feed) publish() {
 	old := f.current.Load()
-	now := &facts.Facts{Revision: f.revision}
+	now := &facts.Facts{Revision: f.revision, Versions: slices.Clone(f.named)}
 	for _, key := range sortedKeys(f.facts) {
 		fact := f.facts[key]
 		switch {
--- a/io/process/feed/peers.go
+++ b/io/process/feed/peers.go
@@ -52,7 +52,10 @@
 	Age   time.Duration `msgpack:"age"`
 	Items []Item        `msgpack:"items"`
 	Keys  []string      `msgpack:"keys"`
-	Last  bool          `msgpack:"last"`
+	// Ages are how long ago the versions of the keys were named, as far as
+	// the sender heard of it as it happened.
+	Ages map[string]time.Duration `msgpack:"ages"`
+	Last bool                     `msgpack:"last"`
 }
 
 // Kind names the message.
@@ -60,6 +63,11 @@
 
 // Check reports the first field that is out of its domain.
 func (t *tell) Check() error {
+	for key, age := range t.Ages {
+		if age < 0 {
+			return errors.Newf("factsTell: age %s of %q is below 0", age, key)
+		}
+	}
 	if t.Age < 0 {
 		return errors.Newf("factsTell: age %s is below 0", t.Age)
 	}
@@ -104,7 +112,7 @@
 func (f *Feed) answerTo(q *ask) []*tell {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed)}
+	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Ages: f.agesOf()}
 	if !f.known || f.revision <= q.After {
 		t.Last = true
 		return []*tell{t}
@@ -144,6 +152,25 @@
 	}
 }
 
+// agesWait is how long after its first belief a process asks peers when the
+// versions in it were named: those that started with it know no more.
+const agesWait = 100 * time.Millisecond
+
+// askAges asks peers once, after the start.
+func (f *Feed) askAges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(agesWait):
+		}
+		if _, known := f.Age(); known {
+			f.askSome(ctx)
+			return
+		}
+	}
+}
+
 func (f *Feed) askSome(ctx context.Context) {
 	peers := f.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -181,6 +208,9 @@
 		if !ok {
 			return errors.Newf("answer is %s", m.Kind())
 		}
+		if t.Ages == nil {
+			t.Ages = whole.Ages
+		}
 		t.Items = append(whole.Items, t.Items...)
 		t.Keys = append(whole.Keys, t.Keys...)
 		whole = t
@@ -197,12 +227,16 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if t.At == f.revision {
+		f.takeAges(t.Ages)
+	}
 	since := asked - t.Age
 	if t.At < f.revision || f.revision != after || (f.known && since <= f.confirmed) {
 		return
 	}
 	if t.At > after {
 		f.takeItems(t)
+		f.takeAges(t.Ages)
 	}
 	if age := f.Awake() - f.confirmed; !f.known || age > f.Wait+callTimeout {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "told", Choice: peer, Reason: "age " + t.Age.String(), Revision: t.At})
--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -17,6 +17,10 @@
 // firstVersion is the version that engines hold before any is named.
 const firstVersion = 1
 
+// mostWanted is how many versions are fetched at a time: the newest, and the
+// one before it, which the origin still has.
+const mostWanted = 2
+
 // loadingPart is the part of a zone's replicas that may load at once. With
 // half, a version takes two rounds of about two seconds after its weights
 // have come, which the bound on versions leaves; with a third it takes three.
@@ -56,19 +60,25 @@
 	r.changed = make(chan struct{})
 }
 
-// wantedOf returns the model of a service and the version that is wanted.
-func wantedOf(f *facts.Facts, service string) (string, uint64, bool) {
+// wantedOf returns the model of a service and the versions that are wanted,
+// the newest first: older ones are of use while the newest cannot be had.
+func wantedOf(f *facts.Facts, service string) (string, []uint64, bool) {
 	if f.Table == nil {
-		return "", 0, false
+		return "", nil, false
 	}
 	s, ok := f.Table.ServiceByName(service)
 	if !ok || s.Engine == nil || s.Engine.Model == "" {
-		return "", 0, false
+		return "", nil, false
+	}
+	named := f.Named(s.Engine.Model)
+	if len(named) == 0 {
+		return s.Engine.Model, []uint64{firstVersion}, true
 	}
-	if v, ok := f.VersionOf(s.Engine.Model); ok {
-		return s.Engine.Model, v.Version, true
+	var out []uint64
+	for _, v := range named[:min(len(named), mostWanted)] {
+		out = append(out, v.Version)
 	}
-	return s.Engine.Model, firstVersion, true
+	return s.Engine.Model, out, true
 }
 
 // viewOf puts the facts into the terms of an environment document in which
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
@@ -21,15 +23,23 @@
 const (
 	// leastPatience is how long a transfer may bring nothing at the least. A
 	// chunk takes 40 ms on a link of 9.4 Mbit/s, and a version has seconds.
-	leastPatience = 150 * time.Millisecond
+	leastPatience = 300 * time.Millisecond
+	// mostPause bounds the pauses after failures: the origin may be away for
+	// most of the time that a version has, and each pause after is lost.
+	mostPause = 500 * time.Millisecond
 	// linkShare is the part of a machine's link that weights may take: the
 	// answers of the engine pass there too.
-	linkShare = 0.8
+	linkShare = 0.92
 	// cacheBytes holds the chunks that several peers ask for at once.
 	cacheBytes = 1 << 20
 	// overdueReserve is how long before the bound on versions a side loads
 	// whatever the others do: a load takes about two seconds.
 	overdueReserve = 3 * time.Second
+	// olderReserve is how long before that bound a side turns to the version
+	// before the newest: time for two rounds of loads.
+	olderReserve = 5500 * time.Millisecond
+	// pickEvery is how often the choice between versions is made anew.
+	pickEvery = 300 * time.Millisecond
 )
 
 func scaled(d time.Duration, share float64) time.Duration {
@@ -82,8 +92,8 @@
 	rate := scaledRate(s.Settings.Link, linkShare)
 	s.node = &swarm.Node{
 		Self: f.self, Clock: f.clock, Log: f.log, Logger: f.logger, Metrics: f.metrics,
-		Staging: s.shelf, Source: s.shelf, CacheBytes: cacheBytes,
-		Burst: burst.Config{LeastPatience: leastPatience},
+		Members: s.members, Staging: s.shelf, Source: s.shelf, CacheBytes: cacheBytes,
+		Burst: burst.Config{LeastPatience: leastPatience, MostPause: mostPause},
 		Pacer: pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
 	}
 	orderer := &order.Orderer{
@@ -116,25 +126,57 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-s.frame.clock.After(pickEvery):
 		}
 	}
 }
 
+// refresh takes the belief and what has been read of the wanted versions to
+// the distribution and to the load orders.
 func (s *Side) refresh() {
 	f := s.frame.feed.Current()
-	model, version, ok := wantedOf(f, s.Settings.VM.Service)
+	model, versions, ok := wantedOf(f, s.Settings.VM.Service)
 	if !ok {
 		return
 	}
-	s.library.Want(model, version)
-	e, ok := s.shelf.Find(model, version)
-	if !ok {
+	s.library.Want(model, versions)
+	var editions []*shelf.Edition
+	var wanted []swarm.Wanted
+	for _, v := range versions {
+		if e, ok := s.shelf.Find(model, v); ok {
+			editions = append(editions, e)
+			wanted = append(wanted, swarm.Wanted{Model: model, Version: e.Manifest.Version, Manifest: e.Digest})
+		}
+	}
+	if len(editions) == 0 {
 		return
 	}
 	service, _ := f.Table.ServiceByName(s.Settings.VM.Service)
-	v := viewOf(s.Settings, f, service, e)
+	v := viewOf(s.Settings, f, service, s.pick(f, editions))
 	s.rollout.set(v)
-	s.node.Update(v, []swarm.Wanted{{Model: model, Version: e.Manifest.Version, Manifest: e.Digest}})
+	s.node.Update(v, wanted)
+}
+
+// pick is the version to load: the newest, unless its weights are not whole
+// and the time for the one before it, whose weights are, is running out.
+// Without that, nobody would be served from the end of that time until the
+// newest one can be had.
+func (s *Side) pick(f *facts.Facts, editions []*shelf.Edition) *shelf.Edition {
+	newest := editions[0]
+	if _, whole := s.verified(newest.Digest); whole || len(editions) == 1 {
+		return newest
+	}
+	older := editions[1]
+	due, ok := f.Due(older.Model, s.frame.clock.Now().Add(olderReserve-s.Settings.Bounds.Version))
+	if _, whole := s.verified(older.Digest); whole && ok && due.Version >= older.Version {
+		return older
+	}
+	return newest
+}
+
+// members are the other sides, whatever the version.
+func (s *Side) members(chunk.Digest) []fleet.VM {
+	return vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service)[1:]
 }
 
 func (s *Side) originAddress() netip.AddrPort { return s.frame.feed.Current().Origin.Address }
@@ -167,6 +209,6 @@
 	if !ok {
 		return false
 	}
-	v, ok := f.VersionOf(model)
-	return ok && s.frame.clock.Since(v.Since) > s.Settings.Bounds.Version-overdueReserve
+	_, due := f.Due(model, s.frame.clock.Now().Add(overdueReserve-s.Settings.Bounds.Version))
+	return due
 }
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -224,27 +224,20 @@
 }
 
 // versionReserve is how long before the operator's bound a version is
-// demanded of the targets: a request that an engine holds back begins later
-// than it was sent.
-const versionReserve = 1500 * time.Millisecond
+// demanded of the targets: a request begins at its engine up to an objective
+// later than it was sent, and this process heard of the version a little after
+// it was named.
+const versionReserve = time.Second
 
-// demanded is the version that a request must be answered by: none while the
-// targets load a new one, and that one when the time for it has passed. The
-// engine checks it when the request begins.
+// demanded is the least version that a request may be answered by: none while
+// the targets load a new one, and that one when the time for it has passed.
 func (s *Server) demanded(q *request) uint64 {
 	e := q.service.Engine
 	if e == nil || s.Rules.Version <= 0 {
 		return 0
 	}
-	f := s.Source.Current()
-	v, ok := f.VersionOf(e.Model)
-	if !ok {
-		return 0
-	}
-	if s.Clock.Since(v.Since) > s.Rules.Version-versionReserve {
-		return v.Version
-	}
-	return 0
+	v, _ := s.Source.Current().Due(e.Model, s.Clock.Now().Add(versionReserve-s.Rules.Version))
+	return v.Version
 }
 
 // outgoing makes the request for a target.
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -89,7 +89,13 @@
 	q.target = v.Target.ID
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	req := s.outgoing(ctx, q, v.Target.ID, s.demanded(q))
+	// A target that goes back to older weights, as after a restart, must not
+	// answer by them: it checks the version as the request begins.
+	version := uint64(0)
+	if s.demanded(q) > 0 {
+		version = v.Serving
+	}
+	req := s.outgoing(ctx, q, v.Target.ID, version)
 	x, err := s.sender.send(ctx, v.Target.Address, req, q.body)
 	if errors.Is(err, errUnsent) {
 		return outcomeUnsent, err
--- a/io/version/shelf/library.go
+++ b/io/version/shelf/library.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -43,49 +44,47 @@
 	// Read is told of each edition once its manifest is known.
 	Read func(e *Edition)
 
-	mu      sync.Mutex
-	model   string
-	version uint64
-	changed chan struct{}
+	mu       sync.Mutex
+	model    string
+	versions []uint64
+	changed  chan struct{}
 }
 
-// Want names the version that is wanted from now on.
-func (l *Library) Want(model string, version uint64) {
+// Want names the versions that are wanted from now on, the first one first.
+func (l *Library) Want(model string, versions []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.model == model && l.version == version {
+	if l.model == model && slices.Equal(l.versions, versions) {
 		return
 	}
-	l.model, l.version = model, version
+	l.model, l.versions = model, versions
 	if l.changed != nil {
 		close(l.changed)
 	}
 	l.changed = make(chan struct{})
 }
 
-func (l *Library) wanted() (string, uint64, <-chan struct{}) {
+func (l *Library) wanted() (string, []uint64, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.changed == nil {
 		l.changed = make(chan struct{})
 	}
-	return l.model, l.version, l.changed
+	return l.model, l.versions, l.changed
 }
 
 // Run reads manifests until ctx ends.
 func (l *Library) Run(ctx context.Context) error {
 	fails := 0
 	for {
-		model, version, changed := l.wanted()
+		model, versions, changed := l.wanted()
 		pause := doubtEvery
-		if version > 0 && !l.have(model, version) {
-			if l.obtain(ctx, model, version) {
-				fails = 0
-			} else {
-				bound := min(firstRetry<<min(fails, 8), mostRetry)
-				pause = bound/2 + rand.N(bound/2)
-				fails++
-			}
+		if l.obtainAll(ctx, model, versions) {
+			fails = 0
+		} else {
+			bound := min(firstRetry<<min(fails, 8), mostRetry)
+			pause = bound/2 + rand.N(bound/2)
+			fails++
 		}
 		select {
 		case <-ctx.Done():
@@ -97,6 +96,17 @@
 	}
 }
 
+// obtainAll reports whether every wanted version is known now.
+func (l *Library) obtainAll(ctx context.Context, model string, versions []uint64) bool {
+	all := true
+	for _, v := range versions {
+		if !l.have(model, v) && !l.obtain(ctx, model, v) {
+			all = false
+		}
+	}
+	return all
+}
+
 func (l *Library) have(model string, version uint64) bool {
 	_, ok := l.Shelf.Find(model, version)
 	return ok && !l.Shelf.Doubtful()
--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -6,7 +6,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -56,6 +58,10 @@
 	// drawTimeout bounds one chunk from the origin: half a hundred sides may
 	// share a link on which it takes tens of milliseconds alone.
 	drawTimeout = 3 * time.Second
+	// startWait bounds the wait for an engine that starts beside its side, and
+	// startRetry parts the tries.
+	startWait  = 4 * time.Second
+	startRetry = 50 * time.Millisecond
 	// spoiltDraws is how many chunks may come spoilt from the origin before
 	// its manifest is taken for the spoilt one.
 	spoiltDraws = 12
@@ -106,6 +112,7 @@
 		}
 	}
 	s.editions = append(kept, e)
+	slices.SortFunc(s.editions, func(a, b *Edition) int { return cmp.Compare(a.Version, b.Version) })
 	if len(s.editions) > maxEditions {
 		s.editions = s.editions[1:]
 	}
@@ -206,7 +213,7 @@
 	}
 	e := s.editions[len(s.editions)-1]
 	s.mu.Unlock()
-	held, err := s.Engine.Held(ctx, e.Model)
+	held, err := s.held(ctx, e.Model)
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +226,9 @@
 	return out, nil
 }
 
-// Put keeps a verified chunk and hands it to the engine.
+// Put keeps a verified chunk and hands it to the engine when it is of the
+// newest edition. An engine that does not take it now gets it before it is
+// ordered to load: the chunk is at hand here and need not be fetched again.
 func (s *Shelf) Put(ctx context.Context, d chunk.Digest, b []byte) error {
 	places := s.placesOf(d)
 	if len(places) == 0 {
@@ -227,13 +236,43 @@
 	}
 	s.remember(d, b)
 	for _, p := range places {
+		if !s.isNewest(p) {
+			return nil
+		}
 		if err := s.Engine.Put(ctx, p.model, p.num, b); err != nil {
-			return err
+			s.Log.Decide(trail.Decision{
+				Area: trail.AreaTransfer, Action: "stageLater", Subject: string(d),
+				Choice: strconv.Itoa(p.num), Reason: err.Error(),
+			})
 		}
 	}
 	return nil
 }
 
+func (s *Shelf) isNewest(p place) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.editions[len(s.editions)-1].Version == p.version
+}
+
+// held waits for an engine that has not started yet. Taken for empty, it would
+// have every side of a fleet that starts fetch what lies beside it.
+func (s *Shelf) held(ctx context.Context, model string) ([]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		nums, err := s.Engine.Held(ctx, model)
+		if err == nil || ctx.Err() != nil {
+			return nums, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-s.Clock.After(startRetry):
+		}
+	}
+}
+
 func (s *Shelf) remember(d chunk.Digest, b []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -83,6 +83,9 @@
 	Logger  logrus.FieldLogger
 	Metrics tally.Scope
 	Staging Staging
+	// Members, when set, lists the other sides that are to hold a version; the
+	// document does otherwise.
+	Members func(d chunk.Digest) []fleet.VM
 	// Source, when set, takes the place of Origin and Store. Such a source
 	// has the manifests at hand, and peers are not asked for them.
 	Source       Source
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -215,6 +215,9 @@
 // would only be waited for.
 func (n *Node) members(s *state, d chunk.Digest) []burst.Member {
 	out := []burst.Member{{Name: n.Self.VM.Name, Region: n.Self.VM.Region}}
+	if n.Members != nil {
+		return n.appendPlaced(out, n.Members(d))
+	}
 	if s.view.Document == nil {
 		return out
 	}
