direct: move a request off a target that is silent or too old to begin it

Ruled out: the entry's own count of the bound: the request was sent 2.1 s before it. Now what has not begun by the bound is ended, requests of a silent target go to another one, and sides announce a load before they order it.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -208,6 +208,19 @@
 	return hop + pass + pass/2 + read
 }
 
+// Other reports whether a target of the service but the given one has room.
+func (p *Placer) Other(now time.Time, serviceName, target string) bool {
+	p.prepare()
+	s := p.service(serviceName)
+	w := &Work{Avoid: []string{target}, Begun: true}
+	for _, t := range s.targets {
+		if usable(now, s, t, w) && s.room(now, t, w, 0) {
+			return true
+		}
+	}
+	return false
+}
+
 func anyUsable(now time.Time, s *service, w *Work) bool {
 	for _, t := range s.targets {
 		if !t.Leaving && !slices.Contains(w.Avoid, t.ID) && (s.engine == nil || t.serves(now, s.engine.Model) > 0) {
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -101,6 +101,7 @@
 		Verified: s.verified, Draining: func() bool { return false }, Overdue: s.overdue,
 	}
 	teller := &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
+	s.shelf.Loading = teller.Announce
 	f.handlers[link.PurposeWeights] = s.node.Handler()
 	f.handlers[link.PurposeOrders] = orderer.Handler()
 	f.handlers[link.PurposeLoad] = teller.Handler()
--- a/io/process/pulse/pulse.go
+++ b/io/process/pulse/pulse.go
@@ -72,9 +72,23 @@
 	load    Load
 	told    bool
 	fails   int
+	order   bool
 	changed chan struct{}
 }
 
+// Announce tells the entries that the engine is about to load, or that its
+// order has been given. What they send meanwhile would wait until the load has
+// ended.
+func (t *Teller) Announce(loading bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.order = loading
+	if next := t.load; loading && !next.Loading {
+		next.Loading = true
+		t.tell(next)
+	}
+}
+
 // Handler serves the entries that connect.
 func (t *Teller) Handler() link.Handler {
 	return link.Handler{Kinds: kinds(), Serve: t.serve}
@@ -117,12 +131,18 @@
 	} else {
 		t.fails = 0
 	}
+	next.Loading = next.Loading || t.order
 	if next == t.load && t.told {
 		return
 	}
 	if next.Alive != t.load.Alive || next.Serving != t.load.Serving || !t.told {
 		t.note(next, err)
 	}
+	t.tell(next)
+}
+
+// tell wakes those that serve entries; it is called with the teller locked.
+func (t *Teller) tell(next Load) {
 	t.load, t.told = next, true
 	if t.changed != nil {
 		close(t.changed)
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -97,6 +97,13 @@
 	d.deliver(d.placer.Done(d.clock.Now(), id, r))
 }
 
+// other reports whether a target but the given one can take work now.
+func (d *desk) other(service, target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Other(d.clock.Now(), service, target)
+}
+
 func (d *desk) update(f *facts.Facts) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -40,8 +40,8 @@
 // relay hands a target's answers to the caller. A second attempt may follow
 // on one that broke off.
 type relay interface {
-	// take reads the answer of one attempt.
-	take(x *exchange) outcome
+	// take reads the answer of one attempt and tells the guard of each part.
+	take(x *exchange, g *guard) outcome
 	// begun reports whether the caller has a part of an answer.
 	begun() bool
 	// final hands over a failure that a target answered and that was held
@@ -96,16 +96,18 @@
 		version = v.Serving
 	}
 	req := s.outgoing(ctx, q, v.Target.ID, version)
-	x, err := s.sender.send(ctx, v.Target.Address, req, q.body)
-	if errors.Is(err, errUnsent) {
+	x, err := s.sender.connect(ctx, v.Target.Address)
+	if err != nil {
 		return outcomeUnsent, err
 	}
+	defer x.close()
 	q.attempts++
-	if err != nil {
+	guard := s.guard(q, x, v.Serving)
+	defer guard.stop()
+	if err := x.roundTrip(req, q.body); err != nil {
 		q.ran = true
-		return outcomeBroken, err
+		return outcomeBroken, errors.CombineErrors(err, x.reason())
 	}
-	defer x.close()
 	reply := s.Dialect.Reply(x.resp.StatusCode, x.resp.Header)
 	if reply.NotRun {
 		return outcomeNotRun, errors.Newf("status %d", x.resp.StatusCode)
@@ -117,7 +119,7 @@
 	if x.resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
 		return outcomeBroken, errors.New("the answer is not signed")
 	}
-	return out.take(x), nil
+	return out.take(x, guard), x.reason()
 }
 
 // maxUnreached bounds the targets tried that were not reached: each costs
--- a/io/request/direct/send.go
+++ b/io/request/direct/send.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,9 +25,6 @@
 // readBuffer is the size of the buffer for answers, in bytes.
 const readBuffer = 4 << 10
 
-// errUnsent marks a request of which no byte came to its target.
-var errUnsent = errors.New("not sent")
-
 // sender sends requests to targets, each on a connection of its own. On a
 // kept one a late second answer, or bytes after an answer, could be taken for
 // the next answer; and one that has gone silent would swallow a request that
@@ -40,6 +38,22 @@
 	conn net.Conn
 	resp *http.Response
 	stop func() bool
+	// left says why the entry itself ended the exchange.
+	left atomic.Pointer[string]
+}
+
+// abandon ends the exchange from the entry's side.
+func (x *exchange) abandon(why string) {
+	x.left.Store(&why)
+	x.conn.Close()
+}
+
+// reason is why the entry ended the exchange, nil when it did not.
+func (x *exchange) reason() error {
+	if why := x.left.Load(); why != nil {
+		return errors.New(*why)
+	}
+	return nil
 }
 
 // close ends the exchange; a target stops its work when its connection ends.
@@ -48,21 +62,16 @@
 	x.conn.Close()
 }
 
-// send sends the request to addr and reads the head of the answer. An error
-// that is errUnsent means that the target has not seen the request. The
-// exchange ends when ctx does.
-func (s *sender) send(ctx context.Context, addr netip.AddrPort, req *http.Request, body []byte) (*exchange, error) {
+// connect opens a connection to a target; after an error the target has not
+// seen the request. The exchange ends when ctx does.
+func (s *sender) connect(ctx context.Context, addr netip.AddrPort) (*exchange, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
-		return nil, errors.Mark(fault.At("connect to target", addr.String(), err), errUnsent)
+		return nil, fault.At("connect to target", addr.String(), err)
 	}
 	x := &exchange{conn: conn}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
-	if err := x.roundTrip(req, body); err != nil {
-		x.close()
-		return nil, fault.At("exchange with target", addr.String(), err)
-	}
 	return x, nil
 }
 
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -78,9 +78,9 @@
 	whole *wholeRelay
 }
 
-func (r *streamRelay) take(x *exchange) outcome {
+func (r *streamRelay) take(x *exchange, g *guard) outcome {
 	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
-		return r.takeWhole(x)
+		return r.takeWhole(x, g)
 	}
 	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
 	r.fresh = true
@@ -92,6 +92,7 @@
 		if err != nil {
 			return outcomeBroken
 		}
+		g.heard()
 		if !r.follows(e) {
 			r.q.reason = errOrder.Error()
 			return outcomeBroken
@@ -140,14 +141,14 @@
 }
 
 // takeWhole takes an answer that is not a stream of events: a failure.
-func (r *streamRelay) takeWhole(x *exchange) outcome {
+func (r *streamRelay) takeWhole(x *exchange, g *guard) outcome {
 	if r.started {
 		return outcomeBroken
 	}
 	if r.whole == nil {
 		r.whole = &wholeRelay{q: r.q, out: r.out}
 	}
-	return r.whole.take(x)
+	return r.whole.take(x, g)
 }
 
 func (r *streamRelay) begun() bool { return r.started || (r.whole != nil && r.whole.passed) }
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -56,7 +56,7 @@
 	passed   bool
 }
 
-func (r *wholeRelay) take(x *exchange) outcome {
+func (r *wholeRelay) take(x *exchange, _ *guard) outcome {
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
 	if err != nil || len(b) > maxAnswer {
 		return outcomeBroken
--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -82,13 +82,13 @@
 	Log    trail.Log
 	Engine Engine
 	Origin Origin
+	// Loading, when set, is told before an order is given and after.
+	Loading func(bool)
 
 	mu       sync.Mutex
 	editions []*Edition
 	chunks   map[chunk.Digest][]byte
 	spoilt   int
-	last     Report
-	reported bool
 }
 
 // maxEditions bounds the versions remembered: the one served, the one on its
@@ -355,6 +355,10 @@
 	if e == nil {
 		return fault.Newf("order load", "engine", "manifest %s is not known", digest)
 	}
+	if s.Loading != nil {
+		s.Loading(true)
+		defer s.Loading(false)
+	}
 	for num, ref := range m.Chunks {
 		if err := s.ensure(ctx, e, num, ref); err != nil {
 			return err
