shelf: let nothing be staged between the check and the order

Cause: while version 2 is loaded in place of 3, chunks of 3 still arrive and were staged between the read-back of 2 and the order; the engine took a mix. Ruled out: chunks that rotted (a rot of 19.2 s is mended by the read-back). TestLoadTakesOneVersion fails before and passes after.

--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -62,6 +62,8 @@
 	// startRetry parts the tries.
 	startWait  = 4 * time.Second
 	startRetry = 50 * time.Millisecond
+	// settleWait bounds the wait for an engine that did not answer an order.
+	settleWait = 2 * time.Second
 	// spoiltDraws is how many chunks may come spoilt from the origin before
 	// its manifest is taken for the spoilt one.
 	spoiltDraws = 12
@@ -85,6 +87,10 @@
 	// Loading, when set, is told before an order is given and after.
 	Loading func(bool)
 
+	// staging is held while what lies at the engine must not change: an engine
+	// that is ordered to load takes what lies there when it accepts the order.
+	staging sync.Mutex
+
 	mu       sync.Mutex
 	editions []*Edition
 	chunks   map[chunk.Digest][]byte
@@ -235,6 +241,11 @@
 		return fault.At("stage chunk", "engine", errUnknown)
 	}
 	s.remember(d, b)
+	if !s.staging.TryLock() {
+		// An order is being given; the chunk is put there before its own.
+		return nil
+	}
+	defer s.staging.Unlock()
 	for _, p := range places {
 		if !s.isNewest(p) {
 			return nil
@@ -359,12 +370,37 @@
 		s.Loading(true)
 		defer s.Loading(false)
 	}
+	// A chunk of another version that arrived meanwhile would be loaded among
+	// those of this one.
+	s.staging.Lock()
+	defer s.staging.Unlock()
 	for num, ref := range m.Chunks {
 		if err := s.ensure(ctx, e, num, ref); err != nil {
 			return err
 		}
 	}
-	return s.Engine.Begin(ctx, e.Model, e.Version, number-1)
+	err := s.Engine.Begin(ctx, e.Model, e.Version, number-1)
+	if err != nil {
+		s.settle(ctx)
+	}
+	return err
+}
+
+// settle waits, after an order that was not answered, until the engine answers
+// again: the order may still be on its way until then, and is taken with what
+// lies there at that time.
+func (s *Shelf) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, err := s.Engine.Report(ctx); err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(startRetry):
+		}
+	}
 }
 
 func (s *Shelf) edition(d chunk.Digest) *Edition {
--- /dev/null
+++ b/io/version/shelf/shelf_test.go
@@ -0,0 +1,229 @@
+package shelf
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/version/chunk"
+)
+
+const (
+	model  = "m"
+	pieces = 6
+)
+
+// fakeEngine keeps pieces by number. Hooks run inside the calls, where other
+// processes would act; taken is what lay there when it took an order.
+type fakeEngine struct {
+	mu       sync.Mutex
+	kept     map[int][]byte
+	taken    map[int][]byte
+	version  uint64
+	orders   uint64
+	onGet    func(num int)
+	refuse   int
+	putFails error
+}
+
+func (e *fakeEngine) Report(context.Context) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Report{Model: model, Serving: e.version, Orders: e.orders, Born: "1"}, nil
+}
+
+func (e *fakeEngine) Held(context.Context, string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refuse > 0 {
+		e.refuse--
+		return nil, errors.New("connection refused")
+	}
+	var out []int
+	for num := range pieces {
+		if e.kept[num] != nil {
+			out = append(out, num)
+		}
+	}
+	return out, nil
+}
+
+func (e *fakeEngine) Put(_ context.Context, _ string, num int, b []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.putFails != nil {
+		return e.putFails
+	}
+	e.kept[num] = b
+	return nil
+}
+
+func (e *fakeEngine) Get(_ context.Context, _ string, num int) ([]byte, error) {
+	if e.onGet != nil {
+		e.onGet(num)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.kept[num]
+	if !ok {
+		return nil, errors.New("not staged")
+	}
+	return bytes.Clone(b), nil
+}
+
+func (e *fakeEngine) Begin(_ context.Context, _ string, version, _ uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.taken = map[int][]byte{}
+	for num, b := range e.kept {
+		e.taken[num] = b
+	}
+	e.version = version
+	e.orders++
+	return nil
+}
+
+func piece(version uint64, num int) []byte {
+	return []byte(fmt.Sprintf("version %d piece %d", version, num))
+}
+
+func manifest(version uint64) chunk.Manifest {
+	m := chunk.Manifest{Model: model, Version: fmt.Sprint(version), Whole: chunk.Sum([]byte("whole"))}
+	for num := range pieces {
+		b := piece(version, num)
+		m.Chunks = append(m.Chunks, chunk.Ref{Digest: chunk.Sum(b), Size: int64(len(b))})
+		m.Size += int64(len(b))
+	}
+	return m
+}
+
+func newShelf(e *fakeEngine) *Shelf {
+	return &Shelf{Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Engine: e}
+}
+
+func add(t *testing.T, s *Shelf, version uint64) *Edition {
+	t.Helper()
+	e, err := s.Add(manifest(version), model, version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func put(t *testing.T, s *Shelf, version uint64, num int) {
+	t.Helper()
+	b := piece(version, num)
+	if err := s.Put(t.Context(), chunk.Sum(b), b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantTaken(t *testing.T, e *fakeEngine, version uint64) {
+	t.Helper()
+	for num := range pieces {
+		if diff := cmp.Diff(string(piece(version, num)), string(e.taken[num])); diff != "" {
+			t.Errorf("piece %d at the order (-want +got):\n%s", num, diff)
+		}
+	}
+}
+
+// A caller would be answered from mixed weights: version 3 is named while
+// version 2 is loaded, and a chunk of 3 arrives between the check of the
+// chunks of 2 and the order. The engine takes what lies there at the order, so
+// nothing may be put there until it has taken it.
+func TestLoadTakesOneVersion(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}}
+	s := newShelf(e)
+	two := add(t, s, 2)
+	for num := range pieces {
+		put(t, s, 2, num)
+	}
+	add(t, s, 3)
+	e.onGet = func(num int) {
+		if num == pieces-1 {
+			put(t, s, 3, 0)
+		}
+	}
+	if err := s.Load(t.Context(), 1, two.Digest, two.Manifest); err != nil {
+		t.Fatal(err)
+	}
+	wantTaken(t, e, 2)
+}
+
+// A caller would be answered from spoilt weights: what was staged whole turns
+// bad at the engine before the order. The shelf reads everything back and puts
+// a spoilt or missing chunk there again.
+func TestLoadMendsWhatTurnedBad(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}}
+	s := newShelf(e)
+	two := add(t, s, 2)
+	for num := range pieces {
+		put(t, s, 2, num)
+	}
+	e.kept[1] = []byte("spoilt")
+	delete(e.kept, 4)
+	if err := s.Load(t.Context(), 1, two.Digest, two.Manifest); err != nil {
+		t.Fatal(err)
+	}
+	wantTaken(t, e, 2)
+}
+
+// No order may be given for weights that are not whole: a chunk is spoilt at
+// the engine and this process, started anew, does not have it either.
+func TestLoadRefusesWhatIsNotWhole(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}}
+	s := newShelf(e)
+	two := add(t, s, 2)
+	for num := range pieces {
+		e.kept[num] = piece(2, num)
+	}
+	e.kept[3] = []byte("spoilt")
+	if err := s.Load(t.Context(), 1, two.Digest, two.Manifest); err == nil {
+		t.Error("Load of a spoilt version gave an order")
+	}
+	if diff := cmp.Diff(uint64(0), e.orders); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
+
+// A fleet starts, and every side draws a copy from the origin although the
+// weights lie beside it: its engine does not listen yet when it looks. The
+// shelf waits for the engine.
+func TestListWaitsForItsEngine(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}, refuse: 3}
+	for num := range pieces {
+		e.kept[num] = piece(1, num)
+	}
+	s := newShelf(e)
+	add(t, s, 1)
+	got, err := s.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(pieces, len(got)); diff != "" {
+		t.Errorf("chunks listed (-want +got):\n%s", diff)
+	}
+}
+
+// A side fetches a chunk over and over from its peers: its engine is down and
+// does not take it. The chunk is kept until the engine can have it.
+func TestPutOutlivesItsEngine(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}, putFails: errors.New("connection refused")}
+	s := newShelf(e)
+	two := add(t, s, 2)
+	for num := range pieces {
+		put(t, s, 2, num)
+	}
+	e.putFails = nil
+	if err := s.Load(t.Context(), 1, two.Digest, two.Manifest); err != nil {
+		t.Fatal(err)
+	}
+	wantTaken(t, e, 2)
+}
