feed: have sides told by entries, the store read by few

The store's rate does not grow with the fleet either. Ruled out: longer waits of the watches; changes, not waits, made the calls.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -111,6 +111,10 @@
 	Drain time.Duration
 	// Peers returns the processes to ask while the store does not answer.
 	Peers func() []Peer
+	// Tellers, when set, returns the processes to be told by: the store is
+	// read only while none of them can tell. A few read for all others, since
+	// the store's rate does not grow with the fleet.
+	Tellers func() []Peer
 
 	mu      sync.Mutex
 	items   map[string]Item
@@ -183,6 +187,7 @@
 			return nil
 		case <-f.Clock.After(pause):
 		}
+		f.beTold(ctx)
 		began := f.Clock.Now()
 		err := f.step(ctx)
 		f.noteStore(err)
@@ -196,6 +201,25 @@
 	}
 }
 
+// beTold follows one of the tellers until it fails.
+func (f *Feed) beTold(ctx context.Context) {
+	if f.Tellers == nil {
+		return
+	}
+	tellers := f.Tellers()
+	rand.Shuffle(len(tellers), func(i, j int) { tellers[i], tellers[j] = tellers[j], tellers[i] })
+	for _, p := range tellers {
+		err := f.followPeer(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		f.Log.Decide(trail.Decision{
+			Area: trail.AreaConfig, Action: "tellerLost", Choice: p.Address.String(), Reason: err.Error(),
+			Revision: f.Self.Revision.Load(),
+		})
+	}
+}
+
 func retryPause(fails int) time.Duration {
 	bound := min(firstRetry<<min(fails, 8), mostRetry)
 	return bound/2 + rand.N(bound/2)
--- a/io/process/feed/peers.go
+++ b/io/process/feed/peers.go
@@ -22,6 +22,13 @@
 	// askedAtOnce is how many peers are asked each time: one of them may be
 	// cut off itself.
 	askedAtOnce = 2
+	// tellWait is how long a process that is told of changes waits for one,
+	// and mostTellWait bounds what it may ask for.
+	tellWait     = 2 * time.Second
+	mostTellWait = 10 * time.Second
+	// oldTeller is the age of a peer's belief from which a process turns to
+	// the store: twice what a peer in touch with the store shows.
+	oldTeller = 2*tellWait + 2500*time.Millisecond
 	// tellBytes is how much of the items one message carries, well under the
 	// bound of a frame.
 	tellBytes = 256 << 10
@@ -32,16 +39,23 @@
 	Address netip.AddrPort
 }
 
-// ask is the question of a process that holds the store's revision After.
+// ask is the question of a process that holds the store's revision After. The
+// peer answers once it has more, or after Wait.
 type ask struct {
-	After uint64 `msgpack:"after"`
+	After uint64        `msgpack:"after"`
+	Wait  time.Duration `msgpack:"wait"`
 }
 
 // Kind names the message.
 func (*ask) Kind() frame.Kind { return "factsAsk" }
 
-// Check accepts every question.
-func (*ask) Check() error { return nil }
+// Check reports whether the wait is out of its domain.
+func (a *ask) Check() error {
+	if a.Wait < 0 || a.Wait > mostTellWait {
+		return errors.Newf("factsAsk: wait %s, want 0 to %s", a.Wait, mostTellWait)
+	}
+	return nil
+}
 
 // tell is one part of an answer. The ages of processes travel as durations,
 // since their clocks differ. Keys lists every key there is, so that the asker
@@ -86,25 +100,53 @@
 	return link.Handler{Kinds: kinds(), Serve: f.answer}
 }
 
-func (f *Feed) answer(_ context.Context, c *link.Conn) {
+func (f *Feed) answer(ctx context.Context, c *link.Conn) {
 	f.init()
-	if err := c.SetReadDeadline(time.Now().Add(askTimeout)); err != nil {
-		return
-	}
-	m, err := c.Receive()
-	if err != nil {
-		return
+	for {
+		if err := c.SetReadDeadline(time.Now().Add(mostTellWait + askTimeout)); err != nil {
+			return
+		}
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		q, ok := m.(*ask)
+		if !ok {
+			return
+		}
+		f.awaitNews(ctx, q)
+		if err := c.SetWriteDeadline(time.Now().Add(askTimeout)); err != nil {
+			return
+		}
+		for _, t := range f.answerTo(q) {
+			// An answer that does not arrive is as good as none: the peer
+			// asks another one.
+			if c.Send(t) != nil {
+				return
+			}
+		}
 	}
-	q, ok := m.(*ask)
-	if !ok {
+}
+
+// awaitNews returns once there is more than the asker holds, or its wait is
+// over.
+func (f *Feed) awaitNews(ctx context.Context, q *ask) {
+	if q.Wait <= 0 {
 		return
 	}
-	for _, t := range f.answerTo(q) {
-		// An answer that does not arrive is as good as none: the peer asks
-		// another one.
-		if c.Send(t) != nil {
+	over := f.Clock.After(q.Wait)
+	for {
+		changed := f.Changed()
+		if f.Current().Revision > q.After {
 			return
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-over:
+			return
+		case <-changed:
+		}
 	}
 }
 
@@ -184,7 +226,6 @@
 func (f *Feed) askOne(ctx context.Context, p Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	asked := f.Awake()
 	c, err := link.Dial(ctx, f.Self, p.Address, link.PurposeConfig, kinds())
 	if err != nil {
 		return err
@@ -192,10 +233,16 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
+	return f.exchange(c, 0)
+}
+
+// exchange puts one question and takes the answer in.
+func (f *Feed) exchange(c *link.Conn, wait time.Duration) error {
+	asked := f.Awake()
 	f.mu.Lock()
 	after := f.revision
 	f.mu.Unlock()
-	if err := c.Send(&ask{After: after}); err != nil {
+	if err := c.Send(&ask{After: after, Wait: wait}); err != nil {
 		return err
 	}
 	whole := &tell{}
@@ -219,6 +266,35 @@
 	return nil
 }
 
+// errOldTeller ends the following of a peer that has itself lost the store.
+var errOldTeller = errors.New("the peer's belief is old")
+
+// followPeer is told of changes by one peer for as long as that one's belief
+// is young.
+func (f *Feed) followPeer(ctx context.Context, p Peer) error {
+	dialCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	for ctx.Err() == nil {
+		if err := c.SetReadDeadline(time.Now().Add(tellWait + askTimeout)); err != nil {
+			return err
+		}
+		if err := f.exchange(c, tellWait); err != nil {
+			return err
+		}
+		if age, known := f.Age(); !known || age > oldTeller {
+			return errOldTeller
+		}
+	}
+	return nil
+}
+
 // take adopts a peer's answer. What the peer had confirmed Age before it
 // answered was true at the latest Age before it was asked.
 func (f *Feed) take(asked time.Duration, after uint64, peer string, t *tell) {
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -102,6 +102,7 @@
 	}
 	if s.VM.Role == fleet.RoleSide {
 		f.feed.Wait = sideWait
+		f.feed.Tellers = f.seeds
 	}
 	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
 	return f, nil
@@ -123,14 +124,20 @@
 // peers are the processes that may know what the store says: the seeds, and
 // the sides of all engines.
 func (f *frame) peers() []feed.Peer {
-	var out []feed.Peer
-	for _, a := range f.settings.Seeds {
-		if a != f.settings.Control {
+	out := f.seeds()
+	for _, a := range f.sides() {
+		if a != f.settings.VM.Address {
 			out = append(out, feed.Peer{Address: a})
 		}
 	}
-	for _, a := range f.sides() {
-		if a != f.settings.VM.Address {
+	return out
+}
+
+// seeds are the entries that the settings name, but for this process.
+func (f *frame) seeds() []feed.Peer {
+	var out []feed.Peer
+	for _, a := range f.settings.Seeds {
+		if a != f.settings.Control {
 			out = append(out, feed.Peer{Address: a})
 		}
 	}
