hosted: take settings over at SIGHUP and by themselves

Ruled out: a fault within the process; its log ends without a line. Targets whose side has fallen silent get less work as well.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -19,6 +19,11 @@
 	// distanceCost is how much longer a first answer may take at a near
 	// target before a farther one is chosen, a step of distance each.
 	distanceCost = 25 * time.Millisecond
+	// lostCost is how much longer a first answer may take elsewhere before a
+	// target is chosen whose side has fallen silent, and lostShare the part of
+	// its slots that it then takes.
+	lostCost  = 150 * time.Millisecond
+	lostShare = 0.5
 	// lateShare is the part of an engine's slots up to which it takes work
 	// whose objective has passed: the rest is kept for work that can still be
 	// on time.
@@ -70,6 +75,9 @@
 			continue
 		}
 		cost := expected + time.Duration(t.distance)*distanceCost
+		if t.lost(now) {
+			cost += lostCost
+		}
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestExpected, bestCost, ties = t, expected, cost, 1
@@ -96,6 +104,11 @@
 		return false
 	}
 	v := t.serves(now, s.engine.Model)
+	if t.lost(now) && v < w.Newest {
+		// It may arrive after the time for the old version is over, when its
+		// caller and this entry have long given it up.
+		return false
+	}
 	return v > 0 && v >= w.Version
 }
 
@@ -144,6 +157,9 @@
 	if w.Begun {
 		return load < slots+plainQueue
 	}
+	if t.lost(now) && float64(load) >= lostShare*float64(slots) {
+		return false
+	}
 	if w.late(now, expected) {
 		return w.returned(now) && float64(load) < lateShare*float64(slots)
 	}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -35,6 +35,8 @@
 	Priority  int
 	// Version is the least version of the model that may run it.
 	Version uint64
+	// Newest is the newest version that is named.
+	Newest uint64
 	// Avoid are the targets that have failed it.
 	Avoid []string
 	// Begun is set for an answer that its caller has a part of: it goes
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -76,6 +76,13 @@
 	return !t.reported.IsZero() && now.Sub(t.reported) <= reportAge
 }
 
+// lost reports whether the process beside the target has told of it before and
+// does not any more: it may be gone alone, or the machine may be cut off or its
+// link choked, in which case what is sent there arrives late or never.
+func (t *target) lost(now time.Time) bool {
+	return !t.reported.IsZero() && !t.fresh(now)
+}
+
 // load is the number of requests at the target, as far as known.
 func (t *target) load(now time.Time) int {
 	if t.fresh(now) {
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,8 @@
 type Platform struct {
 	Store  feed.Store
 	Reader feed.Reader
+	// Settings reads the settings anew; nil when they cannot change.
+	Settings func() (Settings, error)
 }
 
 // Sizes and times of a process.
@@ -74,6 +77,10 @@
 	handlers map[link.Purpose]link.Handler
 	parts    []part
 	started  time.Time
+	// read reads the settings anew; latest are those that were read last.
+	read   func() (Settings, error)
+	mu     sync.Mutex
+	latest Settings
 	// ready says why the process takes no callers, and drain stops new work.
 	ready func() error
 	drain func(ctx context.Context) error
@@ -84,7 +91,7 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	}
-	f := &frame{settings: s, clock: clockwork.NewRealClock(), ready: func() error { return nil }}
+	f := &frame{settings: s, latest: s, read: p.Settings, clock: clockwork.NewRealClock(), ready: func() error { return nil }}
 	f.started = f.clock.Now()
 	f.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
 	f.metrics, f.expose, f.closer = admin.NewMetrics()
@@ -136,7 +143,7 @@
 // seeds are the entries that the settings name, but for this process.
 func (f *frame) seeds() []feed.Peer {
 	var out []feed.Peer
-	for _, a := range f.settings.Seeds {
+	for _, a := range f.current().Seeds {
 		if a != f.settings.Control {
 			out = append(out, feed.Peer{Address: a})
 		}
@@ -191,7 +198,7 @@
 	partCtx, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, partCtx := errgroup.WithContext(partCtx)
-	parts := append([]part{{"store feed", f.feed.Run}}, f.parts...)
+	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}}, f.parts...)
 	for _, nl := range peers {
 		l := &link.Listener{Self: f.self, Net: nl, Handlers: f.handlers, Rejected: f.rejected}
 		parts = append(parts, part{"peers", l.Run})
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -219,7 +219,7 @@
 	return place.Work{
 		ID: q.call.ID, Service: q.service.Name, Prompt: q.call.Prompt, Answer: answerTokens,
 		Asked: q.asked, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
-		Version: s.demanded(q), Avoid: q.failed, Begun: q.begun,
+		Version: s.demanded(q), Newest: s.newest(q), Avoid: q.failed, Begun: q.begun,
 	}
 }
 
@@ -240,6 +240,15 @@
 	return v.Version
 }
 
+// newest is the newest version that is named of the service's model.
+func (s *Server) newest(q *request) uint64 {
+	if q.service.Engine == nil {
+		return 0
+	}
+	v, _ := s.Source.Current().Latest(q.service.Engine.Model)
+	return v.Version
+}
+
 // outgoing makes the request for a target.
 func (s *Server) outgoing(ctx context.Context, q *request, target string, version uint64) *http.Request {
 	h := q.in.Header.Clone()
--- a/io/request/direct/send.go
+++ b/io/request/direct/send.go
@@ -17,10 +17,11 @@
 	"hawthornferry/core/process/fault"
 )
 
-// dialTimeout bounds the wait for a target's connection. Targets are
-// milliseconds away; one that is dark never answers, and the request can
-// still be on time elsewhere.
-const dialTimeout = 250 * time.Millisecond
+// dialTimeout bounds the wait for a target's connection. Targets are a few
+// milliseconds away; one that is dark never answers, and what is sent over a
+// link that takes longer may arrive seconds after its caller has gone. The
+// request has not been sent and can still be on time elsewhere.
+const dialTimeout = 150 * time.Millisecond
 
 // readBuffer is the size of the buffer for answers, in bytes.
 const readBuffer = 4 << 10
