--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -36,6 +36,9 @@
 	plainQueue = 2
 	// defaultSlots stands for a target that does not tell its slots.
 	defaultSlots = 8
+	// mostExpected bounds the prompts that begun work may queue behind: callers
+	// leave a stream after two seconds without an event.
+	mostExpected = 700 * time.Millisecond
 	// mostWait bounds how long begun work waits for a target.
 	mostWait = time.Second
 )
@@ -48,6 +51,7 @@
 	}
 	best.own++
 	best.unread += q.work.Prompt
+	best.sent = append(best.sent, sending{at: now, prompt: q.work.Prompt})
 	p.running[q.work.ID] = &run{work: q.work, target: best, since: now}
 	var serving uint64
 	if s.engine != nil {
@@ -123,7 +127,8 @@
 	pass := passTime(e, n)
 	unread := t.unread + w.Prompt
 	if t.fresh(now) {
-		unread += t.othersWait * e.UsualPrompt
+		_, unseen := t.unseen()
+		unread += t.othersWait*e.UsualPrompt + unseen
 	}
 	read := time.Duration(float64(unread) / e.ReadRate * float64(time.Second))
 	out := pass + pass/2 + read
@@ -155,15 +160,15 @@
 		return load < slots+plainQueue
 	}
 	if w.Begun {
-		return load < slots+plainQueue
+		return load < slots+plainQueue && expected < mostExpected
 	}
 	if t.lost(now) && float64(load) >= lostShare*float64(slots) {
 		return false
 	}
-	if w.late(now, expected) {
-		return w.returned(now) && float64(load) < lateShare*float64(slots)
+	if w.returned(now) {
+		return expected < time.Duration(onTime*float64(w.Objective)) && float64(load) < lateShare*float64(slots)
 	}
-	return load < slots
+	return load < slots && !w.late(now, expected)
 }
 
 // late reports whether a first answer after expected misses the objective.
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/facts"
@@ -17,6 +18,8 @@
 	Pace    float64
 	Serving uint64
 	Busy    bool
+	// Entries is how many entries hear the same reports.
+	Entries int
 }
 
 // Times of a target's health.
@@ -32,6 +35,13 @@
 	// reportAge is how old a report may be and still count. Reports come ten
 	// and more times a second.
 	reportAge = 700 * time.Millisecond
+	// onTheWay is how old a request must be for a report to show it: the way
+	// to the target and back.
+	onTheWay = 10 * time.Millisecond
+	// alikeShare is the part of its own requests that an entry takes each other
+	// entry to have sent to the same target meanwhile: less than all, since
+	// each prefers targets of its own zone.
+	alikeShare = 0.5
 )
 
 // target is what the entry knows of one target.
@@ -44,9 +54,14 @@
 	own    int
 	unread int
 
-	// others is how many requests of other entries the last report showed.
+	// others is how many requests of other entries the last report showed,
+	// othersWait those of them that waited. entries is how many entries share
+	// the target.
 	others     int
 	othersWait int
+	entries    int
+	// sent are this entry's requests that the last report cannot show yet.
+	sent       []sending
 	pace       float64
 	reported   time.Time
 	alive      bool
@@ -62,13 +77,21 @@
 
 func (t *target) learn(_ time.Time, f facts.Target) { t.Target = f }
 
+// sending is a request that was sent to a target lately.
+type sending struct {
+	at     time.Time
+	prompt int
+}
+
 func (t *target) report(now time.Time, r Report) {
 	t.reported = now
+	t.sent = slices.DeleteFunc(t.sent, func(s sending) bool { return now.Sub(s.at) > onTheWay })
+	t.entries = r.Entries
 	t.alive = r.Alive
 	t.busy = r.Busy
 	t.pace = r.Pace
 	t.serving, t.hasServing = r.Serving, true
-	t.others = max(0, r.Active+r.Queued-t.own)
+	t.others = max(0, r.Active+r.Queued-(t.own-len(t.sent)))
 	t.othersWait = min(t.others, r.Queued)
 }
 
@@ -85,10 +108,23 @@
 
 // load is the number of requests at the target, as far as known.
 func (t *target) load(now time.Time) int {
-	if t.fresh(now) {
-		return t.own + t.others
+	if !t.fresh(now) {
+		return t.own
+	}
+	n, _ := t.unseen()
+	return t.own + t.others + n
+}
+
+// unseen estimates the requests, and their prompt tokens, that other entries
+// have sent since the last report. Entries see the same report and choose
+// alike: without this all of them fill the target that has just become free,
+// each up to its slots, and the prompts take seconds to read.
+func (t *target) unseen() (requests, prompt int) {
+	others := alikeShare * float64(max(t.entries-1, 0))
+	for _, s := range t.sent {
+		prompt += s.prompt
 	}
-	return t.own
+	return int(others * float64(len(t.sent))), int(others * float64(prompt))
 }
 
 func (t *target) answered(time.Time) {
--- a/io/process/pulse/pulse.go
+++ b/io/process/pulse/pulse.go
@@ -42,6 +42,8 @@
 	Pace    float64 `msgpack:"pace"`
 	Serving uint64  `msgpack:"serving"`
 	Loading bool    `msgpack:"loading"`
+	// Entries is how many entries are told.
+	Entries int `msgpack:"entries"`
 }
 
 // Kind names the message.
@@ -49,8 +51,8 @@
 
 // Check reports the first field that is out of its domain.
 func (l *Load) Check() error {
-	if l.Active < 0 || l.Queued < 0 || l.Pace < 0 {
-		return errors.Newf("load: %d active, %d queued, pace %g: want none below 0", l.Active, l.Queued, l.Pace)
+	if l.Active < 0 || l.Queued < 0 || l.Pace < 0 || l.Entries < 0 {
+		return errors.Newf("load: %d active, %d queued, pace %g, %d entries: want none below 0", l.Active, l.Queued, l.Pace, l.Entries)
 	}
 	return nil
 }
@@ -73,6 +75,7 @@
 	told    bool
 	fails   int
 	order   bool
+	entries int
 	changed chan struct{}
 }
 
@@ -167,11 +170,21 @@
 	if t.changed == nil {
 		t.changed = make(chan struct{})
 	}
-	return t.load, t.told, t.changed
+	l := t.load
+	l.Entries = t.entries
+	return l, t.told, t.changed
+}
+
+func (t *Teller) count(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries += n
 }
 
 // serve tells one entry until its connection ends.
 func (t *Teller) serve(ctx context.Context, c *link.Conn) {
+	t.count(1)
+	defer t.count(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
