--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -30,6 +30,10 @@
 	// linkShare is the part of a machine's link that weights may take: the
 	// answers of the engine pass there too.
 	linkShare = 0.92
+	// inflowTime is how much, in time on the machine's link, may be on its way
+	// to a side, and leastInflow that bound's least, in bytes: one chunk.
+	inflowTime  = 200 * time.Millisecond
+	leastInflow = 64 << 10
 	// cacheBytes holds the chunks that several peers ask for at once.
 	cacheBytes = 1 << 20
 	// overdueReserve is how long before the bound on versions a side loads
@@ -93,8 +97,9 @@
 	s.node = &swarm.Node{
 		Self: f.self, Clock: f.clock, Log: f.log, Logger: f.logger, Metrics: f.metrics,
 		Members: s.members, Staging: s.shelf, Source: s.shelf, CacheBytes: cacheBytes,
-		Burst: burst.Config{LeastPatience: leastPatience, MostPause: mostPause},
-		Pacer: pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
+		Burst:  burst.Config{LeastPatience: leastPatience, MostPause: mostPause},
+		Inflow: &pace.Window{Clock: f.clock, Most: max(scaledRate(rate, inflowTime.Seconds()), leastInflow)},
+		Pacer:  pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
 	}
 	orderer := &order.Orderer{
 		Self: f.self, Clock: f.clock, Log: f.log, Source: s.rollout, Engine: s.shelf,
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -60,10 +60,7 @@
 
 func (n *Node) obtain(ctx context.Context, in *incoming) ([]byte, error) {
 	if in.fetch.Via == burst.ViaOrigin {
-		return n.source.Chunk(ctx, in.fetch.Chunk, func(k int) {
-			n.counters.origin.Inc(int64(k))
-			n.advance(in)
-		})
+		return n.draw(ctx, in)
 	}
 	c, err := n.connTo(ctx, in.fetch.Peer)
 	if err != nil {
@@ -81,6 +78,21 @@
 	return b, nil
 }
 
+// draw gets a chunk from the origin.
+func (n *Node) draw(ctx context.Context, in *incoming) ([]byte, error) {
+	size := in.fetch.Chunk.Size
+	if err := n.Inflow.Acquire(ctx, size); err != nil {
+		return nil, err
+	}
+	var got int64
+	defer func() { n.Inflow.Release(size, got) }()
+	return n.source.Chunk(ctx, in.fetch.Chunk, func(k int) {
+		got += int64(k)
+		n.counters.origin.Inc(int64(k))
+		n.advance(in)
+	})
+}
+
 // receive asks for a chunk block by block, each when the links allow it, and
 // puts it together.
 func (n *Node) receive(ctx context.Context, c *conn, in *incoming) ([]byte, error) {
@@ -89,6 +101,12 @@
 	share := n.shareLine(in.fetch.Share)
 	piece := n.pieceSize(in.fetch.Via)
 	var asked, got int64
+	var under []int64
+	defer func() {
+		for _, k := range under {
+			n.Inflow.Release(k, 0)
+		}
+	}()
 	for got < size {
 		for asked < size && asked-got < window*piece {
 			k := min(piece, size-asked)
@@ -98,6 +116,10 @@
 			if err := n.waitDown(ctx, in.fetch.Via, int(k)); err != nil {
 				return nil, err
 			}
+			if err := n.Inflow.Acquire(ctx, k); err != nil {
+				return nil, err
+			}
+			under = append(under, k)
 			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
 			asked += k
 			if asked == size {
@@ -113,6 +135,10 @@
 				return nil, fault.At("receive chunk", c.name(), err)
 			}
 			got += int64(copy(buf[got:], b.Data))
+			if len(under) > 0 {
+				n.Inflow.Release(under[0], int64(len(b.Data)))
+				under = under[1:]
+			}
 			n.count(in.fetch.Via, int64(len(b.Data)))
 			n.advance(in)
 		}
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -83,6 +83,8 @@
 	Logger  logrus.FieldLogger
 	Metrics tally.Scope
 	Staging Staging
+	// Inflow bounds what is on its way to this side; nil for no bound.
+	Inflow *pace.Window
 	// Members, when set, lists the other sides that are to hold a version; the
 	// document does otherwise.
 	Members func(d chunk.Digest) []fleet.VM
