--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -73,10 +73,6 @@
 	server   *http.Server
 	meter    meter
 	draining atomic.Bool
-	// drainEnd is when a request taken now must have ended, in Unix
-	// nanoseconds, once the server drains.
-	drainEnd atomic.Int64
-	inFlight atomic.Int64
 
 	budgetMu sync.Mutex
 	budgets  map[string]*spend.Budget
@@ -154,12 +150,12 @@
 
 // Times of a drain.
 const (
-	// notice is how long a draining entry still takes new requests: the
+	// mostNotice is how long a draining entry still takes new requests: the
 	// balancer asks once a second and takes an entry out after two misses, so
-	// callers come for up to three seconds.
-	notice = 3500 * time.Millisecond
-	// drainReserve is kept free before the kill.
-	drainReserve = 400 * time.Millisecond
+	// callers come for up to three seconds. It is no more than noticeShare of
+	// the grace period, whose rest is for the requests in flight.
+	mostNotice  = 3500 * time.Millisecond
+	noticeShare = 0.45
 )
 
 // Drain makes the entry not ready, serves those who still come until the
@@ -167,11 +163,9 @@
 // ended or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.init()
-	s.drainEnd.Store(s.Clock.Now().Add(s.Rules.Grace - drainReserve).UnixNano())
 	s.draining.Store(true)
-	s.server.SetKeepAlivesEnabled(true)
 	select {
-	case <-s.Clock.After(notice):
+	case <-s.Clock.After(min(mostNotice, time.Duration(noticeShare*float64(s.Rules.Grace)))):
 	case <-ctx.Done():
 	}
 	return fault.At("drain", "", s.server.Shutdown(ctx))
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -56,8 +56,6 @@
 
 // serve is the way of each request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
