feed: tell an outage from two quiet watches

Cause: the age of the belief counts from when a watch was sent, so that after two quiet watches it was above the bound by which an outage shows; a removal was then taken for a lapse and the target kept for 2 s more. Ruled out: a slow or turned-away entry: its log shows the loss told 2.15 s after the store's acknowledgement, with no outage for 3 s before. The store's last answer now decides. TestRemovedTargetIsGoneAtOnce fails before (2.0 s) and passes after; so do tests of the other promises of the feed.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -269,7 +269,6 @@
 	return false
 }
 
-
 // sort puts the most pressing first: begun answers, then by priority, then
 // by the latest time at which the work can be placed and be on time.
 func (s *service) sort() {
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -126,6 +126,8 @@
 	// confirmed is when, on Awake, the belief was last known to be true.
 	confirmed time.Duration
 	known     bool
+	// answered is when, on Awake, the store last answered this process.
+	answered  time.Duration
 	backSince time.Time
 	current   atomic.Pointer[facts.Facts]
 	changed   chan struct{}
@@ -300,9 +302,11 @@
 // returned notes that the store answers again after it was away; it is called
 // with the feed locked.
 func (f *Feed) returned() {
-	if f.known && f.Awake()-f.confirmed > f.Wait+outage {
+	now := f.Awake()
+	if f.known && now-f.answered > f.Wait+outage {
 		f.backSince = f.Clock.Now()
 	}
+	f.answered = now
 }
 
 // replace takes items as all that there is; it is called with the feed locked.
--- /dev/null
+++ b/io/process/feed/feed_test.go
@@ -0,0 +1,353 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/table"
+	"hawthornferry/io/conn/link"
+)
+
+// plain reads items whose keys say what they are: config, target/ID and
+// version/MODEL with a number as value. The value "bad" cannot be read.
+type plain struct{}
+
+func (plain) Read(it Item) (Fact, error) {
+	v := string(it.Value)
+	if v == "bad" {
+		return Fact{}, errors.New("bad")
+	}
+	n, _ := strconv.ParseUint(v, 10, 64)
+	if id, ok := strings.CutPrefix(it.Key, "target/"); ok {
+		return Fact{Target: &facts.Target{ID: id, Service: "svc"}}, nil
+	}
+	if model, ok := strings.CutPrefix(it.Key, "version/"); ok {
+		return Fact{Version: &facts.Named{Model: model, Version: n}}, nil
+	}
+	return Fact{Config: &Config{Table: &table.Table{Version: n}}}, nil
+}
+
+// fakeStore answers from memory; a nil error means that it is up.
+type fakeStore struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	log      []Item
+	revision uint64
+	history  uint64
+	fails    error
+	calls    int
+	changed  chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+}
+
+func (s *fakeStore) set(key, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := Item{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted}
+	s.log = append(s.log, it)
+	s.items[key] = it
+	if deleted {
+		delete(s.items, key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = err
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = s.revision
+}
+
+func (s *fakeStore) List(context.Context, string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	p := Page{At: s.revision}
+	for _, it := range s.items {
+		p.Items = append(p.Items, it)
+	}
+	return p, s.fails
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	over := time.After(wait)
+	for first := true; ; first = false {
+		s.mu.Lock()
+		if first {
+			s.calls++
+		}
+		c := Changes{At: s.revision}
+		for _, it := range s.log {
+			if it.Revision > after {
+				c.Items = append(c.Items, it)
+			}
+		}
+		err, changed := s.fails, s.changed
+		if after < s.history {
+			err = ErrHistory
+		}
+		s.mu.Unlock()
+		if err != nil || len(c.Items) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return c, nil
+		case <-ctx.Done():
+			return Changes{}, ctx.Err()
+		}
+	}
+}
+
+func newSelf(name string) *link.Self {
+	return &link.Self{Boot: name, VM: fleet.VM{
+		Name: name, Role: fleet.RoleEntry, Zone: "z", Region: "r", State: fleet.StateLive,
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}}
+}
+
+var testStart = time.Now()
+
+func newFeed(s Store) *Feed {
+	return &Feed{
+		Self: newSelf("self"), Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Store: s, Reader: plain{},
+		Awake: func() time.Duration { return time.Since(testStart) }, Wait: 100 * time.Millisecond,
+		Drain: 2 * time.Second, Peers: func() []Peer { return nil },
+	}
+}
+
+func runFeed(t *testing.T, f *Feed) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func eventually(t *testing.T, what string, ok func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < 10*time.Second {
+		if ok() {
+			return time.Since(began)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+	return 0
+}
+
+func ids(f *Feed) string {
+	var out []string
+	for _, t := range f.Current().Targets {
+		out = append(out, t.ID)
+	}
+	return strings.Join(out, " ")
+}
+
+// Requests reached a target that had left two seconds before: its removal came
+// while the store was in touch all the time, and was taken for a lapse of the
+// kind that follows an outage. Only a store that was really away excuses that.
+func TestRemovedTargetIsGoneAtOnce(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	f := newFeed(s)
+	f.Wait = outage + 200*time.Millisecond
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	// Two quiet watches, after which the confirmed belief is over two waits old.
+	time.Sleep(2*f.Wait + 300*time.Millisecond)
+	s.set("target/a", "", true)
+	if took := eventually(t, "a is gone", func() bool { return ids(f) == "b" }); took > 500*time.Millisecond {
+		t.Errorf("a was believed for %s after its removal", took)
+	}
+}
+
+// A whole service would lose its targets: their entries lapse while the store
+// is away, and are back within two seconds of its return. Until then they are
+// used; one that does not come back is then taken for gone.
+func TestLapsedTargetsAreKeptForAWhile(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	f := newFeed(s)
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	s.fail(errors.New("down"))
+	time.Sleep(f.Wait + outage + 300*time.Millisecond)
+	s.set("target/a", "", true)
+	s.set("target/b", "", true)
+	s.forget()
+	s.fail(nil)
+	time.Sleep(700 * time.Millisecond)
+	if diff := cmp.Diff("a b", ids(f)); diff != "" {
+		t.Fatalf("just after the return (-want +got):\n%s", diff)
+	}
+	s.set("target/a", "", false)
+	eventually(t, "b is taken for gone", func() bool { return ids(f) == "a" })
+	time.Sleep(returnGrace)
+	if diff := cmp.Diff("a", ids(f)); diff != "" {
+		t.Errorf("after the grace (-want +got):\n%s", diff)
+	}
+}
+
+// What cannot be read leaves the last good configuration in force and names no
+// target; the store that forgot its history is listed anew.
+func TestBadItemsAndLostHistory(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	f := newFeed(s)
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	s.set("config", "bad", false)
+	s.set("target/a", "bad", false)
+	eventually(t, "a is not used", func() bool { return ids(f) == "b" })
+	if diff := cmp.Diff(uint64(1), f.Current().Table.Version); diff != "" {
+		t.Errorf("configuration (-want +got):\n%s", diff)
+	}
+	s.set("config", "2", false)
+	s.forget()
+	s.set("config", "3", false)
+	eventually(t, "the newest configuration", func() bool { return f.Current().Table.Version == 3 })
+}
+
+// Requests began on a version that was too old: a newer one was named soon
+// after it, and an entry that started anew took both for just named. Each
+// version keeps its own time, and one found at the start is due at once.
+func TestVersionsKeepTheirOwnTime(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "2", false)
+	f := newFeed(s)
+	runFeed(t, f)
+	eventually(t, "version 2 is known", func() bool { _, ok := f.Current().Latest("m"); return ok })
+	if v, _ := f.Current().Due("m", time.Now().Add(-time.Minute)); v.Version != 2 {
+		t.Error("a version found at the start is taken for one just named")
+	}
+	s.set("version/m", "3", false)
+	eventually(t, "version 3 is known", func() bool { v, _ := f.Current().Latest("m"); return v.Version == 3 })
+	time.Sleep(50 * time.Millisecond)
+	between := time.Now()
+	s.set("version/m", "4", false)
+	eventually(t, "version 4 is known", func() bool { v, _ := f.Current().Latest("m"); return v.Version == 4 })
+	if v, _ := f.Current().Due("m", between); v.Version != 3 {
+		t.Errorf("version %d was named before 4, want 3", v.Version)
+	}
+}
+
+// A process that cannot reach the store is told by a peer that can. What it is
+// told is never younger than the peer's own contact, or it would honour keys
+// that were revoked meanwhile.
+func TestToldByPeers(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	s.set("target/a", "", false)
+	reader := newFeed(s)
+	reader.Self = newSelf("reader")
+	runFeed(t, reader)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: reader.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: reader.Handler()}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+
+	cut := newFakeStore()
+	cut.fail(errors.New("cut off"))
+	f := newFeed(cut)
+	peer := Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
+	f.Peers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	eventually(t, "the peer's belief is taken", func() bool { return ids(f) == "a" })
+	s.set("target/b", "", false)
+	s.set("target/a", "", true)
+	eventually(t, "changes are told", func() bool { return ids(f) == "b" })
+	s.fail(errors.New("down"))
+	down := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	age, _ := f.Age()
+	if least := time.Since(down) - reader.Wait; age < least {
+		t.Errorf("the belief is said to be %s old, the store has been down for %s", age, time.Since(down))
+	}
+}
+
+// The store is read by few: a process that is told by others does not call it,
+// and turns to it only when nobody tells it any more.
+func TestToldProcessLeavesTheStoreAlone(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	reader := newFeed(s)
+	reader.Self = newSelf("reader")
+	runFeed(t, reader)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: reader.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: reader.Handler()}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+
+	own := newFakeStore()
+	own.set("config", "1", false)
+	f := newFeed(own)
+	peer := Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
+	f.Tellers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	for i := range 5 {
+		s.set("target/"+strconv.Itoa(i), "", false)
+		eventually(t, "a change is told", func() bool { return len(f.Current().Targets) == i+1 })
+	}
+	own.mu.Lock()
+	calls := own.calls
+	own.mu.Unlock()
+	if diff := cmp.Diff(0, calls); diff != "" {
+		t.Errorf("calls to the store while told (-want +got):\n%s", diff)
+	}
+	cancel()
+	<-done
+	eventually(t, "the store is asked once nobody tells", func() bool {
+		own.mu.Lock()
+		defer own.mu.Unlock()
+		return own.calls > 0
+	})
+}
