cmds: explain what became of a request, from decision logs

Cause: on-call engineers have an id and the logs; the way from one to the other was a search by hand through the lines of all processes. The command shows a request's decisions and what its processes believed then. Test in core/process/audit.

--- /dev/null
+++ b/core/process/audit/explain_test.go
@@ -0,0 +1,48 @@
+package audit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/process/trail"
+)
+
+// An engineer asks why a request was refused. The answer has the request's own
+// records, and what its entry believed then: the latest of each matter, not
+// what it believed before, nor what another process believed.
+func TestExplain(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	record := func(s int, process string, area trail.Area, action, request, subject, choice string) trail.Decision {
+		return trail.Decision{
+			Time: at(s), Process: process, Area: area, Action: action,
+			Request: request, Subject: subject, Choice: choice,
+		}
+	}
+	records := []trail.Decision{
+		record(1, "e1", trail.AreaConfig, "apply", "", "routes", "1"),
+		record(2, "e1", trail.AreaConfig, "apply", "", "routes", "2"),
+		record(2, "e2", trail.AreaConfig, "apply", "", "routes", "2"),
+		record(3, "e1", trail.AreaConfig, "storeLost", "", "", ""),
+		record(4, "e1", trail.AreaMember, "gained", "", "i-1", "10.0.0.1:80"),
+		record(4, "e1", trail.AreaMember, "gained", "", "i-2", "10.0.0.2:80"),
+		record(5, "e1", trail.AreaRouting, "placed", "r1", "route", "i-1"),
+		record(5, "e1", trail.AreaRouting, "placed", "r2", "route", "i-1"),
+		record(6, "e1", trail.AreaMember, "lost", "", "i-1", "10.0.0.1:80"),
+		record(7, "e1", trail.AreaCall, "attempt", "r1", "", "i-1"),
+		record(8, "e1", trail.AreaCall, "answer", "r1", "route", "i-1"),
+		record(9, "e1", trail.AreaConfig, "storeBack", "", "", ""),
+	}
+	var got []string
+	for _, l := range Explain(records, "r1") {
+		got = append(got, l.Decision.Action+" "+l.Decision.Choice)
+	}
+	want := []string{"apply 2", "storeLost ", "gained 10.0.0.1:80", "placed i-1", "lost 10.0.0.1:80", "attempt i-1", "answer i-1"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+	if got := Explain(records, "none"); got != nil {
+		t.Errorf("an unknown request has %d lines", len(got))
+	}
+}
--- /dev/null
+++ b/io/process/cmds/explain.go
@@ -0,0 +1,82 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/audit"
+	"hawthornferry/core/process/trail"
+)
+
+func init() {
+	register(command{
+		name: "explain",
+		help: "shows from decision logs what became of a request, and what was believed meanwhile",
+		make: func() runner { return &explain{} },
+	})
+}
+
+// explain is the command explain.
+type explain struct {
+	Request string `key:"request" arg:"1" need:"true" help:"the request's id"`
+	Logs    string `key:"logs" arg:"2" need:"true" help:"a log of JSON lines, or a directory of them"`
+}
+
+func (e *explain) run(_ context.Context, out output) error {
+	names, err := logNames(e.Logs)
+	if err != nil {
+		return err
+	}
+	var records []trail.Decision
+	for _, name := range names {
+		log, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		records = append(records, log.Decisions...)
+	}
+	lines := audit.Explain(records, e.Request)
+	if len(lines) == 0 {
+		return errors.Mark(errors.Newf("no record of request %q in %d logs", e.Request, len(names)), errInput)
+	}
+	w := tabwriter.NewWriter(out.stdout, 0, 0, 2, ' ', 0)
+	for _, l := range lines {
+		mark := ""
+		if l.Belief {
+			mark = "believed"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", l.Decision.Time.Format(time.RFC3339Nano), l.Decision.Process, mark, describe(l.Decision))
+	}
+	return w.Flush()
+}
+
+// describe writes the fields of a record that are set.
+func describe(d trail.Decision) string {
+	var parts []string
+	add := func(name string, v any, set bool) {
+		if set {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+	parts = append(parts, string(d.Area)+"/"+d.Action)
+	add("customer", d.Customer, d.Customer != "")
+	add("service", d.Service, d.Service != "")
+	add("subject", d.Subject, d.Subject != "")
+	add("choice", d.Choice, d.Choice != "")
+	add("outcome", d.Outcome, d.Outcome != "")
+	add("reason", d.Reason, d.Reason != "")
+	add("status", d.Status, d.Status != 0)
+	add("load", d.Load, d.Load != 0)
+	add("version", d.Version, d.Version != 0)
+	add("waitedMs", d.WaitedMS, d.WaitedMS != 0)
+	add("expectedMs", d.ExpectedMS, d.ExpectedMS != 0)
+	add("tookMs", d.TookMS, d.TookMS != 0)
+	add("ageMs", d.AgeMS, d.AgeMS != 0)
+	add("revision", d.Revision, d.Revision != 0)
+	return strings.Join(parts, " ")
+}
