--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -18,7 +18,7 @@
 	// keyShare is the part of the bound on revoked keys for which a belief
 	// vouches for them. The rest is for a watch that hears late of a change
 	// and for requests on their way.
-	keyShare = 0.7
+	keyShare = 0.8
 	// tableShare is the part of the bound on configurations for which a
 	// belief vouches that a route or a key does not exist.
 	tableShare = 0.9
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -51,7 +51,7 @@
 	// entryWait and sideWait are how long one watch of the store waits. An
 	// entry must vouch for keys and confirms its belief that often; a side
 	// only has to hear of changes.
-	entryWait = 1200 * time.Millisecond
+	entryWait = 800 * time.Millisecond
 	sideWait  = 4 * time.Second
 )
 
