burst: keep what peers tell of a version before its manifest is read

Cause: TestAllSidesGetWholeFromOneCopy failed beside load after 60 s with 41 or 42 chunks drawn in place of 40. A peer tells of each chunk once; a side that had not read the manifest yet dropped the news, refused the peer's offers, and drew the chunk again when its patience of a minute was over. Ruled out: the clock of the test (patience is a minute, the version takes a second), connections dialed by both ends at once (the other end greets anew). TestNewsBeforeTheManifestIsKept fails before and passes after.

--- a/core/version/burst/bits.go
+++ b/core/version/burst/bits.go
@@ -1,6 +1,10 @@
 package burst
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"hawthornferry/core/version/chunk"
+)
 
 // Bits is a set of chunk indexes of one manifest, eight to a byte, the lowest
 // index in the lowest bit.
@@ -17,6 +21,24 @@
 // Set adds i.
 func (b Bits) Set(i int) { b[i/8] |= 1 << (i % 8) }
 
+// with returns b with the given indexes, grown as needed. Indexes that no
+// manifest has are left out.
+func (b Bits) with(indexes []int) Bits {
+	for _, i := range indexes {
+		if i < 0 || i >= chunk.MaxChunks {
+			continue
+		}
+		if i/8 >= len(b) {
+			b = append(b, make(Bits, i/8+1-len(b))...)
+		}
+		b.Set(i)
+	}
+	if b == nil {
+		return Bits{}
+	}
+	return b
+}
+
 // Clear removes i.
 func (b Bits) Clear(i int) { b[i/8] &^= 1 << (i % 8) }
 
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -167,6 +167,9 @@
 	Member
 	connected bool
 	maps      map[chunk.Digest]Bits
+	// early is what the peer heard to be held in the region of versions that
+	// this side does not know yet.
+	early map[chunk.Digest]Bits
 	// full is set from a refused offer until the peer is ready again.
 	full      bool
 	fullUntil time.Time
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -70,7 +70,7 @@
 	}
 	st := s.set(id)
 	if st == nil {
-		p.maps[id] = have.clone()
+		p.keepEarly(id, have.members(), seen.members())
 		return s.settle(now)
 	}
 	return s.Announced(now, name, id, have.members(), seen.members())
@@ -80,8 +80,14 @@
 // has heard to be held in the region.
 func (s *State) Announced(now time.Time, name string, id chunk.Digest, have, seen []int) []Action {
 	p, ok := s.peers[name]
+	if !ok {
+		return nil
+	}
 	st := s.set(id)
-	if !ok || st == nil {
+	if st == nil {
+		if p.maps[id] != nil || len(p.maps) < maxMaps {
+			p.keepEarly(id, have, seen)
+		}
 		return nil
 	}
 	m := p.maps[id]
@@ -105,6 +111,33 @@
 	return s.settle(now)
 }
 
+// keepEarly remembers a peer's news of a version that this side has not heard
+// of. Peers tell each chunk once; dropped, the news would be missing for as
+// long as the connection lasts: the peer's offers would be refused, and the
+// chunk in the end drawn again.
+func (p *peer) keepEarly(id chunk.Digest, have, seen []int) {
+	p.maps[id] = p.maps[id].with(have)
+	p.early[id] = p.early[id].with(seen)
+}
+
+// takeEarly takes in what peers of the region told of a version before it was
+// known here.
+func (s *State) takeEarly(st *set) {
+	for _, p := range s.order {
+		if p.Region != s.cfg.Self.Region {
+			continue
+		}
+		for _, bits := range []Bits{p.maps[st.id], p.early[st.id]} {
+			for i := range st.items {
+				if bits.Has(i) {
+					st.seen.Set(i)
+				}
+			}
+		}
+		delete(p.early, st.id)
+	}
+}
+
 // spread passes on to the neighbours which chunks the region holds, each
 // once. By it all sides of a region take turns on the region link without a
 // shared record of whose turn it is.
@@ -249,6 +282,7 @@
 }
 
 func (s *State) forgetMap(p *peer, id chunk.Digest) {
+	delete(p.early, id)
 	m, ok := p.maps[id]
 	if !ok {
 		return
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -115,12 +115,17 @@
 // are still wanted.
 func (s *State) keepSeen(old []*set) {
 	for _, st := range s.sets {
+		known := false
 		for _, o := range old {
 			if o.id == st.id {
+				known = true
 				st.seen = o.seen.clone()
 				st.extra = o.extra
 			}
 		}
+		if !known {
+			s.takeEarly(st)
+		}
 		s.recount(st)
 	}
 }
@@ -202,7 +207,7 @@
 func (s *State) peer(name, region string) *peer {
 	p, ok := s.peers[name]
 	if !ok {
-		p = &peer{Member: Member{Name: name, Region: region}, maps: map[chunk.Digest]Bits{}}
+		p = &peer{Member: Member{Name: name, Region: region}, maps: map[chunk.Digest]Bits{}, early: map[chunk.Digest]Bits{}}
 		s.peers[name] = p
 		s.sortPeers()
 	}
