direct: leave a silent target only when the request can go on elsewhere

Cause: a request of a silent target was ended before it was known whether it may be sent once more, and a stream that its caller has a part of was given up after waiting a second for room; both end an answer that might still come. Now the repeat is counted first, and begun streams wait until their deadline.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -42,8 +42,6 @@
 	// mostExpected bounds the prompts that begun work may queue behind: callers
 	// leave a stream after two seconds without an event.
 	mostExpected = 700 * time.Millisecond
-	// mostWait bounds how long begun work waits for a target.
-	mostWait = time.Second
 )
 
 // try places a request when a target can take it.
@@ -221,7 +219,8 @@
 func (p *Placer) hope(now time.Time, s *service, q *wait) (Reason, bool) {
 	w := &q.work
 	if w.Begun {
-		return ReasonFull, now.Sub(q.since) < mostWait && now.Before(w.Deadline)
+		// What its caller has would be lost; it waits for as long as it may.
+		return ReasonFull, now.Before(w.Deadline)
 	}
 	if !anyUsable(now, s, w) {
 		return ReasonNoTarget, false
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -60,12 +60,15 @@
 	return max(time.Duration(float64(d)*times), leastSilence)
 }
 
-// silent moves the request when there is another target for it; else its
-// answer may still come.
+// silent moves the request when there is another target for it and it may be
+// sent once more; else its answer may still come, and to end it would cost the
+// caller what it has.
 func (g *guard) silent() {
-	if g.server.desk.other(g.q.service.Name, g.q.target) {
-		g.x.abandon("target is silent")
+	if !g.server.desk.other(g.q.service.Name, g.q.target) || !g.server.retry(g.q.service.Name) {
+		return
 	}
+	g.q.prepaid.Store(true)
+	g.x.abandon("target is silent")
 }
 
 // heard takes a part of the answer.
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,8 @@
 	// attempts counts the targets that were reached, failed those to avoid.
 	attempts int
 	failed   []string
+	// prepaid is set when the next attempt is already counted as a repeat.
+	prepaid atomic.Bool
 	// ran is set once the request may have run.
 	ran bool
 	// lastEvent is the last event that the caller has.
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -142,7 +142,7 @@
 	if q.attempts >= q.route.Attempts {
 		return false
 	}
-	if !s.retry(q.service.Name) {
+	if !q.prepaid.CompareAndSwap(true, false) && !s.retry(q.service.Name) {
 		q.reason = "retryBudget"
 		return false
 	}
