hosted: metrics of beliefs and refusals; routine log lines give way first

Cause: metrics told how requests ended but not why they were refused, nor how old the belief was; with a slow output the lines of requests that went well crowded out those of one that failed. Processor time of logging was not measured with and without.

--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -26,6 +26,7 @@
 	"hawthornferry/io/process/admin"
 	"hawthornferry/io/process/feed"
 	"hawthornferry/io/process/trace"
+	"hawthornferry/io/request/direct"
 )
 
 // Platform is what the processes need of the platform.
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	f.logger = logger
-	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger}
+	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
 		Store: p.Store, Reader: p.Reader, Awake: awake, Wait: entryWait,
@@ -198,7 +199,7 @@
 	partCtx, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, partCtx := errgroup.WithContext(partCtx)
-	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}}, f.parts...)
+	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}, {"gauges", f.gauges}}, f.parts...)
 	for _, nl := range peers {
 		l := &link.Listener{Self: f.self, Net: nl, Handlers: f.handlers, Rejected: f.rejected}
 		parts = append(parts, part{"peers", l.Run})
--- a/io/process/trace/log.go
+++ b/io/process/trace/log.go
@@ -19,6 +19,9 @@
 	Boot    string
 	Clock   clockwork.Clock
 	Logger  *logrus.Logger
+	// Routine tells the decisions that are left out first when the output is
+	// slow; nil for none.
+	Routine func(d trail.Decision) bool
 }
 
 var _ trail.Log = (*Log)(nil)
@@ -37,13 +40,27 @@
 	e.Level = logrus.InfoLevel
 	b, err := l.Logger.Formatter.Format(e)
 	if err == nil {
-		_, err = l.Logger.Out.Write(b)
+		err = l.write(d, b)
 	}
 	if err != nil {
 		l.Logger.WithError(err).Error("decision is not logged")
 	}
 }
 
+// routineWriter is an output that leaves routine lines out first.
+type routineWriter interface {
+	WriteRoutine(line []byte) (int, error)
+}
+
+func (l *Log) write(d trail.Decision, b []byte) error {
+	if w, ok := l.Logger.Out.(routineWriter); ok && l.Routine != nil && l.Routine(d) {
+		_, err := w.WriteRoutine(b)
+		return err
+	}
+	_, err := l.Logger.Out.Write(b)
+	return err
+}
+
 // NewLogger returns a logger of JSON lines at the given least level, one of
 // debug, info, warning and error. Decisions have the level info.
 func NewLogger(w io.Writer, level string) (*logrus.Logger, error) {
--- a/io/process/trace/sink.go
+++ b/io/process/trace/sink.go
@@ -43,6 +43,26 @@
 	})
 }
 
+// routineShare is the part of the queue that routine lines may fill. When the
+// output is slow the rest is kept for lines that an engineer will look for:
+// requests that failed, were refused or were moved, and what changed a belief.
+const routineShare = 0.75
+
+// WriteRoutine queues a line that may be left out before others.
+func (s *Sink) WriteRoutine(line []byte) (int, error) {
+	s.init()
+	if float64(len(s.lines)) >= routineShare*float64(cap(s.lines)) {
+		s.drop()
+		return len(line), nil
+	}
+	return s.Write(line)
+}
+
+func (s *Sink) drop() {
+	s.dropped.Add(1)
+	s.Metrics.Counter("log_lines_dropped").Inc(1)
+}
+
 // Write queues one line. A full queue means that the reader of the output is
 // stuck; waiting for it would stall every caller, so the line is dropped and
 // counted instead, and the count is written as soon as lines pass again.
@@ -51,8 +71,7 @@
 	select {
 	case s.lines <- bytes.Clone(line):
 	default:
-		s.dropped.Add(1)
-		s.Metrics.Counter("log_lines_dropped").Inc(1)
+		s.drop()
 	}
 	return len(line), nil
 }
--- a/io/process/trace/trace_test.go
+++ b/io/process/trace/trace_test.go
@@ -55,3 +55,34 @@
 		t.Errorf("decision (-want +got):\n%s", diff)
 	}
 }
+
+// An engineer looks for the request that failed, and its lines are among those
+// dropped: the output was slow, and requests that went well filled the queue.
+// Their lines give way before it is full.
+func TestRoutineLinesGiveWay(t *testing.T) {
+	var out bytes.Buffer
+	sink := &Sink{Out: &out, Buffer: 8}
+	logger, err := NewLogger(sink, "error")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := &Log{
+		Clock: clockwork.NewFakeClock(), Logger: logger,
+		Routine: func(d trail.Decision) bool { return d.Action == "well" },
+	}
+	for range 20 {
+		log.Decide(trail.Decision{Area: trail.AreaCall, Action: "well"})
+	}
+	log.Decide(trail.Decision{Area: trail.AreaCall, Action: "failed"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := sink.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), `"action":"failed"`) {
+		t.Errorf("the failed request is not in the log:\n%s", &out)
+	}
+	if !strings.Contains(out.String(), `"lines":14`) {
+		t.Errorf("the log does not say that 14 lines are left out:\n%s", &out)
+	}
+}
--- a/io/request/direct/answer.go
+++ b/io/request/direct/answer.go
@@ -27,6 +27,7 @@
 func (s *Server) answer(w http.ResponseWriter, q *request, a answer) {
 	q.reason = a.reason
 	s.finish(q, "ownAnswer", a.status)
+	s.meter.refused(reasonKind(a), a.status)
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	if a.retryAfter > 0 {
@@ -44,3 +45,12 @@
 	// A caller that has left does not read it, which is its own choice.
 	_, _ = w.Write(b)
 }
+
+// reasonKind is the reason for metrics, whose tags must be few: what is wrong
+// with a request that cannot be read is told in the log.
+func reasonKind(a answer) string {
+	if a.status == http.StatusBadRequest {
+		return "unreadable"
+	}
+	return a.reason
+}
--- a/io/request/direct/meter.go
+++ b/io/request/direct/meter.go
@@ -39,3 +39,14 @@
 	m.scope.Tagged(tags).Counter("total").Inc(1)
 	m.whole.RecordDuration(took)
 }
+
+// refused counts an answer of the entry's own by its reason.
+func (m meter) refused(reason string, status int) {
+	tags := map[string]string{"reason": reason, "status": strconv.Itoa(status)}
+	m.scope.Tagged(tags).Counter("own_answers_total").Inc(1)
+}
+
+// attempted counts an attempt by how it ended.
+func (m meter) attempted(o outcome) {
+	m.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("attempts_total").Inc(1)
+}
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -210,6 +210,11 @@
 	return &wholeRelay{q: q, out: out}
 }
 
+// Routine tells the decisions on requests that go well.
+func Routine(d trail.Decision) bool {
+	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(outcomeRelayed))
+}
+
 func (s *Server) logPlacement(q *request, v place.Verdict) {
 	s.Log.Decide(trail.Decision{
 		Area: trail.AreaRouting, Action: string(v.Decision), Request: q.call.ID, Customer: q.customer,
@@ -219,6 +224,7 @@
 }
 
 func (s *Server) logAttempt(q *request, v place.Verdict, o outcome, err error) {
+	s.meter.attempted(o)
 	if o == outcomeRelayed {
 		return
 	}
