admin: keep each process's metrics in a registry of its own

Cause: go test ./platform failed once (TestMetricsAreServed, then on each run): the metrics of all entries of the test added up in the library's common registry. Ruled out: the metrics themselves; alone the test passed.

--- a/io/process/admin/meter.go
+++ b/io/process/admin/meter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -21,7 +22,12 @@
 	// Two metrics of one name with different tags cannot both be registered;
 	// by default the reporter panics. A process that ends for the sake of a
 	// metric is worse than a metric that is missing.
-	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: func(error) {}})
+	// A registry of its own: two processes that share one binary, as in a test,
+	// would add up in the library's common one.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 metricsPrefix,
 		CachedReporter:         reporter,
