--- /dev/null
+++ b/io/process/feed/apply.go
@@ -0,0 +1,98 @@
+package feed
+
+import (
+	"hawthornferry/core/process/trail"
+)
+
+// replace takes items as all that there is; it is called with the feed locked.
+func (f *Feed) replace(items []Item, at uint64) {
+	there := map[string]bool{}
+	for _, it := range items {
+		there[it.Key] = true
+	}
+	for key := range f.items {
+		if !there[key] {
+			items = append(items, Item{Key: key, Revision: at, Deleted: true})
+		}
+	}
+	f.apply(items)
+}
+
+// apply takes changes in; it is called with the feed locked.
+func (f *Feed) apply(items []Item) {
+	for _, it := range items {
+		if old, ok := f.items[it.Key]; ok && old.Revision > it.Revision {
+			continue
+		}
+		if it.Deleted {
+			f.remove(it)
+			continue
+		}
+		if f.items[it.Key].Revision == it.Revision {
+			continue
+		}
+		f.items[it.Key] = it
+		delete(f.lapsing, it.Key)
+		f.read(it)
+	}
+}
+
+// remove drops an item. A target that is missing just after an outage may only
+// have been unable to renew its entry: taken for gone, a whole service could
+// lose its targets at once. One that lives is back within the grace.
+func (f *Feed) remove(it Item) {
+	delete(f.items, it.Key)
+	fact, ok := f.facts[it.Key]
+	if !ok {
+		return
+	}
+	now := f.Clock.Now()
+	if fact.Target != nil && !f.backSince.IsZero() && now.Sub(f.backSince) < returnGrace {
+		if _, waiting := f.lapsing[it.Key]; !waiting {
+			f.lapsing[it.Key] = now.Add(min(returnGrace, f.Drain))
+		}
+		return
+	}
+	delete(f.facts, it.Key)
+	f.noteTarget("lost", fact, it.Revision)
+}
+
+// read decodes an item. What cannot be read leaves the last good one in
+// force, but for a target: an entry that names none is not to be used.
+func (f *Feed) read(it Item) {
+	fact, err := f.Reader.Read(it)
+	old, had := f.facts[it.Key]
+	if err != nil {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
+		f.Metrics.Counter("items_rejected").Inc(1)
+		if had && old.Target != nil {
+			delete(f.facts, it.Key)
+			f.noteTarget("lost", old, it.Revision)
+		}
+		return
+	}
+	if fact == (Fact{}) {
+		return
+	}
+	if v := fact.Version; v != nil {
+		v.Since = f.Clock.Now()
+		if !f.known {
+			v.Since = v.Since.Add(-unknownAge)
+		}
+		if had && old.Version != nil {
+			f.name(*old.Version)
+		}
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: it.Revision})
+	}
+	if c := fact.Config; c != nil {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
+	}
+	if fact.Target != nil && (!had || old.Target == nil || old.Target.Leaving != fact.Target.Leaving) {
+		action := "gained"
+		if fact.Target.Leaving {
+			action = "leaving"
+		}
+		f.noteTarget(action, fact, it.Revision)
+	}
+	f.facts[it.Key] = fact
+}
--- a/io/process/feed/feed_test.go
+++ b/io/process/feed/feed_test.go
@@ -156,6 +156,25 @@
 	})
 }
 
+// answering has a feed answer its peers until stop is called.
+func answering(t *testing.T, f *Feed) (peer Peer, stop func()) {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: f.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: f.Handler()}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}, stop
+}
+
 func eventually(t *testing.T, what string, ok func() bool) time.Duration {
 	t.Helper()
 	began := time.Now()
@@ -281,20 +300,11 @@
 	reader := newFeed(s)
 	reader.Self = newSelf("reader")
 	runFeed(t, reader)
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &link.Listener{Self: reader.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: reader.Handler()}}
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
+	peer, _ := answering(t, reader)
 
 	cut := newFakeStore()
 	cut.fail(errors.New("cut off"))
 	f := newFeed(cut)
-	peer := Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
 	f.Peers = func() []Peer { return []Peer{peer} }
 	runFeed(t, f)
 	eventually(t, "the peer's belief is taken", func() bool { return ids(f) == "a" })
@@ -318,19 +328,11 @@
 	reader := newFeed(s)
 	reader.Self = newSelf("reader")
 	runFeed(t, reader)
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &link.Listener{Self: reader.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeConfig: reader.Handler()}}
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
+	peer, stop := answering(t, reader)
 
 	own := newFakeStore()
 	own.set("config", "1", false)
 	f := newFeed(own)
-	peer := Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
 	f.Tellers = func() []Peer { return []Peer{peer} }
 	runFeed(t, f)
 	for i := range 5 {
@@ -343,8 +345,7 @@
 	if diff := cmp.Diff(0, calls); diff != "" {
 		t.Errorf("calls to the store while told (-want +got):\n%s", diff)
 	}
-	cancel()
-	<-done
+	stop()
 	eventually(t, "the store is asked once nobody tells", func() bool {
 		own.mu.Lock()
 		defer own.mu.Unlock()
--- a/io/version/order/ask.go
+++ b/io/version/order/ask.go
@@ -101,17 +101,7 @@
 }
 
 func (o *Orderer) askOne(ctx context.Context, service string, p fleet.VM) (roll.Status, error) {
-	c, err := link.Dial(ctx, o.Self, p.Address, link.PurposeOrders, kinds())
-	if err != nil {
-		return roll.Status{}, err
-	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
-	if err := c.Send(&ask{Service: service}); err != nil {
-		return roll.Status{}, err
-	}
-	m, err := c.Receive()
+	m, err := link.Ask(ctx, o.Self, p.Address, link.PurposeOrders, kinds(), &ask{Service: service})
 	if err != nil {
 		return roll.Status{}, err
 	}
--- a/io/version/shelf/library.go
+++ b/io/version/shelf/library.go
@@ -220,17 +220,7 @@
 func (l *Library) askPeer(ctx context.Context, addr netip.AddrPort, model string, version uint64) (chunk.Manifest, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerWait)
 	defer cancel()
-	c, err := link.Dial(ctx, l.Self, addr, link.PurposeEditions, kinds())
-	if err != nil {
-		return chunk.Manifest{}, err
-	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
-	if err := c.Send(&ask{Model: model, Version: version}); err != nil {
-		return chunk.Manifest{}, err
-	}
-	m, err := c.Receive()
+	m, err := link.Ask(ctx, l.Self, addr, link.PurposeEditions, kinds(), &ask{Model: model, Version: version})
 	if err != nil {
 		return chunk.Manifest{}, err
 	}
