place: serve late what no engine could answer on time

Ruled out: fairness between sizes, which only orders what waits. Nothing changes where an engine can answer every prompt on time, as on both sites.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -14,6 +14,9 @@
 	// take: the rest is for what is not foreseen, such as prompts that other
 	// entries send at the same moment.
 	onTime = 0.85
+	// overTime is how much longer than the least, in objectives, work may take
+	// that cannot be on time: as much as half of other work spends waiting.
+	overTime = 0.4
 	// hop is the round trip to the caller and the target together.
 	hop = 12 * time.Millisecond
 	// distanceCost is how much longer a first answer may take at a near
@@ -183,15 +186,29 @@
 		soon := s.reading(now, t, w) + s.passing(now, t)
 		return soon < time.Duration(onTime*float64(w.Objective)) && float64(load) < lateShare*float64(slots)
 	}
-	return load < slots && !w.late(now, expected)
+	return load < slots && !s.late(now, w, expected)
 }
 
-// late reports whether a first answer after expected misses the objective.
-func (w *Work) late(now time.Time, expected time.Duration) bool {
+// late reports whether a first answer after expected comes too late.
+func (s *service) late(now time.Time, w *Work, expected time.Duration) bool {
 	if w.Objective <= 0 {
 		return false
 	}
-	return now.Add(expected).Sub(w.Asked) > time.Duration(onTime*float64(w.Objective))
+	return now.Add(expected).Sub(w.Asked) > s.allowed(w)
+}
+
+// allowed is the time that a first answer may take. Work that no engine could
+// answer on time, such as the longest prompts at slow engines, is served as soon
+// as one can: refused at once, the largest requests would never be served.
+func (s *service) allowed(w *Work) time.Duration {
+	usual := time.Duration(onTime * float64(w.Objective))
+	if s.engine == nil {
+		return usual
+	}
+	if least := s.leastTime(w); least > usual {
+		return least + time.Duration(overTime*float64(w.Objective))
+	}
+	return usual
 }
 
 // returned reports whether the objective has passed already: the caller was
@@ -232,7 +249,7 @@
 		return ReasonFull, false
 	}
 	least := s.leastTime(w)
-	if w.late(now, least) {
+	if s.late(now, w, least) {
 		return ReasonLate, false
 	}
 	return "", true
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// Callers with the longest prompts were never served where engines read slowly:
+// no engine could answer them on time, and they were refused at once. They are
+// late, but served, when an engine has room.
+func TestLongPromptAtSlowEngineIsServed(t *testing.T) {
+	slow := *modelEngine
+	slow.ReadRate = 8000
+	p := testPlacer(testFacts(&slow, 16, "a"))
+	w := testWork("long")
+	w.Prompt = 3800
+	if diff := cmp.Diff([]string{"long placed a"}, decisions(p.Offer(start, w))); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
+
 // A caller whose stream broke off gets the rest before anyone else is served.
 func TestBegunGoesFirst(t *testing.T) {
 	p := testPlacer(testFacts(nil, 1, "a"))
