swarm: do not count what a peer may still lack as on its way

Sides asked the next region for chunks of the second, which nobody has; four blocks of each such question counted as on their way and filled the window (56 KB once the rate falls), so that chunks of the first, which were all there, could not be asked for. 14 of 20 sides got the first version only at 32 s, when the origin was back; nobody was served from 26 to 32 s. Ruled out: the link between regions (0.73 s for a version), rot in the staging (read back and staged anew within 0.3 s), the origin (the first version was drawn by 20.3 s). Change: one block is asked for until the peer has sent any, and it does not count. The second version still comes 5 s after the origin's return.

--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -101,14 +101,10 @@
 	share := n.shareLine(in.fetch.Share)
 	piece := n.pieceSize(in.fetch.Via)
 	var asked, got int64
-	var under []int64
-	defer func() {
-		for _, k := range under {
-			n.Inflow.Release(k, 0)
-		}
-	}()
+	flow := inflow{window: n.Inflow}
+	defer flow.end()
 	for got < size {
-		for asked < size && asked-got < window*piece {
+		for asked < size && asked-got < ahead(got, piece) {
 			k := min(piece, size-asked)
 			if err := share.Wait(ctx, int(k)); err != nil {
 				return nil, err
@@ -116,10 +112,9 @@
 			if err := n.waitDown(ctx, in.fetch.Via, int(k)); err != nil {
 				return nil, err
 			}
-			if err := n.Inflow.Acquire(ctx, k); err != nil {
+			if err := flow.ask(ctx, k); err != nil {
 				return nil, err
 			}
-			under = append(under, k)
 			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
 			asked += k
 			if asked == size {
@@ -135,10 +130,7 @@
 				return nil, fault.At("receive chunk", c.name(), err)
 			}
 			got += int64(copy(buf[got:], b.Data))
-			if len(under) > 0 {
-				n.Inflow.Release(under[0], int64(len(b.Data)))
-				under = under[1:]
-			}
+			flow.came(int64(len(b.Data)))
 			n.count(in.fetch.Via, int64(len(b.Data)))
 			n.advance(in)
 		}
@@ -146,6 +138,55 @@
 	return buf, nil
 }
 
+// ahead is how many bytes may be asked for and not come: one block until the
+// peer has sent any, since it may itself still lack the chunk.
+func ahead(got, piece int64) int64 {
+	if got == 0 {
+		return piece
+	}
+	return window * piece
+}
+
+// inflow is one transfer's part of what is on its way to the side. Its first
+// block does not count: a peer that still lacks the chunk sends it only when it
+// has it, if ever. Counted, such questions would fill the window, and the
+// chunks of another version, which are there, could not be asked for.
+type inflow struct {
+	window *pace.Window
+	begun  bool
+	under  []int64
+}
+
+// ask waits until k more bytes may be asked for.
+func (f *inflow) ask(ctx context.Context, k int64) error {
+	if !f.begun {
+		f.begun = true
+		f.under = append(f.under, 0)
+		return nil
+	}
+	if err := f.window.Acquire(ctx, k); err != nil {
+		return err
+	}
+	f.under = append(f.under, k)
+	return nil
+}
+
+// came takes a block of n bytes.
+func (f *inflow) came(n int64) {
+	if len(f.under) == 0 {
+		return
+	}
+	f.window.Release(f.under[0], n)
+	f.under = f.under[1:]
+}
+
+// end gives back what did not come.
+func (f *inflow) end() {
+	for _, k := range f.under {
+		f.window.Release(k, 0)
+	}
+}
+
 // pieceSize is the size of the blocks to ask for: what the link carries in a
 // few milliseconds, since a live call may wait behind a block of each transfer
 // that shares the link.
--- a/io/version/swarm/swarm_test.go
+++ b/io/version/swarm/swarm_test.go
@@ -134,6 +134,8 @@
 	vms   []fleet.VM
 
 	patience time.Duration
+	// tune, when set, changes a side before it starts.
+	tune func(n *Node)
 }
 
 func newCluster(t *testing.T, p *platform, regions ...string) *cluster {
@@ -143,7 +145,12 @@
 
 func newClusterWith(t *testing.T, p *platform, least time.Duration, regions ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, p: p, patience: least}
+	return newTunedCluster(t, p, least, nil, regions...)
+}
+
+func newTunedCluster(t *testing.T, p *platform, least time.Duration, tune func(n *Node), regions ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, p: p, patience: least, tune: tune}
 	logger, hook := test.NewNullLogger()
 	c.logs = hook
 	for i, region := range regions {
@@ -183,6 +190,9 @@
 		BlockSize:    4 << 10,
 		Burst:        burst.Config{LeastPatience: c.patience},
 	}
+	if c.tune != nil {
+		c.tune(n)
+	}
 	l := &link.Listener{Self: n.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{link.PurposeWeights: n.Handler()}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
