burst: an outage of the origin makes no side overdue

Cause: while the origin is away every side finds the turns before its own overdue and suspects the others; when it returns all draw every chunk, over a link that carries four copies. Sides of other regions take exporters that lack a chunk for stalled, leave them alone for up to six seconds, and turn to the origin too. Change: a side that fails at the origin ends its suspicions and waits its turn anew; an exporter that wants a chunk and lacks it says so, is not blamed, and only the first in rank waits there.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -167,7 +167,7 @@
 // first for it, which has it first; after failures the next in rank, and
 // after those none, which means the origin.
 func (s *State) exporter(now time.Time, st *set, it *item, up string) string {
-	if up == "" || it.attempts >= sourceTries {
+	if up == "" || it.attempts >= sourceTries || it.laters >= laterTries {
 		return ""
 	}
 	names := st.members[up]
@@ -266,6 +266,7 @@
 		s.trades--
 	}
 	it.via, it.from = "", ""
+	it.later = false
 	for _, pl := range it.places {
 		pl.set.pending.Clear(pl.index)
 	}
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -157,7 +157,11 @@
 	// badTrades counts the neighbours' failures to send the chunk.
 	badTrades int
 	attempts  int // sources tried since the last draw from the origin
-	fails     int
+	// later is set while the peer asked is known to lack the chunk as yet, and
+	// laters counts the waits in vain in a row.
+	later  bool
+	laters int
+	fails  int
 }
 
 func (it *item) pending() bool { return it.via != "" }
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -246,6 +246,40 @@
 	n.until(n.whole(v.ID))
 }
 
+// The origin is away for six seconds just after a version was named. Every side
+// finds the turns before its own overdue and tries in vain; sides of other regions
+// wait for chunks that nobody has. When the origin is back each chunk must leave it
+// once, as on any day: drawn by all at once it takes as many times longer, and
+// the version misses the time by which it is to be served.
+func TestOriginReturnsAfterOutage(t *testing.T) {
+	const (
+		outage = 6 * time.Second
+		sides  = 6
+		chunks = 96
+		// spare is for the chunks whose turn it is as the origin returns: each
+		// other side may just be trying them too.
+		spare = DefaultDraws * (sides - 1)
+	)
+	n := newNetwork(t, regionsOf(sides, sides, sides)...)
+	sent := 0
+	n.origin = func(string, chunk.Digest, int) (bool, time.Duration) {
+		if n.now >= outage {
+			sent++
+		}
+		return n.now >= outage, 0
+	}
+	v := version("1", 0, chunks).of(n.members())
+	n.update(v)
+	n.until(n.whole(v.ID))
+	if sent > chunks+spare {
+		t.Errorf("the origin sent %d chunks for %d", sent, chunks)
+	}
+	// A side may have just begun its longest pause when the origin returns.
+	if most := outage + DefaultMostPause + 2*time.Second; n.now > most {
+		t.Errorf("whole after %v, want %v at most", n.now, most)
+	}
+}
+
 // A peer claims in its map to hold what it has not. The claim is forgotten
 // after the first refusal, and the chunk comes from where it really is.
 func TestClaimsThatAreFalseAreForgotten(t *testing.T) {
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -16,6 +16,8 @@
 	FailLacks   Failure = "lacks"
 	FailRefused Failure = "refused"
 	FailGone    Failure = "gone"
+	// FailLater is the end of a wait for a peer that lacked the chunk itself.
+	FailLater Failure = "lacksAsYet"
 )
 
 // Tick is to be called a few times a second: it ends stalled transfers,
@@ -229,6 +231,29 @@
 	}
 }
 
+// Deferred tells that the peer of an import wants the chunk too and still lacks
+// it. That is no fault of the peer's, nor of the sides of the own region that
+// rank before this one; only the first in rank waits there, or the chunk would
+// cross the region link once for each that does.
+func (s *State) Deferred(now time.Time, d chunk.Digest, from string) []Action {
+	it, ok := s.items[d]
+	if !ok || it.via != ViaImport || it.from != from || it.flowing {
+		return nil
+	}
+	if s.steppedIn(it) {
+		s.excuse(now)
+	}
+	if s.steppedIn(it) {
+		s.emit(Stop{Chunk: d, Peer: from, Reason: string(FailLater)})
+		s.clearPending(it)
+		it.dueAt = now
+		return s.settle(now)
+	}
+	it.later = true
+	it.deadline = now.Add(laterFactor * s.startPatience(ViaImport))
+	return s.settle(now)
+}
+
 // Asked tells that all of an import has been asked for: its share of the
 // region link is spent, so the turn passes on while the last bytes come in.
 // The region is told that the chunk is there; should the import fail after
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -261,6 +261,7 @@
 		n.act(s, s.state.Failed(n.time(), f.Chunk.Digest, f.Peer, FailLacks, 0))
 		return
 	}
+	n.act(s, s.state.Deferred(n.time(), f.Chunk.Digest, f.Peer))
 	n.after(transferTime, func() { n.end(s, f, id) })
 }
 
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -20,6 +20,11 @@
 	// The first time it is the patience of a trade; each further fault in a
 	// row doubles it.
 	mostBadPauses = 12
+	// laterFactor is how many times its patience an import waits at a peer that
+	// has said that it still lacks the chunk, and laterTries how often in a row
+	// before the region of that peer is taken to be cut off from the origin.
+	laterFactor = 4
+	laterTries  = 3
 	// silentStrikes is how many stalls in a row a connection may have before
 	// it is closed.
 	silentStrikes = 2
@@ -104,8 +109,12 @@
 		if now.Before(it.deadline) {
 			continue
 		}
-		s.emit(Stop{Chunk: it.ref.Digest, Peer: it.from, Reason: string(FailStalled)})
-		s.failed(now, it, FailStalled, 0)
+		why := FailStalled
+		if it.later {
+			why = FailLater
+		}
+		s.emit(Stop{Chunk: it.ref.Digest, Peer: it.from, Reason: string(why)})
+		s.failed(now, it, why, 0)
 	}
 	for _, p := range s.order {
 		if p.uploads > 0 && now.After(p.uploadEnd) {
@@ -135,13 +144,18 @@
 	if it.via == ViaTrade && why != FailGone {
 		it.badTrades++
 	}
-	if it.via != ViaTrade {
+	switch {
+	case why == FailLater:
+		it.laters++
+	case it.via != ViaTrade:
 		it.attempts++
 		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, s.cfg.MostPause)))
 		it.fails++
 	}
 	if it.via == ViaOrigin {
-		it.attempts = 0
+		it.attempts, it.laters = 0, 0
+		it.dueAt = now
+		s.excuse(now)
 	}
 	if why == FailLacks {
 		s.disbelieve(it)
@@ -155,7 +169,7 @@
 // pick would often fall on the same peer and the chunk would never come.
 func (s *State) blame(now time.Time, name string, why Failure) {
 	p, ok := s.peers[name]
-	if !ok || why == FailGone {
+	if !ok || why == FailGone || why == FailLater {
 		return
 	}
 	p.strikes++
--- a/core/version/burst/suspect.go
+++ b/core/version/burst/suspect.go
@@ -34,6 +34,31 @@
 	s.rerank()
 }
 
+// excuse ends all suspicions and has the turns of overdue chunks begin anew. It
+// is called when this side finds for itself that a chunk cannot be had yet.
+// Otherwise an outage of the origin would make every side overdue for every
+// chunk, and all would draw all of them at once when it ends: from an origin that
+// carries four copies the version then takes as many times longer.
+func (s *State) excuse(now time.Time) {
+	for _, st := range s.sets {
+		for _, it := range st.items {
+			if !it.held && !it.pending() && !it.dueAt.IsZero() {
+				it.dueAt = now
+			}
+		}
+	}
+	if len(s.suspects) > 0 {
+		clear(s.suspects)
+		s.rerank()
+	}
+}
+
+// steppedIn reports whether this side fetches a chunk in another's place.
+func (s *State) steppedIn(it *item) bool {
+	at := it.places[0]
+	return len(s.suspects) > 0 || s.position(at.set, at.index) > 0
+}
+
 // forgive ends the suspicions that are old.
 func (s *State) forgive(now time.Time) {
 	n := len(s.suspects)
--- a/io/version/swarm/conn.go
+++ b/io/version/swarm/conn.go
@@ -188,6 +188,8 @@
 		n.deliver(c, m)
 	case *lacks:
 		n.lacking(c, m.Chunk)
+	case *later:
+		n.do(func(s *state) { s.add(s.core.Deferred(s.now, m.Chunk, c.name())) })
 	case *askManifest:
 		n.serveManifest(c, m.Manifest)
 	case *part:
--- a/io/version/swarm/fuzz_test.go
+++ b/io/version/swarm/fuzz_test.go
@@ -20,6 +20,7 @@
 		&want{Chunk: d, Offset: 4, Length: 8},
 		&block{Chunk: d, Offset: 4, Data: []byte{1, 2}},
 		&lacks{Chunk: d},
+		&later{Chunk: d},
 		&drop{Chunk: d},
 		&askManifest{Manifest: d},
 		&part{Manifest: d, Offset: 1, Total: 9, Data: []byte{1, 2}},
--- a/io/version/swarm/messages.go
+++ b/io/version/swarm/messages.go
@@ -58,6 +58,12 @@
 	Chunk chunk.Digest `msgpack:"chunk"`
 }
 
+// later answers a want for a chunk that the sender wants too and still lacks;
+// it is sent once the sender has it.
+type later struct {
+	Chunk chunk.Digest `msgpack:"chunk"`
+}
+
 // drop withdraws all wants for a chunk.
 type drop struct {
 	Chunk chunk.Digest `msgpack:"chunk"`
@@ -72,6 +78,7 @@
 func (*want) Kind() frame.Kind  { return "want" }
 func (*block) Kind() frame.Kind { return "block" }
 func (*lacks) Kind() frame.Kind { return "lacks" }
+func (*later) Kind() frame.Kind { return "later" }
 func (*drop) Kind() frame.Kind  { return "drop" }
 
 // Check reports the first field that is out of its domain.
@@ -134,6 +141,9 @@
 // Check reports whether the chunk is named by a digest.
 func (m *lacks) Check() error { return m.Chunk.Check() }
 
+// Check reports whether the chunk is named by a digest.
+func (m *later) Check() error { return m.Chunk.Check() }
+
 // Check reports whether the chunk is named by a digest.
 func (m *drop) Check() error { return m.Chunk.Check() }
 
@@ -149,6 +159,7 @@
 	k.Register(func() frame.Message { return &want{} })
 	k.Register(func() frame.Message { return &block{} })
 	k.Register(func() frame.Message { return &lacks{} })
+	k.Register(func() frame.Message { return &later{} })
 	k.Register(func() frame.Message { return &drop{} })
 	k.Register(func() frame.Message { return &askManifest{} })
 	k.Register(func() frame.Message { return &part{} })
--- a/io/version/swarm/upload.go
+++ b/io/version/swarm/upload.go
@@ -56,6 +56,9 @@
 		u.refuse(c, w.Chunk)
 		return
 	}
+	if !u.node.held(w.Chunk) {
+		c.send(&later{Chunk: w.Chunk})
+	}
 	u.signal()
 }
 
