burst, pace: what waits on the own link is no stall, refusals do not shrink the window

Cause: while the origin refuses connections each draw releases the window with nothing got, so that the rate reads zero and the window falls to one chunk; when the origin is back the draws of a side wait for each other there, are taken for stalled after 0.3 s without ever having been sent, and are begun again. Turns that were lost in an outage counted as missed by whoever ranks first. Ruled out: refusals by the origin (none after its return), loss of connections. Change: a transfer's patience runs from when its source was asked; refusals at once tell nothing of the link; turns begin anew when an upstream that had nothing flows again.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -251,7 +251,8 @@
 	it.began = now
 	it.since = now
 	it.flowing = false
-	it.deadline = now.Add(s.startPatience(f.Via))
+	it.queued = true
+	it.deadline = now.Add(max(s.startPatience(f.Via), queueFactor*s.cfg.MostPause))
 	for _, pl := range it.places {
 		pl.set.pending.Set(pl.index)
 	}
@@ -266,7 +267,7 @@
 		s.trades--
 	}
 	it.via, it.from = "", ""
-	it.later = false
+	it.later, it.queued = false, false
 	for _, pl := range it.places {
 		pl.set.pending.Clear(pl.index)
 	}
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -101,6 +101,9 @@
 	// suspects are sides that missed their turn, with the time until which
 	// they are passed over.
 	suspects map[string]time.Time
+	// troubled are the upstreams, empty for the origin, from which this side
+	// found nothing to be had.
+	troubled map[string]bool
 	// blameEnd is when the last peer that is left alone is asked again.
 	blameEnd time.Time
 	// stale is set when the next settle must look for draws and imports.
@@ -136,6 +139,10 @@
 	index int
 }
 
+// upstream is the region from which the own region gets the chunk, empty for
+// the origin.
+func (p place) upstream() string { return p.set.upstream[p.index] }
+
 // item is one wanted chunk. At most one transfer of it runs at a time.
 type item struct {
 	ref      chunk.Ref
@@ -157,6 +164,8 @@
 	// badTrades counts the neighbours' failures to send the chunk.
 	badTrades int
 	attempts  int // sources tried since the last draw from the origin
+	// queued is set until the source has been asked.
+	queued bool
 	// later is set while the peer asked is known to lack the chunk as yet, and
 	// laters counts the waits in vain in a row.
 	later  bool
@@ -211,6 +220,7 @@
 		peers:    map[string]*peer{},
 		timing:   map[Via]*timing{},
 		suspects: map[string]time.Time{},
+		troubled: map[string]bool{},
 	}
 }
 
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -307,3 +307,32 @@
 	}
 	n.until(n.whole(v.ID))
 }
+
+// A side's own link is choked: a transfer waits there for seconds before its
+// source is asked. The source is not blamed for it, and is asked again.
+func TestQueueOfOwnBlamesNobody(t *testing.T) {
+	n := newNetwork(t, regionsOf(2)...)
+	v := version("1", 0, 1).of(n.members())
+	s, peer := n.sides["side00"], n.sides["side01"]
+	s.state.Update(n.time(), []Set{v})
+	s.state.Connected(n.time(), peer.Member)
+	held := NewBits(1)
+	held.Set(0)
+	s.state.Greeted(n.time(), peer.Name, v.ID, held, nil)
+	d := v.Manifest.Chunks[0].Digest
+	s.state.Disconnected(n.time(), "")
+	s.state.Failed(n.time(), d, "", FailQueued, 0)
+	if _, ok := s.state.Offered(n.time(), peer.Name)[0].(Fetch); !ok {
+		t.Fatal("the offer is not taken")
+	}
+	n.now += s.state.startPatience(ViaTrade) + time.Second
+	s.state.Tick(n.time())
+	if s.state.items[d].from != peer.Name {
+		t.Errorf("the transfer was given up while it waited for this side's own link")
+	}
+	n.now += 2 * queueFactor * DefaultMostPause
+	s.state.Tick(n.time())
+	if got := s.state.peers[peer.Name].strikes; got != 0 {
+		t.Errorf("the source was blamed %d times", got)
+	}
+}
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -18,6 +18,8 @@
 	FailGone    Failure = "gone"
 	// FailLater is the end of a wait for a peer that lacked the chunk itself.
 	FailLater Failure = "lacksAsYet"
+	// FailQueued is the end of a wait for this side's own link.
+	FailQueued Failure = "queuedTooLong"
 )
 
 // Tick is to be called a few times a second: it ends stalled transfers,
@@ -109,7 +111,7 @@
 		}
 		s.trust(name)
 	}
-	s.spread(st, append(have, seen...), name)
+	s.spread(now, st, append(have, seen...), name)
 	return s.settle(now)
 }
 
@@ -143,13 +145,14 @@
 // spread passes on to the neighbours which chunks the region holds, each
 // once. By it all sides of a region take turns on the region link without a
 // shared record of whose turn it is.
-func (s *State) spread(st *set, indexes []int, from string) {
+func (s *State) spread(now time.Time, st *set, indexes []int, from string) {
 	var news []int
 	for _, i := range indexes {
 		if i < 0 || i >= len(st.items) || st.seen.Has(i) {
 			continue
 		}
 		st.seen.Set(i)
+		s.flows(now, st.upstream[i])
 		news = append(news, i)
 	}
 	if len(news) == 0 {
@@ -185,6 +188,7 @@
 	for _, pl := range it.places {
 		pl.set.have.Set(pl.index)
 		pl.set.seen.Set(pl.index)
+		s.flows(now, pl.upstream())
 		s.announceHeld(pl)
 	}
 	s.stale = true
@@ -203,6 +207,18 @@
 	}
 }
 
+// Requested tells that the source has been asked: until then a transfer waits
+// for its turn on this machine's link, which is no fault of the source's.
+func (s *State) Requested(now time.Time, d chunk.Digest) {
+	it, ok := s.items[d]
+	if !ok || !it.queued {
+		return
+	}
+	it.queued = false
+	it.began = now
+	it.deadline = now.Add(s.startPatience(it.via))
+}
+
 // Progressed tells that some bytes of a transfer came in. Once they flow, a
 // pause as long as a whole transfer means that it has stalled. A transfer from
 // a peer may not trickle for ever either.
@@ -211,6 +227,7 @@
 	if !ok || !it.pending() {
 		return
 	}
+	it.queued = false
 	if !it.flowing {
 		// The time that the peer needed to get the chunk itself says
 		// nothing of how long a transfer takes.
@@ -241,7 +258,7 @@
 		return nil
 	}
 	if s.steppedIn(it) {
-		s.excuse(now)
+		s.trouble(now, it.places[0].upstream())
 	}
 	if s.steppedIn(it) {
 		s.emit(Stop{Chunk: d, Peer: from, Reason: string(FailLater)})
@@ -265,7 +282,7 @@
 	}
 	it.early = true
 	for _, pl := range it.places {
-		s.spread(pl.set, []int{pl.index}, "")
+		s.spread(now, pl.set, []int{pl.index}, "")
 	}
 	return s.settle(now)
 }
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -202,6 +202,7 @@
 		n.tell(s, a.Peer, func(p *State) []Action { return p.Served(n.time(), s.Name) })
 	case Fetch:
 		s.transfer[a.Chunk.Digest]++
+		s.state.Requested(n.time(), a.Chunk.Digest)
 		id := s.transfer[a.Chunk.Digest]
 		n.after(transferTime/2, func() {
 			if s.transfer[a.Chunk.Digest] == id && !s.dead && !n.stall(a.Peer, s.Name) {
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -25,6 +25,9 @@
 	// before the region of that peer is taken to be cut off from the origin.
 	laterFactor = 4
 	laterTries  = 3
+	// queueFactor bounds, in longest pauses, how long a transfer waits on this
+	// side for its turn on the machine's link.
+	queueFactor = 4
 	// silentStrikes is how many stalls in a row a connection may have before
 	// it is closed.
 	silentStrikes = 2
@@ -93,13 +96,18 @@
 }
 
 // stepIn is how long the side at a rank waits for those before it, counted
-// from when the chunk's turn came.
+// from when the chunk's turn came. While nothing is to be had from the upstream
+// each of those may be in the longest pause between two tries.
 func (s *State) stepIn(up string, pos int) time.Duration {
 	via := ViaImport
 	if up == "" {
 		via = ViaOrigin
 	}
-	return time.Duration(pos) * s.startPatience(via)
+	each := s.startPatience(via)
+	if s.troubled[up] {
+		each += s.cfg.MostPause
+	}
+	return time.Duration(pos) * each
 }
 
 // expire ends transfers past their deadline and takes back upload slots from
@@ -109,10 +117,7 @@
 		if now.Before(it.deadline) {
 			continue
 		}
-		why := FailStalled
-		if it.later {
-			why = FailLater
-		}
+		why := it.lateness()
 		s.emit(Stop{Chunk: it.ref.Digest, Peer: it.from, Reason: string(why)})
 		s.failed(now, it, why, 0)
 	}
@@ -126,6 +131,18 @@
 	}
 }
 
+// lateness says why a transfer that is past its deadline is.
+func (it *item) lateness() Failure {
+	switch {
+	case it.queued:
+		return FailQueued
+	case it.later:
+		return FailLater
+	default:
+		return FailStalled
+	}
+}
+
 // pendingItems lists the chunks on the way, in a fixed order.
 func (s *State) pendingItems() []*item {
 	var out []*item
@@ -147,15 +164,15 @@
 	switch {
 	case why == FailLater:
 		it.laters++
+	case why == FailQueued:
 	case it.via != ViaTrade:
 		it.attempts++
 		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, s.cfg.MostPause)))
 		it.fails++
 	}
-	if it.via == ViaOrigin {
+	if it.via == ViaOrigin && why != FailQueued {
 		it.attempts, it.laters = 0, 0
-		it.dueAt = now
-		s.excuse(now)
+		s.trouble(now, "")
 	}
 	if why == FailLacks {
 		s.disbelieve(it)
@@ -169,7 +186,7 @@
 // pick would often fall on the same peer and the chunk would never come.
 func (s *State) blame(now time.Time, name string, why Failure) {
 	p, ok := s.peers[name]
-	if !ok || why == FailGone || why == FailLater {
+	if !ok || why == FailGone || why == FailLater || why == FailQueued {
 		return
 	}
 	p.strikes++
--- a/core/version/burst/suspect.go
+++ b/core/version/burst/suspect.go
@@ -34,15 +34,32 @@
 	s.rerank()
 }
 
-// excuse ends all suspicions and has the turns of overdue chunks begin anew. It
-// is called when this side finds for itself that a chunk cannot be had yet.
-// Otherwise an outage of the origin would make every side overdue for every
-// chunk, and all would draw all of them at once when it ends: from an origin that
-// carries four copies the version then takes as many times longer.
-func (s *State) excuse(now time.Time) {
+// trouble notes that this side has found for itself that nothing is to be had
+// from an upstream: the sides that rank before it are not at fault. Otherwise an
+// outage of the origin would make every side overdue for every chunk, and all
+// would draw all of them at once when it ends: from an origin that carries four
+// copies the version then takes as many times longer.
+func (s *State) trouble(now time.Time, up string) {
+	s.troubled[up] = true
+	s.turnAnew(now, up)
+}
+
+// flows notes that a chunk has come from an upstream. After trouble the turns
+// begin anew: time that was lost in it does not count.
+func (s *State) flows(now time.Time, up string) {
+	if !s.troubled[up] {
+		return
+	}
+	delete(s.troubled, up)
+	s.turnAnew(now, up)
+}
+
+// turnAnew ends all suspicions and has the turns of the chunks that are due from
+// an upstream begin now.
+func (s *State) turnAnew(now time.Time, up string) {
 	for _, st := range s.sets {
-		for _, it := range st.items {
-			if !it.held && !it.pending() && !it.dueAt.IsZero() {
+		for i, it := range st.items {
+			if st.upstream[i] == up && !it.held && !it.dueAt.IsZero() {
 				it.dueAt = now
 			}
 		}
--- a/io/version/pace/window.go
+++ b/io/version/pace/window.go
@@ -76,6 +76,11 @@
 	w.turn()
 	w.out -= n
 	w.buckets[w.last%rateBuckets] += got
+	if w.out == 0 && w.buckets == [rateBuckets]int64{} {
+		// Every question was refused at once, as by an origin that is away.
+		// That tells nothing of the link.
+		w.begun = false
+	}
 	for _, c := range w.waiters {
 		close(c)
 	}
--- a/io/version/pace/window_test.go
+++ b/io/version/pace/window_test.go
@@ -56,3 +56,21 @@
 		t.Errorf("%d bytes are on their way once the link carries ten times as much, want about %d", got, windowMost)
 	}
 }
+
+// The origin is away and refuses each draw at once, for seconds. That tells
+// nothing of the link: when the origin is back the whole window is there, and the
+// version does not lose time on draws that wait for each other.
+func TestRefusalsTellNothingOfTheLink(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w := &Window{Clock: clock, Most: windowMost}
+	for range 40 {
+		clock.Advance(100 * time.Millisecond)
+		if err := w.Acquire(t.Context(), windowPart); err != nil {
+			t.Fatal(err)
+		}
+		w.Release(windowPart, 0)
+	}
+	if got := fill(t, w); got != windowMost/windowPart*windowPart {
+		t.Errorf("%d bytes may be asked for, want the whole window", got)
+	}
+}
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -86,6 +86,7 @@
 	}
 	var got int64
 	defer func() { n.Inflow.Release(size, got) }()
+	n.requested(in)
 	return n.source.Chunk(ctx, in.fetch.Chunk, func(k int) {
 		got += int64(k)
 		n.counters.origin.Inc(int64(k))
@@ -115,6 +116,9 @@
 			if err := flow.ask(ctx, k); err != nil {
 				return nil, err
 			}
+			if asked == 0 {
+				n.requested(in)
+			}
 			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
 			asked += k
 			if asked == size {
@@ -203,6 +207,14 @@
 	return min(max(int64(rate*most.Seconds()), leastBlock), n.BlockSize)
 }
 
+func (n *Node) requested(in *incoming) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d := in.fetch.Chunk.Digest; n.state.incoming[d] == in {
+		n.state.core.Requested(n.Clock.Now(), d)
+	}
+}
+
 func (n *Node) advance(in *incoming) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
