feed: turn to the store after one silent teller while nothing is believed

Cause: after all machines lose power the entries, which tell the sides, start 0.35 s after them and do not answer at all before. A side waited 0.6 s for each; weights began to come 0.4 to 0.7 s late, and callers found no engine: 245 refusals with noTarget. Ruled out: the store (answers in 4 ms), the engines' loads (0.3 s). Change: a teller has 150 ms to answer; at the start one is tried before the store. Test: TestStartDoesNotWaitForDarkTellers, 1.8 s before, 0.15 s after.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -210,6 +210,9 @@
 	}
 	tellers := f.Tellers()
 	rand.Shuffle(len(tellers), func(i, j int) { tellers[i], tellers[j] = tellers[j], tellers[i] })
+	if _, known := f.Age(); !known {
+		tellers = tellers[:min(firstTellers, len(tellers))]
+	}
 	for _, p := range tellers {
 		err := f.followPeer(ctx, p)
 		if ctx.Err() != nil {
--- a/io/process/feed/peers.go
+++ b/io/process/feed/peers.go
@@ -26,6 +26,14 @@
 	// and mostTellWait bounds what it may ask for.
 	tellWait     = 2 * time.Second
 	mostTellWait = 10 * time.Second
+	// followTimeout bounds the wait for a peer that is to tell: a machine that
+	// has no power does not answer, and one that lives does within a few
+	// milliseconds, or a hundred while it starts.
+	followTimeout = 150 * time.Millisecond
+	// firstTellers is how many peers are tried before the store while nothing is
+	// believed. After all machines have lost power the entries start last, and
+	// the weights of the engines would wait for them.
+	firstTellers = 1
 	// oldTeller is the age of a peer's belief from which a process turns to
 	// the store: twice what a peer in touch with the store shows.
 	oldTeller = 2*tellWait + 2500*time.Millisecond
@@ -272,7 +280,7 @@
 // followPeer is told of changes by one peer for as long as that one's belief
 // is young.
 func (f *Feed) followPeer(ctx context.Context, p Peer) error {
-	dialCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
 	if err != nil {
