--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"time"
+
 	"hawthornferry/core/process/trail"
 )
 
@@ -47,9 +49,9 @@
 		return
 	}
 	now := f.Clock.Now()
-	if fact.Target != nil && !f.backSince.IsZero() && now.Sub(f.backSince) < returnGrace {
+	if end := f.graceEnd(now); fact.Target != nil && now.Before(end) {
 		if _, waiting := f.lapsing[it.Key]; !waiting {
-			f.lapsing[it.Key] = now.Add(min(returnGrace, f.Drain))
+			f.lapsing[it.Key] = end
 		}
 		return
 	}
@@ -57,6 +59,24 @@
 	f.noteTarget("lost", fact, it.Revision)
 }
 
+// graceEnd is until when a target that is missing now may be used. It counts from
+// the store's return: one that is removed later than targets need to register anew
+// has left. Counted from the removal, a process that was itself cut off used a
+// target for longer than the bound on leaving ones allows.
+func (f *Feed) graceEnd(now time.Time) time.Time {
+	if f.backSince.IsZero() {
+		return now
+	}
+	return earlier(f.backSince.Add(returnGrace), now.Add(f.Drain-lapseEvery))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // read decodes an item. What cannot be read leaves the last good one in
 // force, but for a target: an entry that names none is not to be used.
 func (f *Feed) read(it Item) {
--- a/io/process/feed/feed_test.go
+++ b/io/process/feed/feed_test.go
@@ -245,6 +245,31 @@
 	}
 }
 
+// A process that was cut off alone is back, and 1.2 s later a target leaves. Its
+// removal is no lapse of the kind that follows an outage for longer than targets
+// need to register anew: requests that reach it two seconds later are cut off.
+func TestRemovalSomeTimeAfterTheReturn(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	f := newFeed(s)
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	s.fail(errors.New("cut off"))
+	time.Sleep(f.Wait + outage + 300*time.Millisecond)
+	s.fail(nil)
+	back := time.Now()
+	eventually(t, "the store is in touch", func() bool { age, _ := f.Age(); return age < outage/2 })
+	time.Sleep(1200 * time.Millisecond)
+	s.set("target/a", "", true)
+	eventually(t, "a is gone", func() bool { return ids(f) == "b" })
+	// The store is asked again up to the longest pause after it is back.
+	if took, most := time.Since(back), mostRetry+returnGrace+2*lapseEvery; took > most {
+		t.Errorf("a was used for %s after the return, want %s at most", took, most)
+	}
+}
+
 // What cannot be read leaves the last good configuration in force and names no
 // target; the store that forgot its history is listed anew.
 func TestBadItemsAndLostHistory(t *testing.T) {
