hosted: do not fetch the older of two versions that are heard of at once

Ruled out: the origin (1.0 to 1.2 copies), the store (the names were told within 0.6 s). Change: the older version is fetched only when it was known a second or more before. Test: TestWantedVersions.

--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"time"
 
 	"hawthornferry/core/process/envdoc"
 	"hawthornferry/core/process/facts"
@@ -21,6 +22,14 @@
 // one before it, which the origin still has.
 const mostWanted = 2
 
+// leastLead is how much sooner than the newest version the one before it must
+// have been named to be fetched as well. Both share the links; named at nearly the
+// same time, or heard of together after an outage of the store, the older one is of
+// no use and doubles the time until the newest is whole. Bringing and loading a
+// version takes about seven of the eight seconds that it has, so that the newest
+// alone is in time for the older one's bound when it follows within a second.
+const leastLead = time.Second
+
 // loadingPart is the part of a zone's replicas that may load at once. With
 // half, a version takes two rounds of about two seconds after its weights
 // have come, which the bound on versions leaves; with a third it takes three.
@@ -74,9 +83,11 @@
 	if len(named) == 0 {
 		return s.Engine.Model, []uint64{firstVersion}, true
 	}
-	var out []uint64
-	for _, v := range named[:min(len(named), mostWanted)] {
-		out = append(out, v.Version)
+	out := []uint64{named[0].Version}
+	for _, v := range named[1:min(len(named), mostWanted)] {
+		if named[0].Since.Sub(v.Since) >= leastLead {
+			out = append(out, v.Version)
+		}
 	}
 	return s.Engine.Model, out, true
 }
--- /dev/null
+++ b/io/process/hosted/rollout_test.go
@@ -0,0 +1,43 @@
+package hosted
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/table"
+)
+
+// Two versions are named while the store is away, and a side hears of both at
+// once. Fetching both halves the rate at which the newest comes, and callers wait
+// for it, since neither may be begun late. The older one is fetched only when it
+// was known for some time before.
+func TestWantedVersions(t *testing.T) {
+	start := time.Unix(1000, 0)
+	named := func(version uint64, after time.Duration) facts.Named {
+		return facts.Named{Model: "m", Version: version, Since: start.Add(after)}
+	}
+	tests := []struct {
+		name  string
+		named []facts.Named
+		want  []uint64
+	}{
+		{"none named", nil, []uint64{firstVersion}},
+		{"one named", []facts.Named{named(2, 0)}, []uint64{2}},
+		{"two at once", []facts.Named{named(2, 0), named(3, 100*time.Millisecond)}, []uint64{3}},
+		{"two in turn", []facts.Named{named(2, 0), named(3, 2*time.Second)}, []uint64{3, 2}},
+		{"three in turn", []facts.Named{named(2, 0), named(3, 2*time.Second), named(4, 4*time.Second)}, []uint64{4, 3}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			tab := &table.Table{Services: []table.Service{{Name: "svc", Engine: &table.Engine{Model: "m"}}}}
+			tab.Index()
+			_, got, _ := wantedOf(&facts.Facts{Table: tab, Versions: tc.named}, "svc")
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("wanted versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
