--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -78,6 +78,10 @@
 	// store answers in milliseconds, and within half a second when it is a
 	// hundred times slower.
 	callTimeout = time.Second
+	// listTimeout is the same for one page of a list. A page of a few hundred
+	// items takes half a second on a region link that others use as well; given up
+	// sooner and asked for again by all, pages would fill the link for good.
+	listTimeout = 4 * time.Second
 	// leastPause parts two calls after one that brought changes. Changes come
 	// in bursts of ten and more a second; each watch would return with one.
 	leastPause = 100 * time.Millisecond
@@ -210,9 +214,6 @@
 	}
 	tellers := f.Tellers()
 	rand.Shuffle(len(tellers), func(i, j int) { tellers[i], tellers[j] = tellers[j], tellers[i] })
-	if _, known := f.Age(); !known {
-		tellers = tellers[:min(firstTellers, len(tellers))]
-	}
 	for _, p := range tellers {
 		err := f.followPeer(ctx, p)
 		if ctx.Err() != nil {
@@ -297,7 +298,7 @@
 }
 
 func (f *Feed) page(ctx context.Context, after string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return f.Store.List(ctx, after)
 }
--- a/io/process/feed/peers.go
+++ b/io/process/feed/peers.go
@@ -17,8 +17,11 @@
 const (
 	// askEvery is how often peers are asked while the store does not answer.
 	askEvery = 300 * time.Millisecond
-	// askTimeout bounds one question; peers are milliseconds apart.
-	askTimeout = 600 * time.Millisecond
+	// askTimeout bounds the wait for a connection and for a question to leave;
+	// peers are milliseconds apart. wholeTimeout bounds an answer that brings all
+	// there is, over a link that others use as well.
+	askTimeout   = 600 * time.Millisecond
+	wholeTimeout = 3 * time.Second
 	// askedAtOnce is how many peers are asked each time: one of them may be
 	// cut off itself.
 	askedAtOnce = 2
@@ -30,10 +33,6 @@
 	// has no power does not answer, and one that lives does within a few
 	// milliseconds, or a hundred while it starts.
 	followTimeout = 150 * time.Millisecond
-	// firstTellers is how many peers are tried before the store while nothing is
-	// believed. After all machines have lost power the entries start last, and
-	// the weights of the engines would wait for them.
-	firstTellers = 1
 	// oldTeller is the age of a peer's belief from which a process turns to
 	// the store: twice what a peer in touch with the store shows.
 	oldTeller = 2*tellWait + 2500*time.Millisecond
@@ -65,15 +64,17 @@
 	return nil
 }
 
-// tell is one part of an answer. The ages of processes travel as durations,
+// tell is one part of an answer. Its items travel packed. The ages of processes travel as durations,
 // since their clocks differ. Keys lists every key there is, so that the asker
 // finds out what was removed; Last marks the last part.
 type tell struct {
 	Known bool          `msgpack:"known"`
 	At    uint64        `msgpack:"at"`
 	Age   time.Duration `msgpack:"age"`
-	Items []Item        `msgpack:"items"`
-	Keys  []string      `msgpack:"keys"`
+	Items []Item        `msgpack:"-"`
+	// Packed is what packItems makes of Items.
+	Packed []byte   `msgpack:"packed"`
+	Keys   []string `msgpack:"keys"`
 	// Ages are how long ago the versions of the keys were named, as far as
 	// the sender heard of it as it happened.
 	Ages map[string]time.Duration `msgpack:"ages"`
@@ -123,19 +124,27 @@
 			return
 		}
 		f.awaitNews(ctx, q)
-		if err := c.SetWriteDeadline(time.Now().Add(askTimeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(wholeTimeout)); err != nil {
 			return
 		}
 		for _, t := range f.answerTo(q) {
 			// An answer that does not arrive is as good as none: the peer
 			// asks another one.
-			if c.Send(t) != nil {
+			if f.send(c, t) != nil {
 				return
 			}
 		}
 	}
 }
 
+func (f *Feed) send(c *link.Conn, t *tell) error {
+	var err error
+	if t.Packed, err = packItems(t.Items); err != nil {
+		return err
+	}
+	return c.Send(t)
+}
+
 // awaitNews returns once there is more than the asker holds, or its wait is
 // over.
 func (f *Feed) awaitNews(ctx context.Context, q *ask) {
@@ -232,18 +241,30 @@
 }
 
 func (f *Feed) askOne(ctx context.Context, p Peer) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	c, err := link.Dial(ctx, f.Self, p.Address, link.PurposeConfig, kinds())
+	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
+	if err := c.SetReadDeadline(time.Now().Add(f.answerTime())); err != nil {
+		return err
+	}
 	return f.exchange(c, 0)
 }
 
+// answerTime is how long a peer's answer may take to come: long only for a
+// process that believes nothing yet and gets all there is.
+func (f *Feed) answerTime() time.Duration {
+	if _, known := f.Age(); known {
+		return askTimeout
+	}
+	return wholeTimeout
+}
+
 // exchange puts one question and takes the answer in.
 func (f *Feed) exchange(c *link.Conn, wait time.Duration) error {
 	asked := f.Awake()
@@ -263,6 +284,9 @@
 		if !ok {
 			return errors.Newf("answer is %s", m.Kind())
 		}
+		if t.Items, err = unpackItems(t.Packed); err != nil {
+			return err
+		}
 		if t.Ages == nil {
 			t.Ages = whole.Ages
 		}
@@ -290,7 +314,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	for ctx.Err() == nil {
-		if err := c.SetReadDeadline(time.Now().Add(tellWait + askTimeout)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(tellWait + f.answerTime())); err != nil {
 			return err
 		}
 		if err := f.exchange(c, tellWait); err != nil {
