--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -119,6 +119,10 @@
 	// read only while none of them can tell. A few read for all others, since
 	// the store's rate does not grow with the fleet.
 	Tellers func() []Peer
+	// TellWait is how long this process waits for a change at its teller: the
+	// belief is confirmed that often, and a teller that has fallen silent shows
+	// after little more.
+	TellWait time.Duration
 
 	mu      sync.Mutex
 	items   map[string]Item
@@ -136,6 +140,8 @@
 	current   atomic.Pointer[facts.Facts]
 	changed   chan struct{}
 	prepared  sync.Once
+	// tellersAgain is when the tellers are tried again after none told.
+	tellersAgain time.Time
 	// storeUp and told are what was last written down.
 	storeUp bool
 	told    bool
@@ -209,7 +215,7 @@
 
 // beTold follows one of the tellers until it fails.
 func (f *Feed) beTold(ctx context.Context) {
-	if f.Tellers == nil {
+	if f.Tellers == nil || f.Clock.Now().Before(f.tellersAgain) {
 		return
 	}
 	tellers := f.Tellers()
@@ -224,6 +230,9 @@
 			Revision: f.Self.Revision.Load(),
 		})
 	}
+	if _, known := f.Age(); known {
+		f.tellersAgain = f.Clock.Now().Add(tellersRest)
+	}
 }
 
 func retryPause(fails int) time.Duration {
--- a/io/process/feed/feed_test.go
+++ b/io/process/feed/feed_test.go
@@ -359,6 +359,7 @@
 	own.set("config", "1", false)
 	f := newFeed(own)
 	f.Tellers = func() []Peer { return []Peer{peer} }
+	f.TellWait = 2 * time.Second
 	runFeed(t, f)
 	for i := range 5 {
 		s.set("target/"+strconv.Itoa(i), "", false)
--- a/io/process/feed/peers.go
+++ b/io/process/feed/peers.go
@@ -25,17 +25,20 @@
 	// askedAtOnce is how many peers are asked each time: one of them may be
 	// cut off itself.
 	askedAtOnce = 2
-	// tellWait is how long a process that is told of changes waits for one,
-	// and mostTellWait bounds what it may ask for.
-	tellWait     = 2 * time.Second
+	// mostTellWait bounds how long a process that is told of changes may wait
+	// for one.
 	mostTellWait = 10 * time.Second
+	// tellersRest is how long a process keeps to the store after none of its
+	// tellers told: the settings may name machines that are gone, and each try
+	// holds up its watch.
+	tellersRest = 2 * time.Second
 	// followTimeout bounds the wait for a peer that is to tell: a machine that
 	// has no power does not answer, and one that lives does within a few
 	// milliseconds, or a hundred while it starts.
 	followTimeout = 150 * time.Millisecond
-	// oldTeller is the age of a peer's belief from which a process turns to
-	// the store: twice what a peer in touch with the store shows.
-	oldTeller = 2*tellWait + 2500*time.Millisecond
+	// tellerLag is how old the belief of a peer in touch with the store may be,
+	// a lost watch included.
+	tellerLag = 2500 * time.Millisecond
 	// tellBytes is how much of the items one message carries, well under the
 	// bound of a frame.
 	tellBytes = 256 << 10
@@ -204,7 +207,7 @@
 		case <-f.Clock.After(askEvery):
 		}
 		age, known := f.Age()
-		if known && age <= f.Wait+askEvery {
+		if known && age <= f.Wait+f.TellWait+askEvery {
 			continue
 		}
 		f.askSome(ctx)
@@ -314,13 +317,13 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	for ctx.Err() == nil {
-		if err := c.SetReadDeadline(time.Now().Add(tellWait + f.answerTime())); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(f.TellWait + f.answerTime())); err != nil {
 			return err
 		}
-		if err := f.exchange(c, tellWait); err != nil {
+		if err := f.exchange(c, f.TellWait); err != nil {
 			return err
 		}
-		if age, known := f.Age(); !known || age > oldTeller {
+		if age, known := f.Age(); !known || age > 2*f.TellWait+tellerLag {
 			return errOldTeller
 		}
 	}
--- a/io/process/feed/start_test.go
+++ b/io/process/feed/start_test.go
@@ -1,10 +1,13 @@
 package feed
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
+
+	"hawthornferry/io/conn/link"
 )
 
 // silentPeer accepts connections and never says anything, as a machine without
@@ -34,3 +37,47 @@
 		t.Errorf("the first belief came after %s, want %s at most", took, most)
 	}
 }
+
+// The entry that tells this one freezes, on a connection that stays open. A
+// configuration is changed just then. It must be in force here within two seconds,
+// so the silence has to show well before, and the store is read in the teller's
+// place.
+func TestFrozenTellerIsLeft(t *testing.T) {
+	s := newFakeStore()
+	s.set("target/a", "", false)
+	frozen := func(ctx context.Context, c *link.Conn) {
+		if _, err := c.Receive(); err != nil {
+			return
+		}
+		if err := c.Send(&tell{Known: true, At: 1, Last: true}); err != nil {
+			return
+		}
+		<-ctx.Done()
+	}
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: newSelf("teller"), Net: nl, Handlers: map[link.Purpose]link.Handler{
+		link.PurposeConfig: {Kinds: kinds(), Serve: frozen},
+	}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	f := newFeed(s)
+	f.TellWait = 500 * time.Millisecond
+	f.Tellers = func() []Peer { return []Peer{{Address: netip.MustParseAddrPort(nl.Addr().String())}} }
+	runFeed(t, f)
+	took := eventually(t, "the store is read", func() bool { return ids(f) == "a" })
+	if most := f.TellWait + askTimeout + 500*time.Millisecond; took > most {
+		t.Errorf("the change came after %s, want %s at most", took, most)
+	}
+	s.set("target/b", "", false)
+	if took := eventually(t, "a change is heard", func() bool { return ids(f) == "a b" }); took > followTimeout+f.Wait+500*time.Millisecond {
+		t.Errorf("a change came after %s though the teller had fallen silent", took)
+	}
+}
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,9 +52,13 @@
 	memoryShare = 0.8
 	// entryWait and sideWait are how long one watch of the store waits. An
 	// entry must vouch for keys and confirms its belief that often; a side
-	// only has to hear of changes.
+	// only has to hear of changes. entryTold and sideTold are the same for one
+	// that is told by a peer: a teller that froze costs an entry little more than
+	// half a second, of the two within which a configuration is to be in force.
 	entryWait = 800 * time.Millisecond
 	sideWait  = 4 * time.Second
+	entryTold = 500 * time.Millisecond
+	sideTold  = 2 * time.Second
 )
 
 // part is one component of a process.
@@ -110,7 +115,13 @@
 	}
 	if s.VM.Role == fleet.RoleSide {
 		f.feed.Wait = sideWait
+	}
+	if !f.reads() {
 		f.feed.Tellers = f.seeds
+		f.feed.TellWait = entryTold
+		if s.VM.Role == fleet.RoleSide {
+			f.feed.TellWait = sideTold
+		}
 	}
 	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
 	return f, nil
@@ -129,6 +140,13 @@
 
 var processStart = time.Now()
 
+// reads reports whether this process watches the store for others: the entries
+// that the settings name to all do. The store's rate does not grow with the number
+// of processes, and each call costs.
+func (f *frame) reads() bool {
+	return len(f.settings.Seeds) == 0 || slices.Contains(f.settings.Seeds, f.settings.Control)
+}
+
 // peers are the processes that may know what the store says: the seeds, and
 // the sides of all engines.
 func (f *frame) peers() []feed.Peer {
