trace: a budget of lines a second by kind; a failed request keeps its whole story

Cause: volume was bounded by the queue alone, which drops what comes last; above its bound a request that failed lost its lines like any other. Change: 120 lines of an action a second, routine ones apart; above it the lines of a request are held until it ends, left out when it went well and written when it did not.

--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -43,6 +43,9 @@
 	// logLines is how many lines wait for an output that is slow; a burst of
 	// a second writes about two hundred.
 	logLines = 2048
+	// logBudget is how many lines of one kind are written in a second: twice the
+	// requests that an entry has at the load of a busy day, sixty a second.
+	logBudget = 120
 	// collectAt makes the collector run when the heap has grown by this many
 	// percent. Memory is priced by its peak and the live heap is a few
 	// megabytes, so that collecting often costs little.
@@ -107,7 +110,7 @@
 		return nil, err
 	}
 	f.logger = logger
-	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine}
+	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine, Budget: &trace.Budget{PerSecond: logBudget}}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
 		Store: p.Store, Reader: p.Reader, Awake: awake, Wait: entryWait,
--- /dev/null
+++ b/io/process/trace/budget_test.go
@@ -0,0 +1,70 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+)
+
+// A burst brings forty times as many requests as the log has lines for, and one
+// in a hundred fails. Each that failed keeps its whole story, the lines of those
+// that went well stay within the budget, and the log says how many are missing.
+func TestBudgetKeepsTheStoryOfFailures(t *testing.T) {
+	const perSecond, requests = 50, 2000
+	clock := clockwork.NewFakeClock()
+	var out bytes.Buffer
+	logger, err := NewLogger(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Log{
+		Process: "e1", Clock: clock, Logger: logger, Budget: &Budget{PerSecond: perSecond},
+		Routine: func(d trail.Decision) bool { return d.Action == "placed" || d.Outcome == "relayed" },
+	}
+	for i := range requests {
+		id := strconv.Itoa(i)
+		l.Decide(trail.Decision{Action: "placed", Request: id})
+		outcome := "relayed"
+		if i%100 == 99 {
+			l.Decide(trail.Decision{Action: "attempt", Request: id, Outcome: "broken"})
+			outcome = "ownAnswer"
+		}
+		l.Decide(trail.Decision{Action: "answer", Request: id, Outcome: outcome})
+	}
+	clock.Advance(time.Second)
+	l.Decide(trail.Decision{Action: "placed", Request: "next"})
+
+	stories := map[string][]string{}
+	lines, missing := 0, 0
+	for _, b := range bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")) {
+		var d struct {
+			trail.Decision
+			Lines int `json:"lines"`
+		}
+		if err := json.Unmarshal(b, &d); err != nil {
+			t.Fatal(err)
+		}
+		lines++
+		missing += d.Lines
+		stories[d.Request] = append(stories[d.Request], d.Action)
+	}
+	for i := 99; i < requests; i += 100 {
+		if diff := cmp.Diff([]string{"placed", "attempt", "answer"}, stories[strconv.Itoa(i)]); diff != "" {
+			t.Errorf("story of request %d (-want +got):\n%s", i, diff)
+		}
+	}
+	const failed, told = requests / 100, 3
+	if most := 2*perSecond + told*failed + told; lines > most {
+		t.Errorf("%d lines, want %d at most", lines, most)
+	}
+	if diff := cmp.Diff(2*requests+failed+1, lines-len(stories[""])+missing); diff != "" {
+		t.Errorf("lines written and missing (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/trace/log.go
+++ b/io/process/trace/log.go
@@ -22,6 +22,8 @@
 	// Routine tells the decisions that are left out first when the output is
 	// slow; nil for none.
 	Routine func(d trail.Decision) bool
+	// Budget bounds the lines of a second; nil for no bound.
+	Budget *Budget
 }
 
 var _ trail.Log = (*Log)(nil)
@@ -53,7 +55,20 @@
 }
 
 func (l *Log) write(d trail.Decision, b []byte) error {
-	if w, ok := l.Logger.Out.(routineWriter); ok && l.Routine != nil && l.Routine(d) {
+	routine := l.Routine != nil && l.Routine(d)
+	if l.Budget == nil {
+		return l.put(routine, b)
+	}
+	for _, line := range l.Budget.pass(d, routine, b) {
+		if err := l.put(routine, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) put(routine bool, b []byte) error {
+	if w, ok := l.Logger.Out.(routineWriter); ok && routine {
 		_, err := w.WriteRoutine(b)
 		return err
 	}
