--- /dev/null
+++ b/core/request/place/refuse.go
@@ -0,0 +1,91 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// late reports whether a first answer after expected comes too late.
+func (s *service) late(now time.Time, w *Work, expected time.Duration) bool {
+	if w.Objective <= 0 {
+		return false
+	}
+	return now.Add(expected).Sub(w.Asked) > s.allowed(w)
+}
+
+// allowed is the time that a first answer may take. Work that no engine could
+// answer on time, such as the longest prompts at slow engines, is served as soon
+// as one can: refused at once, the largest requests would never be served.
+func (s *service) allowed(w *Work) time.Duration {
+	usual := time.Duration(onTime * float64(w.Objective))
+	if s.engine == nil {
+		return usual
+	}
+	if least := s.leastTime(w); least > usual {
+		return least + time.Duration(overTime*float64(w.Objective))
+	}
+	return usual
+}
+
+// returned reports whether the objective has passed already: the caller was
+// refused before and has come back.
+func (w *Work) returned(now time.Time) bool {
+	return w.Objective > 0 && now.Sub(w.Asked) > w.Objective
+}
+
+// hopeless refuses a request that waiting does not help.
+func (p *Placer) hopeless(now time.Time, s *service, q *wait) (Verdict, bool) {
+	w := &q.work
+	reason, ok := p.hope(now, s, q)
+	if ok {
+		return Verdict{}, false
+	}
+	s.fair.note(s.large(w), false)
+	return Verdict{
+		ID: w.ID, Decision: Refused, Reason: reason,
+		RetryAfter: retryAfter, Waited: now.Sub(q.since),
+	}, true
+}
+
+// hope reports whether the request may still be served by waiting, and why
+// not.
+func (p *Placer) hope(now time.Time, s *service, q *wait) (Reason, bool) {
+	w := &q.work
+	if w.Begun {
+		// What its caller has would be lost; it waits for as long as it may.
+		return ReasonFull, now.Before(w.Deadline)
+	}
+	if !anyUsable(now, s, w) {
+		return ReasonNoTarget, false
+	}
+	if s.engine == nil {
+		return ReasonFull, now.Sub(q.since) < w.Objective/2
+	}
+	if w.returned(now) {
+		return ReasonFull, false
+	}
+	least := s.leastTime(w)
+	if s.late(now, w, least) {
+		return ReasonLate, false
+	}
+	return "", true
+}
+
+// leastTime is the time to the first answer at an engine with a single place
+// left.
+func (s *service) leastTime(w *Work) time.Duration {
+	read := time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second))
+	pass := passTime(s.engine, s.engine.Slots)
+	return hop + pass + pass/2 + read
+}
+
+// anyUsable reports whether some target may run the work now or once it has
+// room.
+func anyUsable(now time.Time, s *service, w *Work) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		if t.Leaving || slices.Contains(w.Avoid, t.ID) {
+			return false
+		}
+		return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+	})
+}
--- /dev/null
+++ b/io/process/feed/ask.go
@@ -0,0 +1,183 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/link"
+)
+
+// askPeers asks peers while the belief is older than the store would leave it.
+func (f *Feed) askPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(askEvery):
+		}
+		age, known := f.Age()
+		if known && age <= f.Wait+f.TellWait+askEvery {
+			continue
+		}
+		f.askSome(ctx)
+	}
+}
+
+// agesWait is how long after its first belief a process asks peers when the
+// versions in it were named: those that started with it know no more.
+const agesWait = 100 * time.Millisecond
+
+// askAges asks peers once, after the start.
+func (f *Feed) askAges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(agesWait):
+		}
+		if _, known := f.Age(); known {
+			f.askSome(ctx)
+			return
+		}
+	}
+}
+
+func (f *Feed) askSome(ctx context.Context) {
+	peers := f.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(askedAtOnce, len(peers))] {
+		if err := f.askOne(ctx, p); err != nil {
+			f.Metrics.Counter("peer_asks_failed").Inc(1)
+		}
+	}
+}
+
+func (f *Feed) askOne(ctx context.Context, p Peer) error {
+	dialCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if err := c.SetReadDeadline(time.Now().Add(f.answerTime())); err != nil {
+		return err
+	}
+	return f.exchange(c, 0)
+}
+
+// answerTime is how long a peer's answer may take to come: long only for a
+// process that believes nothing yet and gets all there is.
+func (f *Feed) answerTime() time.Duration {
+	if _, known := f.Age(); known {
+		return askTimeout
+	}
+	return wholeTimeout
+}
+
+// exchange puts one question and takes the answer in.
+func (f *Feed) exchange(c *link.Conn, wait time.Duration) error {
+	asked := f.Awake()
+	f.mu.Lock()
+	after := f.revision
+	f.mu.Unlock()
+	if err := c.Send(&ask{After: after, Wait: wait}); err != nil {
+		return err
+	}
+	whole := &tell{}
+	for !whole.Last {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		t, ok := m.(*tell)
+		if !ok {
+			return errors.Newf("answer is %s", m.Kind())
+		}
+		if t.Items, err = unpackItems(t.Packed); err != nil {
+			return err
+		}
+		if t.Ages == nil {
+			t.Ages = whole.Ages
+		}
+		t.Items = append(whole.Items, t.Items...)
+		t.Keys = append(whole.Keys, t.Keys...)
+		whole = t
+	}
+	f.take(asked, after, c.Peer.VM.Name, whole)
+	return nil
+}
+
+// errOldTeller ends the following of a peer that has itself lost the store.
+var errOldTeller = errors.New("the peer's belief is old")
+
+// followPeer is told of changes by one peer for as long as that one's belief
+// is young.
+func (f *Feed) followPeer(ctx context.Context, p Peer) error {
+	dialCtx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	for ctx.Err() == nil {
+		if err := c.SetReadDeadline(time.Now().Add(f.TellWait + f.answerTime())); err != nil {
+			return err
+		}
+		if err := f.exchange(c, f.TellWait); err != nil {
+			return err
+		}
+		if age, known := f.Age(); !known || age > 2*f.TellWait+tellerLag {
+			return errOldTeller
+		}
+	}
+	return nil
+}
+
+// take adopts a peer's answer. What the peer had confirmed Age before it
+// answered was true at the latest Age before it was asked.
+func (f *Feed) take(asked time.Duration, after uint64, peer string, t *tell) {
+	if !t.Known {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.At == f.revision {
+		f.takeAges(t.Ages)
+	}
+	since := asked - t.Age
+	if t.At < f.revision || f.revision != after || (f.known && since <= f.confirmed) {
+		return
+	}
+	if t.At > after {
+		f.takeItems(t)
+		f.takeAges(t.Ages)
+	}
+	if age := f.Awake() - f.confirmed; !f.known || age > f.Wait+callTimeout {
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "told", Choice: peer, Reason: "age " + t.Age.String(), Revision: t.At})
+	}
+	f.confirm(since, t.At)
+}
+
+func (f *Feed) takeItems(t *tell) {
+	there := make(map[string]bool, len(t.Keys))
+	for _, k := range t.Keys {
+		there[k] = true
+	}
+	items := t.Items
+	for key := range f.items {
+		if !there[key] {
+			items = append(items, Item{Key: key, Revision: t.At, Deleted: true})
+		}
+	}
+	f.apply(items)
+}
