retry: decide about further attempts of the direct path in core, and explore it

Change: core/request/retry decides; from the moment of sending a request may have run until its target says otherwise, also when the entry gives it up midway.

--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -45,17 +45,12 @@
 			}
 		}
 	}
-	if q.movable() {
+	if q.tries.Movable() {
 		g.timer = s.Clock.AfterFunc(patienceOf(q.route.Objective, firstPatience), g.silent)
 	}
 	return g
 }
 
-// movable reports whether another target may take the request over.
-func (q *request) movable() bool {
-	return q.route.Repeatable() && q.attempts < q.route.Attempts
-}
-
 func patienceOf(d time.Duration, times float64) time.Duration {
 	return max(time.Duration(float64(d)*times), leastSilence)
 }
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -15,6 +15,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/retry"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/gate"
 )
@@ -43,13 +44,11 @@
 	asked    time.Time
 	deadline time.Time
 
-	// attempts counts the targets that were reached, failed those to avoid.
-	attempts int
-	failed   []string
+	tries retry.Tries
+	// failed are the targets to avoid.
+	failed []string
 	// prepaid is set when the next attempt is already counted as a repeat.
 	prepaid atomic.Bool
-	// ran is set once the request may have run.
-	ran bool
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	begun     bool
--- a/io/request/direct/meter.go
+++ b/io/request/direct/meter.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"hawthornferry/core/request/retry"
 )
 
 // latencies are the bounds of the histograms, in seconds: objectives lie
@@ -47,6 +49,6 @@
 }
 
 // attempted counts an attempt by how it ended.
-func (m meter) attempted(o outcome) {
+func (m meter) attempted(o retry.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("attempts_total").Inc(1)
 }
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -8,40 +8,26 @@
 
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/retry"
 	"hawthornferry/core/request/table"
 )
 
-// outcome is how one attempt ended.
-type outcome string
-
-// The outcomes of an attempt. Relayed means that the caller has the whole
-// answer; broken that it ended early, after the request may have run.
-const (
-	outcomeRelayed   outcome = "relayed"
-	outcomeFailure   outcome = "failureOfTarget"
-	outcomeNotRun    outcome = "notRun"
-	outcomeUnsent    outcome = "unsent"
-	outcomeBroken    outcome = "broken"
-	outcomeCaller    outcome = "callerGone"
-	outcomeLateReply outcome = "replyOfAnother"
-)
-
 // results tells the placer how an attempt ended.
-var results = map[outcome]place.Result{
-	outcomeRelayed:   place.ResultDone,
-	outcomeFailure:   place.ResultDone,
-	outcomeNotRun:    place.ResultTurned,
-	outcomeUnsent:    place.ResultUnreached,
-	outcomeBroken:    place.ResultFailed,
-	outcomeCaller:    place.ResultLeft,
-	outcomeLateReply: place.ResultFailed,
+var results = map[retry.Outcome]place.Result{
+	retry.Relayed:   place.ResultDone,
+	retry.Failure:   place.ResultDone,
+	retry.NotRun:    place.ResultTurned,
+	retry.Unsent:    place.ResultUnreached,
+	retry.Broken:    place.ResultFailed,
+	retry.Caller:    place.ResultLeft,
+	retry.LateReply: place.ResultFailed,
 }
 
 // relay hands a target's answers to the caller. A second attempt may follow
 // on one that broke off.
 type relay interface {
 	// take reads the answer of one attempt and tells the guard of each part.
-	take(x *exchange, g *guard) outcome
+	take(x *exchange, g *guard) retry.Outcome
 	// begun reports whether the caller has a part of an answer.
 	begun() bool
 	// final hands over a failure that a target answered and that was held
@@ -53,6 +39,7 @@
 // had.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, q *request) {
 	out := s.newRelay(w, q)
+	q.tries = retry.Tries{Repeatable: q.route.Repeatable(), Most: q.route.Attempts}
 	for {
 		v, ok := s.desk.place(ctx, s.work(q))
 		if !ok {
@@ -67,11 +54,11 @@
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, results[o])
 		s.logAttempt(q, v, o, err)
-		if o == outcomeRelayed {
+		if o == retry.Relayed {
 			s.finish(q, string(o), http.StatusOK)
 			return
 		}
-		if ctx.Err() != nil || o == outcomeCaller {
+		if ctx.Err() != nil || o == retry.Caller {
 			s.giveUp(w, q, out)
 			return
 		}
@@ -85,7 +72,7 @@
 }
 
 // attempt sends the request to one target.
-func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (outcome, error) {
+func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (retry.Outcome, error) {
 	q.target = v.Target.ID
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -98,51 +85,37 @@
 	req := s.outgoing(ctx, q, v.Target.ID, version)
 	x, err := s.sender.connect(ctx, v.Target.Address)
 	if err != nil {
-		return outcomeUnsent, err
+		return retry.Unsent, err
 	}
 	defer x.close()
-	q.attempts++
+	q.tries.Sent()
 	guard := s.guard(q, x, v.Serving)
 	defer guard.stop()
 	if err := x.roundTrip(req, q.body); err != nil {
-		q.ran = true
-		return outcomeBroken, errors.CombineErrors(err, x.reason())
+		return retry.Broken, errors.CombineErrors(err, x.reason())
 	}
 	reply := s.Dialect.Reply(x.resp.StatusCode, x.resp.Header)
 	if reply.NotRun {
-		return outcomeNotRun, errors.Newf("status %d", x.resp.StatusCode)
+		return retry.NotRun, errors.Newf("status %d", x.resp.StatusCode)
 	}
-	q.ran = true
 	if reply.Call != "" && reply.Call != q.call.ID {
-		return outcomeLateReply, errors.Newf("the answer is to %q", reply.Call)
+		return retry.LateReply, errors.Newf("the answer is to %q", reply.Call)
 	}
 	if x.resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
-		return outcomeBroken, errors.New("the answer is not signed")
+		return retry.Broken, errors.New("the answer is not signed")
 	}
 	return out.take(x, guard), x.reason()
 }
 
-// maxUnreached bounds the targets tried that were not reached: each costs
-// time that the caller does not have.
-const maxUnreached = 4
-
 // again reports whether another attempt may follow on one that ended so.
-func (s *Server) again(q *request, o outcome) bool {
-	switch o {
-	case outcomeUnsent:
-		return len(q.failed) < maxUnreached
-	case outcomeNotRun:
-	case outcomeBroken, outcomeFailure, outcomeLateReply:
-		if !q.route.Repeatable() {
-			return false
-		}
-	case outcomeRelayed, outcomeCaller:
+func (s *Server) again(q *request, o retry.Outcome) bool {
+	if !q.tries.After(o) {
 		return false
 	}
-	if q.attempts >= q.route.Attempts {
-		return false
+	if o == retry.Unsent || q.prepaid.CompareAndSwap(true, false) {
+		return true
 	}
-	if !q.prepaid.CompareAndSwap(true, false) && !s.retry(q.service.Name) {
+	if !s.retry(q.service.Name) {
 		q.reason = "retryBudget"
 		return false
 	}
@@ -172,7 +145,7 @@
 		s.finish(q, "failureOfTarget", 0)
 		return
 	}
-	if q.ran {
+	if !q.tries.MayRefuse() {
 		s.answer(w, q, answer{status: http.StatusBadGateway, reason: q.reason})
 		return
 	}
@@ -188,7 +161,7 @@
 		s.finish(q, "failureOfTarget", 0)
 		return
 	}
-	if q.ran {
+	if !q.tries.MayRefuse() {
 		s.answer(w, q, answer{status: http.StatusBadGateway, reason: or(q.reason, "brokenOff")})
 		return
 	}
@@ -212,7 +185,7 @@
 
 // Routine tells the decisions on requests that go well.
 func Routine(d trail.Decision) bool {
-	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(outcomeRelayed))
+	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(retry.Relayed))
 }
 
 func (s *Server) logPlacement(q *request, v place.Verdict) {
@@ -223,9 +196,9 @@
 	})
 }
 
-func (s *Server) logAttempt(q *request, v place.Verdict, o outcome, err error) {
+func (s *Server) logAttempt(q *request, v place.Verdict, o retry.Outcome, err error) {
 	s.meter.attempted(o)
-	if o == outcomeRelayed {
+	if o == retry.Relayed {
 		return
 	}
 	d := trail.Decision{
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/request/retry"
 )
 
 // eventStream is the media type of a stream of events.
@@ -78,7 +80,7 @@
 	whole *wholeRelay
 }
 
-func (r *streamRelay) take(x *exchange, g *guard) outcome {
+func (r *streamRelay) take(x *exchange, g *guard) retry.Outcome {
 	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
 		return r.takeWhole(x, g)
 	}
@@ -90,15 +92,15 @@
 			return r.end(x)
 		}
 		if err != nil {
-			return outcomeBroken
+			return retry.Broken
 		}
 		g.heard()
 		if !r.follows(e) {
 			r.q.reason = errOrder.Error()
-			return outcomeBroken
+			return retry.Broken
 		}
 		if err := r.pass(x, e); err != nil {
-			return outcomeCaller
+			return retry.Caller
 		}
 	}
 }
@@ -132,18 +134,18 @@
 }
 
 // end takes the end of a stream that its target marked as complete.
-func (r *streamRelay) end(x *exchange) outcome {
+func (r *streamRelay) end(x *exchange) retry.Outcome {
 	if !r.started {
 		r.out.head(x.resp, -1)
 		r.started = true
 	}
-	return outcomeRelayed
+	return retry.Relayed
 }
 
 // takeWhole takes an answer that is not a stream of events: a failure.
-func (r *streamRelay) takeWhole(x *exchange, g *guard) outcome {
+func (r *streamRelay) takeWhole(x *exchange, g *guard) retry.Outcome {
 	if r.started {
-		return outcomeBroken
+		return retry.Broken
 	}
 	if r.whole == nil {
 		r.whole = &wholeRelay{q: r.q, out: r.out}
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"hawthornferry/core/request/retry"
 	"hawthornferry/io/request/gate"
 )
 
@@ -56,19 +57,19 @@
 	passed   bool
 }
 
-func (r *wholeRelay) take(x *exchange, _ *guard) outcome {
+func (r *wholeRelay) take(x *exchange, _ *guard) retry.Outcome {
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
 	if err != nil || len(b) > maxAnswer {
-		return outcomeBroken
+		return retry.Broken
 	}
 	if x.resp.StatusCode >= http.StatusInternalServerError && r.q.route.Repeatable() {
 		r.kept, r.keptBody = x.resp, b
-		return outcomeFailure
+		return retry.Failure
 	}
 	return r.pass(x.resp, b)
 }
 
-func (r *wholeRelay) pass(resp *http.Response, b []byte) outcome {
+func (r *wholeRelay) pass(resp *http.Response, b []byte) retry.Outcome {
 	r.passed = true
 	length := len(b)
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
@@ -76,9 +77,9 @@
 	}
 	r.out.head(resp, length)
 	if err := r.out.send(b); err != nil {
-		return outcomeCaller
+		return retry.Caller
 	}
-	return outcomeRelayed
+	return retry.Relayed
 }
 
 func (r *wholeRelay) begun() bool { return r.passed }
