--- a/core/request/retry/explore_test.go
+++ b/core/request/resend/explore_test.go
@@ -1,4 +1,4 @@
-package retry
+package resend
 
 import (
 	"slices"
--- a/core/request/retry/retry.go
+++ b/core/request/resend/resend.go
@@ -1,6 +1,6 @@
-// Package retry decides whether a request that an entry sends to targets itself
+// Package resend decides whether a request that an entry sends to targets itself
 // is sent once more, and whether its caller may be told that it has not run.
-package retry
+package resend
 
 // Outcome is how one attempt ended.
 type Outcome string
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -320,7 +320,7 @@
 	held.Set(0)
 	s.state.Greeted(n.time(), peer.Name, v.ID, held, nil)
 	d := v.Manifest.Chunks[0].Digest
-	s.state.Disconnected(n.time(), "")
+	// The draw from the origin that began with the update has to make way.
 	s.state.Failed(n.time(), d, "", FailQueued, 0)
 	if _, ok := s.state.Offered(n.time(), peer.Name)[0].(Fetch); !ok {
 		t.Fatal("the offer is not taken")
@@ -332,7 +332,32 @@
 	}
 	n.now += 2 * queueFactor * DefaultMostPause
 	s.state.Tick(n.time())
-	if got := s.state.peers[peer.Name].strikes; got != 0 {
+	if got := s.state.peers[peer.Name].strikes + s.state.items[d].badTrades; got != 0 {
 		t.Errorf("the source was blamed %d times", got)
 	}
 }
+
+// A peer says again and again that it still lacks a chunk, and never sends it. The
+// import waits there for a bounded time and is then asked for anew.
+func TestPeerThatAlwaysLacksIsLeft(t *testing.T) {
+	n := newNetwork(t, regionsOf(1, 1)...)
+	v := version("1", 0, 1).of(n.members())
+	s := n.sides["side01"]
+	var began bool
+	for _, a := range s.state.Update(n.time(), []Set{v}) {
+		f, ok := a.(Fetch)
+		began = began || ok && f.Via == ViaImport
+	}
+	if !began {
+		t.Fatal("no import was begun")
+	}
+	d := v.Manifest.Chunks[0].Digest
+	s.state.Requested(n.time(), d)
+	for end := n.now + 2*laterFactor*s.state.startPatience(ViaImport); n.now < end; n.now += tickTime {
+		s.state.Deferred(n.time(), d, "side00")
+		s.state.Tick(n.time())
+	}
+	if s.state.items[d].laters == 0 {
+		t.Error("the import waits for ever")
+	}
+}
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -254,12 +254,13 @@
 // cross the region link once for each that does.
 func (s *State) Deferred(now time.Time, d chunk.Digest, from string) []Action {
 	it, ok := s.items[d]
-	if !ok || it.via != ViaImport || it.from != from || it.flowing {
+	if !ok || it.via != ViaImport || it.from != from || it.flowing || it.later {
 		return nil
 	}
 	if s.steppedIn(it) {
 		s.trouble(now, it.places[0].upstream())
 	}
+	// Without the suspicions that ended just now this side may rank first.
 	if s.steppedIn(it) {
 		s.emit(Stop{Chunk: d, Peer: from, Reason: string(FailLater)})
 		s.clearPending(it)
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -158,7 +158,7 @@
 
 func (s *State) failed(now time.Time, it *item, why Failure, after time.Duration) {
 	s.blame(now, it.from, why)
-	if it.via == ViaTrade && why != FailGone {
+	if it.via == ViaTrade && why != FailGone && why != FailQueued {
 		it.badTrades++
 	}
 	switch {
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -57,21 +57,32 @@
 }
 
 func (f *Feed) askOne(ctx context.Context, p Peer) error {
-	dialCtx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
+	c, end, err := f.dial(ctx, p, askTimeout)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
+	defer end()
 	if err := c.SetReadDeadline(time.Now().Add(f.answerTime())); err != nil {
 		return err
 	}
 	return f.exchange(c, 0)
 }
 
+// dial connects to a peer within the given time. The connection lasts until end is
+// called or ctx ends.
+func (f *Feed) dial(ctx context.Context, p Peer, within time.Duration) (c *link.Conn, end func(), err error) {
+	dialCtx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	if c, err = link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds()); err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	return c, func() {
+		stop()
+		c.Close()
+	}, nil
+}
+
 // answerTime is how long a peer's answer may take to come: long only for a
 // process that believes nothing yet and gets all there is.
 func (f *Feed) answerTime() time.Duration {
@@ -120,15 +131,11 @@
 // followPeer is told of changes by one peer for as long as that one's belief
 // is young.
 func (f *Feed) followPeer(ctx context.Context, p Peer) error {
-	dialCtx, cancel := context.WithTimeout(ctx, followTimeout)
-	defer cancel()
-	c, err := link.Dial(dialCtx, f.Self, p.Address, link.PurposeConfig, kinds())
+	c, end, err := f.dial(ctx, p, followTimeout)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
+	defer end()
 	for ctx.Err() == nil {
 		if err := c.SetReadDeadline(time.Now().Add(f.TellWait + f.answerTime())); err != nil {
 			return err
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -15,7 +15,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/place"
-	"hawthornferry/core/request/retry"
+	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/gate"
 )
@@ -44,7 +44,7 @@
 	asked    time.Time
 	deadline time.Time
 
-	tries retry.Tries
+	tries resend.Tries
 	// failed are the targets to avoid.
 	failed []string
 	// prepaid is set when the next attempt is already counted as a repeat.
--- a/io/request/direct/meter.go
+++ b/io/request/direct/meter.go
@@ -6,7 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"hawthornferry/core/request/retry"
+	"hawthornferry/core/request/resend"
 )
 
 // latencies are the bounds of the histograms, in seconds: objectives lie
@@ -49,6 +49,6 @@
 }
 
 // attempted counts an attempt by how it ended.
-func (m meter) attempted(o retry.Outcome) {
+func (m meter) attempted(o resend.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": string(o)}).Counter("attempts_total").Inc(1)
 }
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -8,26 +8,26 @@
 
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
-	"hawthornferry/core/request/retry"
+	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
 )
 
 // results tells the placer how an attempt ended.
-var results = map[retry.Outcome]place.Result{
-	retry.Relayed:   place.ResultDone,
-	retry.Failure:   place.ResultDone,
-	retry.NotRun:    place.ResultTurned,
-	retry.Unsent:    place.ResultUnreached,
-	retry.Broken:    place.ResultFailed,
-	retry.Caller:    place.ResultLeft,
-	retry.LateReply: place.ResultFailed,
+var results = map[resend.Outcome]place.Result{
+	resend.Relayed:   place.ResultDone,
+	resend.Failure:   place.ResultDone,
+	resend.NotRun:    place.ResultTurned,
+	resend.Unsent:    place.ResultUnreached,
+	resend.Broken:    place.ResultFailed,
+	resend.Caller:    place.ResultLeft,
+	resend.LateReply: place.ResultFailed,
 }
 
 // relay hands a target's answers to the caller. A second attempt may follow
 // on one that broke off.
 type relay interface {
 	// take reads the answer of one attempt and tells the guard of each part.
-	take(x *exchange, g *guard) retry.Outcome
+	take(x *exchange, g *guard) resend.Outcome
 	// begun reports whether the caller has a part of an answer.
 	begun() bool
 	// final hands over a failure that a target answered and that was held
@@ -39,7 +39,7 @@
 // had.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, q *request) {
 	out := s.newRelay(w, q)
-	q.tries = retry.Tries{Repeatable: q.route.Repeatable(), Most: q.route.Attempts}
+	q.tries = resend.Tries{Repeatable: q.route.Repeatable(), Most: q.route.Attempts}
 	for {
 		v, ok := s.desk.place(ctx, s.work(q))
 		if !ok {
@@ -54,11 +54,11 @@
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, results[o])
 		s.logAttempt(q, v, o, err)
-		if o == retry.Relayed {
+		if o == resend.Relayed {
 			s.finish(q, string(o), http.StatusOK)
 			return
 		}
-		if ctx.Err() != nil || o == retry.Caller {
+		if ctx.Err() != nil || o == resend.Caller {
 			s.giveUp(w, q, out)
 			return
 		}
@@ -72,7 +72,7 @@
 }
 
 // attempt sends the request to one target.
-func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (retry.Outcome, error) {
+func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (resend.Outcome, error) {
 	q.target = v.Target.ID
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -85,34 +85,34 @@
 	req := s.outgoing(ctx, q, v.Target.ID, version)
 	x, err := s.sender.connect(ctx, v.Target.Address)
 	if err != nil {
-		return retry.Unsent, err
+		return resend.Unsent, err
 	}
 	defer x.close()
 	q.tries.Sent()
 	guard := s.guard(q, x, v.Serving)
 	defer guard.stop()
 	if err := x.roundTrip(req, q.body); err != nil {
-		return retry.Broken, errors.CombineErrors(err, x.reason())
+		return resend.Broken, errors.CombineErrors(err, x.reason())
 	}
 	reply := s.Dialect.Reply(x.resp.StatusCode, x.resp.Header)
 	if reply.NotRun {
-		return retry.NotRun, errors.Newf("status %d", x.resp.StatusCode)
+		return resend.NotRun, errors.Newf("status %d", x.resp.StatusCode)
 	}
 	if reply.Call != "" && reply.Call != q.call.ID {
-		return retry.LateReply, errors.Newf("the answer is to %q", reply.Call)
+		return resend.LateReply, errors.Newf("the answer is to %q", reply.Call)
 	}
 	if x.resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
-		return retry.Broken, errors.New("the answer is not signed")
+		return resend.Broken, errors.New("the answer is not signed")
 	}
 	return out.take(x, guard), x.reason()
 }
 
 // again reports whether another attempt may follow on one that ended so.
-func (s *Server) again(q *request, o retry.Outcome) bool {
+func (s *Server) again(q *request, o resend.Outcome) bool {
 	if !q.tries.After(o) {
 		return false
 	}
-	if o == retry.Unsent || q.prepaid.CompareAndSwap(true, false) {
+	if o == resend.Unsent || q.prepaid.CompareAndSwap(true, false) {
 		return true
 	}
 	if !s.retry(q.service.Name) {
@@ -185,7 +185,7 @@
 
 // Routine tells the decisions on requests that go well.
 func Routine(d trail.Decision) bool {
-	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(retry.Relayed))
+	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(resend.Relayed))
 }
 
 func (s *Server) logPlacement(q *request, v place.Verdict) {
@@ -196,9 +196,9 @@
 	})
 }
 
-func (s *Server) logAttempt(q *request, v place.Verdict, o retry.Outcome, err error) {
+func (s *Server) logAttempt(q *request, v place.Verdict, o resend.Outcome, err error) {
 	s.meter.attempted(o)
-	if o == retry.Relayed {
+	if o == resend.Relayed {
 		return
 	}
 	d := trail.Decision{
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"hawthornferry/core/request/retry"
+	"hawthornferry/core/request/resend"
 )
 
 // eventStream is the media type of a stream of events.
@@ -80,7 +80,7 @@
 	whole *wholeRelay
 }
 
-func (r *streamRelay) take(x *exchange, g *guard) retry.Outcome {
+func (r *streamRelay) take(x *exchange, g *guard) resend.Outcome {
 	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
 		return r.takeWhole(x, g)
 	}
@@ -92,15 +92,15 @@
 			return r.end(x)
 		}
 		if err != nil {
-			return retry.Broken
+			return resend.Broken
 		}
 		g.heard()
 		if !r.follows(e) {
 			r.q.reason = errOrder.Error()
-			return retry.Broken
+			return resend.Broken
 		}
 		if err := r.pass(x, e); err != nil {
-			return retry.Caller
+			return resend.Caller
 		}
 	}
 }
@@ -134,18 +134,18 @@
 }
 
 // end takes the end of a stream that its target marked as complete.
-func (r *streamRelay) end(x *exchange) retry.Outcome {
+func (r *streamRelay) end(x *exchange) resend.Outcome {
 	if !r.started {
 		r.out.head(x.resp, -1)
 		r.started = true
 	}
-	return retry.Relayed
+	return resend.Relayed
 }
 
 // takeWhole takes an answer that is not a stream of events: a failure.
-func (r *streamRelay) takeWhole(x *exchange, g *guard) retry.Outcome {
+func (r *streamRelay) takeWhole(x *exchange, g *guard) resend.Outcome {
 	if r.started {
-		return retry.Broken
+		return resend.Broken
 	}
 	if r.whole == nil {
 		r.whole = &wholeRelay{q: r.q, out: r.out}
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"hawthornferry/core/request/retry"
+	"hawthornferry/core/request/resend"
 	"hawthornferry/io/request/gate"
 )
 
@@ -57,19 +57,19 @@
 	passed   bool
 }
 
-func (r *wholeRelay) take(x *exchange, _ *guard) retry.Outcome {
+func (r *wholeRelay) take(x *exchange, _ *guard) resend.Outcome {
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
 	if err != nil || len(b) > maxAnswer {
-		return retry.Broken
+		return resend.Broken
 	}
 	if x.resp.StatusCode >= http.StatusInternalServerError && r.q.route.Repeatable() {
 		r.kept, r.keptBody = x.resp, b
-		return retry.Failure
+		return resend.Failure
 	}
 	return r.pass(x.resp, b)
 }
 
-func (r *wholeRelay) pass(resp *http.Response, b []byte) retry.Outcome {
+func (r *wholeRelay) pass(resp *http.Response, b []byte) resend.Outcome {
 	r.passed = true
 	length := len(b)
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
@@ -77,9 +77,9 @@
 	}
 	r.out.head(resp, length)
 	if err := r.out.send(b); err != nil {
-		return retry.Caller
+		return resend.Caller
 	}
-	return retry.Relayed
+	return resend.Relayed
 }
 
 func (r *wholeRelay) begun() bool { return r.passed }
