swarm: a question counts as on its way until the peer says that it lacks the chunk

Change: the first block counts as any other, and no longer once the peer has said that it lacks the chunk.

--- a/io/version/swarm/conn.go
+++ b/io/version/swarm/conn.go
@@ -189,7 +189,7 @@
 	case *lacks:
 		n.lacking(c, m.Chunk)
 	case *later:
-		n.do(func(s *state) { s.add(s.core.Deferred(s.now, m.Chunk, c.name())) })
+		n.deferred(c, m.Chunk)
 	case *askManifest:
 		n.serveManifest(c, m.Manifest)
 	case *part:
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -28,6 +28,8 @@
 	fetch  burst.Fetch
 	cancel context.CancelCauseFunc
 	blocks chan *block
+	// later tells that the peer wants the chunk too and still lacks it.
+	later chan struct{}
 }
 
 // errLacks ends a transfer from a peer that does not have the chunk.
@@ -39,7 +41,7 @@
 // fetch starts a transfer; it is called with the state locked.
 func (n *Node) fetch(s *state, f burst.Fetch) {
 	ctx, cancel := context.WithCancelCause(n.ctx)
-	in := &incoming{fetch: f, cancel: cancel, blocks: make(chan *block, 2*window)}
+	in := &incoming{fetch: f, cancel: cancel, blocks: make(chan *block, 2*window), later: make(chan struct{}, 1)}
 	s.incoming[f.Chunk.Digest] = in
 	n.wg.Go(func() {
 		defer cancel(nil)
@@ -128,6 +130,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
+		case <-in.later:
+			flow.waive()
 		case b := <-in.blocks:
 			if b.Offset != got || b.Offset+int64(len(b.Data)) > asked {
 				err := errors.Wrapf(errCorrupt, "block at %d of %d bytes, want offset %d up to %d", b.Offset, len(b.Data), got, asked)
@@ -151,23 +155,14 @@
 	return window * piece
 }
 
-// inflow is one transfer's part of what is on its way to the side. Its first
-// block does not count: a peer that still lacks the chunk sends it only when it
-// has it, if ever. Counted, such questions would fill the window, and the
-// chunks of another version, which are there, could not be asked for.
+// inflow is one transfer's part of what is on its way to the side.
 type inflow struct {
 	window *pace.Window
-	begun  bool
 	under  []int64
 }
 
 // ask waits until k more bytes may be asked for.
 func (f *inflow) ask(ctx context.Context, k int64) error {
-	if !f.begun {
-		f.begun = true
-		f.under = append(f.under, 0)
-		return nil
-	}
 	if err := f.window.Acquire(ctx, k); err != nil {
 		return err
 	}
@@ -175,6 +170,18 @@
 	return nil
 }
 
+// waive takes what was asked for out of the count: the peer still lacks the chunk
+// and sends it when it has it, if ever. Counted meanwhile, such questions would
+// fill the window, and the chunks of another version, which are there, could not
+// be asked for. Not counted from the start, as many as a side has turns for would
+// stand before a choked link, seconds deep.
+func (f *inflow) waive() {
+	for i, k := range f.under {
+		f.window.Release(k, 0)
+		f.under[i] = 0
+	}
+}
+
 // came takes a block of n bytes.
 func (f *inflow) came(n int64) {
 	if len(f.under) == 0 {
@@ -186,9 +193,8 @@
 
 // end gives back what did not come.
 func (f *inflow) end() {
-	for _, k := range f.under {
-		f.window.Release(k, 0)
-	}
+	f.waive()
+	f.under = nil
 }
 
 // pieceSize is the size of the blocks to ask for: what the link carries in a
@@ -258,6 +264,22 @@
 	}
 }
 
+// deferred takes a peer's word that it wants a chunk too and still lacks it.
+func (n *Node) deferred(c *conn, d chunk.Digest) {
+	n.do(func(s *state) {
+		in := s.incoming[d]
+		if in == nil || in.fetch.Peer != c.name() {
+			return
+		}
+		select {
+		case in.later <- struct{}{}:
+		default:
+			// It was told before and has not been taken yet.
+		}
+		s.add(s.core.Deferred(s.now, d, c.name()))
+	})
+}
+
 func (n *Node) lacking(c *conn, d chunk.Digest) {
 	n.mu.Lock()
 	in := n.state.incoming[d]
