feed, direct: tell when a version was heard of, from when it is demanded, and standstills

Callers' requests began on an old version after the bound. The logs could not tell whether the entry had heard of the version late, whether its clock had stood still, or whether it was wrong about the engine: versionNamed had no age, nothing told from when a version was demanded, placements did not name the version, and a frozen process left no trace of it. Added: ageMs of versionNamed, versionDemanded, the version of a placement, stoodStill, and the age of the newest version as a metric. No decision is changed.

--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -102,7 +102,7 @@
 		if had && old.Version != nil {
 			f.name(*old.Version)
 		}
-		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: it.Revision})
+		f.noteVersion(v, it.Revision)
 	}
 	if c := fact.Config; c != nil {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
--- a/io/process/feed/note.go
+++ b/io/process/feed/note.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
 )
 
@@ -32,3 +33,17 @@
 		Choice: t.Address.String(), Revision: revision,
 	})
 }
+
+// noteVersion writes down a version that this process hears of. AgeMS is how
+// long before that it last knew that there was none: it was named in between.
+func (f *Feed) noteVersion(v *facts.Named, revision uint64) {
+	d := trail.Decision{
+		Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: revision,
+	}
+	if f.known {
+		d.AgeMS = (f.Awake() - f.confirmed).Milliseconds()
+	} else {
+		d.Reason = "found at the start"
+	}
+	f.Log.Decide(d)
+}
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -18,13 +18,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"hawthornferry/core/process/fault"
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/admin"
+	"hawthornferry/io/process/awake"
 	"hawthornferry/io/process/feed"
 	"hawthornferry/io/process/trace"
 	"hawthornferry/io/request/direct"
@@ -79,6 +79,7 @@
 	log      trail.Log
 	metrics  tally.Scope
 	feed     *feed.Feed
+	watch    *awake.Watch
 
 	sink     *trace.Sink
 	closer   io.Closer
@@ -111,9 +112,10 @@
 	}
 	f.logger = logger
 	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine, Budget: &trace.Budget{PerSecond: logBudget}}
+	f.watch = &awake.Watch{Clock: f.clock, Now: awake.Now, Log: f.log, Metrics: f.metrics}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
-		Store: p.Store, Reader: p.Reader, Awake: awake, Wait: entryWait,
+		Store: p.Store, Reader: p.Reader, Awake: awake.Now, Wait: entryWait,
 		Drain: s.Bounds.Drain, Peers: f.peers,
 	}
 	if s.VM.Role == fleet.RoleSide {
@@ -130,19 +132,6 @@
 	return f, nil
 }
 
-// awake is a clock that counts the time in which the machine was suspended.
-func awake() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// The call fails on no system that has the clock at all; the steady
-		// clock is the nearest there is.
-		return time.Since(processStart)
-	}
-	return time.Duration(ts.Nano())
-}
-
-var processStart = time.Now()
-
 // reads reports whether this process watches the store for others: the entries
 // that the settings name to all do. The store's rate does not grow with the number
 // of processes, and each call costs.
@@ -220,7 +209,7 @@
 	partCtx, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, partCtx := errgroup.WithContext(partCtx)
-	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}, {"gauges", f.gauges}}, f.parts...)
+	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}, {"gauges", f.gauges}, {"standstills", f.watch.Run}}, f.parts...)
 	for _, nl := range peers {
 		l := &link.Listener{Self: f.self, Net: nl, Handlers: f.handlers, Rejected: f.rejected}
 		parts = append(parts, part{"peers", l.Run})
--- a/io/process/hosted/gauges.go
+++ b/io/process/hosted/gauges.go
@@ -45,6 +45,11 @@
 		scope.Tagged(map[string]string{"service": k.service, "state": k.state}).Gauge("targets").Update(float64(n))
 	}
 	for _, v := range known.Versions {
-		scope.Tagged(map[string]string{"model": v.Model}).Gauge("named_version").Update(float64(v.Version))
+		if newest, _ := known.Latest(v.Model); newest.Version != v.Version {
+			continue
+		}
+		model := scope.Tagged(map[string]string{"model": v.Model})
+		model.Gauge("named_version").Update(float64(v.Version))
+		model.Gauge("named_version_age_seconds").Update(f.clock.Since(v.Since).Seconds())
 	}
 }
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -77,6 +77,8 @@
 	budgetMu sync.Mutex
 	budgets  map[string]*spend.Budget
 	patience patience
+	// demandedNow holds the version of each model that was last demanded.
+	demandedNow sync.Map
 }
 
 func (s *Server) init() {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
@@ -236,10 +237,25 @@
 	if e == nil || s.Rules.Version <= 0 {
 		return 0
 	}
-	v, _ := s.Source.Current().Due(e.Model, s.Clock.Now().Add(versionReserve-s.Rules.Version))
+	v, ok := s.Source.Current().Due(e.Model, s.Clock.Now().Add(versionReserve-s.Rules.Version))
+	if ok {
+		s.noteDemanded(v)
+	}
 	return v.Version
 }
 
+// noteDemanded writes down once from when a version is demanded, and how long
+// ago this process takes it to have been named.
+func (s *Server) noteDemanded(v facts.Named) {
+	if last, loaded := s.demandedNow.Swap(v.Model, v.Version); loaded && last == v.Version {
+		return
+	}
+	s.Log.Decide(trail.Decision{
+		Area: trail.AreaRouting, Action: "versionDemanded", Subject: v.Model, Version: v.Version,
+		AgeMS: s.Clock.Since(v.Since).Milliseconds(),
+	})
+}
+
 // newest is the newest version that is named of the service's model.
 func (s *Server) newest(q *request) uint64 {
 	if q.service.Engine == nil {
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -193,6 +193,7 @@
 		Area: trail.AreaRouting, Action: string(v.Decision), Request: q.call.ID, Customer: q.customer,
 		Service: q.service.Name, Subject: q.route.Name, Choice: v.Target.ID, Reason: string(v.Reason),
 		Revision: q.facts.Revision, WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(), Load: v.Load,
+		Version: v.Serving,
 	})
 }
 
