--- a/io/process/awake/awake_test.go
+++ b/io/process/awake/awake_test.go
@@ -42,7 +42,7 @@
 	if !w.RanSince(asked) {
 		t.Error("the standstill counts for what began after it")
 	}
-	want := &lines{{Area: trail.AreaMember, Action: "stoodStill", TookMS: 4100}}
+	want := &lines{{Area: trail.AreaMember, Action: "stoodStill", TookMS: 4000}}
 	if diff := cmp.Diff(want, log); diff != "" {
 		t.Errorf("log (-want +got):\n%s", diff)
 	}
