direct: look at a waiting request's version until it begins

Callers' requests could begin on old weights after the bound: whether and when to end a request that has not begun was decided once, as it was sent. A version named after that, or whose naming came to light after it, set no timer; of two newer versions the timer of one was lost and broke off streams that had begun; a request that had waited for its place was sent to an engine whose version was overdue, and ended only after. Tests: 3 of 3 cases of a naming that comes to light after the send, and the stream that had begun, fail without the change. Whole answers settle the watch as well. Cost: a timer every 200 ms for each request that has not begun.

--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -20,37 +22,93 @@
 	beginReserve = 300 * time.Millisecond
 )
 
+// dueEvery is how often a request that has not begun is looked at anew: the
+// version that overtakes it may be named, or its naming come to light, after it
+// was sent, and a timer stands still while the machine is suspended.
+const dueEvery = 200 * time.Millisecond
+
 // guard watches over one exchange: a target that is silent for too long loses
-// its request when another one can have it.
+// its request when another one can have it, and a request that has not begun by
+// the time at which its target's version may not be begun on any more is ended.
 type guard struct {
-	server *Server
-	q      *request
-	x      *exchange
-	timer  clockwork.Timer
-	// due ends a request that has not begun by the time at which its target's
-	// version may not be begun on any more.
+	server  *Server
+	q       *request
+	x       *exchange
+	serving uint64
+	timer   clockwork.Timer
+
+	mu  sync.Mutex
 	due clockwork.Timer
+	// settled is set once the request has begun or the exchange is over.
+	settled bool
 }
 
+// errOverdue ends an attempt at a target whose version may not be begun on.
+var errOverdue = errors.New("not begun before its version is too old")
+
 func (s *Server) guard(q *request, x *exchange, serving uint64) *guard {
-	g := &guard{server: s, q: q, x: x}
-	if e := q.service.Engine; e != nil && serving > 0 && s.Rules.Version > 0 {
-		for _, v := range s.Source.Current().Named(e.Model) {
-			if v.Version <= serving {
-				continue
-			}
-			left := s.Rules.Version - beginReserve - s.Clock.Since(v.Since)
-			if left < q.deadline.Sub(s.Clock.Now()) {
-				g.due = s.Clock.AfterFunc(max(left, 0), func() { x.abandon("not begun before its version is too old") })
-			}
-		}
-	}
+	g := &guard{server: s, q: q, x: x, serving: serving}
+	g.watchDue()
 	if q.tries.Movable() {
 		g.timer = s.Clock.AfterFunc(patienceOf(q.route.Objective, firstPatience), g.silent)
 	}
 	return g
 }
 
+// beginWithin is how long a request may still begin on a version; false if
+// nothing newer bounds that.
+func (s *Server) beginWithin(q *request, serving uint64) (time.Duration, bool) {
+	if q.service.Engine == nil || serving == 0 || s.Rules.Version <= 0 {
+		return 0, false
+	}
+	least, bounded := time.Duration(0), false
+	for _, v := range s.Source.Current().Named(q.service.Engine.Model) {
+		if v.Version <= serving {
+			continue
+		}
+		left := s.Rules.Version - beginReserve - s.Clock.Since(v.Since)
+		if !bounded || left < least {
+			least, bounded = left, true
+		}
+	}
+	return least, bounded
+}
+
+// overdue reports whether a request may not begin on a version any more.
+func (s *Server) overdue(q *request, serving uint64) bool {
+	left, bounded := s.beginWithin(q, serving)
+	return bounded && left <= 0
+}
+
+// watchDue ends the exchange if its time is over, and else looks again later.
+func (g *guard) watchDue() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.settled || g.q.service.Engine == nil || g.serving == 0 {
+		return
+	}
+	pause := dueEvery
+	if left, bounded := g.server.beginWithin(g.q, g.serving); bounded {
+		if left <= 0 {
+			g.settled = true
+			g.x.abandon(errOverdue.Error())
+			return
+		}
+		pause = min(pause, left)
+	}
+	g.due = g.server.Clock.AfterFunc(pause, g.watchDue)
+}
+
+// settle ends the watch over the beginning.
+func (g *guard) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settled = true
+	if g.due != nil {
+		g.due.Stop()
+	}
+}
+
 func patienceOf(d time.Duration, times float64) time.Duration {
 	return max(time.Duration(float64(d)*times), leastSilence)
 }
@@ -68,10 +126,7 @@
 
 // heard takes a part of the answer.
 func (g *guard) heard() {
-	if g.due != nil {
-		g.due.Stop()
-		g.due = nil
-	}
+	g.settle()
 	if g.timer != nil && g.q.route.Gap > 0 {
 		g.timer.Reset(patienceOf(g.q.route.Gap, gapPatience))
 	}
@@ -81,7 +136,5 @@
 	if g.timer != nil {
 		g.timer.Stop()
 	}
-	if g.due != nil {
-		g.due.Stop()
-	}
+	g.settle()
 }
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -88,6 +88,10 @@
 		return resend.Unsent, err
 	}
 	defer x.close()
+	if s.overdue(q, v.Serving) {
+		// It waited for its place until the version was too old.
+		return resend.Unsent, errOverdue
+	}
 	q.tries.Sent()
 	guard := s.guard(q, x, v.Serving)
 	defer guard.stop()
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -57,7 +57,9 @@
 	passed   bool
 }
 
-func (r *wholeRelay) take(x *exchange, _ *guard) resend.Outcome {
+func (r *wholeRelay) take(x *exchange, g *guard) resend.Outcome {
+	// The head of a whole answer comes once the request has run.
+	g.settle()
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
 	if err != nil || len(b) > maxAnswer {
 		return resend.Broken
