--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -38,9 +38,9 @@
 	Model   string
 	Version uint64
 	Since   time.Time
-	// Seen is set when this process has read the version itself, not only heard
+	// Read is set when this process has read the version itself, not only heard
 	// from peers that there was one.
-	Seen bool
+	Read bool
 }
 
 // Origin is where the weights of the models are drawn from. Rate is its link
--- a/core/process/dated/dated.go
+++ b/core/process/naming/naming.go
@@ -1,7 +1,7 @@
-// Package dated keeps when versions of models were named, as closely as a
+// Package naming keeps when versions of models were named, as closely as a
 // process can know it. Bounds on a version count from its naming, and a process
 // that was out of touch then hears of it later, by as much as it was.
-package dated
+package naming
 
 import (
 	"cmp"
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Naming is a version of a model that the operator named.
-type Naming struct {
+// Entry is a version of a model that the operator named.
+type Entry struct {
 	Model   string
 	Version uint64
 	// Since is when it was named, on a clock that counts suspension; when Heard
@@ -19,8 +19,8 @@
 	// Heard is set when the process that says so, or the one that told it, was
 	// in touch at the naming.
 	Heard bool
-	// Seen is set when this process has read the version itself.
-	Seen bool
+	// Read is set when this process has read the version itself.
+	Read bool
 }
 
 // mostKept bounds the versions that are kept of a model: replaced ones are of
@@ -29,33 +29,34 @@
 
 // Ledger holds what is known of each naming. The zero value is ready for use.
 type Ledger struct {
-	namings []Naming
+	entries []Entry
 }
 
-// Add takes in what was learned of one naming.
-func (l *Ledger) Add(n Naming) {
-	for i, old := range l.namings {
+// Add takes in what was learned of one naming. It returns whether that was news.
+func (l *Ledger) Add(n Entry) bool {
+	for i, old := range l.entries {
 		if old.Model == n.Model && old.Version == n.Version {
-			l.namings[i] = closer(old, n)
-			return
+			l.entries[i] = merge(old, n)
+			return l.entries[i] != old
 		}
 	}
-	l.namings = append(l.namings, n)
-	slices.SortStableFunc(l.namings, func(a, b Naming) int {
+	l.entries = append(l.entries, n)
+	slices.SortStableFunc(l.entries, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
 	})
 	l.trim(n.Model)
+	return true
 }
 
 // trim drops the oldest versions of a model beyond those that are kept.
 func (l *Ledger) trim(model string) {
 	count := 0
-	for _, n := range l.namings {
+	for _, n := range l.entries {
 		if n.Model == model {
 			count++
 		}
 	}
-	l.namings = slices.DeleteFunc(l.namings, func(n Naming) bool {
+	l.entries = slices.DeleteFunc(l.entries, func(n Entry) bool {
 		if n.Model != model || count <= mostKept {
 			return false
 		}
@@ -64,10 +65,10 @@
 	})
 }
 
-// closer joins two statements about the same naming. Who heard of it knows
+// merge joins two statements about the same naming. Who heard of it knows
 // better than who did not; of two that heard, the later one was told late; of
 // two that did not, both are right that it cannot have been earlier.
-func closer(a, b Naming) Naming {
+func merge(a, b Entry) Entry {
 	out := a
 	switch {
 	case a.Heard && b.Heard:
@@ -77,18 +78,18 @@
 	case !a.Heard:
 		out.Since = max(a.Since, b.Since)
 	}
-	out.Seen = a.Seen || b.Seen
+	out.Read = a.Read || b.Read
 	return out
 }
 
 // All returns every naming, by model and version.
-func (l *Ledger) All() []Naming { return slices.Clone(l.namings) }
+func (l *Ledger) All() []Entry { return slices.Clone(l.entries) }
 
-// Open reports whether the moment of some model's newest naming is not known.
-// What replaced versions lack, the same peers tell.
-func (l *Ledger) Open() bool {
-	for i, n := range l.namings {
-		if !n.Heard && (i+1 == len(l.namings) || l.namings[i+1].Model != n.Model) {
+// Unresolved reports whether the moment of some model's newest naming is not
+// known. Who knows it tells of the replaced versions as well.
+func (l *Ledger) Unresolved() bool {
+	for i, n := range l.entries {
+		if !n.Heard && (i+1 == len(l.entries) || l.entries[i+1].Model != n.Model) {
 			return true
 		}
 	}
--- a/core/process/dated/dated_test.go
+++ b/core/process/naming/naming_test.go
@@ -1,4 +1,4 @@
-package dated
+package naming
 
 import (
 	"testing"
@@ -14,11 +14,11 @@
 // process that did not hear rules out while none that did has spoken.
 func TestOrderOfStatementsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		statements := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Naming {
-			return Naming{
+		statements := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{
 				Model: "m", Version: rapid.Uint64Range(2, 4).Draw(t, "version"),
 				Since: time.Duration(rapid.IntRange(0, 20).Draw(t, "since")) * time.Second,
-				Heard: rapid.Bool().Draw(t, "heard"), Seen: rapid.Bool().Draw(t, "seen"),
+				Heard: rapid.Bool().Draw(t, "heard"), Read: rapid.Bool().Draw(t, "read"),
 			}
 		}), 1, 8).Draw(t, "statements")
 		var l, shuffled Ledger
@@ -51,9 +51,9 @@
 // model leaves a question open.
 func TestOldVersionsAreDropped(t *testing.T) {
 	var l Ledger
-	l.Add(Naming{Model: "other", Version: 1, Heard: true})
+	l.Add(Entry{Model: "other", Version: 1, Heard: true})
 	for v := range uint64(mostKept + 3) {
-		l.Add(Naming{Model: "m", Version: v + 1, Heard: v > 4})
+		l.Add(Entry{Model: "m", Version: v + 1, Heard: v > 4})
 	}
 	all := l.All()
 	if diff := cmp.Diff(mostKept+1, len(all)); diff != "" {
@@ -62,11 +62,11 @@
 	if diff := cmp.Diff(uint64(4), all[0].Version); diff != "" {
 		t.Errorf("oldest version kept (-want +got):\n%s", diff)
 	}
-	if l.Open() {
+	if l.Unresolved() {
 		t.Error("a replaced version leaves a question open")
 	}
-	l.Add(Naming{Model: "other", Version: 2})
-	if !l.Open() {
+	l.Add(Entry{Model: "other", Version: 2})
+	if !l.Unresolved() {
 		t.Error("a newest version that nobody heard of leaves no question open")
 	}
 }
--- a/io/process/awake/awake.go
+++ b/io/process/awake/awake.go
@@ -35,7 +35,7 @@
 	// leastStandstill is how far two looks may lie apart before the process
 	// counts as having stood still: a machine that shares out its processors in
 	// slices of a tenth of a second holds one up for less.
-	leastStandstill = 250 * time.Millisecond
+	leastStandstill = 200 * time.Millisecond
 )
 
 // Watch notices when the process stands still: frozen, suspended with its
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -17,12 +17,12 @@
 			items = append(items, Item{Key: key, Revision: at, Deleted: true})
 		}
 	}
-	f.apply(items, false)
+	f.apply(items, moment{})
 }
 
-// apply takes changes in; asTheyWere tells that they came as they were written. It
+// apply takes changes in; live is when they were made, if they came as they were. It
 // is called with the feed locked.
-func (f *Feed) apply(items []Item, asTheyWere bool) {
+func (f *Feed) apply(items []Item, live moment) {
 	for _, it := range items {
 		if old, ok := f.items[it.Key]; ok && old.Revision > it.Revision {
 			continue
@@ -36,7 +36,7 @@
 		}
 		f.items[it.Key] = it
 		delete(f.lapsing, it.Key)
-		f.read(it, asTheyWere)
+		f.read(it, live)
 	}
 }
 
@@ -80,7 +80,7 @@
 
 // read decodes an item. What cannot be read leaves the last good one in
 // force, but for a target: an entry that names none is not to be used.
-func (f *Feed) read(it Item, asItWas bool) {
+func (f *Feed) read(it Item, live moment) {
 	fact, err := f.Reader.Read(it)
 	old, had := f.facts[it.Key]
 	if err != nil {
@@ -96,8 +96,8 @@
 		return
 	}
 	if v := fact.Version; v != nil {
-		f.hear(v, asItWas)
-		f.noteVersion(v, it.Revision, asItWas)
+		f.hear(v, live)
+		f.noteVersion(v, it.Revision, live.known)
 	}
 	if c := fact.Config; c != nil {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -29,9 +29,10 @@
 
 // How peers are asked when versions were named.
 const (
-	// askNamedFirst and askNamedMost part the questions, which become rarer.
+	// askNamedFirst and askNamedMost part the questions, which become rarer and
+	// are spread: a whole fleet that starts at once has the same ones.
 	askNamedFirst = 100 * time.Millisecond
-	askNamedMost  = 800 * time.Millisecond
+	askNamedMost  = 1600 * time.Millisecond
 	// leastQuestions is how often they are asked about each version: also one
 	// that heard of it may have heard a little late, and of a few answers the
 	// earliest counts.
@@ -39,7 +40,7 @@
 	// mostQuestions bounds how often while none that is asked has heard of it:
 	// those asked first may have been out of touch too, and after a loss of all
 	// power nobody knows.
-	mostQuestions = 8
+	mostQuestions = 6
 )
 
 // askNamed asks peers when the versions were named that this process has read:
@@ -70,12 +71,13 @@
 func (f *Feed) question() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.known || f.asked >= mostQuestions || f.asked >= leastQuestions && !f.namings.Open() {
+	enough := f.asked >= mostQuestions || f.asked >= leastQuestions && !f.namings.Unresolved()
+	if enough || len(f.namings.All()) == 0 {
 		return 0, false
 	}
 	pause := min(askNamedFirst<<f.asked, askNamedMost)
 	f.asked++
-	return pause, true
+	return pause/2 + rand.N(pause), true
 }
 
 func (f *Feed) askSome(ctx context.Context) {
@@ -215,5 +217,5 @@
 			items = append(items, Item{Key: key, Revision: t.At, Deleted: true})
 		}
 	}
-	f.apply(items, false)
+	f.apply(items, moment{})
 }
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -15,8 +15,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
-	"hawthornferry/core/process/dated"
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/naming"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/conn/link"
@@ -132,7 +132,7 @@
 	items   map[string]Item
 	facts   map[string]Fact
 	lapsing map[string]time.Time
-	namings dated.Ledger
+	namings naming.Ledger
 	// asked is how often peers were asked when the newest version was named.
 	asked    int
 	revision uint64
@@ -248,7 +248,7 @@
 // step lists the store, or waits for one set of changes.
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
-	revision, listed, wait := f.revision, f.known, f.Wait
+	revision, listed, wait, answered := f.revision, f.known, f.Wait, f.answered
 	if len(f.lapsing) > 0 {
 		wait = min(wait, lapseEvery)
 	}
@@ -256,10 +256,14 @@
 	if !listed {
 		return f.list(ctx)
 	}
+	asked := f.Awake()
+	if asked-answered > mostGap {
+		wait = firstWait
+	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	asked := f.Awake()
 	c, err := f.Store.Watch(callCtx, revision, wait)
+	got := f.Awake()
 	if errors.Is(err, ErrHistory) {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: revision})
 		return f.list(ctx)
@@ -271,9 +275,9 @@
 	defer f.mu.Unlock()
 	// A peer may have told of more meanwhile.
 	if c.At >= f.revision {
-		asTheyWere := f.follows(asked, wait)
+		live := f.liveAt(asked, got, wait)
 		f.returned()
-		f.apply(c.Items, asTheyWere)
+		f.apply(c.Items, live)
 		f.confirm(asked, c.At)
 	}
 	return nil
--- a/io/process/feed/late_test.go
+++ b/io/process/feed/late_test.go
@@ -1,22 +1,27 @@
 package feed
 
 import (
-	"errors"
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/process/naming"
+	"hawthornferry/io/conn/link"
 )
 
-// What callers got: requests began on the old weights after the time for them was
-// over. The order: an entry stands still or is cut off, a version is named, the
-// entry wakes, reads it from the store and counts the bound from then, while the
-// engines that load late still serve the old version. The cause: the moment of
-// hearing was taken for that of the naming, and corrected only if one of two peers,
-// asked once, happened to answer before the store did. The evidence: an entry that
-// did not run for 2.8 s let requests begin 8.1 s after the naming (bound 8 s), and on
-// another play of the same day, told in time, demanded the version 7.0 s after it.
+// Callers' requests began on old weights after the time for them was over. A
+// process is out of touch while a version is named, reads it from the store once
+// it is back, and counts the bound from then, while engines that load late still
+// serve the old version. The moment of hearing was taken for that of the naming,
+// and corrected only if one of two peers that were asked once spoke first.
 
 // dueSince returns the newest version that f takes to have been named by at.
 func dueSince(f *Feed, at time.Time) uint64 {
@@ -127,8 +132,8 @@
 	}
 }
 
-// An entry wakes and reads the store before its peers have answered. The two that
-// it asks first know no better, having stood still as well; one that heard of the
+// An entry wakes and reads the store before its peers have answered. Those that it
+// asks first know no better, having stood still as well; one that heard of the
 // version as it was named tells when, and the entry keeps asking until one does.
 func TestTimeOfNamingIsAskedForUntilItIsKnown(t *testing.T) {
 	s := newFakeStore()
@@ -138,12 +143,12 @@
 	cut.set("version/m", "1", false)
 	f := newFeed(cut)
 	f.Self = newSelf("woken")
-	silent := []Peer{silentPeer(t), silentPeer(t)}
+	silent := silentPeer(t)
 	knows, _ := answering(t, reader)
-	var asked atomic.Int64
+	var rounds atomic.Int64
 	f.Peers = func() []Peer {
-		if asked.Add(1) <= 2 {
-			return silent
+		if rounds.Add(1) <= leastQuestions+1 {
+			return []Peer{silent}
 		}
 		return []Peer{knows}
 	}
@@ -155,6 +160,7 @@
 	s.set("version/m", "2", false)
 	eventually(t, "the peer knows version 2", func() bool { return newest(reader) == 2 })
 	time.Sleep(300 * time.Millisecond)
+	rounds.Store(0)
 	cut.set("version/m", "2", false)
 	cut.fail(nil)
 	eventually(t, "version 2 is known", func() bool { return newest(f) == 2 })
@@ -163,6 +169,195 @@
 	})
 }
 
+// The teller of an entry freezes just before a version is named. The entry gives it
+// up, turns to the store and is answered at once: it never was cut off itself, and
+// still hears of the naming more than a second late.
+func TestVersionNamedWhileTheTellerIsSilent(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "1", false)
+	f := newFeed(s)
+	frozen := silentFollower(t, s)
+	f.Tellers = func() []Peer { return []Peer{frozen} }
+	f.TellWait = 500 * time.Millisecond
+	runFeed(t, f)
+	eventually(t, "version 1 is known", func() bool { return newest(f) == 1 })
+	time.Sleep(100 * time.Millisecond)
+	named := time.Now()
+	s.set("version/m", "2", false)
+	eventually(t, "version 2 is known", func() bool { return newest(f) == 2 })
+	if diff := cmp.Diff(uint64(2), dueSince(f, named.Add(time.Millisecond))); diff != "" {
+		t.Errorf("version taken to be named by the time of the naming (-want +got):\n%s", diff)
+	}
+}
+
+// silentFollower is a peer that tells what the store holds once and then accepts
+// questions without a word.
+func silentFollower(t *testing.T, s *fakeStore) Peer {
+	t.Helper()
+	p, err := s.List(context.Background(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed, err := packItems(p.Items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := &tell{Known: true, At: p.At, Packed: packed, Last: true}
+	for _, it := range p.Items {
+		told.Keys = append(told.Keys, it.Key)
+	}
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve := func(ctx context.Context, c *link.Conn) {
+		if _, err := c.Receive(); err != nil {
+			return
+		}
+		if err := c.Send(told); err != nil {
+			return
+		}
+		<-ctx.Done()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: newSelf("frozen"), Net: nl, Handlers: map[link.Purpose]link.Handler{
+		link.PurposeConfig: {Kinds: kinds(), Serve: serve},
+	}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
+}
+
+// The store was away, and a version is named a moment after its return. Taken
+// for named before the outage, it would be demanded of engines seconds before they
+// can have it, and callers would be refused.
+func TestVersionNamedAfterAnOutageIsNotTakenForOld(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "1", false)
+	f := newFeed(s)
+	f.Wait = entryLikeWait
+	runFeed(t, f)
+	eventually(t, "version 1 is known", func() bool { return newest(f) == 1 })
+	s.fail(errors.New("down"))
+	time.Sleep(f.Wait + outage)
+	s.fail(nil)
+	s.mu.Lock()
+	calls := s.calls
+	s.mu.Unlock()
+	eventually(t, "the store is asked again", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.calls > calls
+	})
+	time.Sleep(200 * time.Millisecond)
+	named := time.Now()
+	s.set("version/m", "2", false)
+	eventually(t, "version 2 is known", func() bool { return newest(f) == 2 })
+	if diff := cmp.Diff(uint64(1), dueSince(f, named)); diff != "" {
+		t.Errorf("version taken to be named before it was (-want +got):\n%s", diff)
+	}
+}
+
+// entryLikeWait is a watch that is under way when something is named in a test.
+const entryLikeWait = 800 * time.Millisecond
+
+// Versions are named one after the other, and an entry stands still at each of them.
+// Peers are asked about each anew: the questions put about earlier ones do not count.
+func TestEachNamingIsAskedFor(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "1", false)
+	reader := following(t, s)
+	peer, _ := answering(t, reader)
+	f := newFeed(s)
+	f.Self = newSelf("unsteady")
+	f.RanSince = func(time.Duration) bool { return false }
+	f.Peers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	eventually(t, "version 1 is known", func() bool { return newest(f) == 1 })
+	for v := uint64(2); v < mostQuestions; v++ {
+		s.set("version/m", strconv.FormatUint(v, 10), false)
+		eventually(t, "the version is known", func() bool { return newest(f) == v })
+		eventually(t, "the time of its naming is known", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return !f.namings.Unresolved()
+		})
+		time.Sleep(4 * askNamedFirst)
+	}
+}
+
+// Peers state when a version was named. What a statement is worth depends on how it
+// came: one that lay in a socket while this process stood still, or took long, says
+// only how early the naming can have been at the most. It counts whether or not
+// this process has read the store meanwhile.
+func TestWorthOfAPeersStatement(t *testing.T) {
+	const age = 3 * time.Second
+	now := time.Hour
+	tests := []struct {
+		name   string
+		asked  time.Duration
+		waited bool
+		ran    bool
+		after  uint64
+		want   naming.Entry
+	}{
+		{"at once", now - mostRoundTrip/2, false, true, 5, naming.Entry{Since: now - age, Heard: true}},
+		{"read the store meanwhile", now - mostRoundTrip/2, false, true, 4, naming.Entry{Since: now - age, Heard: true}},
+		{"slow answer", now - 2*mostRoundTrip, false, true, 5, naming.Entry{Since: now - 2*mostRoundTrip - age}},
+		{"waited for news", now - time.Second, true, true, 5, naming.Entry{Since: now - age, Heard: true}},
+		{"stood still while it waited", now - time.Second, true, false, 5, naming.Entry{Since: now - time.Second - age}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFeed(newFakeStore())
+			f.Awake = func() time.Duration { return now }
+			f.RanSince = func(time.Duration) bool { return tc.ran }
+			f.init()
+			f.known, f.revision, f.confirmed = true, 5, now-time.Second
+			f.take(tc.asked, tc.waited, tc.after, "peer", &tell{
+				Known: true, At: 5, Named: []named{{Model: "m", Version: 2, Age: age, Heard: true}},
+			})
+			tc.want.Model, tc.want.Version = "m", 2
+			if diff := cmp.Diff([]naming.Entry{tc.want}, f.namings.All()); diff != "" {
+				t.Errorf("namings (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(uint64(2), newest(f)); diff != "" {
+				t.Errorf("newest version handed out (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A process that starts on a large platform is told in several messages; the first
+// holds the namings. Without them it would not know of the replaced version whose
+// bound is the first to end.
+func TestNamingsComeWithAnAnswerInParts(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "1", false)
+	for i := range 3 {
+		s.set("target/"+strconv.Itoa(i), strings.Repeat("x", tellBytes), false)
+	}
+	reader := following(t, s)
+	s.set("version/m", "2", false)
+	s.set("version/m", "3", false)
+	eventually(t, "version 3 is known", func() bool { return newest(reader) == 3 })
+	peer, _ := answering(t, reader)
+	cut := newFakeStore()
+	cut.fail(errors.New("cut off"))
+	f := newFeed(cut)
+	f.Self = newSelf("started")
+	f.Peers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	eventually(t, "everything is told", func() bool { return len(f.Current().Targets) == 3 })
+	if diff := cmp.Diff(3, len(f.Current().Named("m"))); diff != "" {
+		t.Errorf("versions known (-want +got):\n%s", diff)
+	}
+}
+
 // An entry does not run for a while, and the answer that names a version lies in
 // its socket meanwhile. The watch was not long, so that only the standstill tells
 // that the naming may lie back; the entry takes it for as old as it can be.
--- a/io/process/feed/note.go
+++ b/io/process/feed/note.go
@@ -37,14 +37,14 @@
 // noteVersion writes down a version that this process hears of. AgeMS is how
 // long before that it last knew that there was none: it was named in between,
 // just now if it is said to be heard as it was named.
-func (f *Feed) noteVersion(v *facts.Named, revision uint64, asItWas bool) {
+func (f *Feed) noteVersion(v *facts.Named, revision uint64, live bool) {
 	d := trail.Decision{
 		Area: trail.AreaConfig, Action: "versionNamed", Subject: v.Model, Choice: versionText(v.Version), Revision: revision,
 	}
 	switch {
 	case !f.known:
 		d.Reason = "found at the start"
-	case asItWas:
+	case live:
 		d.Reason = "heard as it was named"
 	default:
 		d.Reason = "heard late or from a peer"
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"hawthornferry/core/process/dated"
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/naming"
 )
 
 const (
@@ -14,9 +14,12 @@
 	// process finds at its start: the time by which it was to be served may be
 	// over. A peer that has heard it named tells better.
 	unknownAge = time.Hour
-	// mostLate is by how much a watch may last longer than it was to wait and
-	// still tell of a version as it is named. Beyond, the process was cut off.
-	mostLate = 500 * time.Millisecond
+	// mostGap is how far a watch may begin after the store's last answer, and end
+	// after its wait, and still tell of a version as it is named.
+	mostGap = leastPause + 100*time.Millisecond
+	// firstWait is the wait of a watch that follows on a longer gap. It brings what
+	// was missed, so that the next one tells of changes as they are made.
+	firstWait = time.Millisecond
 	// mostRoundTrip is how long a question to a peer may take for its answer to
 	// tell when a version was named: that is off by as much at most.
 	mostRoundTrip = 100 * time.Millisecond
@@ -43,33 +46,39 @@
 }
 
 // hear takes in a version that was just read from an item; it is called with the
-// feed locked. asItWas tells that the item came as it was written. A process that
-// was cut off, or did not run, takes the version for named as early as it can have
-// been: counted from the moment at which it hears, the bound on older versions
-// would end later here than elsewhere, by as much as the process was out of touch.
-func (f *Feed) hear(v *facts.Named, asItWas bool) {
-	n := dated.Naming{Model: v.Model, Version: v.Version, Since: f.confirmed, Heard: asItWas, Seen: true}
+// feed locked. live is when the item was written, on Awake, if it came as that
+// happened. Else the process was cut off or did not run, and takes the version for
+// named as early as it can have been: counted from the moment at which it hears,
+// the bound on older versions would end later here than elsewhere, by as much as
+// the process was out of touch.
+func (f *Feed) hear(v *facts.Named, live moment) {
+	e := naming.Entry{Model: v.Model, Version: v.Version, Since: f.confirmed, Read: true}
 	switch {
 	case !f.known:
-		n.Since = f.Awake() - unknownAge
-	case asItWas:
-		n.Since = f.Awake()
+		e.Since = f.Awake() - unknownAge
+	case live.known:
+		e.Since, e.Heard = live.at, true
 	}
-	f.namings.Add(n)
+	f.namings.Add(e)
 	f.asked = 0
 }
 
-// follows reports whether a watch that was asked at the given moment and has just
-// brought something brought it as it was written: the store answered the time
-// before, this watch was no longer than it was to be, and the process ran all the
-// while. It is called with the feed locked.
-func (f *Feed) follows(asked time.Duration, wait time.Duration) bool {
-	if !f.known || f.Awake()-f.answered > wait+leastPause+mostLate {
-		return false
-	}
-	return f.RanSince == nil || f.RanSince(min(asked, f.answered))
+// moment is a time on Awake that may not be known.
+type moment struct {
+	at    time.Duration
+	known bool
+}
+
+// liveAt is when the changes were made that a watch has brought, if it brought them
+// as they were made: it began right after the store's last answer, ended no later
+// than it was to, and the process ran all the while. The feed is locked.
+func (f *Feed) liveAt(asked, got, wait time.Duration) moment {
+	live := f.known && asked-f.answered <= mostGap && got-asked <= wait+mostGap
+	return moment{at: got, known: live && f.ranSince(f.answered)}
 }
 
+func (f *Feed) ranSince(at time.Duration) bool { return f.RanSince == nil || f.RanSince(at) }
+
 // tellNamed is what peers are told of the namings; it is called with the feed
 // locked.
 func (f *Feed) tellNamed() []named {
@@ -81,20 +90,25 @@
 	return out
 }
 
-// takeNamed adopts what a peer tells of the namings; it is called with the feed
-// locked. The answer to a question that waited for news is taken for as old as it
-// says only if this process ran all the while.
+// takeNamed adopts what a peer tells of the namings, whatever revision it holds: a
+// process that wakes may have read the store before its peers answer. It is called
+// with the feed locked. The answer to a question that waited for news is taken for
+// as old as it says only if this process ran all the while.
 func (f *Feed) takeNamed(asked time.Duration, waited bool, told []named) {
 	got := f.Awake()
-	prompt := got-asked <= mostRoundTrip || waited && (f.RanSince == nil || f.RanSince(asked))
+	prompt := got-asked <= mostRoundTrip || waited && f.ranSince(asked)
+	news := false
 	for _, t := range told {
-		n := dated.Naming{Model: t.Model, Version: t.Version, Since: asked - t.Age, Heard: t.Heard && prompt}
-		if n.Heard {
+		e := naming.Entry{Model: t.Model, Version: t.Version, Since: asked - t.Age, Heard: t.Heard && prompt}
+		if e.Heard {
 			// Late by the way here, never early: with errors to both sides peers
 			// that ask each other would shift the moment on and on.
-			n.Since = got - t.Age
+			e.Since = got - t.Age
 		}
-		f.namings.Add(n)
+		news = f.namings.Add(e) || news
+	}
+	if news && f.known {
+		f.publish()
 	}
 }
 
@@ -104,7 +118,7 @@
 	now, awake := f.Clock.Now(), f.Awake()
 	var out []facts.Named
 	for _, n := range f.namings.All() {
-		out = append(out, facts.Named{Model: n.Model, Version: n.Version, Since: now.Add(n.Since - awake), Seen: n.Seen})
+		out = append(out, facts.Named{Model: n.Model, Version: n.Version, Since: now.Add(n.Since - awake), Read: n.Read})
 	}
 	return out
 }
--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -82,7 +82,7 @@
 	}
 	// A replaced version that only peers know of is of no use here: it was over
 	// before this process started, or it would have to be brought anew.
-	named := slices.DeleteFunc(f.Named(s.Engine.Model), func(v facts.Named) bool { return !v.Seen })
+	named := slices.DeleteFunc(f.Named(s.Engine.Model), func(v facts.Named) bool { return !v.Read })
 	if len(named) == 0 {
 		return s.Engine.Model, []uint64{firstVersion}, true
 	}
--- a/io/process/hosted/rollout_test.go
+++ b/io/process/hosted/rollout_test.go
@@ -17,7 +17,7 @@
 func TestWantedVersions(t *testing.T) {
 	start := time.Unix(1000, 0)
 	named := func(version uint64, after time.Duration) facts.Named {
-		return facts.Named{Model: "m", Version: version, Since: start.Add(after), Seen: true}
+		return facts.Named{Model: "m", Version: version, Since: start.Add(after), Read: true}
 	}
 	unseen := facts.Named{Model: "m", Version: 2, Since: start}
 	tests := []struct {
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -43,8 +42,9 @@
 	settled bool
 }
 
-// errOverdue ends an attempt at a target whose version may not be begun on.
-var errOverdue = errors.New("not begun before its version is too old")
+// reasonOverdue is why an attempt at a target is ended whose version may not be
+// begun on any more.
+const reasonOverdue = "not begun before its version is too old"
 
 func (s *Server) guard(q *request, x *exchange, serving uint64) *guard {
 	g := &guard{server: s, q: q, x: x, serving: serving}
@@ -91,7 +91,7 @@
 	if left, bounded := g.server.beginWithin(g.q, g.serving); bounded {
 		if left <= 0 {
 			g.settled = true
-			g.x.abandon(errOverdue.Error())
+			g.x.abandon(reasonOverdue)
 			return
 		}
 		pause = min(pause, left)
--- a/io/request/direct/guard_test.go
+++ b/io/request/direct/guard_test.go
@@ -1,7 +1,10 @@
 package direct
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -76,6 +79,10 @@
 			w.pass(time.Second)
 			w.belief.name(2, w.clock.Now().Add(-2*time.Second))
 		}},
+		{"newest may have been named first", func(w *guarded) {
+			w.belief.name(2, w.clock.Now())
+			w.belief.name(3, w.clock.Now().Add(-2*time.Second))
+		}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -107,6 +114,30 @@
 	}
 }
 
+// The bound passes while a whole answer is on its way to the caller. Its request has
+// run, so that the answer is not cut.
+func TestWholeAnswerIsNotCut(t *testing.T) {
+	w := newGuarded(t)
+	w.belief.name(2, w.clock.Now())
+	w.send()
+	body := &slowBody{read: func() { w.pass(2 * w.server.Rules.Version) }}
+	w.x.resp = &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}
+	rec := httptest.NewRecorder()
+	r := &wholeRelay{q: w.q, out: callerWriter{w: rec, rc: http.NewResponseController(rec)}}
+	r.take(w.x, w.guard)
+	if diff := cmp.Diff(nil, w.x.reason()); diff != "" {
+		t.Errorf("ended by the entry (-want +got):\n%s", diff)
+	}
+}
+
+// slowBody is a body during whose reading something happens.
+type slowBody struct{ read func() }
+
+func (b *slowBody) Read([]byte) (int, error) {
+	b.read()
+	return 0, io.EOF
+}
+
 // A request waited for its place until the version of the target that it got was
 // too old. It must not be sent there at all: an idle engine begins at once.
 func TestOverdueVersionIsNotSentTo(t *testing.T) {
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -51,6 +51,12 @@
 			s.turnAway(w, q, out, v)
 			return
 		}
+		if s.overdue(q, v.Serving) {
+			// It waited for its place until the target's version was too old; an
+			// idle engine would begin at once. The next choice knows.
+			s.desk.done(q.call.ID, place.ResultLeft)
+			continue
+		}
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, results[o])
 		s.logAttempt(q, v, o, err)
@@ -77,9 +83,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A target that goes back to older weights, as after a restart, must not
-	// answer by them: it checks the version as the request begins.
+	// answer by them: it checks the version as the request begins. While others
+	// still load the newest one, a target that has it can only go back.
 	version := uint64(0)
-	if s.demanded(q) > 0 {
+	if newest := s.newest(q); s.demanded(q) > 0 || newest > 0 && v.Serving >= newest {
 		version = v.Serving
 	}
 	req := s.outgoing(ctx, q, v.Target.ID, version)
@@ -88,10 +95,6 @@
 		return resend.Unsent, err
 	}
 	defer x.close()
-	if s.overdue(q, v.Serving) {
-		// It waited for its place until the version was too old.
-		return resend.Unsent, errOverdue
-	}
 	q.tries.Sent()
 	guard := s.guard(q, x, v.Serving)
 	defer guard.stop()
