feed: judge a teller by the age that it states; ask peers at the same time

Callers could be routed by a replaced configuration for over the two seconds within which a new one is to be in force. An entry is told by a teller that is itself cut off from the store. The teller was left only once the entry's own belief was old, but other peers, asked every 0.3 s, keep that young: the teller was kept for good, and each change was heard of only by these questions. A dark peer among the two of a round held up the other by 0.6 s.

Now the teller's statement counts, on from when the question was put, whatever others tell; the two of a round are asked at once. So answers overlap, and take no longer throws one away because another came meanwhile: of a newer revision it has everything that the held one has, even if its confirmation is older.

Ruled out: the belief's age as a fault of its own (ages from peers add up rightly); a shorter limit for tellers, which would send all entries to the store whenever it is slow for a second.

--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,13 +79,19 @@
 	return pause, true
 }
 
+// askSome asks a few peers at the same time: one that is dark would hold up the
+// question to the next until it times out.
 func (f *Feed) askSome(ctx context.Context) {
 	peers := f.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for _, p := range peers[:min(askedAtOnce, len(peers))] {
-		if err := f.askOne(ctx, p); err != nil {
-			f.Metrics.Counter("peer_asks_failed").Inc(1)
-		}
+		wg.Go(func() {
+			if err := f.askOne(ctx, p); err != nil {
+				f.Metrics.Counter("peer_asks_failed").Inc(1)
+			}
+		})
 	}
 }
 
@@ -97,7 +104,8 @@
 	if err := c.SetReadDeadline(time.Now().Add(f.answerTime())); err != nil {
 		return err
 	}
-	return f.exchange(c, 0)
+	_, err = f.exchange(c, 0)
+	return err
 }
 
 // dial connects to a peer within the given time. The connection lasts until end is
@@ -124,27 +132,37 @@
 	return wholeTimeout
 }
 
-// exchange puts one question and takes the answer in.
-func (f *Feed) exchange(c *link.Conn, wait time.Duration) error {
+// exchange puts one question, takes the answer in and returns it.
+func (f *Feed) exchange(c *link.Conn, wait time.Duration) (*tell, error) {
 	asked := f.Awake()
 	f.mu.Lock()
 	after := f.revision
 	f.mu.Unlock()
 	if err := c.Send(&ask{After: after, Wait: wait}); err != nil {
-		return err
+		return nil, err
 	}
+	whole, err := receiveWhole(c)
+	if err != nil {
+		return nil, err
+	}
+	f.take(asked, wait > 0, c.Peer.VM.Name, whole)
+	return whole, nil
+}
+
+// receiveWhole joins the parts of one answer.
+func receiveWhole(c *link.Conn) (*tell, error) {
 	whole := &tell{}
 	for !whole.Last {
 		m, err := c.Receive()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		t, ok := m.(*tell)
 		if !ok {
-			return errors.Newf("answer is %s", m.Kind())
+			return nil, errors.Newf("answer is %s", m.Kind())
 		}
 		if t.Items, err = unpackItems(t.Packed); err != nil {
-			return err
+			return nil, err
 		}
 		if len(t.Named) == 0 {
 			t.Named = whole.Named
@@ -153,15 +171,16 @@
 		t.Keys = append(whole.Keys, t.Keys...)
 		whole = t
 	}
-	f.take(asked, wait > 0, after, c.Peer.VM.Name, whole)
-	return nil
+	return whole, nil
 }
 
 // errOldTeller ends the following of a peer that has itself lost the store.
 var errOldTeller = errors.New("the peer's belief is old")
 
 // followPeer is told of changes by one peer for as long as that one's belief
-// is young.
+// is young. What other peers tell meanwhile does not count: they are asked now and
+// then, and a teller that is cut off would be kept for good though each change is
+// then heard of with the next of these questions only.
 func (f *Feed) followPeer(ctx context.Context, p Peer) error {
 	c, end, err := f.dial(ctx, p, followTimeout)
 	if err != nil {
@@ -172,10 +191,12 @@
 		if err := c.SetReadDeadline(time.Now().Add(f.TellWait + f.answerTime())); err != nil {
 			return err
 		}
-		if err := f.exchange(c, f.TellWait); err != nil {
+		asked := f.Awake()
+		t, err := f.exchange(c, f.TellWait)
+		if err != nil {
 			return err
 		}
-		if age, known := f.Age(); !known || age > 2*f.TellWait+tellerLag {
+		if age := f.Awake() - asked + t.Age; !t.Known || age > 2*f.TellWait+tellerLag {
 			return errOldTeller
 		}
 	}
@@ -183,8 +204,10 @@
 }
 
 // take adopts a peer's answer. What the peer had confirmed Age before it
-// answered was true at the latest Age before it was asked.
-func (f *Feed) take(asked time.Duration, waited bool, after uint64, peer string, t *tell) {
+// answered was true at the latest Age before it was asked. An answer with a newer
+// revision counts also if its confirmation is older than the one held: the peer
+// heard of the change in a watch that began before another peer's last one.
+func (f *Feed) take(asked time.Duration, waited bool, peer string, t *tell) {
 	if !t.Known {
 		return
 	}
@@ -192,10 +215,12 @@
 	defer f.mu.Unlock()
 	f.takeNamed(asked, waited, t.Named)
 	since := asked - t.Age
-	if t.At < f.revision || f.revision != after || (f.known && since <= f.confirmed) {
+	// Peers are asked at the same time, so another answer may have come since the
+	// question left; one of a newer revision has all that that one brought.
+	if t.At < f.revision || f.known && t.At == f.revision && since <= f.confirmed {
 		return
 	}
-	if t.At > after {
+	if t.At > f.revision {
 		f.takeItems(t)
 	}
 	if age := f.Awake() - f.confirmed; !f.known || age > f.Wait+callTimeout {
