feed: take only a gap of everybody's touch with the store for an outage

Requests could reach a target that had left over two seconds before. What counted as an outage was a gap between this process's own calls that the store answered: a process that is told makes none, so that the first one after its tellers fell silent looked like a return, though the store was up all the while. The same held for a list that takes long after the store dropped its history.

Now the gap is counted from when the store last answered anybody: this process, or a peer whose belief is as young as a reader's. The tellers' silence is passed over; an answer without history and each page of a list count as answers. An outage that began while a process was told still gets the grace: the teller that it leaves says so by its age. Whether a process follows the store, by which versions are dated, goes by its own calls as before.

Ruled out: counting from the belief's confirmation, which is up to two waits old in touch. Left as it was: a process that is told on gets no grace.

--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -214,6 +214,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.takeNamed(asked, waited, t.Named)
+	f.peerTold(waited, t.Age)
 	since := asked - t.Age
 	// Peers are asked at the same time, so another answer may have come since the
 	// question left; one of a newer revision has all that that one brought.
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -97,6 +97,10 @@
 	// outage is the gap between two answers from which the store counts as
 	// having been away.
 	outage = time.Second
+	// readerLag is how old the belief of a process that reads the store is at
+	// most while that answers: it is as old as the start of the last watch that
+	// has ended, so two waits of an entry.
+	readerLag = 1600 * time.Millisecond
 )
 
 // Feed holds the belief. Set the exported fields before Run.
@@ -140,7 +144,12 @@
 	confirmed time.Duration
 	known     bool
 	// answered is when, on Awake, the store last answered this process.
-	answered  time.Duration
+	answered time.Duration
+	// upUntil is the latest moment, on Awake, at which the store is known to have
+	// answered anybody; toldAt is until when a teller told. Both are moved on over
+	// the silence of tellers.
+	upUntil   time.Duration
+	toldAt    time.Duration
 	backSince time.Time
 	current   atomic.Pointer[facts.Facts]
 	changed   chan struct{}
@@ -223,6 +232,8 @@
 	if f.Tellers == nil || f.Clock.Now().Before(f.tellersAgain) {
 		return
 	}
+	began := f.Awake()
+	defer func() { f.passOver(began) }()
 	tellers := f.Tellers()
 	rand.Shuffle(len(tellers), func(i, j int) { tellers[i], tellers[j] = tellers[j], tellers[i] })
 	for _, p := range tellers {
@@ -261,6 +272,9 @@
 	asked := f.Awake()
 	c, err := f.Store.Watch(callCtx, revision, wait)
 	if errors.Is(err, ErrHistory) {
+		f.mu.Lock()
+		f.storeAnswered(f.Wait)
+		f.mu.Unlock()
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: revision})
 		return f.list(ctx)
 	}
@@ -272,7 +286,8 @@
 	// A peer may have told of more meanwhile.
 	if c.At >= f.revision {
 		asTheyWere := f.follows(asked, wait)
-		f.returned()
+		f.storeAnswered(f.Wait)
+		f.answered = f.Awake()
 		f.apply(c.Items, asTheyWere)
 		f.confirm(asked, c.At)
 	}
@@ -290,6 +305,9 @@
 		if err != nil {
 			return err
 		}
+		f.mu.Lock()
+		f.storeAnswered(listTimeout)
+		f.mu.Unlock()
 		if after == "" {
 			first = p.At
 		}
@@ -306,7 +324,7 @@
 	if first < f.revision {
 		return nil
 	}
-	f.returned()
+	f.answered = f.Awake()
 	f.replace(items, first)
 	f.confirm(asked, first)
 	return nil
@@ -318,14 +336,40 @@
 	return f.Store.List(ctx, after)
 }
 
-// returned notes that the store answers again after it was away; it is called
-// with the feed locked.
-func (f *Feed) returned() {
+// storeAnswered notes that the store answered a call that may take up to most while
+// all is well, and whether it is back after it was away: nobody was in touch with it
+// for longer, or the teller that was left had lost it too. It is called with the
+// feed locked.
+func (f *Feed) storeAnswered(most time.Duration) {
 	now := f.Awake()
-	if f.known && now-f.answered > f.Wait+outage {
+	if f.known && (now-f.upUntil > most+outage || f.toldAt-f.upUntil > outage) {
 		f.backSince = f.Clock.Now()
 	}
-	f.answered = now
+	f.upUntil = now
+}
+
+// peerTold notes that a peer answered whose belief has the given age; it is called
+// with the feed locked. One as young as that of a reader in touch tells that the
+// store is up. Only the answers that a teller gives to one who waits for news come
+// without a gap, and tell that the store is away.
+func (f *Feed) peerTold(waited bool, age time.Duration) {
+	now := f.Awake()
+	f.upUntil = max(f.upUntil, now-max(0, age-readerLag))
+	if waited {
+		f.toldAt = now
+	}
+}
+
+// passOver notes that a try to be told, which began at the given moment, has ended.
+// The tellers' silence since the last answer says nothing of the store: taken for
+// an outage, a target that left was used on as one that may register anew.
+func (f *Feed) passOver(began time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Awake()
+	silent := now - max(began, f.toldAt)
+	f.upUntil = min(now, f.upUntil+silent)
+	f.toldAt += silent
 }
 
 // confirm makes what is held the belief of the moment asked; it is called
--- a/io/process/feed/touch_test.go
+++ b/io/process/feed/touch_test.go
@@ -1,12 +1,18 @@
 package feed
 
 import (
+	"context"
 	"errors"
+	"net"
+	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/io/conn/link"
 )
 
 // entryTimes are the times of an entry.
@@ -118,3 +124,145 @@
 		})
 	}
 }
+
+// freezingPeer answers for a feed until freeze is called, and keeps its connections
+// open after.
+func freezingPeer(t *testing.T, f *Feed) (peer Peer, freeze func()) {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var frozen atomic.Bool
+	serve := func(ctx context.Context, c *link.Conn) {
+		for {
+			m, err := c.Receive()
+			if err != nil {
+				return
+			}
+			q := m.(*ask)
+			f.awaitNews(ctx, q)
+			if frozen.Load() {
+				<-ctx.Done()
+				return
+			}
+			for _, a := range f.answerTo(q) {
+				if f.send(c, a) != nil {
+					return
+				}
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: f.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{
+		link.PurposeConfig: {Kinds: kinds(), Serve: serve},
+	}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}, func() { frozen.Store(true) }
+}
+
+// Requests reached a target that had left two seconds before. The process that uses
+// it was told by a peer that fell silent, and turned to the store, which had been up
+// all the while. Since it had not called the store itself before, that counted as
+// back after an outage, and the target as one that may register anew.
+func TestSilentTellersAreNoOutage(t *testing.T) {
+	s := newFakeStore()
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	reader := newFeed(s)
+	reader.Self = newSelf("reader")
+	reader.Wait = 800 * time.Millisecond
+	runFeed(t, reader)
+	peer, freeze := freezingPeer(t, reader)
+	own := &countingStore{Store: s}
+	f := newFeed(own)
+	entryTimes(f)
+	f.Tellers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	time.Sleep(f.Wait + outage + 300*time.Millisecond)
+	calls := own.answers.Load()
+	freeze()
+	eventually(t, "the store has answered", func() bool { return own.answers.Load() > calls })
+	s.set("target/a", "", true)
+	if took := eventually(t, "a is gone", func() bool { return ids(f) == "b" }); took > 500*time.Millisecond {
+		t.Errorf("a was used for %s after its removal", took)
+	}
+}
+
+// A process is told while the store is away, and turns to it as the teller's belief
+// is old. The store is back, and the targets that could not renew their entries are
+// missing: these are kept, as by a process that read the store all the while.
+func TestOutageWhileTold(t *testing.T) {
+	s := newFakeStore()
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	_, peer := tellingFeed(t, "reader", s)
+	f := newFeed(s)
+	entryTimes(f)
+	f.Tellers = func() []Peer { return []Peer{peer} }
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	s.fail(errors.New("down"))
+	eventually(t, "the teller is left", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.tellersAgain.IsZero()
+	})
+	s.set("target/a", "", true)
+	s.fail(nil)
+	eventually(t, "the store is in touch", func() bool { age, _ := f.Age(); return age < outage })
+	if diff := cmp.Diff("a b", ids(f)); diff != "" {
+		t.Fatalf("just after the return (-want +got):\n%s", diff)
+	}
+	eventually(t, "a is taken for gone", func() bool { return ids(f) == "b" })
+}
+
+// countingStore counts the watches that the store answered.
+type countingStore struct {
+	Store
+	answers atomic.Int64
+}
+
+func (s *countingStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	c, err := s.Store.Watch(ctx, after, wait)
+	if err == nil {
+		s.answers.Add(1)
+	}
+	return c, err
+}
+
+// slowLists answers a list after a while, as over a link that others use as well.
+type slowLists struct {
+	*fakeStore
+	takes time.Duration
+}
+
+func (s *slowLists) List(ctx context.Context, after string) (Page, error) {
+	time.Sleep(s.takes)
+	return s.fakeStore.List(ctx, after)
+}
+
+// Requests reached a target that had left two seconds before. The store had dropped
+// the history, so that all was listed anew, over a busy link. The time that the list
+// took was taken for an outage, and a target that it lacks for one that may register
+// anew.
+func TestSlowListIsNoOutage(t *testing.T) {
+	s := newFakeStore()
+	s.set("target/a", "", false)
+	s.set("target/b", "", false)
+	f := newFeed(&slowLists{s, outage + 500*time.Millisecond})
+	runFeed(t, f)
+	eventually(t, "both are known", func() bool { return ids(f) == "a b" })
+	s.forget()
+	s.set("target/a", "", true)
+	s.forget()
+	if took := eventually(t, "a is gone", func() bool { return ids(f) == "b" }); took > 2*outage {
+		t.Errorf("a was used for %s after its removal, want %s at most", took, 2*outage)
+	}
+}
