direct: read the age of a belief before the belief

Callers with a revoked key could be served, and callers whose key or route had been there for long told 401 or 404. A request took the belief, and read the age of the source's belief later, twice: if a new belief came in between, as in an entry that wakes or is in touch again, the old table was judged by the new one's age. Now the age is read first, once, and kept in the request; what is taken after it is as old or younger.

Why the time after that need not count, also a standstill: both bounds are on requests sent after the bound has run out, and the age is read when the request is here. Ruled out: the order inside the feed (it dates and publishes a belief under the lock that reading the age takes). Not mended: a body that is sent for seconds after its header is judged by the moment of the header.

--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -33,10 +33,13 @@
 
 // request is one request of a caller on its way.
 type request struct {
-	in       *http.Request
-	call     Call
-	body     []byte
-	facts    *facts.Facts
+	in    *http.Request
+	call  Call
+	body  []byte
+	facts *facts.Facts
+	// age is how old facts are at the most, if that is known.
+	age      time.Duration
+	ageKnown bool
 	route    table.Route
 	service  table.Service
 	customer string
@@ -80,7 +83,7 @@
 	if q.call, err = s.Dialect.Call(q.in); err != nil {
 		return answer{status: http.StatusBadRequest, reason: err.Error()}, false
 	}
-	q.facts = s.Source.Current()
+	s.believe(q)
 	if q.facts.Table == nil {
 		return answer{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: settleWait}, false
 	}
@@ -97,13 +100,21 @@
 	return answer{}, true
 }
 
-// outdated reports whether the belief is too old to tell a caller that
-// something does not exist.
-func (s *Server) outdated() bool {
-	age, known := s.Source.Age()
-	return !known || age > s.Rules.TableAge
+// believe takes the belief that the request is served by, and its age. The age
+// is read first: read last, it could be that of a belief that came in between,
+// and a revoked key would pass by the old table. A belief that comes between the
+// two is at most younger than it is taken for, which costs a caller a moment's
+// wait. Time that passes later need not count: the bounds run until the request
+// was sent, and that was before.
+func (s *Server) believe(q *request) {
+	q.age, q.ageKnown = s.Source.Age()
+	q.facts = s.Source.Current()
 }
 
+// olderThan reports whether the belief that the request is served by may have
+// been older than d when the request came.
+func (q *request) olderThan(d time.Duration) bool { return !q.ageKnown || q.age > d }
+
 func (s *Server) find(q *request) (answer, bool) {
 	host := q.in.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -112,7 +123,7 @@
 	path, _, _ := strings.Cut(q.in.RequestURI, "?")
 	route, ok := q.facts.Table.Match(strings.ToLower(host), path)
 	if !ok {
-		return s.denied(http.StatusNotFound, "noRoute"), false
+		return s.denied(q, http.StatusNotFound, "noRoute"), false
 	}
 	q.route = route
 	name := pickService(route.Shares, q.call.ID)
@@ -126,8 +137,8 @@
 // denied tells a caller that what it names does not exist, or to come back
 // when this process does not know for sure: a configuration that brings it
 // may just not have come here.
-func (s *Server) denied(status int, reason string) answer {
-	if s.outdated() {
+func (s *Server) denied(q *request, status int, reason string) answer {
+	if q.olderThan(s.Rules.TableAge) {
 		return answer{status: http.StatusServiceUnavailable, reason: reason + "ByOldBelief", retryAfter: settleWait}
 	}
 	return answer{status: status, reason: reason}
@@ -161,13 +172,12 @@
 	if !q.facts.Table.Keyed() || q.route.Anonymous {
 		return answer{}, true
 	}
-	age, known := s.Source.Age()
-	if s.Rules.KeyAge > 0 && (!known || age > s.Rules.KeyAge) {
+	if s.Rules.KeyAge > 0 && q.olderThan(s.Rules.KeyAge) {
 		return answer{status: http.StatusServiceUnavailable, reason: "keysTooOld", retryAfter: settleWait}, false
 	}
 	c, ok := q.facts.Table.CustomerOf(q.call.Key)
 	if !ok {
-		return s.denied(http.StatusUnauthorized, "unknownKey"), false
+		return s.denied(q, http.StatusUnauthorized, "unknownKey"), false
 	}
 	q.customer = c.Name
 	if c.Priority != nil {
