spend: count the window on the steady clock

Targets could get more repeats than their operator allows, or callers none: an entry counted its window by the time of day, which may jump by seconds and back. Forward by a window, all that was spent was forgotten and granted again; backward, nothing was forgotten until the time of day had caught up.

Buckets are now counted from the first call by the steady reading that the clock's times carry. A suspended machine's steady clock stands still: what was spent is kept for longer. Left: requests are kept for longer as well, so a machine that wakes may spend on those of before its sleep; its sum stays that of one window.

The test shifts the time of day inside a time.Time, which the standard library does not do; it checks that it did only that.

--- a/core/request/spend/spend.go
+++ b/core/request/spend/spend.go
@@ -25,6 +25,11 @@
 	Slack  float64
 	Window time.Duration
 
+	// began is the first call. Buckets are counted from it by the steady clock:
+	// the time of day may jump by a window, and what was spent would be granted
+	// again. While a machine is suspended that clock stands still, which only
+	// keeps what was spent for longer.
+	began    time.Time
 	requests [buckets]float64
 	repeats  [buckets]float64
 	last     int64
@@ -50,7 +55,10 @@
 // turn clears the buckets that have left the window.
 func (b *Budget) turn(now time.Time) {
 	width := max(b.Window/buckets, time.Millisecond)
-	at := now.UnixNano() / int64(width)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / width)
 	if at-b.last >= buckets {
 		b.requests, b.repeats = [buckets]float64{}, [buckets]float64{}
 		b.last = at
--- a/core/request/spend/spend_test.go
+++ b/core/request/spend/spend_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // Targets fail, and every request would be sent again: the repeats of any
@@ -49,3 +52,46 @@
 		}
 	}
 }
+
+// jumped is t with the time of day shifted and the reading of the steady clock
+// as it was, as after an adjustment of the machine's clock. No call of the
+// standard library makes such a time; the seconds of a time that has both are
+// its upper bits.
+func jumped(t *testing.T, at time.Time, seconds int64) time.Time {
+	t.Helper()
+	const secondsShift = 30
+	out := at
+	*(*uint64)(unsafe.Pointer(&out)) += uint64(seconds) << secondsShift
+	if out.Sub(at) != 0 || out.Round(0).Sub(at.Round(0)) != time.Duration(seconds)*time.Second {
+		t.Fatalf("a time of another layout: %v became %v", at, out)
+	}
+	return out
+}
+
+// spent takes repeats until none is granted.
+func spent(b *Budget, now time.Time) int {
+	n := 0
+	for b.Take(now) {
+		n++
+	}
+	return n
+}
+
+// Targets get more repeats than their operator allows, or callers none: the time
+// of day of an entry jumps by more than a window. Forward, all that was spent is
+// forgotten and granted again at once; backward, it is kept for as long again.
+func TestTimeOfDayDoesNotMoveTheWindow(t *testing.T) {
+	const window = 10 * time.Second
+	for _, seconds := range []int64{-25, 25} {
+		b := &Budget{Ratio: 0.2, Slack: 100, Window: window}
+		now := time.Now()
+		whole := spent(b, now)
+		if diff := cmp.Diff(0, spent(b, jumped(t, now, seconds))); diff != "" {
+			t.Errorf("repeats after a jump of %d s (-want +got):\n%s", seconds, diff)
+		}
+		after := jumped(t, now.Add(2*window), seconds)
+		if diff := cmp.Diff(whole, spent(b, after)); diff != "" {
+			t.Errorf("repeats two windows after a jump of %d s (-want +got):\n%s", seconds, diff)
+		}
+	}
+}
