spend: keep what was spent for a whole window

Targets could get up to twice the operator's slack within one window. An entry counts a window in ten buckets, of which the running one has just begun: a repeat made at a bucket's end was forgotten nine buckets later and its part of the slack granted again. Twelve entries, whose parts sum to 0.96 of the slack, could so spend 1.92 of it in one window, with the ratio's reserve aside.

Repeats are kept for eleven buckets now, requests for ten as before.

After: none; two windows later it is there again. go test of core/request/spend passes.

--- a/core/request/spend/spend.go
+++ b/core/request/spend/spend.go
@@ -16,6 +16,10 @@
 	slackShare = 0.08
 	// buckets is how many parts a window is counted in.
 	buckets = 10
+	// spentBuckets is for how many of them a repeat is kept. The first and the
+	// last of a window are mostly cut: dropped with the requests, a repeat would
+	// be granted again up to a bucket too soon, and the operator sees both.
+	spentBuckets = buckets + 1
 )
 
 // Budget counts the requests and repeats of one service within a sliding
@@ -31,7 +35,7 @@
 	// keeps what was spent for longer.
 	began    time.Time
 	requests [buckets]float64
-	repeats  [buckets]float64
+	repeats  [spentBuckets]float64
 	last     int64
 }
 
@@ -44,11 +48,11 @@
 // Take reports whether a request may be sent once more, and counts it.
 func (b *Budget) Take(now time.Time) bool {
 	b.turn(now)
-	allowed := ratioShare*b.Ratio*sum(b.requests) + slackShare*b.Slack
-	if sum(b.repeats)+1 > allowed {
+	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + slackShare*b.Slack
+	if sum(b.repeats[:])+1 > allowed {
 		return false
 	}
-	b.repeats[b.last%buckets]++
+	b.repeats[b.last%spentBuckets]++
 	return true
 }
 
@@ -59,19 +63,16 @@
 		b.began = now
 	}
 	at := int64(now.Sub(b.began) / width)
-	if at-b.last >= buckets {
-		b.requests, b.repeats = [buckets]float64{}, [buckets]float64{}
-		b.last = at
-		return
-	}
+	// All are cleared by one round.
+	b.last = max(b.last, at-spentBuckets)
 	for b.last < at {
 		b.last++
 		b.requests[b.last%buckets] = 0
-		b.repeats[b.last%buckets] = 0
+		b.repeats[b.last%spentBuckets] = 0
 	}
 }
 
-func sum(v [buckets]float64) float64 {
+func sum(v []float64) float64 {
 	var out float64
 	for _, x := range v {
 		out += x
--- a/core/request/spend/spend_test.go
+++ b/core/request/spend/spend_test.go
@@ -95,3 +95,27 @@
 		}
 	}
 }
+
+// Targets get up to twice the operator's slack within one window: an entry spends
+// its part at the end of one tenth of its window and, once that tenth has left
+// it, spends it again, a little less than a window later.
+func TestSlackIsGrantedOnceInAnyWindow(t *testing.T) {
+	const window = 10 * time.Second
+	const step = 100 * time.Millisecond
+	for first := time.Duration(0); first < window; first += step {
+		b := &Budget{Ratio: 0.2, Slack: 100, Window: window}
+		began := time.Now()
+		b.Earn(began)
+		whole := spent(b, began.Add(first))
+		again := 0
+		for after := step; after < window; after += step {
+			again += spent(b, began.Add(first+after))
+		}
+		if diff := cmp.Diff(0, again); diff != "" {
+			t.Errorf("spent at %v, again within a window (-want +got):\n%s", first, diff)
+		}
+		if diff := cmp.Diff(whole, spent(b, began.Add(first+2*window))); diff != "" {
+			t.Errorf("spent at %v, two windows later (-want +got):\n%s", first, diff)
+		}
+	}
+}
