shelf: order a load only while every chunk was whole a moment ago

Callers could be answered from spoilt weights. Before an order each chunk at the engine is read back, but nothing bounded the time from there to the order: the machine may be suspended or the process stand still between two chunks, and a slow engine take up to 1.5 s for each. A chunk that turned bad after its look, longer than 3 s before the load, was loaded without anybody knowing.

Each look is dated now, before its read, on the clock that counts suspension (Shelf.Awake, by default awake.Now). An order is given only while the oldest look is no older than 1.5 s, and ends unanswered after 1 s; what is older is looked at again, four rounds at most, then the side tries again later. Ruled out: other writers (staging is locked meanwhile).

What is left: a standstill between the last look at the clock and the engine's taking of the order. The engine would not load the same version again, so that it can only be written down (orderedLate).

--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -20,6 +20,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/roll"
+	"hawthornferry/io/process/awake"
 )
 
 // Report is what an engine tells of itself. Serving is 0 while it lacks
@@ -62,6 +63,16 @@
 	// startRetry parts the tries.
 	startWait  = 4 * time.Second
 	startRetry = 50 * time.Millisecond
+	// lateOrder is how long before a load a chunk may have turned bad without
+	// blame on who ordered it: it cannot be helped in the last moment. mostAge is
+	// how old the oldest look at a chunk may be when the order is given, and
+	// orderTime how long the engine has to take it; both are within lateOrder.
+	lateOrder = 3 * time.Second
+	mostAge   = 1500 * time.Millisecond
+	orderTime = time.Second
+	// readRounds is how often chunks are looked at before an order whose oldest
+	// look is too old each time is given up for now.
+	readRounds = 4
 	// settleWait bounds the wait for an engine that did not answer an order.
 	settleWait = 2 * time.Second
 	// spoiltDraws is how many chunks may come spoilt from the origin before
@@ -84,6 +95,9 @@
 	Log    trail.Log
 	Engine Engine
 	Origin Origin
+	// Awake is a clock that also counts the time in which the machine was
+	// suspended; a chunk may turn bad in that time. Nil stands for awake.Now.
+	Awake func() time.Duration
 	// Loading, when set, is told before an order is given and after.
 	Loading func(bool)
 
@@ -382,18 +396,79 @@
 	// those of this one.
 	s.staging.Lock()
 	defer s.staging.Unlock()
-	for num, ref := range m.Chunks {
-		if err := s.ensure(ctx, e, num, ref); err != nil {
-			return err
-		}
+	oldest, err := s.readBack(ctx, e, m)
+	if err != nil {
+		return err
 	}
-	err := s.Engine.Begin(ctx, e.Model, e.Version, number-1)
+	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	err = s.Engine.Begin(orderCtx, e.Model, e.Version, number-1)
 	if err != nil {
 		s.settle(ctx)
 	}
+	s.noteLate(e, oldest)
 	return err
 }
 
+func (s *Shelf) now() time.Duration {
+	if s.Awake == nil {
+		return awake.Now()
+	}
+	return s.Awake()
+}
+
+// errSlowReading ends an attempt to load whose read-back is too old each time.
+var errSlowReading = errors.New("reading back what is staged takes too long for an order")
+
+// readBack makes sure that every chunk lies whole at the engine, and returns the
+// moment of the oldest look. The process may stand still between two looks, or
+// the engine answer slowly: what turned bad meanwhile would be loaded, so that
+// what was seen too long ago is looked at again.
+func (s *Shelf) readBack(ctx context.Context, e *Edition, m chunk.Manifest) (time.Duration, error) {
+	looked := make([]time.Duration, len(m.Chunks))
+	for range readRounds {
+		oldest, err := s.renew(ctx, e, m, looked)
+		if err != nil {
+			return 0, err
+		}
+		if s.now()-oldest <= mostAge {
+			return oldest, nil
+		}
+	}
+	return 0, errSlowReading
+}
+
+// renew looks at the chunks that were not looked at yet, or too long ago, and
+// returns the moment of the oldest look.
+func (s *Shelf) renew(ctx context.Context, e *Edition, m chunk.Manifest, looked []time.Duration) (time.Duration, error) {
+	oldest := s.now()
+	for num, ref := range m.Chunks {
+		if looked[num] == 0 || s.now()-looked[num] > mostAge {
+			at, err := s.ensure(ctx, e, num, ref)
+			if err != nil {
+				return 0, err
+			}
+			looked[num] = at
+		}
+		oldest = min(oldest, looked[num])
+	}
+	return oldest, nil
+}
+
+// noteLate writes down an order that may have been taken when what was read back
+// could have been bad for longer than lateOrder: the process stood still after it
+// had looked at its age, where nothing can stop the order any more.
+func (s *Shelf) noteLate(e *Edition, oldest time.Duration) {
+	age := s.now() - oldest
+	if age <= lateOrder {
+		return
+	}
+	s.Log.Decide(trail.Decision{
+		Area: trail.AreaTransfer, Action: "orderedLate", Subject: string(e.Digest), Version: e.Version,
+		AgeMS: age.Milliseconds(),
+	})
+}
+
 // settle waits, after an order that was not answered, until the engine answers
 // again: the order may still be on its way until then, and is taken with what
 // lies there at that time.
@@ -422,29 +497,32 @@
 	return nil
 }
 
-// ensure puts one chunk back when the engine does not hold it whole.
-func (s *Shelf) ensure(ctx context.Context, e *Edition, num int, ref chunk.Ref) error {
+// ensure puts one chunk back when the engine does not hold it whole, and returns
+// a moment from which it was whole there.
+func (s *Shelf) ensure(ctx context.Context, e *Edition, num int, ref chunk.Ref) (time.Duration, error) {
+	at := s.now()
 	there, err := s.Engine.Get(ctx, e.Model, num)
 	if err == nil && chunk.Sum(there) == ref.Digest {
-		return nil
+		return at, nil
 	}
 	b, ok := s.remembered(ref.Digest)
 	if !ok {
-		return fault.Newf("order load", "engine", "chunk %d is spoilt and not at hand", num)
+		return 0, fault.Newf("order load", "engine", "chunk %d is spoilt and not at hand", num)
 	}
 	s.Log.Decide(trail.Decision{
 		Area: trail.AreaTransfer, Action: "stageAgain", Subject: string(ref.Digest), Choice: strconv.Itoa(num),
 		Reason: "spoilt or missing at the engine",
 	})
 	if err := s.Engine.Put(ctx, e.Model, num, b); err != nil {
-		return err
+		return 0, err
 	}
+	at = s.now()
 	again, err := s.Engine.Get(ctx, e.Model, num)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if !bytes.Equal(again, b) {
-		return fault.Newf("order load", "engine", "chunk %d does not stay whole", num)
+		return 0, fault.Newf("order load", "engine", "chunk %d does not stay whole", num)
 	}
-	return nil
+	return at, nil
 }
--- a/io/version/shelf/shelf_test.go
+++ b/io/version/shelf/shelf_test.go
@@ -228,3 +228,49 @@
 	}
 	wantTaken(t, e, 2)
 }
+
+// A caller would be answered from spoilt weights: the process is suspended, or
+// its engine slow, while it reads back what it is about to order, and a chunk that
+// it had found whole turns bad in that time. An order may be given only while
+// every chunk was whole a moment ago; what was seen earlier is looked at again,
+// and without that no order is given.
+func TestLoadLooksAgainAtWhatItSawLongAgo(t *testing.T) {
+	tests := []struct {
+		name string
+		// holds tells at which of the reads, counted from 0, time passes.
+		holds  func(read int) bool
+		orders uint64
+	}{
+		{"stands still at the second chunk", func(read int) bool { return read == 1 }, 1},
+		{"stands still at the last chunk", func(read int) bool { return read == pieces-1 }, 1},
+		{"stands still in two rounds", func(read int) bool { return read == 2 || read == pieces+2 }, 1},
+		{"engine is slow all the while", func(int) bool { return true }, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			e := &fakeEngine{kept: map[int][]byte{}}
+			s := newShelf(e)
+			now := time.Hour
+			s.Awake = func() time.Duration { return now }
+			two := add(t, s, 2)
+			for num := range pieces {
+				put(t, s, 2, num)
+			}
+			reads := 0
+			e.onGet = func(num int) {
+				if num != 0 && tc.holds(reads) {
+					now += 2 * lateOrder
+					e.kept[0] = []byte("spoilt")
+				}
+				reads++
+			}
+			err := s.Load(t.Context(), 1, two.Digest, two.Manifest)
+			if diff := cmp.Diff(tc.orders, e.orders); diff != "" {
+				t.Fatalf("orders, error %v (-want +got):\n%s", err, diff)
+			}
+			if tc.orders > 0 {
+				wantTaken(t, e, 2)
+			}
+		})
+	}
+}
