shelf: stage nothing while an order may be on its way

Callers could be answered from mixed weights. After an order without an answer the shelf waited 2 s for the engine and then let chunks of the next version be staged; an engine that read the order later took those. A process that started anew did not know of the order at all and staged at once.

Staging now stays closed until the engine has answered a question put after the order: chunks are kept here meanwhile, and put there before their own order, which waits as well. A new process asks once before it stages anything (one report, on its own machine). Why an answer is enough: the connection of the order is closed by then, so that nothing more of it comes, and what the engine had of it is read before. Ruled out: the engine's check of the order's number (it guards against a second order, not against what lies there).

Left: an order that is taken late, for which the last look at the chunks may be over 3 s old; it ends unanswered after 1 s, but what the engine has of it stays.

Before: both cases of the test take chunks of version 3 as version 2. After: they pass; go test -race of io/version/shelf passes.

--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -104,6 +104,9 @@
 	// staging is held while what lies at the engine must not change: an engine
 	// that is ordered to load takes what lies there when it accepts the order.
 	staging sync.Mutex
+	// settled is set while no order can be on its way; staging guards it. A
+	// process that starts does not know what the one before it ordered.
+	settled bool
 
 	mu       sync.Mutex
 	editions []*Edition
@@ -264,7 +267,7 @@
 		if !s.isNewest(p) {
 			return nil
 		}
-		if err := s.Engine.Put(ctx, p.model, p.num, b); err != nil {
+		if err := s.stage(ctx, p, b); err != nil {
 			s.Log.Decide(trail.Decision{
 				Area: trail.AreaTransfer, Action: "stageLater", Subject: string(d),
 				Choice: strconv.Itoa(p.num), Reason: err.Error(),
@@ -274,6 +277,15 @@
 	return nil
 }
 
+// stage hands a chunk to the engine unless an order may be on its way there,
+// which would load it among those of another version.
+func (s *Shelf) stage(ctx context.Context, p place, b []byte) error {
+	if err := s.ask(ctx); err != nil {
+		return err
+	}
+	return s.Engine.Put(ctx, p.model, p.num, b)
+}
+
 func (s *Shelf) isNewest(p place) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -396,18 +408,30 @@
 	// those of this one.
 	s.staging.Lock()
 	defer s.staging.Unlock()
+	// What is put back must not get into an earlier order either.
+	if err := s.settle(ctx); err != nil {
+		return err
+	}
 	oldest, err := s.readBack(ctx, e, m)
 	if err != nil {
 		return err
 	}
+	err = s.begin(ctx, e, number)
+	s.noteLate(e, oldest)
+	return err
+}
+
+// begin gives the order, and waits for the engine if it does not answer.
+func (s *Shelf) begin(ctx context.Context, e *Edition, number uint64) error {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	err = s.Engine.Begin(orderCtx, e.Model, e.Version, number-1)
-	if err != nil {
-		s.settle(ctx)
+	s.settled = false
+	err := s.Engine.Begin(orderCtx, e.Model, e.Version, number-1)
+	if err == nil {
+		s.settled = true
+		return nil
 	}
-	s.noteLate(e, oldest)
-	return err
+	return errors.CombineErrors(err, s.settle(ctx))
 }
 
 func (s *Shelf) now() time.Duration {
@@ -470,22 +494,38 @@
 }
 
 // settle waits, after an order that was not answered, until the engine answers
-// again: the order may still be on its way until then, and is taken with what
-// lies there at that time.
-func (s *Shelf) settle(ctx context.Context) {
+// again. If it does not, nothing is staged until it does: given up earlier, the
+// order could take what has been staged for the next version meanwhile.
+func (s *Shelf) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
-	for ctx.Err() == nil {
-		if _, err := s.Engine.Report(ctx); err == nil {
-			return
+	for {
+		err := s.ask(ctx)
+		if err == nil {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
+			return fault.At("settle order", "engine", err)
 		case <-s.Clock.After(startRetry):
 		}
 	}
 }
 
+// ask makes sure that no order is on its way. The connection of one that was not
+// answered is closed by then, and what an engine had received on it is read
+// before it answers a later question.
+func (s *Shelf) ask(ctx context.Context) error {
+	if s.settled {
+		return nil
+	}
+	if _, err := s.Engine.Report(ctx); err != nil {
+		return err
+	}
+	s.settled = true
+	return nil
+}
+
 func (s *Shelf) edition(d chunk.Digest) *Edition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/version/shelf/shelf_test.go
+++ b/io/version/shelf/shelf_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -32,11 +33,30 @@
 	onGet    func(num int)
 	refuse   int
 	putFails error
+	// silent is set while it answers no question and no order, and takes none;
+	// staging goes on. onTheWay is the order that it has not read yet.
+	silent   bool
+	onTheWay func()
 }
 
+// wake has the engine read what is on its way, and answer again.
+func (e *fakeEngine) wake() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = false
+	if e.onTheWay != nil {
+		e.onTheWay()
+	}
+}
+
+var errSilent = errors.New("no answer")
+
 func (e *fakeEngine) Report(context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.silent {
+		return Report{}, errSilent
+	}
 	return Report{Model: model, Serving: e.version, Orders: e.orders, Born: time.UnixMilli(1)}, nil
 }
 
@@ -82,13 +102,18 @@
 func (e *fakeEngine) Begin(_ context.Context, _ string, version, _ uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.taken = map[int][]byte{}
-	for num, b := range e.kept {
-		e.taken[num] = b
+	if e.silent {
+		e.onTheWay = func() { e.take(version) }
+		return errSilent
 	}
+	e.take(version)
+	return nil
+}
+
+func (e *fakeEngine) take(version uint64) {
+	e.taken = maps.Clone(e.kept)
 	e.version = version
 	e.orders++
-	return nil
 }
 
 func piece(version uint64, num int) []byte {
@@ -274,3 +299,47 @@
 		})
 	}
 }
+
+// A caller would be answered from mixed weights: an engine does not answer the
+// order for version 2 and still has it before it when the wait for it ends, or
+// when the process that gave the order ends and another starts. Chunks of version
+// 3 come; the engine reads the order and takes what lies there. Nothing may be
+// staged until it answers a question.
+func TestNothingIsStagedBesideAnUnansweredOrder(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted %t", restarted), func(t *testing.T) {
+			e := &fakeEngine{kept: map[int][]byte{}}
+			s := newShelf(e)
+			two := add(t, s, 2)
+			for num := range pieces {
+				put(t, s, 2, num)
+			}
+			e.onGet = func(int) { e.silent = true }
+			ctx, cancel := context.WithTimeout(t.Context(), startRetry)
+			defer cancel()
+			if err := s.Load(ctx, 1, two.Digest, two.Manifest); err == nil {
+				t.Fatal("Load of an order without an answer reports none")
+			}
+			if restarted {
+				s = newShelf(e)
+				add(t, s, 2)
+			}
+			three := add(t, s, 3)
+			for num := range pieces {
+				put(t, s, 3, num)
+			}
+			ctx, cancel = context.WithTimeout(t.Context(), startRetry)
+			defer cancel()
+			if err := s.Load(ctx, 1, three.Digest, three.Manifest); err == nil {
+				t.Error("an order is given while the one before it may be on its way")
+			}
+			e.wake()
+			wantTaken(t, e, 2)
+			e.onGet = nil
+			if err := s.Load(t.Context(), 2, three.Digest, three.Manifest); err != nil {
+				t.Fatal(err)
+			}
+			wantTaken(t, e, 3)
+		})
+	}
+}
