roll: let a permission age while the machine is suspended

A zone could drop below its floor, or load a version that was withdrawn: a side that asks the replicas of its zone may order for two seconds on their answers, but counted these on the steady clock, which stands still while the machine is suspended. Awake again, it ordered on answers from before, although a replica may have gone or a later document come meanwhile.

The facts of a decision carry now when they were read, on the clock that counts suspension, and the permission's age is counted on that. The orderer reads it last of all facts, since reading its target takes time. The test of a side that slept passes the time on that clock as well, and the exploration dates both alike, so that leaving the check out is what it was. Seen on the way: with the check alone left out and the order dated truly, the exploration of two sides finds no broken floor; its fault comes from an order dated back. The check stays for replicas that leave and documents that change, which the model doesn't have.

Before: the test gets an order. After: it gets "permission is too old" and asks again. go test of core/version/roll (with the explorations) and io/version/order pass, with and without -race.

--- a/core/version/roll/explore_test.go
+++ b/core/version/roll/explore_test.go
@@ -79,7 +79,7 @@
 func (z *zone) key() string {
 	out := fmt.Sprint(z.now)
 	for _, s := range z.sides {
-		out += fmt.Sprint("|", s.machine.phase, s.machine.manifest, z.age(s.machine.askedAt), z.age(s.machine.ordered), z.age(s.machine.retryAt),
+		out += fmt.Sprint("|", s.machine.phase, s.machine.manifest, s.machine.askedAt, z.age(s.machine.ordered), z.age(s.machine.retryAt),
 			s.wants, s.verified, s.engine, s.asking, s.answers, s.order, s.sent)
 	}
 	return out
@@ -96,6 +96,7 @@
 func (m zoneModel) facts(z *zone, i int) Facts {
 	s := z.sides[i]
 	f := Facts{
+		At: z.at().Sub(start),
 		Want: Want{
 			Revision: 1,
 			Service:  envdoc.Service{Name: "helper", Floor: m.floor},
@@ -183,11 +184,11 @@
 			came = append(came, st)
 		}
 	}
-	now := z.at()
+	f := m.facts(z, i)
 	if m.omitted == omitLife {
-		now = s.machine.askedAt
+		f.At = s.machine.askedAt
 	}
-	a := s.machine.Answered(now, m.facts(z, i), came)
+	a := s.machine.Answered(start.Add(f.At), f, came)
 	s.asking = false
 	s.answers = nil
 	m.send(z, i, a)
--- a/core/version/roll/machine.go
+++ b/core/version/roll/machine.go
@@ -30,6 +30,9 @@
 // of the wanted manifest is staged and has its digest. TargetKnown is false
 // while the engine does not answer.
 type Facts struct {
+	// At is when they were read, on a clock that also counts the time in which
+	// the machine was suspended.
+	At          time.Duration
 	Want        Want
 	Verified    bool
 	Target      Target
@@ -95,8 +98,8 @@
 // The machine's times.
 const (
 	// PermitLife is how long the answers of the other replicas permit an
-	// order. A process that was paused after it asked finds its permission
-	// too old and asks again.
+	// order. A process that was paused, or suspended with its machine, after it
+	// asked finds its permission too old and asks again.
 	PermitLife = 2 * time.Second
 	// minBackoff and perRank space the questions of the sides of a zone. Two
 	// that ask at the same moment both give way; apart by rank they rarely do,
@@ -114,7 +117,7 @@
 type Machine struct {
 	phase    Phase
 	manifest chunk.Digest
-	askedAt  time.Time
+	askedAt  time.Duration
 	ordered  time.Time
 	retryAt  time.Time
 	boot     string
@@ -145,7 +148,7 @@
 		return none(ReasonBackoff)
 	}
 	m.phase = PhaseAsking
-	m.askedAt = now
+	m.askedAt = f.At
 	return Action{Kind: ActionAsk, Manifest: m.manifest, Reason: ReasonAsking}
 }
 
@@ -160,7 +163,7 @@
 		m.rest(r)
 		return none(r)
 	}
-	if r, ok := m.refused(now, f, answers); ok {
+	if r, ok := m.refused(f, answers); ok {
 		m.phase = PhaseIdle
 		m.retryAt = now.Add(backoff(f.Want))
 		return none(r)
@@ -169,14 +172,14 @@
 }
 
 // refused reports the safeguard that forbids the order, if any.
-func (m *Machine) refused(now time.Time, f Facts, answers []Status) (Reason, bool) {
+func (m *Machine) refused(f Facts, answers []Status) (Reason, bool) {
 	if f.Want.Manifest != m.manifest {
 		return ReasonWantChanged, true
 	}
 	// A side that slept between question and order would load beside another
-	// one that asked meanwhile, and the zone would drop below its floor. Its
-	// own clock tells it that it slept.
-	if now.Sub(m.askedAt) > PermitLife {
+	// one that asked meanwhile, and the zone would drop below its floor. Only a
+	// clock that counts suspension tells it that it slept.
+	if f.At-m.askedAt > PermitLife {
 		return ReasonPermitOld, true
 	}
 	serving := 0
--- a/core/version/roll/machine_test.go
+++ b/core/version/roll/machine_test.go
@@ -87,6 +87,7 @@
 			}
 			s := serving
 			tc.edit(&s)
+			f.At += tc.after
 			got := m.Answered(start.Add(tc.after), f, []Status{s})
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("Answered (-want +got):\n%s", diff)
@@ -115,3 +116,22 @@
 		t.Errorf("Step after restart (-want +got):\n%s", diff)
 	}
 }
+
+// A zone drops below its floor, or a side loads a version that was withdrawn: its
+// machine is suspended after it asked, and the steady clock stands still for as
+// long. The answers are from before the suspension, so that it has to ask again.
+func TestSuspensionEndsAPermission(t *testing.T) {
+	f := facts()
+	var m Machine
+	if got := m.Step(start, f); got.Kind != ActionAsk {
+		t.Fatalf("Step = %+v, want a question", got)
+	}
+	f.At += PermitLife + time.Millisecond
+	other := Status{Name: "b", Phase: PhaseIdle, Serving: oldVersion, Wanted: newVersion, Revision: 2}
+	if diff := cmp.Diff(none(ReasonPermitOld), m.Answered(start, f, []Status{other})); diff != "" {
+		t.Errorf("Answered (-want +got):\n%s", diff)
+	}
+	if got := m.Step(start.Add(minBackoff), f); got.Kind != ActionAsk {
+		t.Errorf("Step = %+v, want a question", got)
+	}
+}
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -12,6 +12,7 @@
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/awake"
 	"hawthornferry/io/process/pulse"
 	"hawthornferry/io/version/order"
 	"hawthornferry/io/version/pace"
@@ -102,7 +103,7 @@
 		Pacer:  pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
 	}
 	orderer := &order.Orderer{
-		Self: f.self, Clock: f.clock, Log: f.log, Source: s.rollout, Engine: s.shelf,
+		Self: f.self, Clock: f.clock, Awake: awake.Now, Log: f.log, Source: s.rollout, Engine: s.shelf,
 		Verified: s.verified, Draining: func() bool { return false }, Overdue: s.overdue,
 	}
 	teller := &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -14,6 +14,7 @@
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/roll"
 	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/awake"
 	"hawthornferry/io/process/host"
 	"hawthornferry/io/request/gate"
 	"hawthornferry/io/version/order"
@@ -103,6 +104,7 @@
 	s.orderer = &order.Orderer{
 		Self:     h.Self,
 		Clock:    h.Clock,
+		Awake:    awake.Now,
 		Log:      h.Log,
 		Source:   h.Watcher,
 		Engine:   &order.Engine{Address: h.Settings.Target.Address, Client: &http.Client{}},
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -32,8 +32,11 @@
 // Orderer brings one target to the version that the document names. Set the
 // exported fields before Run.
 type Orderer struct {
-	Self   *link.Self
-	Clock  clockwork.Clock
+	Self  *link.Self
+	Clock clockwork.Clock
+	// Awake is a clock that also counts the time in which the machine was
+	// suspended.
+	Awake  func() time.Duration
 	Log    trail.Log
 	Source view.Source
 	Engine Target
@@ -118,6 +121,7 @@
 		f.Target = t
 		f.TargetKnown = true
 	}
+	f.At = o.Awake()
 	return f, true
 }
 
--- a/io/version/order/orderer_test.go
+++ b/io/version/order/orderer_test.go
@@ -20,6 +20,7 @@
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
+	"hawthornferry/io/process/awake"
 )
 
 // zone counts the engines of one zone that serve at each moment.
@@ -133,7 +134,7 @@
 		self := &link.Self{VM: vm, Boot: vm.Name}
 		self.Revision.Store(2)
 		o := &Orderer{
-			Self: self, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Source: fixedView{v},
+			Self: self, Clock: clockwork.NewRealClock(), Awake: awake.Now, Log: trail.Discard{}, Source: fixedView{v},
 			Engine:   &Engine{Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), Client: srv.Client()},
 			Verified: func(chunk.Digest) (chunk.Manifest, bool) { return chunk.Manifest{}, true },
 			Draining: func() bool { return false },
