spend: keep to the slack when all entries start anew

Targets could get nearly twice the operator's slack around a loss of power or a kill of all processes: an entry that starts does not know what the one before it spent within the same window, and had its whole part again. A dozen entries: 0.96 of the slack before and 0.96 after.

A process begins with a quarter of its part; the rest counts as spent until a window has passed. A part is 1/15 of the slack in place of 0.08, so that a dozen entries that start anew once within a window keep to it by argument.

Ruled out: beginning with none (a trial on a scratch copy: TestOnceIsNotRepeated, TestStreamGoesOnElsewhere and TestReusedAddressDoesNotRun of platform fail, a caller's first requests get no second target). Left: more than twelve entries, since an entry is not told how many there are; more than one start within a window beyond what the unused part of the ratio covers.

Before: the test counts 96 repeats before the loss and 96 after it.

--- a/core/request/spend/spend.go
+++ b/core/request/spend/spend.go
@@ -11,9 +11,15 @@
 	// ratioShare is the part of the ratio that is used: the windows in which
 	// the operator counts are not those of the entry.
 	ratioShare = 0.8
-	// slackShare is the part of the slack that one entry uses. It does not
-	// know how many others there are; below a dozen they keep to it together.
-	slackShare = 0.08
+	// mostEntries is how many entries keep to the slack together, also when all
+	// of them start anew once within a window; an entry does not know how many
+	// others there are.
+	mostEntries = 12
+	// startShare is how much of its part of the slack a process has as it begins.
+	// What the one before it spent is not known, and still counts.
+	startShare = 0.25
+	// slackShare is the part of the slack that one entry uses in a window.
+	slackShare = 1 / (mostEntries * (1 + startShare))
 	// buckets is how many parts a window is counted in.
 	buckets = 10
 	// spentBuckets is for how many of them a repeat is kept. The first and the
@@ -61,6 +67,7 @@
 	width := max(b.Window/buckets, time.Millisecond)
 	if b.began.IsZero() {
 		b.began = now
+		b.repeats[0] = (1 - startShare) * slackShare * b.Slack
 	}
 	at := int64(now.Sub(b.began) / width)
 	// All are cleared by one round.
--- a/core/request/spend/spend_test.go
+++ b/core/request/spend/spend_test.go
@@ -68,6 +68,13 @@
 	return out
 }
 
+// running is the budget of a process that has run for longer than a window.
+func running(now time.Time, window time.Duration) *Budget {
+	b := &Budget{Ratio: 0.2, Slack: 100, Window: window}
+	b.Earn(now.Add(-2 * window))
+	return b
+}
+
 // spent takes repeats until none is granted.
 func spent(b *Budget, now time.Time) int {
 	n := 0
@@ -83,8 +90,8 @@
 func TestTimeOfDayDoesNotMoveTheWindow(t *testing.T) {
 	const window = 10 * time.Second
 	for _, seconds := range []int64{-25, 25} {
-		b := &Budget{Ratio: 0.2, Slack: 100, Window: window}
 		now := time.Now()
+		b := running(now, window)
 		whole := spent(b, now)
 		if diff := cmp.Diff(0, spent(b, jumped(t, now, seconds))); diff != "" {
 			t.Errorf("repeats after a jump of %d s (-want +got):\n%s", seconds, diff)
@@ -103,9 +110,8 @@
 	const window = 10 * time.Second
 	const step = 100 * time.Millisecond
 	for first := time.Duration(0); first < window; first += step {
-		b := &Budget{Ratio: 0.2, Slack: 100, Window: window}
 		began := time.Now()
-		b.Earn(began)
+		b := running(began, window)
 		whole := spent(b, began.Add(first))
 		again := 0
 		for after := step; after < window; after += step {
@@ -119,3 +125,27 @@
 		}
 	}
 }
+
+// Targets get more repeats than their operator allows around a loss of power:
+// all entries spend their parts of the slack, start anew and spend them again,
+// since none knows what it spent before. A process that has just begun has a
+// little of its part, so that its first callers' requests are not lost either.
+func TestSlackHoldsWhenAllEntriesStartAnew(t *testing.T) {
+	const window = 10 * time.Second
+	const slack = 100
+	now := time.Now()
+	sum := 0
+	for range mostEntries {
+		sum += spent(running(now, window), now)
+	}
+	anew := 0
+	for range mostEntries {
+		b := &Budget{Ratio: 0.2, Slack: slack, Window: window}
+		for after := window / 20; after < window; after += window / 20 {
+			anew += spent(b, now.Add(after))
+		}
+	}
+	if anew == 0 || sum+anew > slack {
+		t.Errorf("%d repeats before the loss and %d after it, want some and at most %d together", sum, anew, slack)
+	}
+}
