--- a/core/request/spend/spend.go
+++ b/core/request/spend/spend.go
@@ -11,11 +11,21 @@
 	// ratioShare is the part of the ratio that is used: the windows in which
 	// the operator counts are not those of the entry.
 	ratioShare = 0.8
-	// slackShare is the part of the slack that one entry uses. It does not
-	// know how many others there are; below a dozen they keep to it together.
-	slackShare = 0.08
+	// mostEntries is how many entries keep to the slack together, also when all
+	// of them start anew once within a window; an entry does not know how many
+	// others there are.
+	mostEntries = 12
+	// startShare is how much of its part of the slack a process has as it begins.
+	// What the one before it spent is not known, and still counts.
+	startShare = 0.25
+	// slackShare is the part of the slack that one entry uses in a window.
+	slackShare = 1 / (mostEntries * (1 + startShare))
 	// buckets is how many parts a window is counted in.
 	buckets = 10
+	// spentBuckets is for how many of them a repeat is kept. The first and the
+	// last of a window are mostly cut: dropped with the requests, a repeat would
+	// be granted again up to a bucket too soon, and the operator sees both.
+	spentBuckets = buckets + 1
 )
 
 // Budget counts the requests and repeats of one service within a sliding
@@ -25,8 +35,13 @@
 	Slack  float64
 	Window time.Duration
 
+	// began is the first call. Buckets are counted from it by the steady clock:
+	// the time of day may jump by a window, and what was spent would be granted
+	// again. While a machine is suspended that clock stands still, which only
+	// keeps what was spent for longer.
+	began    time.Time
 	requests [buckets]float64
-	repeats  [buckets]float64
+	repeats  [spentBuckets]float64
 	last     int64
 }
 
@@ -39,31 +54,32 @@
 // Take reports whether a request may be sent once more, and counts it.
 func (b *Budget) Take(now time.Time) bool {
 	b.turn(now)
-	allowed := ratioShare*b.Ratio*sum(b.requests) + slackShare*b.Slack
-	if sum(b.repeats)+1 > allowed {
+	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + slackShare*b.Slack
+	if sum(b.repeats[:])+1 > allowed {
 		return false
 	}
-	b.repeats[b.last%buckets]++
+	b.repeats[b.last%spentBuckets]++
 	return true
 }
 
 // turn clears the buckets that have left the window.
 func (b *Budget) turn(now time.Time) {
 	width := max(b.Window/buckets, time.Millisecond)
-	at := now.UnixNano() / int64(width)
-	if at-b.last >= buckets {
-		b.requests, b.repeats = [buckets]float64{}, [buckets]float64{}
-		b.last = at
-		return
+	if b.began.IsZero() {
+		b.began = now
+		b.repeats[0] = (1 - startShare) * slackShare * b.Slack
 	}
+	at := int64(now.Sub(b.began) / width)
+	// All are cleared by one round.
+	b.last = max(b.last, at-spentBuckets)
 	for b.last < at {
 		b.last++
 		b.requests[b.last%buckets] = 0
-		b.repeats[b.last%buckets] = 0
+		b.repeats[b.last%spentBuckets] = 0
 	}
 }
 
-func sum(v [buckets]float64) float64 {
+func sum(v []float64) float64 {
 	var out float64
 	for _, x := range v {
 		out += x
