feed: fit the test of a peer's statement to how answers are taken now

The case of a process that has read the store meanwhile is one of a peer with an older revision now; it checks the same.

--- a/io/process/feed/late_test.go
+++ b/io/process/feed/late_test.go
@@ -302,7 +302,7 @@
 		asked  time.Duration
 		waited bool
 		ran    bool
-		after  uint64
+		at     uint64
 		want   naming.Entry
 	}{
 		{"at once", now - mostRoundTrip/2, false, true, 5, naming.Entry{Since: now - age, Heard: true}},
@@ -318,8 +318,8 @@
 			f.RanSince = func(time.Duration) bool { return tc.ran }
 			f.init()
 			f.known, f.revision, f.confirmed = true, 5, now-time.Second
-			f.take(tc.asked, tc.waited, tc.after, "peer", &tell{
-				Known: true, At: 5, Named: []named{{Model: "m", Version: 2, Age: age, Heard: true}},
+			f.take(tc.asked, tc.waited, "peer", &tell{
+				Known: true, At: tc.at, Named: []named{{Model: "m", Version: 2, Age: age, Heard: true}},
 			})
 			tc.want.Model, tc.want.Version = "m", 2
 			if diff := cmp.Diff([]naming.Entry{tc.want}, f.namings.All()); diff != "" {
