spend, direct: share the slack among the entries that there are

Targets of a large system could get several times the operator's slack: each entry used the part of one of twelve, also among 46. An entry hears with each load report how many entries its side tells; the most that it heard since its start, and no less than twelve, share the slack now. The most, since a side that is out of touch with some counts fewer: shared among those, each side of a cut would use the whole slack.

Left: a process that has just begun uses the part of one of twelve until its first report; connections that a side still holds for dead entries make parts smaller for good, which costs repeats and breaks nothing.

--- a/core/request/spend/spend.go
+++ b/core/request/spend/spend.go
@@ -11,15 +11,13 @@
 	// ratioShare is the part of the ratio that is used: the windows in which
 	// the operator counts are not those of the entry.
 	ratioShare = 0.8
-	// mostEntries is how many entries keep to the slack together, also when all
-	// of them start anew once within a window; an entry does not know how many
-	// others there are.
-	mostEntries = 12
+	// leastEntries is how many entries the slack is shared out to at the least:
+	// one that starts does not know how many others there are, and one that is
+	// cut off hears of a few.
+	leastEntries = 12
 	// startShare is how much of its part of the slack a process has as it begins.
 	// What the one before it spent is not known, and still counts.
 	startShare = 0.25
-	// slackShare is the part of the slack that one entry uses in a window.
-	slackShare = 1 / (mostEntries * (1 + startShare))
 	// buckets is how many parts a window is counted in.
 	buckets = 10
 	// spentBuckets is for how many of them a repeat is kept. The first and the
@@ -34,6 +32,8 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// Entries is the most entries that were heard of, 0 if none; it may grow.
+	Entries int
 
 	// began is the first call. Buckets are counted from it by the steady clock:
 	// the time of day may jump by a window, and what was spent would be granted
@@ -54,7 +54,7 @@
 // Take reports whether a request may be sent once more, and counts it.
 func (b *Budget) Take(now time.Time) bool {
 	b.turn(now)
-	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + slackShare*b.Slack
+	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + b.slack()
 	if sum(b.repeats[:])+1 > allowed {
 		return false
 	}
@@ -62,12 +62,18 @@
 	return true
 }
 
+// slack is the part of the slack that this entry uses in a window. All parts
+// are within the slack also when every entry starts anew once in that time.
+func (b *Budget) slack() float64 {
+	return b.Slack / (float64(max(b.Entries, leastEntries)) * (1 + startShare))
+}
+
 // turn clears the buckets that have left the window.
 func (b *Budget) turn(now time.Time) {
 	width := max(b.Window/buckets, time.Millisecond)
 	if b.began.IsZero() {
 		b.began = now
-		b.repeats[0] = (1 - startShare) * slackShare * b.Slack
+		b.repeats[0] = (1 - startShare) * b.slack()
 	}
 	at := int64(now.Sub(b.began) / width)
 	// All are cleared by one round.
--- a/core/request/spend/spend_test.go
+++ b/core/request/spend/spend_test.go
@@ -135,11 +135,11 @@
 	const slack = 100
 	now := time.Now()
 	sum := 0
-	for range mostEntries {
+	for range leastEntries {
 		sum += spent(running(now, window), now)
 	}
 	anew := 0
-	for range mostEntries {
+	for range leastEntries {
 		b := &Budget{Ratio: 0.2, Slack: slack, Window: window}
 		for after := window / 20; after < window; after += window / 20 {
 			anew += spent(b, now.Add(after))
@@ -149,3 +149,23 @@
 		t.Errorf("%d repeats before the loss and %d after it, want some and at most %d together", sum, anew, slack)
 	}
 }
+
+// Targets of a large system get several times the operator's slack: each entry
+// uses the part of one of twelve. What an entry has heard of how many there are
+// makes its part smaller, and never larger: one that is cut off hears of a few.
+func TestSlackIsSharedByAllEntries(t *testing.T) {
+	const window = 10 * time.Second
+	const slack = 100
+	now := time.Now()
+	for _, entries := range []int{1, leastEntries, 46} {
+		sum := 0
+		for range max(entries, leastEntries) {
+			b := running(now, window)
+			b.Entries = entries
+			sum += spent(b, now)
+		}
+		if sum == 0 || sum > slack {
+			t.Errorf("%d entries: %d repeats, want some and at most %d", entries, sum, slack)
+		}
+	}
+}
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -76,6 +76,8 @@
 
 	budgetMu sync.Mutex
 	budgets  map[string]*spend.Budget
+	// entries is the most entries that a report told of; budgetMu guards it.
+	entries  int
 	patience patience
 	// demandedNow holds the version of each model that was last demanded.
 	demandedNow sync.Map
@@ -136,9 +138,18 @@
 // Report takes what a target says of its own load.
 func (s *Server) Report(target string, r place.Report) {
 	s.init()
+	s.hearEntries(r.Entries)
 	s.desk.report(target, r)
 }
 
+// hearEntries takes how many entries a target reports to. The most that was
+// ever heard counts: targets out of touch with some of them tell of fewer.
+func (s *Server) hearEntries(n int) {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	s.entries = max(s.entries, n)
+}
+
 // Ready reports whether the balancer may send callers here.
 func (s *Server) Ready() error {
 	if s.draining.Load() {
@@ -192,5 +203,6 @@
 		b = &spend.Budget{Ratio: s.Rules.Retry.Ratio, Slack: s.Rules.Retry.Slack, Window: s.Rules.Retry.Window}
 		s.budgets[service] = b
 	}
+	b.Entries = s.entries
 	return b
 }
