--- /dev/null
+++ b/io/process/feed/fakes_test.go
@@ -0,0 +1,220 @@
+package feed
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/table"
+	"hawthornferry/io/conn/link"
+)
+
+// plain reads items whose keys say what they are: config, target/ID and
+// version/MODEL with a number as value. The value "bad" cannot be read.
+type plain struct{}
+
+func (plain) Read(it Item) (Fact, error) {
+	v := string(it.Value)
+	if v == "bad" {
+		return Fact{}, errors.New("bad")
+	}
+	n, _ := strconv.ParseUint(v, 10, 64)
+	if id, ok := strings.CutPrefix(it.Key, "target/"); ok {
+		return Fact{Target: &facts.Target{ID: id, Service: "svc"}}, nil
+	}
+	if model, ok := strings.CutPrefix(it.Key, "version/"); ok {
+		return Fact{Version: &facts.Named{Model: model, Version: n}}, nil
+	}
+	return Fact{Config: &Config{Table: &table.Table{Version: n}}}, nil
+}
+
+// fakeStore answers from memory; a nil error means that it is up.
+type fakeStore struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	log      []Item
+	revision uint64
+	history  uint64
+	fails    error
+	calls    int
+	changed  chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+}
+
+func (s *fakeStore) set(key, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := Item{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted}
+	s.log = append(s.log, it)
+	s.items[key] = it
+	if deleted {
+		delete(s.items, key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = err
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = s.revision
+}
+
+func (s *fakeStore) List(context.Context, string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	p := Page{At: s.revision}
+	for _, it := range s.items {
+		p.Items = append(p.Items, it)
+	}
+	return p, s.fails
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	over := time.After(wait)
+	for first := true; ; first = false {
+		s.mu.Lock()
+		if first {
+			s.calls++
+		}
+		c := Changes{At: s.revision}
+		for _, it := range s.log {
+			if it.Revision > after {
+				c.Items = append(c.Items, it)
+			}
+		}
+		err, changed := s.fails, s.changed
+		if after < s.history {
+			err = ErrHistory
+		}
+		s.mu.Unlock()
+		if err != nil || len(c.Items) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return c, nil
+		case <-ctx.Done():
+			return Changes{}, ctx.Err()
+		}
+	}
+}
+
+func newSelf(name string) *link.Self {
+	return &link.Self{Boot: name, VM: fleet.VM{
+		Name: name, Role: fleet.RoleEntry, Zone: "z", Region: "r", State: fleet.StateLive,
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}}
+}
+
+var testStart = time.Now()
+
+func newFeed(s Store) *Feed {
+	return &Feed{
+		Self: newSelf("self"), Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Store: s, Reader: plain{},
+		Awake: func() time.Duration { return time.Since(testStart) }, Wait: 100 * time.Millisecond,
+		Drain: 2 * time.Second, Peers: func() []Peer { return nil },
+	}
+}
+
+func runFeed(t *testing.T, f *Feed) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// answering has a feed answer its peers until stop is called.
+func answering(t *testing.T, f *Feed) (peer Peer, stop func()) {
+	t.Helper()
+	return listening(t, f.Self, f.Handler().Serve)
+}
+
+// listening is a peer that serves its connections as given until stop is called.
+func listening(t *testing.T, self *link.Self, serve func(ctx context.Context, c *link.Conn)) (peer Peer, stop func()) {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link.Listener{Self: self, Net: nl, Handlers: map[link.Purpose]link.Handler{
+		link.PurposeConfig: {Kinds: kinds(), Serve: serve},
+	}}
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}, stop
+}
+
+// freezing is a peer that answers its first question as given and then accepts
+// questions without a word, as a machine that froze with its connections open.
+func freezing(t *testing.T, told *tell) Peer {
+	t.Helper()
+	peer, _ := listening(t, newSelf("frozen"), func(ctx context.Context, c *link.Conn) {
+		if _, err := c.Receive(); err != nil {
+			return
+		}
+		if err := c.Send(told); err != nil {
+			return
+		}
+		<-ctx.Done()
+	})
+	return peer
+}
+
+func eventually(t *testing.T, what string, ok func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < 10*time.Second {
+		if ok() {
+			return time.Since(began)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+	return 0
+}
+
+func ids(f *Feed) string {
+	var out []string
+	for _, t := range f.Current().Targets {
+		out = append(out, t.ID)
+	}
+	return strings.Join(out, " ")
+}
--- a/io/process/feed/late_test.go
+++ b/io/process/feed/late_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,7 +12,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hawthornferry/core/process/naming"
-	"hawthornferry/io/conn/link"
 )
 
 // Callers' requests began on old weights after the time for them was over. A
@@ -176,7 +173,7 @@
 	s := newFakeStore()
 	s.set("version/m", "1", false)
 	f := newFeed(s)
-	frozen := silentFollower(t, s)
+	frozen := toldOnce(t, s)
 	f.Tellers = func() []Peer { return []Peer{frozen} }
 	f.TellWait = 500 * time.Millisecond
 	runFeed(t, f)
@@ -190,9 +187,8 @@
 	}
 }
 
-// silentFollower is a peer that tells what the store holds once and then accepts
-// questions without a word.
-func silentFollower(t *testing.T, s *fakeStore) Peer {
+// toldOnce is a peer that tells what the store holds once and then freezes.
+func toldOnce(t *testing.T, s *fakeStore) Peer {
 	t.Helper()
 	p, err := s.List(context.Background(), "")
 	if err != nil {
@@ -206,30 +202,7 @@
 	for _, it := range p.Items {
 		told.Keys = append(told.Keys, it.Key)
 	}
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	serve := func(ctx context.Context, c *link.Conn) {
-		if _, err := c.Receive(); err != nil {
-			return
-		}
-		if err := c.Send(told); err != nil {
-			return
-		}
-		<-ctx.Done()
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &link.Listener{Self: newSelf("frozen"), Net: nl, Handlers: map[link.Purpose]link.Handler{
-		link.PurposeConfig: {Kinds: kinds(), Serve: serve},
-	}}
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
+	return freezing(t, told)
 }
 
 // The store was away, and a version is named a moment after its return. Taken
--- a/io/process/feed/start_test.go
+++ b/io/process/feed/start_test.go
@@ -1,13 +1,10 @@
 package feed
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
-
-	"hawthornferry/io/conn/link"
 )
 
 // silentPeer accepts connections and never says anything, as a machine without
@@ -45,32 +42,10 @@
 func TestFrozenTellerIsLeft(t *testing.T) {
 	s := newFakeStore()
 	s.set("target/a", "", false)
-	frozen := func(ctx context.Context, c *link.Conn) {
-		if _, err := c.Receive(); err != nil {
-			return
-		}
-		if err := c.Send(&tell{Known: true, At: 1, Last: true}); err != nil {
-			return
-		}
-		<-ctx.Done()
-	}
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &link.Listener{Self: newSelf("teller"), Net: nl, Handlers: map[link.Purpose]link.Handler{
-		link.PurposeConfig: {Kinds: kinds(), Serve: frozen},
-	}}
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	frozen := freezing(t, &tell{Known: true, At: 1, Last: true})
 	f := newFeed(s)
 	f.TellWait = 500 * time.Millisecond
-	f.Tellers = func() []Peer { return []Peer{{Address: netip.MustParseAddrPort(nl.Addr().String())}} }
+	f.Tellers = func() []Peer { return []Peer{frozen} }
 	runFeed(t, f)
 	took := eventually(t, "the store is read", func() bool { return ids(f) == "a" })
 	if most := f.TellWait + askTimeout + 500*time.Millisecond; took > most {
--- a/io/process/feed/touch_test.go
+++ b/io/process/feed/touch_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -129,10 +127,6 @@
 // open after.
 func freezingPeer(t *testing.T, f *Feed) (peer Peer, freeze func()) {
 	t.Helper()
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var frozen atomic.Bool
 	serve := func(ctx context.Context, c *link.Conn) {
 		for {
@@ -153,17 +147,8 @@
 			}
 		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l := &link.Listener{Self: f.Self, Net: nl, Handlers: map[link.Purpose]link.Handler{
-		link.PurposeConfig: {Kinds: kinds(), Serve: serve},
-	}}
-	done := make(chan error, 1)
-	go func() { done <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}, func() { frozen.Store(true) }
+	peer, _ = listening(t, f.Self, serve)
+	return peer, func() { frozen.Store(true) }
 }
 
 // Requests reached a target that had left two seconds before. The process that uses
