--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -75,12 +75,11 @@
 
 // Times of the feed.
 const (
-	// callTimeout bounds a list and what a watch takes beyond its wait. The
-	// store answers in milliseconds, and within half a second when it is a
-	// hundred times slower.
+	// callTimeout bounds what a watch takes beyond its wait. The store answers in
+	// milliseconds, and well within that when it is many times slower.
 	callTimeout = time.Second
 	// listTimeout is the same for one page of a list. A page of a few hundred
-	// items takes half a second on a region link that others use as well; given up
+	// items takes its time on a region link that others use as well; given up
 	// sooner and asked for again by all, pages would fill the link for good.
 	listTimeout = 4 * time.Second
 	// leastPause parts two calls after one that brought changes. Changes come
--- a/io/process/feed/pack.go
+++ b/io/process/feed/pack.go
@@ -14,7 +14,7 @@
 // a part holds about tellBytes of them, and one item up to a megabyte.
 const maxUnpacked = 4 << 20
 
-// packers are kept between messages: each holds more than half a megabyte.
+// packers are kept between messages: each holds the tables of its algorithm.
 var packers = sync.Pool{New: func() any {
 	// The level is one of the package's own, so that this cannot fail.
 	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -31,8 +31,7 @@
 	// holds up its watch.
 	tellersRest = 2 * time.Second
 	// followTimeout bounds the wait for a peer that is to tell: a machine that
-	// has no power does not answer, and one that lives does within a few
-	// milliseconds, or a hundred while it starts.
+	// has no power does not answer, and one that lives does within milliseconds.
 	followTimeout = 150 * time.Millisecond
 	// tellerLag is how old the belief of a peer in touch with the store may be,
 	// a lost watch included.
@@ -65,9 +64,9 @@
 	return nil
 }
 
-// tell is one part of an answer. Its items travel packed. The ages of processes travel as durations,
-// since their clocks differ. Keys lists every key there is, so that the asker
-// finds out what was removed; Last marks the last part.
+// tell is one part of an answer. Its items travel packed, and ages as durations,
+// since the clocks of processes differ. Keys lists every key there is, so that the
+// asker finds out what was removed; Last marks the last part.
 type tell struct {
 	Known bool          `msgpack:"known"`
 	At    uint64        `msgpack:"at"`
