naming, feed: decide on namings without sockets and clocks

What a process takes a version's naming to be, from a watch, a list or a peer, and when a belief counts as confirmed was decided inside feed between locks and calls, and could only be tested by playing it in real time. naming has it now: Contact (in touch how), Reply and Statement (what a peer's answer is worth), Ledger.Take and Ledger.Questions. feed keeps its fields and its tests as they are.

One moment differs by what a lock takes: the store's answer counts from when it came, not from when it was taken in.

--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthornferry/core/process/naming"
 	"hawthornferry/core/process/trail"
 )
 
@@ -17,12 +18,12 @@
 			items = append(items, Item{Key: key, Revision: at, Deleted: true})
 		}
 	}
-	f.apply(items, moment{})
+	f.apply(items, naming.Moment{})
 }
 
 // apply takes changes in; live is when they were made, if they came as they were. It
 // is called with the feed locked.
-func (f *Feed) apply(items []Item, live moment) {
+func (f *Feed) apply(items []Item, live naming.Moment) {
 	for _, it := range items {
 		if old, ok := f.items[it.Key]; ok && old.Revision > it.Revision {
 			continue
@@ -80,7 +81,7 @@
 
 // read decodes an item. What cannot be read leaves the last good one in
 // force, but for a target: an entry that names none is not to be used.
-func (f *Feed) read(it Item, live moment) {
+func (f *Feed) read(it Item, live naming.Moment) {
 	fact, err := f.Reader.Read(it)
 	old, had := f.facts[it.Key]
 	if err != nil {
@@ -97,7 +98,7 @@
 	}
 	if v := fact.Version; v != nil {
 		f.hear(v, live)
-		f.noteVersion(v, it.Revision, live.known)
+		f.noteVersion(v, it.Revision, live.Known)
 	}
 	if c := fact.Config; c != nil {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/process/naming"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/io/conn/link"
 )
@@ -34,14 +35,6 @@
 	// are spread: a whole fleet that starts at once has the same ones.
 	askNamedFirst = 100 * time.Millisecond
 	askNamedMost  = 1600 * time.Millisecond
-	// leastQuestions is how often they are asked about each version: also one
-	// that heard of it may have heard a little late, and of a few answers the
-	// earliest counts.
-	leastQuestions = 2
-	// mostQuestions bounds how often while none that is asked has heard of it:
-	// those asked first may have been out of touch too, and after a loss of all
-	// power nobody knows.
-	mostQuestions = 6
 )
 
 // askNamed asks peers when the versions were named that this process has read:
@@ -72,8 +65,7 @@
 func (f *Feed) question() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	enough := f.asked >= mostQuestions || f.asked >= leastQuestions && !f.namings.Unresolved()
-	if enough || len(f.namings.All()) == 0 {
+	if !f.namings.Questions(f.asked) {
 		return 0, false
 	}
 	pause := min(askNamedFirst<<f.asked, askNamedMost)
@@ -205,22 +197,18 @@
 	return nil
 }
 
-// take adopts a peer's answer. What the peer had confirmed Age before it
-// answered was true at the latest Age before it was asked. An answer with a newer
-// revision counts also if its confirmation is older than the one held: the peer
-// heard of the change in a watch that began before another peer's last one.
+// take adopts a peer's answer.
 func (f *Feed) take(asked time.Duration, waited bool, peer string, t *tell) {
 	if !t.Known {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.takeNamed(asked, waited, t.Named)
+	r := naming.Reply{Asked: asked, Got: f.Awake(), Waited: waited}
+	f.takeNamed(r, t.Named)
 	f.peerTold(waited, t.Age)
-	since := asked - t.Age
-	// Peers are asked at the same time, so another answer may have come since the
-	// question left; one of a newer revision has all that that one brought.
-	if t.At < f.revision || f.known && t.At == f.revision && since <= f.confirmed {
+	since := r.Since(t.Age)
+	if !f.contact().Adopts(since, t.At) {
 		return
 	}
 	if t.At > f.revision {
@@ -243,5 +231,5 @@
 			items = append(items, Item{Key: key, Revision: t.At, Deleted: true})
 		}
 	}
-	f.apply(items, moment{})
+	f.apply(items, naming.Moment{})
 }
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -84,7 +84,8 @@
 	// sooner and asked for again by all, pages would fill the link for good.
 	listTimeout = 4 * time.Second
 	// leastPause parts two calls after one that brought changes. Changes come
-	// in bursts of ten and more a second; each watch would return with one.
+	// in bursts of ten and more a second; each watch would return with one. It is
+	// well under naming.MostGap.
 	leastPause = 100 * time.Millisecond
 	// firstRetry and mostRetry part calls that failed.
 	firstRetry = 100 * time.Millisecond
@@ -143,7 +144,7 @@
 	// confirmed is when, on Awake, the belief was last known to be true.
 	confirmed time.Duration
 	known     bool
-	// answered is when, on Awake, the store last answered this process.
+	// answered is until when, on Awake, the store's last answer tells.
 	answered time.Duration
 	// upUntil is the latest moment, on Awake, at which the store is known to have
 	// answered anybody; toldAt is until when a teller told. Both are moved on over
@@ -259,27 +260,25 @@
 // step lists the store, or waits for one set of changes.
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
-	revision, listed, wait, answered := f.revision, f.known, f.Wait, f.answered
+	contact, wait := f.contact(), f.Wait
 	if len(f.lapsing) > 0 {
 		wait = min(wait, lapseEvery)
 	}
 	f.mu.Unlock()
-	if !listed {
+	if !contact.Known {
 		return f.list(ctx)
 	}
 	asked := f.Awake()
-	if asked-answered > mostGap {
-		wait = firstWait
-	}
+	wait = contact.WaitOf(asked, wait)
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	c, err := f.Store.Watch(callCtx, revision, wait)
+	c, err := f.Store.Watch(callCtx, contact.Revision, wait)
 	got := f.Awake()
 	if errors.Is(err, ErrHistory) {
 		f.mu.Lock()
 		f.storeAnswered(f.Wait)
 		f.mu.Unlock()
-		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: revision})
+		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: contact.Revision})
 		return f.list(ctx)
 	}
 	if err != nil {
@@ -289,9 +288,10 @@
 	defer f.mu.Unlock()
 	// A peer may have told of more meanwhile.
 	if c.At >= f.revision {
-		live := f.liveAt(asked, got, wait)
+		call := naming.Call{Asked: asked, Got: got, Wait: wait}
+		live := f.contact().LiveAt(call, f.ranSince)
 		f.storeAnswered(f.Wait)
-		f.answered = f.Awake()
+		f.hearStore(call)
 		f.apply(c.Items, live)
 		f.confirm(asked, c.At)
 	}
@@ -328,7 +328,7 @@
 	if first < f.revision {
 		return nil
 	}
-	f.answered = f.Awake()
+	f.hearStore(naming.Call{Asked: asked, Got: f.Awake()})
 	f.replace(items, first)
 	f.confirm(asked, first)
 	return nil
@@ -379,9 +379,9 @@
 // confirm makes what is held the belief of the moment asked; it is called
 // with the feed locked.
 func (f *Feed) confirm(asked time.Duration, at uint64) {
-	f.known = true
-	f.revision = max(f.revision, at)
-	f.confirmed = max(f.confirmed, asked)
+	c := f.contact()
+	c.Confirm(asked, at)
+	f.known, f.revision, f.confirmed = c.Known, c.Revision, c.Confirmed
 	f.lapse()
 	f.publish()
 }
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -172,7 +172,7 @@
 func (f *Feed) answerTo(q *ask) []*tell {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.tellNamed()}
+	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.namings.Statements(f.Awake())}
 	if !f.known || f.revision <= q.After {
 		t.Last = true
 		return []*tell{t}
