--- a/core/process/naming/contact.go
+++ b/core/process/naming/contact.go
@@ -28,7 +28,7 @@
 	Revision uint64
 	// Confirmed is when the belief was last known to be true.
 	Confirmed time.Duration
-	// Answered is when the store last answered this process.
+	// Answered is until when the store's last answer to this process tells.
 	Answered time.Duration
 }
 
@@ -62,8 +62,16 @@
 	return Moment{At: w.Got, Known: live && ran(c.Answered)}
 }
 
-// Answer takes in that the store answered a call.
-func (c *Contact) Answer(w Call, _ Ran) { c.Answered = w.Got }
+// Answer takes in that the store answered a call. An answer that lay unread while
+// the process stood still tells nothing of that time: were it taken for one of the
+// moment at which it was read, the next watch would bring what was named during the
+// standstill at once, and it would count as named just now.
+func (c *Contact) Answer(w Call, ran Ran) {
+	c.Answered = w.Asked
+	if ran(w.Asked) {
+		c.Answered = w.Got
+	}
+}
 
 // Read is what a process that reads a version in the store takes to be its naming.
 // live is when the version was written, if it came as that happened. Else the
--- a/io/process/feed/late_test.go
+++ b/io/process/feed/late_test.go
@@ -375,3 +375,45 @@
 		t.Errorf("version taken to be named by the time of the naming (-want +got):\n%s", diff)
 	}
 }
+
+// heldStore answers its first watch, which brings nothing, only once released.
+type heldStore struct {
+	*fakeStore
+	watched chan struct{}
+	release chan struct{}
+	held    atomic.Bool
+}
+
+func (s *heldStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	if s.held.Swap(true) {
+		return s.fakeStore.Watch(ctx, after, wait)
+	}
+	close(s.watched)
+	<-s.release
+	return Changes{At: after}, nil
+}
+
+// An entry stands still, and the answer that lies in its socket brings nothing: the
+// store gave it early. A version is named before the entry goes on. Its next watch
+// brings it at once, and the entry took it for named just then: callers' requests
+// began on old weights for as long after the bound as the entry had stood still.
+func TestVersionNamedAfterAnAnswerThatLayUnread(t *testing.T) {
+	s := newFakeStore()
+	s.set("version/m", "1", false)
+	held := &heldStore{fakeStore: s, watched: make(chan struct{}), release: make(chan struct{})}
+	f := newFeed(held)
+	f.Wait = 10 * time.Second
+	var ended atomic.Int64
+	f.RanSince = func(at time.Duration) bool { return time.Duration(ended.Load()) <= at }
+	runFeed(t, f)
+	<-held.watched
+	named := time.Now()
+	s.set("version/m", "2", false)
+	time.Sleep(time.Second)
+	ended.Store(int64(f.Awake()))
+	close(held.release)
+	eventually(t, "version 2 is known", func() bool { return newest(f) == 2 })
+	if diff := cmp.Diff(uint64(2), dueSince(f, named.Add(time.Millisecond))); diff != "" {
+		t.Errorf("version taken to be named by the time of the naming (-want +got):\n%s", diff)
+	}
+}
