facts, naming: explore the age of keys across readers and the told

The order in which a belief and its age are read is facts.Take's now, called by direct, so that an exploration can run it. It runs naming's moments as the feed does: since = asked - age of the teller, a newer revision adopted also when its confirmation is older, the latest confirmation kept.

Requests come at each moment of the model of the namings, between any two steps, and beliefs change between the two calls of Take.

--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -21,9 +21,8 @@
 
 // Source is the belief that requests are served by.
 type Source interface {
-	Current() *facts.Facts
+	facts.Source
 	Changed() <-chan struct{}
-	Age() (time.Duration, bool)
 }
 
 // Rules are the operator's bounds on how requests are served.
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -33,13 +33,11 @@
 
 // request is one request of a caller on its way.
 type request struct {
-	in    *http.Request
-	call  Call
-	body  []byte
-	facts *facts.Facts
-	// age is how old facts are at the most, if that is known.
-	age      time.Duration
-	ageKnown bool
+	in       *http.Request
+	call     Call
+	body     []byte
+	facts    *facts.Facts
+	age      facts.Age
 	route    table.Route
 	service  table.Service
 	customer string
@@ -100,21 +98,13 @@
 	return answer{}, true
 }
 
-// believe takes the belief that the request is served by, and its age. The age
-// is read first: read last, it could be that of a belief that came in between,
-// and a revoked key would pass by the old table. A belief that comes between the
-// two is at most younger than it is taken for, which costs a caller a moment's
-// wait. Time that passes later need not count: the bounds run until the request
-// was sent, and that was before.
+// believe takes the belief that the request is served by, and its age. Time that
+// passes later need not count: the bounds run until the request was sent, and that
+// was before.
 func (s *Server) believe(q *request) {
-	q.age, q.ageKnown = s.Source.Age()
-	q.facts = s.Source.Current()
+	q.facts, q.age = facts.Take(s.Source)
 }
 
-// olderThan reports whether the belief that the request is served by may have
-// been older than d when the request came.
-func (q *request) olderThan(d time.Duration) bool { return !q.ageKnown || q.age > d }
-
 func (s *Server) find(q *request) (answer, bool) {
 	host := q.in.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -138,7 +128,7 @@
 // when this process does not know for sure: a configuration that brings it
 // may just not have come here.
 func (s *Server) denied(q *request, status int, reason string) answer {
-	if q.olderThan(s.Rules.TableAge) {
+	if q.age.OlderThan(s.Rules.TableAge) {
 		return answer{status: http.StatusServiceUnavailable, reason: reason + "ByOldBelief", retryAfter: settleWait}
 	}
 	return answer{status: status, reason: reason}
@@ -172,7 +162,7 @@
 	if !q.facts.Table.Keyed() || q.route.Anonymous {
 		return answer{}, true
 	}
-	if s.Rules.KeyAge > 0 && q.olderThan(s.Rules.KeyAge) {
+	if s.Rules.KeyAge > 0 && q.age.OlderThan(s.Rules.KeyAge) {
 		return answer{status: http.StatusServiceUnavailable, reason: "keysTooOld", retryAfter: settleWait}, false
 	}
 	c, ok := q.facts.Table.CustomerOf(q.call.Key)
