feed: count a version named while the store was away from the store's return

Nobody can bring an engine to a version that nobody can hear of, and the bound counts while the store is reachable.

A process that ran all the while and whose own calls failed says so with its belief and its statements. Of such a process another one that was away itself learns that the store was, and counts from the return; somebody who heard after all goes before that, and is asked for as long as before. Questions about a new version do not wait for the rare ones about the last.

--- a/core/process/naming/contact.go
+++ b/core/process/naming/contact.go
@@ -28,8 +28,16 @@
 	Revision uint64
 	// Confirmed is when the belief was last known to be true.
 	Confirmed time.Duration
-	// Answered is until when the store's last answer to this process tells.
+	// Answered is until when the store's last answer to this process tells, and
+	// Failed when a call of this process to the store last failed.
 	Answered time.Duration
+	Failed   time.Duration
+}
+
+// Away reports whether the store has been out of this process's reach since the
+// belief was last confirmed, though the process ran all the while.
+func (c Contact) Away(ran Ran) bool {
+	return c.Known && c.Failed > c.Confirmed && ran(c.Confirmed)
 }
 
 // Call is a watch or a list that has ended.
@@ -80,7 +88,7 @@
 // versions would end later here than elsewhere, by as much as the process was out of
 // touch.
 func (c Contact) Read(model string, version uint64, live Moment, now time.Duration) Entry {
-	e := Entry{Model: model, Version: version, Since: c.Confirmed, Read: true}
+	e := Entry{Model: model, Version: version, Since: c.Confirmed, Read: true, Until: now}
 	switch {
 	case !c.Known:
 		e.Since = now - unknownAge
--- a/core/process/naming/naming.go
+++ b/core/process/naming/naming.go
@@ -13,14 +13,33 @@
 type Entry struct {
 	Model   string
 	Version uint64
-	// Since is when it was named, on a clock that counts suspension; when Heard
-	// is not set, the earliest moment at which it can have been.
+	// Since is when it was named, on a clock that counts suspension; when neither
+	// Heard nor Returned is set, the earliest moment at which it can have been.
 	Since time.Duration
 	// Heard is set when the process that says so, or the one that told it, was
 	// in touch at the naming.
 	Heard bool
-	// Read is set when this process has read the version itself.
-	Read bool
+	// Returned is set when the store was away from all who could have heard;
+	// Since is when it was back.
+	Returned bool
+	// Read is set when this process has read the version itself; Until is when,
+	// and Away whether the store was out of its reach from the last belief until
+	// then though it ran all the while.
+	Read  bool
+	Until time.Duration
+	Away  bool
+}
+
+// strength orders entries by what their moments rest on.
+func (e Entry) strength() int {
+	switch {
+	case e.Heard:
+		return 2
+	case e.Returned:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // mostKept bounds the versions that are kept of a model: replaced ones are of
@@ -66,19 +85,23 @@
 }
 
 // merge joins two statements about the same naming. Who heard of it knows
-// better than who did not; of two that heard, the later one was told late; of
-// two that did not, both are right that it cannot have been earlier.
+// better than who did not; of two that heard, or that saw the store return, the
+// later one did so late; of two that did neither, both are right that it cannot
+// have been earlier.
 func merge(a, b Entry) Entry {
 	out := a
 	switch {
-	case a.Heard && b.Heard:
-		out.Since = min(a.Since, b.Since)
-	case b.Heard:
-		out.Since, out.Heard = b.Since, true
-	case !a.Heard:
+	case b.strength() > a.strength():
+		out.Since, out.Heard, out.Returned = b.Since, b.Heard, b.Returned
+	case b.strength() < a.strength():
+	case a.strength() == 0:
 		out.Since = max(a.Since, b.Since)
+	default:
+		out.Since = min(a.Since, b.Since)
+	}
+	if b.Read && !a.Read {
+		out.Read, out.Until, out.Away = true, b.Until, b.Away
 	}
-	out.Read = a.Read || b.Read
 	return out
 }
 
--- a/core/process/naming/statement.go
+++ b/core/process/naming/statement.go
@@ -1,6 +1,7 @@
 package naming
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,12 +22,17 @@
 )
 
 // Statement is what a process tells its peers of a naming: how long ago it was, and
-// whether somebody heard of it at that moment. Else Age is the most that it can be.
+// whether somebody heard of it at that moment, or the store was away from all then
+// and returned at that moment. Else Age is the most that it can be. Away tells that
+// the store was out of the process's reach until it read the version.
 type Statement struct {
 	Model   string        `msgpack:"model"`
 	Version uint64        `msgpack:"version"`
 	Age     time.Duration `msgpack:"age"`
 	Heard   bool          `msgpack:"heard"`
+	// Returned goes with Age as Heard does.
+	Returned bool `msgpack:"returned"`
+	Away     bool `msgpack:"away"`
 }
 
 // Check reports the first field that is out of its domain.
@@ -44,7 +50,7 @@
 func (l *Ledger) Statements(now time.Duration) []Statement {
 	var out []Statement
 	for _, n := range l.entries {
-		out = append(out, Statement{Model: n.Model, Version: n.Version, Age: max(0, now-n.Since), Heard: n.Heard})
+		out = append(out, Statement{Model: n.Model, Version: n.Version, Age: max(0, now-n.Since), Heard: n.Heard, Returned: n.Returned, Away: n.Away})
 	}
 	return out
 }
@@ -55,6 +61,8 @@
 	Asked  time.Duration
 	Got    time.Duration
 	Waited bool
+	// Away is set when the store has been out of the peer's reach, and still is.
+	Away bool
 }
 
 // Since is when something was true that the peer had confirmed age before it
@@ -74,14 +82,34 @@
 	prompt := r.Prompt(ran)
 	news := false
 	for _, t := range told {
-		e := Entry{Model: t.Model, Version: t.Version, Since: r.Since(t.Age), Heard: t.Heard && prompt}
-		if e.Heard {
+		e := Entry{Model: t.Model, Version: t.Version, Since: r.Since(t.Age), Heard: t.Heard && prompt, Returned: t.Returned && prompt}
+		if e.Heard || e.Returned {
 			// Late by the way here, never early: with errors to both sides peers
 			// that ask each other would shift the moment on and on.
 			e.Since = r.Got - t.Age
 		}
 		news = l.Add(e) || news
 	}
+	return l.witness(r, told) || news
+}
+
+// witness takes the statement of a peer from which the store was away as well. A
+// version that this process found at the store's return was then named while nobody
+// could hear of it, and is counted from the return: counted from before the outage,
+// it would be demanded of engines that nobody could tell of it. Should somebody
+// have heard of it after all, that goes before. It returns whether it was news.
+func (l *Ledger) witness(r Reply, told []Statement) bool {
+	news := false
+	for i, e := range l.entries {
+		if !e.Read || !e.Away || e.Heard || e.Returned {
+			continue
+		}
+		at := slices.IndexFunc(told, func(t Statement) bool { return t.Model == e.Model && t.Version == e.Version })
+		if at < 0 && r.Away || at >= 0 && told[at].Away {
+			l.entries[i].Since, l.entries[i].Returned = e.Until, true
+			news = true
+		}
+	}
 	return news
 }
 
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,42 +43,66 @@
 func (f *Feed) askNamed(ctx context.Context) {
 	for {
 		changed := f.Changed()
-		pause, ask := f.question()
-		if !ask {
-			select {
-			case <-ctx.Done():
-				return
-			case <-changed:
-			}
-			continue
+		var due <-chan time.Time
+		if pause, ask := f.question(); ask {
+			due = f.Clock.After(pause)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.Clock.After(pause):
+		case <-changed:
+			// A new version has its own questions, however rare those about the
+			// one before have become.
+		case <-due:
+			f.questioned()
+			f.askSome(ctx, f.oneReader()...)
 		}
-		f.askSome(ctx)
 	}
 }
 
-// question reports whether peers are to be asked about the newest naming, and
-// after which pause.
+// oneReader is a process that watches the store, if one is known: it has heard of
+// a naming before those that it tells.
+func (f *Feed) oneReader() []Peer {
+	if f.Readers == nil {
+		return nil
+	}
+	readers := f.Readers()
+	if len(readers) == 0 {
+		return nil
+	}
+	return readers[rand.N(len(readers)):][:1]
+}
+
+// question reports whether peers are to be asked about the newest naming, and in
+// how long.
 func (f *Feed) question() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.namings.Questions(f.asked) {
-		return 0, false
-	}
-	pause := min(askNamedFirst<<f.asked, askNamedMost)
+	return f.askAt - f.Awake(), f.namings.Questions(f.asked)
+}
+
+// questioned counts a question, and sets the time of the next.
+func (f *Feed) questioned() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.asked++
-	return pause/2 + rand.N(pause), true
+	f.planQuestion()
+}
+
+// planQuestion sets the time of the next question; it is called with the feed
+// locked.
+func (f *Feed) planQuestion() {
+	pause := min(askNamedFirst<<f.asked, askNamedMost)
+	f.askAt = f.Awake() + pause/2 + rand.N(pause)
 }
 
-// askSome asks a few peers at the same time: one that is dark would hold up the
-// question to the next until it times out.
-func (f *Feed) askSome(ctx context.Context) {
-	peers := f.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+// askSome asks a few peers at the same time, those given first: one that is dark
+// would hold up the question to the next until it times out.
+func (f *Feed) askSome(ctx context.Context, first ...Peer) {
+	others := slices.Clone(f.Peers())
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = slices.DeleteFunc(others, func(p Peer) bool { return slices.Contains(first, p) })
+	peers := slices.Concat(first, others)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, p := range peers[:min(askedAtOnce, len(peers))] {
@@ -161,6 +186,7 @@
 		if len(t.Named) == 0 {
 			t.Named = whole.Named
 		}
+		t.Away = t.Away || whole.Away
 		t.Items = append(whole.Items, t.Items...)
 		t.Keys = append(whole.Keys, t.Keys...)
 		whole = t
@@ -204,7 +230,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := naming.Reply{Asked: asked, Got: f.Awake(), Waited: waited}
+	r := naming.Reply{Asked: asked, Got: f.Awake(), Waited: waited, Away: t.Away}
 	f.takeNamed(r, t.Named)
 	f.peerTold(waited, t.Age)
 	since := r.Since(t.Age)
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -123,6 +123,8 @@
 	Drain time.Duration
 	// Peers returns the processes to ask while the store does not answer.
 	Peers func() []Peer
+	// Readers returns the processes among them that watch the store for others.
+	Readers func() []Peer
 	// Tellers, when set, returns the processes to be told by: the store is
 	// read only while none of them can tell. A few read for all others, since
 	// the store's rate does not grow with the fleet.
@@ -137,14 +139,18 @@
 	facts   map[string]Fact
 	lapsing map[string]time.Time
 	namings naming.Ledger
-	// asked is how often peers were asked when the newest version was named.
+	// asked is how often peers were asked when the newest version was named, and
+	// askAt when, on Awake, they are asked next.
 	asked    int
+	askAt    time.Duration
 	revision uint64
 	// confirmed is when, on Awake, the belief was last known to be true.
 	confirmed time.Duration
 	known     bool
 	// answered is until when, on Awake, the store's last answer tells.
 	answered time.Duration
+	// failed is when, on Awake, a call of this process to the store last failed.
+	failed time.Duration
 	// upUntil is the latest moment, on Awake, at which the store is known to have
 	// answered anybody; toldAt is until when a teller told. Both are moved on over
 	// the silence of tellers.
@@ -218,6 +224,7 @@
 		err := f.step(ctx)
 		f.noteStore(err)
 		if err != nil {
+			f.callFailed()
 			pause = retryPause(fails)
 			fails++
 			continue
--- a/io/process/feed/note.go
+++ b/io/process/feed/note.go
@@ -1,9 +1,11 @@
 package feed
 
 import (
+	"slices"
 	"strconv"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/naming"
 	"hawthornferry/core/process/trail"
 )
 
@@ -34,6 +36,28 @@
 	})
 }
 
+// noteDated writes down what peers have made known about the moments of namings;
+// before is what was known.
+func (f *Feed) noteDated(before []naming.Entry) {
+	for _, e := range f.namings.All() {
+		i := slices.IndexFunc(before, func(b naming.Entry) bool { return b.Model == e.Model && b.Version == e.Version })
+		if i >= 0 && before[i].Heard == e.Heard && before[i].Returned == e.Returned {
+			continue
+		}
+		reason := "nobody is known to have heard it named"
+		switch {
+		case e.Heard:
+			reason = "heard as it was named"
+		case e.Returned:
+			reason = "the store was away and returned"
+		}
+		f.Log.Decide(trail.Decision{
+			Area: trail.AreaConfig, Action: "versionDated", Subject: e.Model, Choice: versionText(e.Version),
+			Reason: reason, AgeMS: (f.Awake() - e.Since).Milliseconds(),
+		})
+	}
+}
+
 // noteVersion writes down a version that this process hears of. AgeMS is how
 // long before that it last knew that there was none: it was named in between,
 // just now if it is said to be heard as it was named.
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -78,7 +78,9 @@
 	// Named are the versions that were named, replaced ones too: the store
 	// holds only the newest, and the bound of the one before may end first.
 	Named []named `msgpack:"named"`
-	Last  bool    `msgpack:"last"`
+	// Away tells that the store is out of the sender's reach since Age.
+	Away bool `msgpack:"away"`
+	Last bool `msgpack:"last"`
 }
 
 // Kind names the message.
@@ -171,7 +173,7 @@
 func (f *Feed) answerTo(q *ask) []*tell {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.namings.Statements(f.Awake())}
+	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.namings.Statements(f.Awake()), Away: f.contact().Away(f.ranSince)}
 	if !f.known || f.revision <= q.After {
 		t.Last = true
 		return []*tell{t}
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -19,7 +19,14 @@
 
 // contact is how this process was last in touch; it is called with the feed locked.
 func (f *Feed) contact() naming.Contact {
-	return naming.Contact{Known: f.known, Revision: f.revision, Confirmed: f.confirmed, Answered: f.answered}
+	return naming.Contact{Known: f.known, Revision: f.revision, Confirmed: f.confirmed, Answered: f.answered, Failed: f.failed}
+}
+
+// callFailed takes in that a call to the store failed.
+func (f *Feed) callFailed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = f.Awake()
 }
 
 // hearStore takes in that the store answered; it is called with the feed locked.
@@ -33,8 +40,12 @@
 // feed locked. live is when the item was written, on Awake, if it came as that
 // happened.
 func (f *Feed) hear(v *facts.Named, live naming.Moment) {
-	f.namings.Add(f.contact().Read(v.Model, v.Version, live, f.Awake()))
+	c := f.contact()
+	e := c.Read(v.Model, v.Version, live, f.Awake())
+	e.Away = c.Away(f.ranSince)
+	f.namings.Add(e)
 	f.asked = 0
+	f.planQuestion()
 }
 
 func (f *Feed) ranSince(at time.Duration) bool { return f.RanSince == nil || f.RanSince(at) }
@@ -42,9 +53,12 @@
 // takeNamed adopts what a peer tells of the namings; it is called with the feed
 // locked.
 func (f *Feed) takeNamed(r naming.Reply, told []named) {
-	if f.namings.Take(r, told, f.ranSince) && f.known {
-		f.publish()
+	before := f.namings.All()
+	if !f.namings.Take(r, told, f.ranSince) || !f.known {
+		return
 	}
+	f.noteDated(before)
+	f.publish()
 }
 
 // versions are the namings for those who go by the feed's clock; it is called with
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -116,7 +116,7 @@
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
 		Store: p.Store, Reader: p.Reader, Awake: awake.Now, RanSince: f.watch.RanSince, Wait: entryWait,
-		Drain: s.Bounds.Drain, Peers: f.peers,
+		Drain: s.Bounds.Drain, Peers: f.peers, Readers: f.seeds,
 	}
 	if s.VM.Role == fleet.RoleSide {
 		f.feed.Wait = sideWait
