place: a refusal tells what decided it, in counts

How many targets of the service may have the request, how many places they have left, and why the others may not: leaving, paused after failures, tried, engine silent or loading, side unheard, older version. One check serves both the choice and the counts. An explanation begins when the request came, not with its first line, which is written at its end.

TestRefusalTellsWhatDecidedIt, TestRefusalTellsOfEngines, TestExplainBeginsWithTheRequest.

--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hawthornferry/core/process/trail"
 )
@@ -36,14 +37,14 @@
 	if len(out) == 0 {
 		return nil
 	}
-	first := out[0].Decision
+	began := beginOf(out)
 	latest := map[string]trail.Decision{}
 	for _, d := range records {
 		if !processes[d.Process] || d.Request != "" || !isBelief(d, targets) {
 			continue
 		}
 		switch {
-		case d.Time.Before(first.Time):
+		case d.Time.Before(began):
 			latest[d.Process+beliefKey(d)] = d
 		case !d.Time.After(last.Time):
 			out = append(out, Line{Decision: d, Belief: true})
@@ -56,6 +57,19 @@
 	return out
 }
 
+// beginOf is when a request came: a line is written at the end of what it tells,
+// which may be seconds after its begin.
+func beginOf(lines []Line) time.Time {
+	began := lines[0].Decision.Time
+	for _, l := range lines {
+		at := l.Decision.Time.Add(-time.Duration(l.Decision.TookMS) * time.Millisecond)
+		if at.Before(began) {
+			began = at
+		}
+	}
+	return began
+}
+
 // isBelief reports whether a record says what a process believes of anything
 // that bears on a request to the targets.
 func isBelief(d trail.Decision, targets map[string]bool) bool {
@@ -63,7 +77,10 @@
 	case trail.AreaConfig:
 		return true
 	case trail.AreaMember:
-		return targets[d.Subject]
+		// One without a subject is about the process itself: it stood still.
+		return d.Subject == "" && d.Choice == "" || targets[d.Subject]
+	case trail.AreaRouting:
+		return d.Action == "versionDemanded"
 	default:
 		return false
 	}
--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -46,3 +46,26 @@
 		t.Errorf("an unknown request has %d lines", len(got))
 	}
 }
+
+// A request came, waited for seconds while its process stood still and then heard
+// of a version, and was refused. Its only line is the last one; the explanation
+// still tells apart what the process believed as it came and what changed after.
+func TestExplainBeginsWithTheRequest(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	records := []trail.Decision{
+		{Time: at(1), Process: "e1", Area: trail.AreaConfig, Action: "state", Subject: "state", Revision: 1},
+		{Time: at(3), Process: "e1", Area: trail.AreaConfig, Action: "state", Subject: "state", Revision: 3},
+		{Time: at(5), Process: "e1", Area: trail.AreaMember, Action: "stoodStill", TookMS: 900},
+		{Time: at(6), Process: "e1", Area: trail.AreaConfig, Action: "versionNamed", Subject: "m", Choice: "2"},
+		{Time: at(7), Process: "e1", Area: trail.AreaRouting, Action: "versionDemanded", Subject: "m", Version: 2},
+		{Time: at(8), Process: "e1", Area: trail.AreaCall, Action: "answer", Request: "r1", TookMS: 4000},
+	}
+	var got []string
+	for _, l := range Explain(records, "r1") {
+		got = append(got, l.Decision.Action)
+	}
+	want := []string{"state", "stoodStill", "versionNamed", "versionDemanded", "answer"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+}
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -29,7 +29,7 @@
 type Decision struct {
 	Time     time.Time `json:"time"`
 	Process  string    `json:"process"`
-	Boot     string    `json:"boot"`
+	Boot     string    `json:"boot,omitempty"`
 	Area     Area      `json:"area"`
 	Action   string    `json:"action"`
 	Request  string    `json:"request,omitempty"`
@@ -41,16 +41,26 @@
 	Reason   string    `json:"reason,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
 	Left     []Left    `json:"left,omitempty"`
-	// Status is that of an answer, Load the requests at the choice. WaitedMS,
-	// ExpectedMS and TookMS are of the request; AgeMS is how long ago what the
-	// decision rests on was last confirmed.
+	// Status is that of an answer, Load the requests at the choice, Version the
+	// one that it serves and Demanded the least that may answer. WaitedMS,
+	// ExpectedMS, FirstMS and TookMS are of the request: waited for a place,
+	// foreseen and taken to its first event, and whole; AgeMS is how long ago what
+	// the decision rests on was last confirmed. Attempts is how often the request
+	// was sent, left out for once.
 	Status     int    `json:"status,omitempty"`
 	Load       int    `json:"load,omitempty"`
 	Version    uint64 `json:"version,omitempty"`
+	Demanded   uint64 `json:"demanded,omitempty"`
+	Attempts   int    `json:"attempts,omitempty"`
 	WaitedMS   int64  `json:"waitedMs,omitempty"`
 	ExpectedMS int64  `json:"expectedMs,omitempty"`
+	FirstMS    int64  `json:"firstMs,omitempty"`
 	TookMS     int64  `json:"tookMs,omitempty"`
 	AgeMS      int64  `json:"ageMs,omitempty"`
+	// Candidates is set for a refusal for want of a target, State where a process
+	// restates what it believes.
+	Candidates *Candidates `json:"candidates,omitempty"`
+	State      *State      `json:"state,omitempty"`
 }
 
 // Log takes decisions. Implementations fill Time, Process and Boot, must be
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -122,22 +122,7 @@
 
 // usable reports whether a target may have the work at all.
 func usable(now time.Time, s *service, t *target, w *Work) bool {
-	if t.Leaving || now.Before(t.pausedTo) || slices.Contains(w.Avoid, t.ID) {
-		return false
-	}
-	if s.engine == nil {
-		return true
-	}
-	if t.fresh(now) && (!t.alive || t.busy) {
-		return false
-	}
-	v := t.serves(now, s.engine.Model)
-	if t.lost(now) && v < w.Newest {
-		// It may arrive after the time for the old version is over, when its
-		// caller and this entry have long given it up.
-		return false
-	}
-	return v > 0 && v >= w.Version
+	return obstacleTo(now, s, t, w) == obstacleNone
 }
 
 // expect foresees the time to the first answer at a target.
@@ -187,7 +172,7 @@
 	load := t.load(now)
 	slots := slotsOf(t.Target)
 	if s.engine == nil {
-		return load < slots+plainQueue
+		return load < s.places(t)
 	}
 	if w.Begun {
 		return load < slots+plainQueue && expected < mostExpected
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/table"
 )
 
@@ -78,6 +79,8 @@
 	Serving uint64
 	// Load is the number of requests at the target, this one included.
 	Load int
+	// Candidates is what a refusal rests on.
+	Candidates trail.Candidates
 }
 
 // Result says how a request ended at its target.
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -43,7 +43,7 @@
 	s.fair.note(s.large(w), false)
 	return Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
-		RetryAfter: retryAfter, Waited: now.Sub(q.since),
+		RetryAfter: retryAfter, Waited: now.Sub(q.since), Candidates: s.candidates(now, w),
 	}, true
 }
 
--- /dev/null
+++ b/core/request/place/stand_test.go
@@ -0,0 +1,60 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/process/trail"
+)
+
+// Callers of a plain service are refused as full for seconds, and nobody can
+// tell why afterwards. One target leaves, one has just failed, and the third has
+// all the requests that it may have: the refusal says so in counts.
+func TestRefusalTellsWhatDecidedIt(t *testing.T) {
+	f := testFacts(nil, 1, "a", "b", "c")
+	f.Targets[0].Leaving = true
+	p := testPlacer(f)
+	first := p.Offer(start, testWork("1"))[0]
+	p.Done(start, "1", ResultFailed)
+	for i := range 1 + plainQueue {
+		if v := p.Offer(start, testWork(fmt.Sprint("w", i)))[0]; v.Decision != Placed || v.Target.ID == first.Target.ID {
+			t.Fatalf("request %d: got %v, want it at the target that has not failed", i, decisions([]Verdict{v}))
+		}
+	}
+	late := testWork("late")
+	late.Objective = 300 * time.Millisecond
+	if vs := p.Offer(start, late); len(vs) != 0 {
+		t.Fatalf("got %v, want the request to wait", decisions(vs))
+	}
+	got := p.Tick(start.Add(late.Objective / 2))
+	if diff := cmp.Diff([]string{"late refused full"}, decisions(got)); diff != "" {
+		t.Fatalf("decision (-want +got):\n%s", diff)
+	}
+	want := trail.Candidates{Targets: 3, Usable: 1, Requests: 3, Waiting: 1, Leaving: 1, Paused: 1}
+	if diff := cmp.Diff(want, got[0].Candidates); diff != "" {
+		t.Errorf("what the refusal rests on (-want +got):\n%s", diff)
+	}
+}
+
+// No engine may begin a request, each for a reason of its own: it loads, does not
+// answer, or still serves the version before the one that is demanded. The
+// refusal names each, so that the way leads to that engine's side.
+func TestRefusalTellsOfEngines(t *testing.T) {
+	p := testPlacer(testFacts(modelEngine, 16, "a", "b", "c"))
+	p.Report(start, "a", Report{Alive: true, Busy: true, Serving: 1})
+	p.Report(start, "b", Report{})
+	p.Report(start, "c", Report{Alive: true, Serving: 1})
+	w := testWork("1")
+	w.Version = 2
+	got := p.Offer(start, w)
+	if diff := cmp.Diff([]string{"1 refused noTarget"}, decisions(got)); diff != "" {
+		t.Fatalf("decision (-want +got):\n%s", diff)
+	}
+	want := trail.Candidates{Targets: 3, Silent: 1, Loading: 1, OldVersion: 1}
+	if diff := cmp.Diff(want, got[0].Candidates); diff != "" {
+		t.Errorf("what the refusal rests on (-want +got):\n%s", diff)
+	}
+}
