direct, trace: one line for a request that went well, states, metrics by route

An entry wrote two lines for each request that went well, and what it believed was lost within seconds. Now the answer's line tells of the placement too; each attempt that did not end well has a line before it, with the inputs of its placement; a refusal is the answer's line, with what decided it in counts. The level and the boot are left out of each line. Every 2 s a process restates its revision, configuration, named versions with ages, targets by state and versions served, with its boot.

An answer after its objective says so and is no routine line, nor is the last line of a request that was sent more than once: both were left out first under load. The status of a target's answer is logged as it was sent; it was always 200 for one that was passed on, and missing for a failure. An attempt that ends with its request says so in place of the error of the closed connection. Entries write down which sides they hear and lose.

Metrics: requests by route, outcome and status, late ones by route, the version served at each address, lines left out by action; counters end in _total, weights_* in snake case with their unit. Tags keep their dashes, so that a route has one name in metrics and log. io/process/feed's items_rejected and peer_asks_failed keep their names for now.

--- a/core/request/place/stand.go
+++ b/core/request/place/stand.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -92,7 +93,7 @@
 // Served is the version that a target serves, 0 for none.
 type Served struct {
 	Service string
-	Target  string
+	Address netip.AddrPort
 	Version uint64
 }
 
@@ -104,7 +105,7 @@
 			continue
 		}
 		for _, t := range s.targets {
-			out = append(out, Served{Service: s.name, Target: t.ID, Version: t.serves(now, s.engine.Model)})
+			out = append(out, Served{Service: s.name, Address: t.Address, Version: t.serves(now, s.engine.Model)})
 		}
 	}
 	return out
--- a/io/process/admin/meter.go
+++ b/io/process/admin/meter.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode"
 
 	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
@@ -32,8 +33,17 @@
 		Prefix:                 metricsPrefix,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizeOptions(),
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return scope, reporter.HTTPHandler(), closer
 }
+
+// sanitizeOptions allow any character in the value of a tag, as the format does.
+// By default dashes become underscores, and a target or route has another name
+// in the metrics than in the log.
+func sanitizeOptions() *tally.SanitizeOptions {
+	o := prometheus.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', unicode.MaxRune}}}
+	return &o
+}
--- a/io/process/awake/awake.go
+++ b/io/process/awake/awake.go
@@ -90,6 +90,6 @@
 	if !stood {
 		return
 	}
-	w.Metrics.Counter("standstills").Inc(1)
+	w.Metrics.Counter("standstills_total").Inc(1)
 	w.Log.Decide(trail.Decision{Area: trail.AreaMember, Action: "stoodStill", TookMS: gap.Milliseconds()})
 }
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -73,10 +74,29 @@
 	add("status", d.Status, d.Status != 0)
 	add("load", d.Load, d.Load != 0)
 	add("version", d.Version, d.Version != 0)
+	add("demanded", d.Demanded, d.Demanded != 0)
+	add("attempts", d.Attempts, d.Attempts != 0)
 	add("waitedMs", d.WaitedMS, d.WaitedMS != 0)
 	add("expectedMs", d.ExpectedMS, d.ExpectedMS != 0)
+	add("firstMs", d.FirstMS, d.FirstMS != 0)
 	add("tookMs", d.TookMS, d.TookMS != 0)
 	add("ageMs", d.AgeMS, d.AgeMS != 0)
 	add("revision", d.Revision, d.Revision != 0)
+	if d.Candidates != nil {
+		parts = append(parts, "candidates="+compact(d.Candidates))
+	}
+	if d.State != nil {
+		parts = append(parts, compact(d.State))
+	}
 	return strings.Join(parts, " ")
 }
+
+// compact writes the set fields of a nested record.
+func compact(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// Records of plain fields always encode.
+		return err.Error()
+	}
+	return strings.ReplaceAll(string(b), `"`, "")
+}
--- a/io/process/host/host.go
+++ b/io/process/host/host.go
@@ -206,7 +206,7 @@
 }
 
 func (h *Host) rejected(err error) {
-	h.Metrics.Counter("peers_rejected").Inc(1)
+	h.Metrics.Counter("peers_rejected_total").Inc(1)
 	h.Logger.WithError(err).Warn("peer rejected")
 }
 
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -59,7 +59,7 @@
 	if b.StrictKeys {
 		server.Rules.KeyAge = scaled(b.Revoke, keyShare)
 	}
-	loads := &pulse.Listener{Self: f.self, Clock: f.clock}
+	loads := &pulse.Listener{Self: f.self, Clock: f.clock, Log: f.log}
 	loads.Heard = func(addr netip.AddrPort, l pulse.Load) { e.heard(f, server, addr, l) }
 	f.parts = append(
 		f.parts,
@@ -67,7 +67,7 @@
 		part{"load reports", loads.Run},
 		part{"sides to hear", func(ctx context.Context) error { return e.followSides(ctx, f, loads) }},
 	)
-	f.ready, f.drain = server.Ready, server.Drain
+	f.ready, f.drain, f.served = server.Ready, server.Drain, server.Served
 	peers, api, err := e.listeners()
 	if err != nil {
 		return err
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -22,6 +22,7 @@
 	"hawthornferry/core/process/fault"
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/place"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/admin"
 	"hawthornferry/io/process/awake"
@@ -43,9 +44,12 @@
 	// logLines is how many lines wait for an output that is slow; a burst of
 	// a second writes about two hundred.
 	logLines = 2048
-	// logBudget is how many lines of one kind are written in a second: twice the
-	// requests that an entry has at the load of a busy day, sixty a second.
-	logBudget = 120
+	// logBudget is how many lines of one kind are written in a second, and
+	// routineBudget the same for requests that go well: two and four times the
+	// requests that an entry has at the load of a busy day, sixty a second. Callers
+	// who are refused come back, so that refusals in a second are more than that.
+	logBudget     = 240
+	routineBudget = 120
 	// collectAt makes the collector run when the heap has grown by this many
 	// percent. Memory is priced by its peak and the live heap is a few
 	// megabytes, so that collecting often costs little.
@@ -94,6 +98,8 @@
 	// ready says why the process takes no callers, and drain stops new work.
 	ready func() error
 	drain func(ctx context.Context) error
+	// served is what this process takes the engines to serve.
+	served func() []place.Served
 }
 
 func newFrame(s Settings, p Platform, out io.Writer) (*frame, error) {
@@ -101,7 +107,7 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	}
-	f := &frame{settings: s, latest: s, read: p.Settings, clock: clockwork.NewRealClock(), ready: func() error { return nil }}
+	f := &frame{settings: s, latest: s, read: p.Settings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.Served { return nil }}
 	f.started = f.clock.Now()
 	f.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
 	f.metrics, f.expose, f.closer = admin.NewMetrics()
@@ -111,7 +117,7 @@
 		return nil, err
 	}
 	f.logger = logger
-	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine, Budget: &trace.Budget{PerSecond: logBudget}}
+	f.log = &trace.Log{Process: s.Node, Clock: f.clock, Logger: logger, Routine: direct.Routine, Budget: &trace.Budget{PerSecond: logBudget, RoutinePerSecond: routineBudget, Metrics: f.metrics}}
 	f.watch = &awake.Watch{Clock: f.clock, Now: awake.Now, Log: f.log, Metrics: f.metrics}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
@@ -209,7 +215,7 @@
 	partCtx, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, partCtx := errgroup.WithContext(partCtx)
-	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}, {"gauges", f.gauges}, {"standstills", f.watch.Run}}, f.parts...)
+	parts := append([]part{{"store feed", f.feed.Run}, {"settings", f.followSettings}, {"gauges", f.gauges}, {"state lines", f.restate}, {"standstills", f.watch.Run}}, f.parts...)
 	for _, nl := range peers {
 		l := &link.Listener{Self: f.self, Net: nl, Handlers: f.handlers, Rejected: f.rejected}
 		parts = append(parts, part{"peers", l.Run})
@@ -245,7 +251,7 @@
 }
 
 func (f *frame) rejected(err error) {
-	f.metrics.Counter("peers_rejected").Inc(1)
+	f.metrics.Counter("peers_rejected_total").Inc(1)
 	f.logger.WithError(err).Debug("peer rejected")
 }
 
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -9,6 +9,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/request/place"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/link"
@@ -107,6 +108,7 @@
 	}
 	teller := &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
 	s.shelf.Loading = teller.Announce
+	f.served = func() []place.Served { return s.servedBy(teller) }
 	f.handlers[link.PurposeWeights] = s.node.Handler()
 	f.handlers[link.PurposeOrders] = orderer.Handler()
 	f.handlers[link.PurposeLoad] = teller.Handler()
@@ -198,6 +200,15 @@
 	return out
 }
 
+// servedBy is what the engine beside this process serves, once it has answered.
+func (s *Side) servedBy(teller *pulse.Teller) []place.Served {
+	version, known := teller.Serving()
+	if !known {
+		return nil
+	}
+	return []place.Served{{Service: s.Settings.VM.Service, Address: s.Settings.Target, Version: version}}
+}
+
 // verified returns the manifest of a version that is staged whole.
 func (s *Side) verified(d chunk.Digest) (chunk.Manifest, bool) {
 	for _, p := range s.node.Progress() {
--- /dev/null
+++ b/io/process/hosted/state.go
@@ -0,0 +1,99 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/place"
+)
+
+// stateEvery is how often a process restates what it believes. Its log may be
+// kept for its last few seconds only; with a state in any two of them, a
+// request is explained by what is left.
+const stateEvery = 2 * time.Second
+
+// restate writes a line of what the process believes, again and again.
+func (f *frame) restate(ctx context.Context) error {
+	for {
+		f.log.Decide(f.state())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.clock.After(stateEvery):
+		}
+	}
+}
+
+func (f *frame) state() trail.Decision {
+	known := f.feed.Current()
+	age, _ := f.feed.Age()
+	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(f.served())}
+	if known.Table != nil {
+		s.Configuration = known.Table.Version
+	}
+	for _, v := range newestVersions(known) {
+		s.Named = append(s.Named, trail.NamedVersion{Model: v.Model, Version: v.Version, AgeMS: f.clock.Since(v.Since).Milliseconds()})
+	}
+	return trail.Decision{
+		Area: trail.AreaConfig, Action: "state", Subject: "state", Boot: f.self.Boot, Revision: known.Revision,
+		AgeMS: age.Milliseconds(), State: s,
+	}
+}
+
+// targetCounts counts the listed targets of each service, also of one without
+// any.
+func targetCounts(f *facts.Facts) []trail.TargetCount {
+	counts := map[string]*trail.TargetCount{}
+	if f.Table != nil {
+		for _, s := range f.Table.Services {
+			counts[s.Name] = &trail.TargetCount{Service: s.Name}
+		}
+	}
+	for _, t := range f.Targets {
+		c := counts[t.Service]
+		if c == nil {
+			c = &trail.TargetCount{Service: t.Service}
+			counts[t.Service] = c
+		}
+		if t.Leaving {
+			c.Leaving++
+		} else {
+			c.Ready++
+		}
+	}
+	var out []trail.TargetCount
+	for _, c := range counts {
+		out = append(out, *c)
+	}
+	slices.SortFunc(out, func(a, b trail.TargetCount) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// newestVersions returns the newest named version of each model.
+func newestVersions(f *facts.Facts) []facts.Named {
+	return slices.DeleteFunc(slices.Clone(f.Versions), func(v facts.Named) bool {
+		newest, _ := f.Latest(v.Model)
+		return newest.Version != v.Version
+	})
+}
+
+// servedCounts counts the targets of each service by the version they serve.
+func servedCounts(served []place.Served) []trail.ServedCount {
+	counts := map[trail.ServedCount]int{}
+	for _, s := range served {
+		counts[trail.ServedCount{Service: s.Service, Version: s.Version}]++
+	}
+	var out []trail.ServedCount
+	for c, n := range counts {
+		c.Targets = n
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b trail.ServedCount) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
--- a/io/process/pulse/pulse.go
+++ b/io/process/pulse/pulse.go
@@ -94,6 +94,12 @@
 	}
 }
 
+// Serving is the version that the engine serves; false before it has been read.
+func (t *Teller) Serving() (uint64, bool) {
+	l, told, _ := t.current()
+	return l.Serving, told
+}
+
 // Handler serves the entries that connect.
 func (t *Teller) Handler() link.Handler {
 	return link.Handler{Kinds: kinds(), Serve: t.serve}
--- a/io/process/trace/budget.go
+++ b/io/process/trace/budget.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"hawthornferry/core/process/trail"
 )
@@ -16,14 +17,18 @@
 const mostHeld = 4096
 
 // Budget bounds the lines of each kind that are written in a second. A kind is
-// the action that a line tells; routine lines are kinds of their own. Above its budget the routine lines of a request
-// are held back until it ends: one that went well is left out whole, and one that
-// failed, was refused or was moved keeps its whole story. What is left out is
-// counted and told in a line of its own. Set the exported field before the first
-// call; a nil Budget bounds nothing.
+// the action that a line tells; routine lines are kinds of their own. Above its
+// budget the routine lines of a request are held back until it ends: one that went
+// well is left out whole, and one that failed, was refused or was moved keeps its
+// whole story. What is left out is counted and told in a line of its own. Set the
+// exported fields before the first call; a nil Budget bounds nothing.
 type Budget struct {
 	// PerSecond is how many lines of one kind pass in a second.
 	PerSecond int
+	// RoutinePerSecond is the same for routine lines; 0 stands for PerSecond.
+	RoutinePerSecond int
+	// Metrics counts the lines that are left out; nil for no count.
+	Metrics tally.Scope
 
 	mu    sync.Mutex
 	begun time.Time
@@ -51,7 +56,7 @@
 	defer b.mu.Unlock()
 	out := b.turn(d.Time)
 	kind := lineKind{d.Action, routine}
-	if routine && (b.held[d.Request] != nil || b.used[kind] >= b.PerSecond) {
+	if routine && (b.held[d.Request] != nil || b.used[kind] >= cmp.Or(b.RoutinePerSecond, b.PerSecond)) {
 		b.hold(d, line)
 		return out
 	}
@@ -91,6 +96,7 @@
 	}
 	var out [][]byte
 	for action, n := range b.left {
+		b.count(action, n)
 		out = append(out, leftLine(now, action, n))
 	}
 	slices.SortFunc(out, func(x, y []byte) int { return cmp.Compare(string(x), string(y)) })
@@ -101,6 +107,12 @@
 	return out
 }
 
+func (b *Budget) count(action string, n int) {
+	if b.Metrics != nil {
+		b.Metrics.Tagged(map[string]string{"action": action}).Counter("log_lines_left_out_total").Inc(int64(n))
+	}
+}
+
 // leftOut is the line that stands for lines over their budget.
 type leftOut struct {
 	Level   string    `json:"level"`
--- a/io/process/trace/budget_test.go
+++ b/io/process/trace/budget_test.go
@@ -68,3 +68,32 @@
 		t.Errorf("lines written and missing (-want +got):\n%s", diff)
 	}
 }
+
+// Everything fails for a second, just after a burst of requests that went well.
+// The lines of those may not take the room of the ones that an engineer will
+// look for.
+func TestFailuresHaveTheLargerBudget(t *testing.T) {
+	const perSecond, routine, requests = 40, 20, 30
+	var out bytes.Buffer
+	logger, err := NewLogger(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Log{
+		Clock: clockwork.NewFakeClock(), Logger: logger, Budget: &Budget{PerSecond: perSecond, RoutinePerSecond: routine},
+		Routine: func(d trail.Decision) bool { return d.Outcome == "relayed" },
+	}
+	for i := range requests {
+		l.Decide(trail.Decision{Action: "answer", Request: "well" + strconv.Itoa(i), Outcome: "relayed"})
+	}
+	for i := range requests {
+		l.Decide(trail.Decision{Action: "answer", Request: "badly" + strconv.Itoa(i), Outcome: "ownAnswer"})
+	}
+	got := map[string]int{
+		"well":  bytes.Count(out.Bytes(), []byte("relayed")),
+		"badly": bytes.Count(out.Bytes(), []byte("ownAnswer")),
+	}
+	if diff := cmp.Diff(map[string]int{"well": routine, "badly": requests}, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/trace/log.go
+++ b/io/process/trace/log.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -16,9 +18,11 @@
 // before the first decision.
 type Log struct {
 	Process string
-	Boot    string
-	Clock   clockwork.Clock
-	Logger  *logrus.Logger
+	// Boot is written with each line; empty where the process tells it by itself,
+	// as it takes an eighth of a line.
+	Boot   string
+	Clock  clockwork.Clock
+	Logger *logrus.Logger
 	// Routine tells the decisions that are left out first when the output is
 	// slow; nil for none.
 	Routine func(d trail.Decision) bool
@@ -28,6 +32,9 @@
 
 var _ trail.Log = (*Log)(nil)
 
+// timeUnit is the precision of a line's time.
+const timeUnit = time.Microsecond
+
 // decisionField is the logrus field that holds the trail.Decision of a line.
 const decisionField = "decision"
 
@@ -35,9 +42,9 @@
 // without some of its decisions would tell the replay command of outcomes
 // that never were. The output must take concurrent writes, as a Sink does.
 func (l *Log) Decide(d trail.Decision) {
-	d.Time = l.Clock.Now()
+	d.Time = l.Clock.Now().Truncate(timeUnit)
 	d.Process = l.Process
-	d.Boot = l.Boot
+	d.Boot = cmp.Or(l.Boot, d.Boot)
 	e := l.Logger.WithField(decisionField, d)
 	e.Level = logrus.InfoLevel
 	b, err := l.Logger.Formatter.Format(e)
@@ -77,7 +84,7 @@
 }
 
 // NewLogger returns a logger of JSON lines at the given least level, one of
-// debug, info, warning and error. Decisions have the level info.
+// debug, info, warning and error. Decisions have none.
 func NewLogger(w io.Writer, level string) (*logrus.Logger, error) {
 	least, err := logrus.ParseLevel(level)
 	if err != nil {
@@ -96,12 +103,6 @@
 	plain logrus.JSONFormatter
 }
 
-// line is a decision as it is written. Fields of Decision keep their names.
-type line struct {
-	Level string `json:"level"`
-	trail.Decision
-}
-
 // Format returns one line.
 func (f *formatter) Format(e *logrus.Entry) ([]byte, error) {
 	d, ok := e.Data[decisionField].(trail.Decision)
@@ -109,7 +110,7 @@
 		return f.plain.Format(e)
 	}
 	var b bytes.Buffer
-	err := json.NewEncoder(&b).Encode(line{Level: e.Level.String(), Decision: d})
+	err := json.NewEncoder(&b).Encode(d)
 	return b.Bytes(), err
 }
 
--- a/io/process/trace/sink.go
+++ b/io/process/trace/sink.go
@@ -60,7 +60,7 @@
 
 func (s *Sink) drop() {
 	s.dropped.Add(1)
-	s.Metrics.Counter("log_lines_dropped").Inc(1)
+	s.Metrics.Counter("log_lines_dropped_total").Inc(1)
 }
 
 // Write queues one line. A full queue means that the reader of the output is
@@ -116,7 +116,7 @@
 
 func (s *Sink) write(line []byte) {
 	if _, err := s.Out.Write(line); err != nil {
-		s.Metrics.Counter("log_lines_failed").Inc(1)
+		s.Metrics.Counter("log_lines_failed_total").Inc(1)
 	}
 }
 
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -68,6 +68,14 @@
 	return ok
 }
 
+func (d *desk) served() (out []place.Served) {
+	d.Do(func() []place.Verdict {
+		out = d.placer.Served(d.clock.Now())
+		return nil
+	})
+	return out
+}
+
 func (d *desk) update(f *facts.Facts) {
 	d.Do(func() []place.Verdict { return d.placer.Update(d.clock.Now(), f) })
 }
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -139,6 +139,12 @@
 	s.desk.report(target, r)
 }
 
+// Served returns what the targets of engines serve.
+func (s *Server) Served() []place.Served {
+	s.init()
+	return s.desk.served()
+}
+
 // Ready reports whether the balancer may send callers here.
 func (s *Server) Ready() error {
 	if s.draining.Load() {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -40,6 +40,7 @@
 	route    table.Route
 	service  table.Service
 	customer string
+	story    story
 	arrived  time.Time
 	// asked is when the caller first asked, as far as its deadline tells.
 	asked    time.Time
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
@@ -46,16 +45,16 @@
 			s.giveUp(w, q, out)
 			return
 		}
-		s.logPlacement(q, v)
+		q.beginAttempt(s.Clock.Now(), v)
 		if v.Decision == place.Refused {
 			s.turnAway(w, q, out, v)
 			return
 		}
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, results[o])
-		s.logAttempt(q, v, o, err)
+		s.noteAttempt(ctx, q, o, err)
 		if o == resend.Relayed {
-			s.finish(q, string(o), http.StatusOK)
+			s.finish(q, string(o), q.story.status)
 			return
 		}
 		if ctx.Err() != nil || o == resend.Caller {
@@ -79,7 +78,7 @@
 	// A target that goes back to older weights, as after a restart, must not
 	// answer by them: it checks the version as the request begins.
 	version := uint64(0)
-	if s.demanded(q) > 0 {
+	if q.story.demanded = s.demanded(q); q.story.demanded > 0 {
 		version = v.Serving
 	}
 	req := s.outgoing(ctx, q, v.Target.ID, version)
@@ -146,7 +145,7 @@
 		s.breakOff(q)
 	}
 	if out.final() {
-		s.finish(q, "failureOfTarget", 0)
+		s.finish(q, "failureOfTarget", q.story.status)
 		return
 	}
 	if !q.tries.MayRefuse() {
@@ -162,7 +161,7 @@
 		s.breakOff(q)
 	}
 	if out.final() {
-		s.finish(q, "failureOfTarget", 0)
+		s.finish(q, "failureOfTarget", q.story.status)
 		return
 	}
 	if !q.tries.MayRefuse() {
@@ -187,54 +186,6 @@
 	return &wholeRelay{q: q, out: out}
 }
 
-// Routine tells the decisions on requests that go well.
-func Routine(d trail.Decision) bool {
-	return d.Action == string(place.Placed) || (d.Action == "answer" && d.Outcome == string(resend.Relayed))
-}
-
-func (s *Server) logPlacement(q *request, v place.Verdict) {
-	s.Log.Decide(trail.Decision{
-		Area: trail.AreaRouting, Action: string(v.Decision), Request: q.call.ID, Customer: q.customer,
-		Service: q.service.Name, Subject: q.route.Name, Choice: v.Target.ID, Reason: string(v.Reason),
-		Revision: q.facts.Revision, WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(), Load: v.Load,
-		Version: v.Serving,
-	})
-}
-
-func (s *Server) logAttempt(q *request, v place.Verdict, o resend.Outcome, err error) {
-	s.meter.attempted(o)
-	if o == resend.Relayed {
-		return
-	}
-	d := trail.Decision{
-		Area: trail.AreaCall, Action: "attempt", Request: q.call.ID, Service: q.service.Name,
-		Choice: v.Target.ID, Outcome: string(o), Revision: q.facts.Revision,
-	}
-	if err != nil {
-		d.Reason = err.Error()
-	}
-	s.Log.Decide(d)
-}
-
-// finish counts and logs the end of a request.
-func (s *Server) finish(q *request, how string, status int) {
-	took := s.Clock.Since(q.arrived)
-	s.meter.ended(how, status, took)
-	age, _ := s.Source.Age()
-	s.Log.Decide(trail.Decision{
-		Area: trail.AreaCall, Action: "answer", Request: q.call.ID, Customer: q.customer,
-		Service: q.service.Name, Subject: q.route.Name, Choice: q.target, Outcome: how, Reason: q.reason,
-		Revision: q.revision(), Status: status, TookMS: took.Milliseconds(), AgeMS: age.Milliseconds(),
-	})
-}
-
-func (q *request) revision() uint64 {
-	if q.facts == nil {
-		return 0
-	}
-	return q.facts.Revision
-}
-
 func or(v, def string) string {
 	if v == "" {
 		return def
--- /dev/null
+++ b/io/request/direct/story.go
@@ -0,0 +1,130 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/resend"
+)
+
+// The actions of the lines on a request. A request that went well writes one
+// line, its answer, which tells of its placement too; each attempt that did not
+// end well has one before it. What is collected of a busy entry's output holds a
+// few seconds of it, and two lines a request would halve them.
+const (
+	actionAttempt = "attempt"
+	actionAnswer  = "answer"
+)
+
+// reasonLate is the reason of an answer that was passed on after its objective.
+const reasonLate = "late"
+
+// story is what the lines on a request tell beside the request itself.
+type story struct {
+	// verdict is the last one, and tried when the attempt began that followed.
+	verdict  place.Verdict
+	tried    time.Time
+	demanded uint64
+	attempts int
+	// status is that of the target's answer, zero while there is none.
+	status int
+	// first is the time to the first event, zero while there is none.
+	first time.Duration
+}
+
+// Routine tells the lines of requests that went well: sent once and on time.
+// Those of any other request are kept before them.
+func Routine(d trail.Decision) bool {
+	return d.Action == actionAnswer && d.Outcome == string(resend.Relayed) && d.Attempts == 0 && d.Reason == ""
+}
+
+// late reports whether a request has been answered after its objective.
+func (q *request) late(took time.Duration) bool {
+	if q.story.first > 0 {
+		took = q.story.first
+	}
+	return q.route.Objective > 0 && took > q.route.Objective
+}
+
+// decision is what all lines on a request have in common, with the inputs of
+// its last placement.
+func (q *request) decision(action string) trail.Decision {
+	v := q.story.verdict
+	d := trail.Decision{
+		Area: trail.AreaCall, Action: action, Request: q.call.ID, Customer: q.customer,
+		Service: q.service.Name, Subject: q.route.Name, Choice: v.Target.ID, Revision: q.revision(),
+		Load: v.Load, Version: v.Serving, Demanded: q.story.demanded,
+		WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(),
+	}
+	if v.Decision == place.Refused {
+		d.Candidates = &v.Candidates
+	}
+	return d
+}
+
+func (q *request) revision() uint64 {
+	if q.facts == nil {
+		return 0
+	}
+	return q.facts.Revision
+}
+
+// beginAttempt notes the placement that an attempt follows.
+func (q *request) beginAttempt(now time.Time, v place.Verdict) {
+	q.story.verdict, q.story.tried, q.story.status = v, now, 0
+}
+
+// endOf says why the request ended while its target had it, nil when it did not.
+// The connection is closed then, and its error tells nothing of the cause.
+func endOf(ctx context.Context) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errors.New("the request's time was over")
+	case ctx.Err() != nil:
+		return errors.New("the caller left")
+	default:
+		return nil
+	}
+}
+
+// noteAttempt counts an attempt, and logs one that did not end well.
+func (s *Server) noteAttempt(ctx context.Context, q *request, o resend.Outcome, err error) {
+	if why := endOf(ctx); why != nil {
+		err = why
+	}
+	s.meter.attempted(o)
+	q.story.attempts++
+	if o == resend.Relayed {
+		return
+	}
+	d := q.decision(actionAttempt)
+	d.Outcome, d.Status = string(o), q.story.status
+	d.TookMS = s.Clock.Since(q.story.tried).Milliseconds()
+	if err != nil {
+		d.Reason = err.Error()
+	}
+	s.Log.Decide(d)
+}
+
+// finish counts and logs the end of a request.
+func (s *Server) finish(q *request, how string, status int) {
+	took := s.Clock.Since(q.arrived)
+	s.meter.ended(q.route.Name, how, status, took)
+	age, _ := s.Source.Age()
+	d := q.decision(actionAnswer)
+	d.Outcome, d.Reason, d.Status = how, q.reason, status
+	d.TookMS, d.AgeMS = took.Milliseconds(), age.Milliseconds()
+	d.FirstMS = q.story.first.Milliseconds()
+	if q.story.attempts > 1 {
+		d.Attempts = q.story.attempts
+	}
+	if how == string(resend.Relayed) && q.late(took) {
+		s.meter.late(q.route.Name)
+		d.Reason = reasonLate
+	}
+	s.Log.Decide(d)
+}
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -84,6 +84,7 @@
 	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
 		return r.takeWhole(x, g)
 	}
+	r.q.story.status = x.resp.StatusCode
 	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
 	r.fresh = true
 	for {
@@ -120,7 +121,8 @@
 	}
 	if !r.started {
 		r.started = true
-		r.server.meter.first(r.server.Clock.Since(r.q.arrived))
+		r.q.story.first = r.server.Clock.Since(r.q.arrived)
+		r.server.meter.first(r.q.story.first)
 		r.out.head(x.resp, -1)
 	}
 	if e.hasID {
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -58,6 +58,7 @@
 }
 
 func (r *wholeRelay) take(x *exchange, g *guard) resend.Outcome {
+	r.q.story.status = x.resp.StatusCode
 	// The head of a whole answer comes once the request has run.
 	g.settle()
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
@@ -73,6 +74,7 @@
 
 func (r *wholeRelay) pass(resp *http.Response, b []byte) resend.Outcome {
 	r.passed = true
+	r.q.story.status = resp.StatusCode
 	length := len(b)
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		length = -1
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -41,15 +41,20 @@
 	scope = scope.SubScope("weights")
 	return counters{
 		scope:  scope,
-		origin: scope.Counter("originBytes"),
-		imp:    scope.Counter("importBytes"),
-		trade:  scope.Counter("tradeBytes"),
-		sent:   scope.Counter("sentBytes"),
+		origin: received(scope, "origin"),
+		imp:    received(scope, "import"),
+		trade:  received(scope, "trade"),
+		sent:   scope.Counter("sent_bytes_total"),
 	}
 }
 
+// received counts the bytes of weights that came on one way.
+func received(scope tally.Scope, via string) tally.Counter {
+	return scope.Tagged(map[string]string{"via": via}).Counter("received_bytes_total")
+}
+
 func (c counters) failure(why burst.Failure) {
-	c.scope.Tagged(map[string]string{"why": string(why)}).Counter("failures").Inc(1)
+	c.scope.Tagged(map[string]string{"why": string(why)}).Counter("failures_total").Inc(1)
 }
 
 func (n *Node) count(v burst.Via, k int64) {
