direct: tell for how long a caller has asked, and what it had to be answered in

A caller that came back after a refusal was refused as full though targets had 86 free places: late work may take only some of them. The line did not say that it was late. A state without any belief told the age of the machine's clock as its own, and explain showed which sides were heard for requests that no target got.

--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -30,7 +30,9 @@
 			continue
 		}
 		processes[d.Process] = true
-		targets[d.Choice] = true
+		if d.Choice != "" {
+			targets[d.Choice] = true
+		}
 		last = d
 		out = append(out, Line{Decision: d})
 	}
--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -56,6 +56,7 @@
 		{Time: at(1), Process: "e1", Area: trail.AreaConfig, Action: "state", Subject: "state", Revision: 1},
 		{Time: at(3), Process: "e1", Area: trail.AreaConfig, Action: "state", Subject: "state", Revision: 3},
 		{Time: at(5), Process: "e1", Area: trail.AreaMember, Action: "stoodStill", TookMS: 900},
+		{Time: at(5), Process: "e1", Area: trail.AreaMember, Action: "sideHeard", Choice: "10.0.0.1:80"},
 		{Time: at(6), Process: "e1", Area: trail.AreaConfig, Action: "versionNamed", Subject: "m", Choice: "2"},
 		{Time: at(7), Process: "e1", Area: trail.AreaRouting, Action: "versionDemanded", Subject: "m", Version: 2},
 		{Time: at(8), Process: "e1", Area: trail.AreaCall, Action: "answer", Request: "r1", TookMS: 4000},
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -45,18 +45,22 @@
 	// one that it serves and Demanded the least that may answer. WaitedMS,
 	// ExpectedMS, FirstMS and TookMS are of the request: waited for a place,
 	// foreseen and taken to its first event, and whole; AgeMS is how long ago what
-	// the decision rests on was last confirmed. Attempts is how often the request
-	// was sent, left out for once.
-	Status     int    `json:"status,omitempty"`
-	Load       int    `json:"load,omitempty"`
-	Version    uint64 `json:"version,omitempty"`
-	Demanded   uint64 `json:"demanded,omitempty"`
-	Attempts   int    `json:"attempts,omitempty"`
-	WaitedMS   int64  `json:"waitedMs,omitempty"`
-	ExpectedMS int64  `json:"expectedMs,omitempty"`
-	FirstMS    int64  `json:"firstMs,omitempty"`
-	TookMS     int64  `json:"tookMs,omitempty"`
-	AgeMS      int64  `json:"ageMs,omitempty"`
+	// the decision rests on was last confirmed. AskedMS is how long before its arrival
+	// the caller is taken to have asked first, where it came back. ObjectiveMS is
+	// the time that the route has to its first event, told of requests that were
+	// refused or late. Attempts is how often the request was sent, left out for once.
+	Status      int    `json:"status,omitempty"`
+	Load        int    `json:"load,omitempty"`
+	Version     uint64 `json:"version,omitempty"`
+	Demanded    uint64 `json:"demanded,omitempty"`
+	Attempts    int    `json:"attempts,omitempty"`
+	AskedMS     int64  `json:"askedMs,omitempty"`
+	WaitedMS    int64  `json:"waitedMs,omitempty"`
+	ObjectiveMS int64  `json:"objectiveMs,omitempty"`
+	ExpectedMS  int64  `json:"expectedMs,omitempty"`
+	FirstMS     int64  `json:"firstMs,omitempty"`
+	TookMS      int64  `json:"tookMs,omitempty"`
+	AgeMS       int64  `json:"ageMs,omitempty"`
 	// Candidates is set for a refusal for want of a target, State where a process
 	// restates what it believes.
 	Candidates *Candidates `json:"candidates,omitempty"`
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -73,7 +73,8 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Waited     time.Duration
-	// Expected is the time to the first answer that was foreseen.
+	// Expected is the time to the first answer that was foreseen; of one that
+	// is refused as late, at an engine with a single place left.
 	Expected time.Duration
 	// Serving is the version of the model that the target is known to serve.
 	Serving uint64
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -41,10 +41,14 @@
 		return Verdict{}, false
 	}
 	s.fair.note(s.large(w), false)
-	return Verdict{
+	v := Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
 		RetryAfter: retryAfter, Waited: now.Sub(q.since), Candidates: s.candidates(now, w),
-	}, true
+	}
+	if reason == ReasonLate {
+		v.Expected = s.leastTime(w)
+	}
+	return v, true
 }
 
 // hope reports whether the request may still be served by waiting, and why
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -30,7 +30,6 @@
 
 func (f *frame) state() trail.Decision {
 	known := f.feed.Current()
-	age, _ := f.feed.Age()
 	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(f.served())}
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
@@ -38,10 +37,13 @@
 	for _, v := range newestVersions(known) {
 		s.Named = append(s.Named, trail.NamedVersion{Model: v.Model, Version: v.Version, AgeMS: f.clock.Since(v.Since).Milliseconds()})
 	}
-	return trail.Decision{
-		Area: trail.AreaConfig, Action: "state", Subject: "state", Boot: f.self.Boot, Revision: known.Revision,
-		AgeMS: age.Milliseconds(), State: s,
+	d := trail.Decision{
+		Area: trail.AreaConfig, Action: "state", Subject: "state", Boot: f.self.Boot, Revision: known.Revision, State: s,
 	}
+	if age, known := f.feed.Age(); known {
+		d.AgeMS = age.Milliseconds()
+	}
+	return d
 }
 
 // targetCounts counts the listed targets of each service, also of one without
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -60,8 +60,11 @@
 		Load: v.Load, Version: v.Serving, Demanded: q.story.demanded,
 		WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(),
 	}
+	if q.asked.Before(q.arrived) && !q.asked.IsZero() {
+		d.AskedMS = q.arrived.Sub(q.asked).Milliseconds()
+	}
 	if v.Decision == place.Refused {
-		d.Candidates = &v.Candidates
+		d.Candidates, d.ObjectiveMS = &v.Candidates, q.route.Objective.Milliseconds()
 	}
 	return d
 }
@@ -114,17 +117,19 @@
 func (s *Server) finish(q *request, how string, status int) {
 	took := s.Clock.Since(q.arrived)
 	s.meter.ended(q.route.Name, how, status, took)
-	age, _ := s.Source.Age()
 	d := q.decision(actionAnswer)
 	d.Outcome, d.Reason, d.Status = how, q.reason, status
-	d.TookMS, d.AgeMS = took.Milliseconds(), age.Milliseconds()
+	d.TookMS = took.Milliseconds()
+	if age, known := s.Source.Age(); known {
+		d.AgeMS = age.Milliseconds()
+	}
 	d.FirstMS = q.story.first.Milliseconds()
 	if q.story.attempts > 1 {
 		d.Attempts = q.story.attempts
 	}
 	if how == string(resend.Relayed) && q.late(took) {
 		s.meter.late(q.route.Name)
-		d.Reason = reasonLate
+		d.Reason, d.ObjectiveMS = reasonLate, q.route.Objective.Milliseconds()
 	}
 	s.Log.Decide(d)
 }
