--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -62,6 +62,9 @@
 	ReasonNoTarget Reason = "noTarget"
 	ReasonLate     Reason = "objectiveCannotBeMet"
 	ReasonFull     Reason = "full"
+	// ReasonLateFull is for a caller that came back after its objective: such work
+	// gets only part of the places.
+	ReasonLateFull Reason = "noRoomForLate"
 )
 
 // Verdict is the decision on one request. Target is set for a placed one,
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -66,7 +66,7 @@
 		return ReasonFull, now.Sub(q.since) < w.Objective/2
 	}
 	if w.returned(now) {
-		return ReasonFull, false
+		return ReasonLateFull, false
 	}
 	least := s.leastTime(w)
 	if s.late(now, w, least) {
--- a/core/request/place/stand_test.go
+++ b/core/request/place/stand_test.go
@@ -58,3 +58,22 @@
 		t.Errorf("what the refusal rests on (-want +got):\n%s", diff)
 	}
 }
+
+// A caller that was refused comes back, late already, and is refused again though
+// engines have places: what is late gets only half of them. Told as full, such a
+// refusal had engineers look for the load of a service that had room.
+func TestLateWorkIsNotToldAsFull(t *testing.T) {
+	const slots = 4
+	p := testPlacer(testFacts(modelEngine, slots, "a"))
+	p.Report(start, "a", Report{Alive: true, Serving: 1, Active: slots / 2})
+	w := testWork("1")
+	w.Asked = start.Add(-time.Second)
+	got := p.Offer(start, w)
+	if diff := cmp.Diff([]string{"1 refused noRoomForLate"}, decisions(got)); diff != "" {
+		t.Fatalf("decision (-want +got):\n%s", diff)
+	}
+	want := trail.Candidates{Targets: 1, Usable: 1, FreePlaces: slots / 2, Requests: slots / 2}
+	if diff := cmp.Diff(want, got[0].Candidates); diff != "" {
+		t.Errorf("what the refusal rests on (-want +got):\n%s", diff)
+	}
+}
