--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -32,6 +32,8 @@
 	attempts int
 	// status is that of the target's answer, zero while there is none.
 	status int
+	// cut is the error that ended the target's answer, nil while there is none.
+	cut error
 	// first is the time to the first event, zero while there is none.
 	first time.Duration
 }
@@ -78,7 +80,7 @@
 
 // beginAttempt notes the placement that an attempt follows.
 func (q *request) beginAttempt(now time.Time, v place.Verdict) {
-	q.story.verdict, q.story.tried, q.story.status = v, now, 0
+	q.story.verdict, q.story.tried, q.story.status, q.story.cut = v, now, 0, nil
 }
 
 // endOf says why the request ended while its target had it, nil when it did not.
@@ -96,6 +98,9 @@
 
 // noteAttempt counts an attempt, and logs one that did not end well.
 func (s *Server) noteAttempt(ctx context.Context, q *request, o resend.Outcome, err error) {
+	if err == nil {
+		err = q.story.cut
+	}
 	if why := endOf(ctx); why != nil {
 		err = why
 	}
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/process/fault"
 	"hawthornferry/core/request/resend"
 )
 
@@ -93,11 +94,12 @@
 			return r.end(x)
 		}
 		if err != nil {
+			r.q.story.cut = fault.At("read stream", "", err)
 			return resend.Broken
 		}
 		g.heard()
 		if !r.follows(e) {
-			r.q.reason = errOrder.Error()
+			r.q.reason, r.q.story.cut = errOrder.Error(), errOrder
 			return resend.Broken
 		}
 		if err := r.pass(x, e); err != nil {
@@ -147,6 +149,7 @@
 // takeWhole takes an answer that is not a stream of events: a failure.
 func (r *streamRelay) takeWhole(x *exchange, g *guard) resend.Outcome {
 	if r.started {
+		r.q.story.cut = errors.Newf("status %d in place of the rest of a stream", x.resp.StatusCode)
 		return resend.Broken
 	}
 	if r.whole == nil {
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
 	"hawthornferry/core/request/resend"
 	"hawthornferry/io/request/gate"
 )
@@ -62,7 +65,11 @@
 	// The head of a whole answer comes once the request has run.
 	g.settle()
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
-	if err != nil || len(b) > maxAnswer {
+	if err == nil && len(b) > maxAnswer {
+		err = errors.Newf("answer is over %d bytes", maxAnswer)
+	}
+	if err != nil {
+		r.q.story.cut = fault.At("read answer", "", err)
 		return resend.Broken
 	}
 	if x.resp.StatusCode >= http.StatusInternalServerError && r.q.route.Repeatable() {
