place: take back the pauses of targets that failed in one moment

An entry whose network is cut and reset for a moment sees all its connections end at once. Failures of four targets or more within 30 ms, with fewer others at work, are now its own.

TestCutOfTheEntryIsNotBlamedOnTargets.

--- /dev/null
+++ b/core/request/place/cut_test.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The entry's network is cut for a moment, and all its connections are reset in
+// one go. Callers come back at once. Their targets are well, and were refused to
+// them for a time that grew with each failure: the entry took the cut for theirs.
+// A target that fails while the others go on is left alone as before.
+func TestCutOfTheEntryIsNotBlamedOnTargets(t *testing.T) {
+	const targets = 6
+	tests := []struct {
+		name   string
+		failed int
+		apart  time.Duration
+		paused int
+	}{
+		{"one of six", 1, 0, 1},
+		{"three of six", 3, 0, 3},
+		{"all at once", targets, time.Millisecond, 0},
+		{"all in turn", targets, 2 * togetherWithin, 4},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(nil, 1, "a", "b", "c", "d", "e", "f"))
+			var used []string
+			for i := range targets {
+				w := testWork(fmt.Sprint(i))
+				w.Avoid = used
+				used = append(used, p.Offer(start, w)[0].Target.ID)
+			}
+			now := start
+			for i := range tc.failed {
+				now = now.Add(tc.apart)
+				p.Done(now, fmt.Sprint(i), ResultFailed)
+			}
+			w := testWork("next")
+			if diff := cmp.Diff(tc.paused, p.service("svc").candidates(now, &w).Paused); diff != "" {
+				t.Errorf("paused targets (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -222,7 +222,11 @@
 	}
 	r.target.own--
 	r.target.ended(now, result, now.Sub(r.since))
-	return p.settleService(now, p.service(r.work.Service))
+	s := p.service(r.work.Service)
+	if result == ResultFailed {
+		s.forgive(now)
+	}
+	return p.settleService(now, s)
 }
 
 // Report takes what a target says of its own load.
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -73,6 +73,8 @@
 
 	failures int
 	pausedTo time.Time
+	// last is the last failure.
+	last failure
 	// spent is the usual time of a whole answer, for plain services.
 	spent time.Duration
 }
@@ -158,6 +160,7 @@
 	case ResultTurned:
 		t.pausedTo = later(t.pausedTo, now.Add(turnedPause))
 	case ResultFailed, ResultUnreached:
+		t.noteFailure(now)
 		pause := min(firstPause<<min(t.failures, 8), mostPause)
 		t.failures++
 		t.pausedTo = later(t.pausedTo, now.Add(pause))
