hosted: an output that nobody reads does not hold up a stop

A process that had drained waited for its last lines to be written, and was there until it was killed when nobody read them. TestStuckLogDoesNotHoldUpAStop (3.0 s without it).

--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -45,7 +45,7 @@
 	// a second writes about two hundred.
 	logLines = 2048
 	// logBudget is how many lines of one kind are written in a second, and
-	// routineBudget the same for requests that go well: two and four times the
+	// routineBudget the same for requests that go well: four times and twice the
 	// requests that an entry has at the load of a busy day, sixty a second. Callers
 	// who are refused come back, so that refusals in a second are more than that.
 	logBudget     = 240
@@ -201,7 +201,23 @@
 	err := f.runParts(ctx, peers, api)
 	f.logger.WithField("vm", f.settings.Node).WithField("reason", reasonOf(err)).Info("stopped")
 	stopSink()
-	return errors.CombineErrors(err, errors.CombineErrors(sink.Wait(), f.closer.Close()))
+	return errors.CombineErrors(err, errors.CombineErrors(f.flushed(&sink), f.closer.Close()))
+}
+
+// flushWait bounds the wait for the last lines at the end: an output that nobody
+// reads would keep a process that has drained until it is killed.
+const flushWait = killReserve / 2
+
+// flushed waits for the last lines to be written.
+func (f *frame) flushed(sink *errgroup.Group) error {
+	done := make(chan error, 1)
+	go func() { done <- sink.Wait() }()
+	select {
+	case err := <-done:
+		return err
+	case <-f.clock.After(flushWait):
+		return nil
+	}
 }
 
 func reasonOf(err error) string {
