--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -49,11 +49,14 @@
 	// the caller is taken to have asked first, where it came back. ObjectiveMS is
 	// the time that the route has to its first event, told of requests that were
 	// refused or late. Attempts is how often the request was sent, left out for once.
+	// LastEvent is the last event of a stream that its caller has where an attempt
+	// ends: the next one goes on from it.
 	Status      int    `json:"status,omitempty"`
 	Load        int    `json:"load,omitempty"`
 	Version     uint64 `json:"version,omitempty"`
 	Demanded    uint64 `json:"demanded,omitempty"`
 	Attempts    int    `json:"attempts,omitempty"`
+	LastEvent   string `json:"lastEvent,omitempty"`
 	AskedMS     int64  `json:"askedMs,omitempty"`
 	WaitedMS    int64  `json:"waitedMs,omitempty"`
 	ObjectiveMS int64  `json:"objectiveMs,omitempty"`
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -43,7 +43,7 @@
 	}
 	lines := audit.Explain(records, e.Request)
 	if len(lines) == 0 {
-		return errors.Mark(errors.Newf("no record of request %q in %d logs", e.Request, len(names)), errInput)
+		return errors.Mark(errors.Newf("no record of request %q in %d logs: it was under way when its process ended, or its lines were left out", e.Request, len(names)), errInput)
 	}
 	w := tabwriter.NewWriter(out.stdout, 0, 0, 2, ' ', 0)
 	for _, l := range lines {
@@ -76,6 +76,7 @@
 	add("version", d.Version, d.Version != 0)
 	add("demanded", d.Demanded, d.Demanded != 0)
 	add("attempts", d.Attempts, d.Attempts != 0)
+	add("lastEvent", d.LastEvent, d.LastEvent != "")
 	add("askedMs", d.AskedMS, d.AskedMS != 0)
 	add("waitedMs", d.WaitedMS, d.WaitedMS != 0)
 	add("objectiveMs", d.ObjectiveMS, d.ObjectiveMS != 0)
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -110,7 +110,7 @@
 		return
 	}
 	d := q.decision(actionAttempt)
-	d.Outcome, d.Status = string(o), q.story.status
+	d.Outcome, d.Status, d.LastEvent = string(o), q.story.status, q.lastEvent
 	d.TookMS = s.Clock.Since(q.story.tried).Milliseconds()
 	if err != nil {
 		d.Reason = err.Error()
