--- a/core/process/naming/naming.go
+++ b/core/process/naming/naming.go
@@ -53,6 +53,7 @@
 
 // Add takes in what was learned of one naming. It returns whether that was news.
 func (l *Ledger) Add(n Entry) bool {
+	n.Returned = n.Returned && !n.Heard
 	for i, old := range l.entries {
 		if old.Model == n.Model && old.Version == n.Version {
 			l.entries[i] = merge(old, n)
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/table"
 )
 
@@ -61,6 +62,9 @@
 	ReasonNoTarget Reason = "noTarget"
 	ReasonLate     Reason = "objectiveCannotBeMet"
 	ReasonFull     Reason = "full"
+	// ReasonLateFull is for a caller that came back after its objective: such work
+	// gets only part of the places.
+	ReasonLateFull Reason = "noRoomForLate"
 )
 
 // Verdict is the decision on one request. Target is set for a placed one,
@@ -72,12 +76,15 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Waited     time.Duration
-	// Expected is the time to the first answer that was foreseen.
+	// Expected is the time to the first answer that was foreseen; of one that
+	// is refused as late, at an engine with a single place left.
 	Expected time.Duration
 	// Serving is the version of the model that the target is known to serve.
 	Serving uint64
 	// Load is the number of requests at the target, this one included.
 	Load int
+	// Candidates is what a refusal rests on.
+	Candidates trail.Candidates
 }
 
 // Result says how a request ended at its target.
@@ -215,7 +222,11 @@
 	}
 	r.target.own--
 	r.target.ended(now, result, now.Sub(r.since))
-	return p.settleService(now, p.service(r.work.Service))
+	s := p.service(r.work.Service)
+	if result == ResultFailed {
+		s.forgive(now)
+	}
+	return p.settleService(now, s)
 }
 
 // Report takes what a target says of its own load.
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -41,10 +41,14 @@
 		return Verdict{}, false
 	}
 	s.fair.note(s.large(w), false)
-	return Verdict{
+	v := Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
-		RetryAfter: retryAfter, Waited: now.Sub(q.since),
-	}, true
+		RetryAfter: retryAfter, Waited: now.Sub(q.since), Candidates: s.candidates(now, w),
+	}
+	if reason == ReasonLate {
+		v.Expected = s.leastTime(w)
+	}
+	return v, true
 }
 
 // hope reports whether the request may still be served by waiting, and why
@@ -62,7 +66,7 @@
 		return ReasonFull, now.Sub(q.since) < w.Objective/2
 	}
 	if w.returned(now) {
-		return ReasonFull, false
+		return ReasonLateFull, false
 	}
 	least := s.leastTime(w)
 	if s.late(now, w, least) {
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -149,6 +149,12 @@
 	s.entries = max(s.entries, n)
 }
 
+// Served returns what the targets of engines serve.
+func (s *Server) Served() []place.Served {
+	s.init()
+	return s.desk.served()
+}
+
 // Ready reports whether the balancer may send callers here.
 func (s *Server) Ready() error {
 	if s.draining.Load() {
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/process/fault"
 	"hawthornferry/core/request/resend"
 )
 
@@ -84,6 +85,7 @@
 	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
 		return r.takeWhole(x, g)
 	}
+	r.q.story.status = x.resp.StatusCode
 	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
 	r.fresh = true
 	for {
@@ -92,11 +94,12 @@
 			return r.end(x)
 		}
 		if err != nil {
+			r.q.story.cut = fault.At("read stream", "", err)
 			return resend.Broken
 		}
 		g.heard()
 		if !r.follows(e) {
-			r.q.reason = errOrder.Error()
+			r.q.reason, r.q.story.cut = errOrder.Error(), errOrder
 			return resend.Broken
 		}
 		if err := r.pass(x, e); err != nil {
@@ -120,7 +123,8 @@
 	}
 	if !r.started {
 		r.started = true
-		r.server.meter.first(r.server.Clock.Since(r.q.arrived))
+		r.q.story.first = r.server.Clock.Since(r.q.arrived)
+		r.server.meter.first(r.q.story.first)
 		r.out.head(x.resp, -1)
 	}
 	if e.hasID {
@@ -145,6 +149,7 @@
 // takeWhole takes an answer that is not a stream of events: a failure.
 func (r *streamRelay) takeWhole(x *exchange, g *guard) resend.Outcome {
 	if r.started {
+		r.q.story.cut = errors.Newf("status %d in place of the rest of a stream", x.resp.StatusCode)
 		return resend.Broken
 	}
 	if r.whole == nil {
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"hawthornferry/core/process/fault"
 	"hawthornferry/core/request/resend"
 	"hawthornferry/io/request/gate"
 )
@@ -58,10 +61,15 @@
 }
 
 func (r *wholeRelay) take(x *exchange, g *guard) resend.Outcome {
+	r.q.story.status = x.resp.StatusCode
 	// The head of a whole answer comes once the request has run.
 	g.settle()
 	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxAnswer+1))
-	if err != nil || len(b) > maxAnswer {
+	if err == nil && len(b) > maxAnswer {
+		err = errors.Newf("answer is over %d bytes", maxAnswer)
+	}
+	if err != nil {
+		r.q.story.cut = fault.At("read answer", "", err)
 		return resend.Broken
 	}
 	if x.resp.StatusCode >= http.StatusInternalServerError && r.q.route.Repeatable() {
@@ -73,6 +81,7 @@
 
 func (r *wholeRelay) pass(resp *http.Response, b []byte) resend.Outcome {
 	r.passed = true
+	r.q.story.status = resp.StatusCode
 	length := len(b)
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		length = -1
