--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -86,7 +86,7 @@
 	old, had := f.facts[it.Key]
 	if err != nil {
 		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
-		f.Metrics.Counter("items_rejected").Inc(1)
+		f.Metrics.Counter("items_rejected_total").Inc(1)
 		if had && old.Target != nil {
 			delete(f.facts, it.Key)
 			f.noteTarget("lost", old, it.Revision)
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -108,7 +108,7 @@
 	for _, p := range peers[:min(askedAtOnce, len(peers))] {
 		wg.Go(func() {
 			if err := f.askOne(ctx, p); err != nil {
-				f.Metrics.Counter("peer_asks_failed").Inc(1)
+				f.Metrics.Counter("peer_asks_failed_total").Inc(1)
 			}
 		})
 	}
