feed: tell peers what was removed, not every key there is

The last 1,024 removals are remembered and told with the changes; an asker whose belief is older is told the whole list of keys as before.

--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -45,6 +45,9 @@
 // have been unable to renew its entry: taken for gone, a whole service could
 // lose its targets at once. One that lives is back within the grace.
 func (f *Feed) remove(it Item) {
+	if _, had := f.items[it.Key]; had {
+		f.gone.add(it)
+	}
 	delete(f.items, it.Key)
 	fact, ok := f.facts[it.Key]
 	if !ok {
--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -247,6 +247,10 @@
 }
 
 func (f *Feed) takeItems(t *tell) {
+	if t.Changes {
+		f.apply(t.Items, naming.Moment{})
+		return
+	}
 	there := make(map[string]bool, len(t.Keys))
 	for _, k := range t.Keys {
 		there[k] = true
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -136,6 +136,7 @@
 
 	mu      sync.Mutex
 	items   map[string]Item
+	gone    removals
 	facts   map[string]Fact
 	lapsing map[string]time.Time
 	namings naming.Ledger
@@ -386,6 +387,9 @@
 // with the feed locked.
 func (f *Feed) confirm(asked time.Duration, at uint64) {
 	c := f.contact()
+	if !c.Known {
+		f.gone.from = at
+	}
 	c.Confirm(asked, at)
 	f.known, f.revision, f.confirmed = c.Known, c.Revision, c.Confirmed
 	f.lapse()
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -65,16 +65,19 @@
 }
 
 // tell is one part of an answer. Its items travel packed, and ages as durations,
-// since the clocks of processes differ. Keys lists every key there is, so that the
-// asker finds out what was removed; Last marks the last part.
+// since the clocks of processes differ. Last marks the last part.
 type tell struct {
 	Known bool          `msgpack:"known"`
 	At    uint64        `msgpack:"at"`
 	Age   time.Duration `msgpack:"age"`
 	Items []Item        `msgpack:"-"`
 	// Packed is what packItems makes of Items.
-	Packed []byte   `msgpack:"packed"`
-	Keys   []string `msgpack:"keys"`
+	Packed []byte `msgpack:"packed"`
+	// Changes is set when the items are all that changed after the asker's
+	// revision, removed ones among them. Else Keys lists every key there is, so
+	// that the asker finds out what was removed.
+	Changes bool     `msgpack:"changes"`
+	Keys    []string `msgpack:"keys"`
 	// Named are the versions that were named, replaced ones too: the store
 	// holds only the newest, and the bound of the one before may end first.
 	Named []named `msgpack:"named"`
@@ -178,10 +181,13 @@
 		t.Last = true
 		return []*tell{t}
 	}
+	changes := f.gone.since(q.After)
 	var out []*tell
 	size := 0
 	for key, it := range f.items {
-		t.Keys = append(t.Keys, key)
+		if !changes {
+			t.Keys = append(t.Keys, key)
+		}
 		if it.Revision <= q.After {
 			continue
 		}
@@ -193,6 +199,9 @@
 			size = 0
 		}
 	}
-	t.Last = true
+	if changes {
+		t.Items = append(t.Items, f.gone.after(q.After)...)
+	}
+	t.Changes, t.Last = changes, true
 	return append(out, t)
 }
