--- a/io/process/feed/gone_test.go
+++ b/io/process/feed/gone_test.go
@@ -15,9 +15,11 @@
 
 // A target that has left is used by an entry that was told of it: the entry's
 // tellers forget a removal, or tell it in the wrong order with the key's return. Two
-// feeds are told each other's changes in turn, at random, and one of them now and
-// then through a fresh list; what they believe must be the store's in the end.
+// feeds are told each other's changes in turn, at random, often or after more than
+// are remembered, and one of them now and then through a fresh list; what they
+// believe must be the store's in the end.
 func TestToldOfRemovals(t *testing.T) {
+	tellOnce := []int{16, 4 * mostGone}
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 1))
@@ -26,14 +28,14 @@
 			teller, told := newFeed(s), newFeed(s)
 			teller.init()
 			told.init()
-			for range 3 * mostGone {
+			for range 6 * mostGone {
 				key := "target/" + strconv.Itoa(r.IntN(40))
 				_, there := s.items[key]
 				s.set(key, "", there && r.IntN(2) == 0)
 				if r.IntN(8) == 0 {
 					readInto(teller, s, r.IntN(4) == 0)
 				}
-				if r.IntN(16) == 0 {
+				if r.IntN(tellOnce[seed%2]) == 0 {
 					tellFrom(told, teller)
 				}
 			}
