--- a/io/process/feed/gone_test.go
+++ b/io/process/feed/gone_test.go
@@ -19,6 +19,7 @@
 // are remembered, and one of them now and then through a fresh list; what they
 // believe must be the store's in the end.
 func TestToldOfRemovals(t *testing.T) {
+	const keys = 2 * mostGone
 	tellOnce := []int{16, 4 * mostGone}
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -28,8 +29,8 @@
 			teller, told := newFeed(s), newFeed(s)
 			teller.init()
 			told.init()
-			for range 6 * mostGone {
-				key := "target/" + strconv.Itoa(r.IntN(40))
+			for range 12 * mostGone {
+				key := "target/" + strconv.Itoa(r.IntN(keys))
 				_, there := s.items[key]
 				s.set(key, "", there && r.IntN(2) == 0)
 				if r.IntN(8) == 0 {
