swarm: transfers that share a full window take their blocks before they ask on

Callers see: a side gets no chunk of any version until its transfers pass for stalled (2.5 to 10 least patiences before any was timed, seconds with the customary settings), and then blames peers that had sent what was asked. In TestMissingVersionDoesNotHoldUpAnother side01 or side02 held 0 to 8 of 12 chunks after 20 s and, its least patience being a minute, would have for minutes.

Cause: a transfer asks for up to four blocks ahead, and waited for room in the side's window in the same goroutine that takes its blocks and so gives back their room. Two to four transfers whose unread blocks fill the window (four blocks in the test) then all wait for room; where the window holds less than two blocks, one transfer waits for itself. A busy machine only makes it likelier that several get to their second block together. A choked link, for which the window shrinks, should too: that is read from the code, not shown by a run. A transfer now waits for room only while nothing of its own is on its way, and otherwise takes a block and tries again. What the links allowed for the block is not booked twice.

Evidence: temporary output when the test failed. In 17 of 17 failures the side that lacked chunks had 16384 of 16384 bytes out and exactly four blocks that had come and were unread, with 2 to 6 goroutines in inflow.ask; the window of every other side was empty. Ruled out by that: a lost want and a dead connection (the blocks had come), room never given back by transfers that had ended (the four blocks account for all of it). Ruled out besides: a lost wake-up (a waiter looks again every 250 ms), the clock of the test (passes take 0.04 to 0.25 s).

--- a/io/version/pace/window.go
+++ b/io/version/pace/window.go
@@ -48,9 +48,7 @@
 	}
 	for {
 		w.mu.Lock()
-		w.turn()
-		if w.out == 0 || w.out+n <= w.size() {
-			w.out += n
+		if w.take(n) {
 			w.mu.Unlock()
 			return nil
 		}
@@ -66,6 +64,26 @@
 	}
 }
 
+// TryAcquire reports whether n bytes may be asked for now, and counts them if so.
+func (w *Window) TryAcquire(n int64) bool {
+	if w == nil {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.take(n)
+}
+
+// take counts n bytes if there is room for them; it is called with mu held.
+func (w *Window) take(n int64) bool {
+	w.turn()
+	if w.out > 0 && w.out+n > w.size() {
+		return false
+	}
+	w.out += n
+	return true
+}
+
 // Release takes the end of n bytes that were asked for, of which got came.
 func (w *Window) Release(n, got int64) {
 	if w == nil {
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -103,20 +103,24 @@
 	buf := make([]byte, size)
 	share := n.shareLine(in.fetch.Share)
 	piece := n.pieceSize(in.fetch.Via)
-	var asked, got int64
+	var paced, asked, got int64
 	flow := inflow{window: n.Inflow}
 	defer flow.end()
 	for got < size {
 		for asked < size && asked-got < ahead(got, piece) {
 			k := min(piece, size-asked)
-			if err := share.Wait(ctx, int(k)); err != nil {
-				return nil, err
+			if paced == asked {
+				if err := n.waitLinks(ctx, share, in.fetch.Via, int(k)); err != nil {
+					return nil, err
+				}
+				paced += k
 			}
-			if err := n.waitDown(ctx, in.fetch.Via, int(k)); err != nil {
+			room, err := flow.ask(ctx, k)
+			if err != nil {
 				return nil, err
 			}
-			if err := flow.ask(ctx, k); err != nil {
-				return nil, err
+			if !room {
+				break
 			}
 			if asked == 0 {
 				n.requested(in)
@@ -161,13 +165,22 @@
 	under  []int64
 }
 
-// ask waits until k more bytes may be asked for.
-func (f *inflow) ask(ctx context.Context, k int64) error {
-	if err := f.window.Acquire(ctx, k); err != nil {
-		return err
+// ask reports whether k more bytes may be asked for. It waits for room only while
+// nothing of the transfer is on its way. Waiting with some on its way, the
+// transfer would not take its blocks and so not give back their room: several
+// would wait for each other's, and where the window holds less than two blocks
+// one for its own, until they pass for stalled and their peers are blamed. A
+// transfer that is told of no room takes a block and asks again.
+func (f *inflow) ask(ctx context.Context, k int64) (bool, error) {
+	if len(f.under) > 0 {
+		if !f.window.TryAcquire(k) {
+			return false, nil
+		}
+	} else if err := f.window.Acquire(ctx, k); err != nil {
+		return false, err
 	}
 	f.under = append(f.under, k)
-	return nil
+	return true, nil
 }
 
 // waive takes what was asked for out of the count: the peer still lacks the chunk
@@ -229,6 +242,15 @@
 	}
 }
 
+// waitLinks waits until the share of the region link and the machine's own link
+// allow the next k bytes.
+func (n *Node) waitLinks(ctx context.Context, share *pace.Line, v burst.Via, k int) error {
+	if err := share.Wait(ctx, k); err != nil {
+		return err
+	}
+	return n.waitDown(ctx, v, k)
+}
+
 // waitDown paces what comes in. Imports go first: the rest of the region
 // waits for them.
 func (n *Node) waitDown(ctx context.Context, v burst.Via, k int) error {
