--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,11 @@
 TOOLS    = $(GO) tool -modfile=tools/go.mod
 PACKAGES = ./...
 DEPLOYMENT ?= pindan
+SEED    ?= 1
+SECONDS ?= 60
+SHORT_SEEDS ?= 7
 
-.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf bench-capacity failures
+.PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf bench-capacity failures soak soak-short soak-build
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -69,3 +72,15 @@
 # Kills, pauses and cuts off real processes on loopback and judges the outcomes.
 failures: build
 	script/failures.sh
+
+soak-build: build
+	$(GO) build -o bin/soak ./platform/soak
+
+# Runs the real programs among stand-ins of the platform that misbehave, and
+# checks the promises meanwhile; see doc/soak.md.
+soak: soak-build
+	bin/soak --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
+
+# A short run for CI.
+soak-short: soak-build
+	@for seed in $(SHORT_SEEDS); do bin/soak --seed $$seed --seconds 40 || exit 1; done
--- a/standin/relay/pass.go
+++ b/standin/relay/pass.go
@@ -47,7 +47,7 @@
 // goes on taking pieces, so that the reader never waits for it.
 func (t *Route) write(ctx context.Context, p *pipe, to net.Conn, pieces <-chan piece) {
 	for x := range pieces {
-		if t.hold(ctx, p, x) != nil || p.isSilent() {
+		if t.hold(ctx, p, x, to == p.near) != nil || p.isSilent() {
 			continue
 		}
 		if _, err := to.Write(x.bytes); err != nil {
@@ -57,10 +57,10 @@
 }
 
 // hold waits until a piece may go on.
-func (t *Route) hold(ctx context.Context, p *pipe, x piece) error {
+func (t *Route) hold(ctx context.Context, p *pipe, x piece, back bool) error {
 	for {
 		f, changed := t.faults.Get()
-		if !f.Hold {
+		if !f.holds(back) {
 			return serve.Sleep(ctx, t.Clock, time.Duration(f.Delay)-t.Clock.Since(x.at))
 		}
 		select {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -27,10 +27,17 @@
 // Faults are the faults of a route; each control call replaces them all.
 // Delay holds every byte back, each way. Hold passes nothing on any
 // connection until the faults are replaced; what is sent meanwhile arrives
-// then.
+// then. HoldThere and HoldBack do the same one way, towards To and back.
 type Faults struct {
-	Delay serve.Span `json:"delay"`
-	Hold  bool       `json:"hold"`
+	Delay     serve.Span `json:"delay"`
+	Hold      bool       `json:"hold"`
+	HoldThere bool       `json:"holdThere,omitempty"`
+	HoldBack  bool       `json:"holdBack,omitempty"`
+}
+
+// holds reports whether bytes of one way are held back.
+func (f Faults) holds(back bool) bool {
+	return f.Hold || (f.HoldBack && back) || (f.HoldThere && !back)
 }
 
 // Route passes the connections that Listen accepts on to To. Set the exported
@@ -138,6 +145,21 @@
 	return len(open)
 }
 
+// Reset ends the open connections with a reset at both ends and returns how
+// many there were.
+func (t *Route) Reset() int {
+	open := t.open()
+	for _, p := range open {
+		for _, nc := range []net.Conn{p.near, p.far} {
+			if tc, ok := nc.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+		}
+		p.close()
+	}
+	return len(open)
+}
+
 // Silence stops the open connections from passing anything for good. Neither
 // end is told; connections made later work. It returns how many there were.
 func (t *Route) Silence() int {
