--- a/standin/relay/pass.go
+++ b/standin/relay/pass.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hawthornferry/standin/serve"
 )
 
@@ -21,20 +24,24 @@
 	pieces := make(chan piece, maxPieces)
 	var wg sync.WaitGroup
 	wg.Go(func() { t.write(ctx, p, to, pieces) })
-	t.read(p, from, pieces)
+	err := t.read(p, from, pieces)
 	close(pieces)
 	wg.Wait()
-	if !p.isSilent() {
+	switch {
+	case p.isSilent():
+	case errors.Is(err, syscall.ECONNRESET):
+		p.reset()
+	default:
 		p.close()
 	}
 }
 
-func (t *Route) read(p *pipe, from net.Conn, pieces chan<- piece) {
+func (t *Route) read(p *pipe, from net.Conn, pieces chan<- piece) error {
 	for {
 		b := make([]byte, pieceSize)
 		n, err := from.Read(b)
 		if err != nil {
-			return
+			return err
 		}
 		select {
 		case pieces <- piece{bytes: b[:n], at: t.Clock.Now()}:
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -66,6 +66,17 @@
 	p.far.Close()
 }
 
+// reset closes both ends with a reset: an end that was cut off must not take
+// what it got for the whole.
+func (p *pipe) reset() {
+	for _, nc := range []net.Conn{p.near, p.far} {
+		if tc, ok := nc.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+	}
+	p.close()
+}
+
 // Run accepts on nl until ctx ends.
 func (t *Route) Run(ctx context.Context, nl net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { nl.Close() })
@@ -150,12 +161,7 @@
 func (t *Route) Reset() int {
 	open := t.open()
 	for _, p := range open {
-		for _, nc := range []net.Conn{p.near, p.far} {
-			if tc, ok := nc.(*net.TCPConn); ok {
-				_ = tc.SetLinger(0)
-			}
-		}
-		p.close()
+		p.reset()
 	}
 	return len(open)
 }
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -6,9 +6,13 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 )
@@ -148,3 +152,34 @@
 		t.Errorf("echo (-want +got):\n%s", diff)
 	}
 }
+
+// A process must not take what came before a reset for a whole answer: it sees
+// the reset, not an end.
+func TestReset(t *testing.T) {
+	r, _ := start(t)
+	nc := dial(t, r)
+	r.Reset()
+	if _, err := nc.Read(make([]byte, 8)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read: %v, want a reset", err)
+	}
+}
+
+// One way is cut: what is sent arrives, and its answer only once the way back
+// is open again.
+func TestHoldBack(t *testing.T) {
+	r, _ := start(t)
+	nc := dial(t, r)
+	r.SetFaults(Faults{HoldBack: true})
+	if _, err := io.WriteString(nc, "held"); err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := nc.Read(make([]byte, 4)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read while the way back is cut: %v", err)
+	}
+	r.SetFaults(Faults{})
+	_ = nc.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := io.ReadFull(nc, make([]byte, 4)); err != nil {
+		t.Errorf("read after: %v", err)
+	}
+}
