--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DEPLOYMENT ?= pindan
 SEED    ?= 1
 SECONDS ?= 60
-SHORT_SEEDS ?= 7
+SHORT_SEEDS ?= 16
 
 .PHONY: build demo test fmt lint unit prove clean bench-burst bench-policy bench-conf bench-capacity failures soak soak-short soak-build
 
