--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,11 @@
 UNIT     = -race -count=1 -timeout 5m
 PROVE    = -count=1 -timeout 5m
 KNOWNRED = GO=$(GO) script/known-red.sh
+SEED    ?= 1
+SECONDS ?= 60
+SHORT_SEEDS ?= 16
 
-.PHONY: build demo test fmt lint unit prove known-red clean bench-burst bench-policy bench-conf bench-capacity failures
+.PHONY: build demo test fmt lint unit prove known-red clean bench-burst bench-policy bench-conf bench-capacity failures soak soak-short soak-build
 
 build:
 	$(GO) build -o bin/hawthornferry .
@@ -77,3 +80,15 @@
 # Kills, pauses and cuts off real processes on loopback and judges the outcomes.
 failures: build
 	script/failures.sh
+
+soak-build: build
+	$(GO) build -o bin/soak ./platform/soak
+
+# Runs the real programs among stand-ins of the platform that misbehave, and
+# checks the promises meanwhile; see doc/soak.md.
+soak: soak-build
+	bin/soak --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
+
+# A short run for CI.
+soak-short: soak-build
+	@for seed in $(SHORT_SEEDS); do bin/soak --seed $$seed --seconds 40 || exit 1; done
--- a/io/process/feed/gone_test.go
+++ b/io/process/feed/gone_test.go
@@ -78,6 +78,29 @@
 	f.take(f.Awake(), false, "peer", whole)
 }
 
+// A process that was out of touch while more targets left than are remembered is
+// told every key there is: told only what is remembered, it would go on to use the
+// first of them.
+func TestForgottenRemovalsAreTold(t *testing.T) {
+	s := newFakeStore()
+	for i := range mostGone + 1 {
+		s.set("target/"+strconv.Itoa(i), "", false)
+	}
+	teller, told := newFeed(s), newFeed(s)
+	teller.init()
+	told.init()
+	readInto(teller, s, true)
+	tellFrom(told, teller)
+	for i := range mostGone + 1 {
+		s.set("target/"+strconv.Itoa(i), "", true)
+	}
+	readInto(teller, s, false)
+	tellFrom(told, teller)
+	if diff := cmp.Diff(0, len(told.items)); diff != "" {
+		t.Errorf("keys held though all targets have left (-want +got):\n%s", diff)
+	}
+}
+
 // A change on a platform of thousands of targets is told in a message of its own
 // size, whatever the number of targets: else the few processes that tell the rest
 // fill their links with keys.
--- a/standin/relay/pass.go
+++ b/standin/relay/pass.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hawthornferry/standin/serve"
 )
 
@@ -21,20 +24,24 @@
 	pieces := make(chan piece, maxPieces)
 	var wg sync.WaitGroup
 	wg.Go(func() { t.write(ctx, p, to, pieces) })
-	t.read(p, from, pieces)
+	err := t.read(p, from, pieces)
 	close(pieces)
 	wg.Wait()
-	if !p.isSilent() {
+	switch {
+	case p.isSilent():
+	case errors.Is(err, syscall.ECONNRESET):
+		p.reset()
+	default:
 		p.close()
 	}
 }
 
-func (t *Route) read(p *pipe, from net.Conn, pieces chan<- piece) {
+func (t *Route) read(p *pipe, from net.Conn, pieces chan<- piece) error {
 	for {
 		b := make([]byte, pieceSize)
 		n, err := from.Read(b)
 		if err != nil {
-			return
+			return err
 		}
 		select {
 		case pieces <- piece{bytes: b[:n], at: t.Clock.Now()}:
@@ -47,7 +54,7 @@
 // goes on taking pieces, so that the reader never waits for it.
 func (t *Route) write(ctx context.Context, p *pipe, to net.Conn, pieces <-chan piece) {
 	for x := range pieces {
-		if t.hold(ctx, p, x) != nil || p.isSilent() {
+		if t.hold(ctx, p, x, to == p.near) != nil || p.isSilent() {
 			continue
 		}
 		if _, err := to.Write(x.bytes); err != nil {
@@ -57,10 +64,10 @@
 }
 
 // hold waits until a piece may go on.
-func (t *Route) hold(ctx context.Context, p *pipe, x piece) error {
+func (t *Route) hold(ctx context.Context, p *pipe, x piece, back bool) error {
 	for {
 		f, changed := t.faults.Get()
-		if !f.Hold {
+		if !f.holds(back) {
 			return serve.Sleep(ctx, t.Clock, time.Duration(f.Delay)-t.Clock.Since(x.at))
 		}
 		select {
