direct: wait for a target's connection by how long its way takes

A connection was given 150 ms wherever it led. The wait is now 150 ms beyond the least that connections to the zone have taken lately, and 600 ms while that is not known.

--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -90,7 +90,7 @@
 		}
 		s.meter = newMeter(s.Metrics)
 		s.desk = newDesk(s.Clock, s.Placer)
-		s.sender = &sender{clock: s.Clock}
+		s.sender = newSender(s.Clock)
 		s.budgets = map[string]*spend.Budget{}
 		s.server = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -90,7 +90,7 @@
 		version = v.Serving
 	}
 	req := s.outgoing(ctx, q, v.Target.ID, version)
-	x, err := s.sender.connect(ctx, v.Target.Address)
+	x, err := s.sender.connect(ctx, v.Target)
 	if err != nil {
 		return resend.Unsent, err
 	}
--- a/io/request/direct/send.go
+++ b/io/request/direct/send.go
@@ -7,22 +7,15 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fault"
 )
 
-// dialTimeout bounds the wait for a target's connection. Targets are a few
-// milliseconds away; one that is dark never answers, and what is sent over a
-// link that takes longer may arrive seconds after its caller has gone. The
-// request has not been sent and can still be on time elsewhere.
-const dialTimeout = 150 * time.Millisecond
-
 // readBuffer is the size of the buffer for answers, in bytes.
 const readBuffer = 4 << 10
 
@@ -32,6 +25,12 @@
 // may not be sent twice. A connection costs a target a millisecond.
 type sender struct {
 	clock clockwork.Clock
+	ways  ways
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func newSender(clock clockwork.Clock) *sender {
+	return &sender{clock: clock, ways: ways{clock: clock}, dial: (&net.Dialer{}).DialContext}
 }
 
 // exchange is one request at one target, from the head of its answer on.
@@ -65,12 +64,15 @@
 
 // connect opens a connection to a target; after an error the target has not
 // seen the request. The exchange ends when ctx does.
-func (s *sender) connect(ctx context.Context, addr netip.AddrPort) (*exchange, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+func (s *sender) connect(ctx context.Context, t facts.Target) (*exchange, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, s.ways.timeout(t.Zone))
+	defer cancel()
+	began := s.clock.Now()
+	conn, err := s.dial(dialCtx, "tcp", t.Address.String())
 	if err != nil {
-		return nil, fault.At("connect to target", addr.String(), err)
+		return nil, fault.At("connect to target", t.Address.String(), err)
 	}
+	s.ways.note(t.Zone, s.clock.Since(began))
 	x := &exchange{conn: conn}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
