place: count how long the way to a target takes

With regions 90 ms apart, far targets counted as 50 ms farther than near ones, and what the way took was learnt as slowness of all engines. At the sites as given the way is within hop and nothing changes.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -18,7 +18,7 @@
 	// overTime is how much longer than the least, in objectives, work may take
 	// that cannot be on time: as much as half of other work spends waiting.
 	overTime = 0.4
-	// hop is the round trip to the caller and the target together.
+	// hop is the round trip to the caller and a near target together.
 	hop = 12 * time.Millisecond
 	// distanceCost is how much longer a first answer may take at a near
 	// target before a farther one is chosen, a step of distance each.
@@ -66,7 +66,7 @@
 	}
 	r := &run{work: q.work, target: best, since: now}
 	if s.engine != nil {
-		r.reading, r.passing = s.reading(now, best, &q.work), s.passing(now, best)
+		r.reading, r.passing = best.way+s.reading(now, best, &q.work), s.passing(now, best)
 	}
 	p.running[q.work.ID] = r
 	s.fair.note(s.large(&q.work), true)
@@ -146,7 +146,7 @@
 		over := max(0, t.load(now)+1-slotsOf(t.Target))
 		return hop + t.spent*time.Duration(1+over)
 	}
-	return s.reading(now, t, w) + s.stretched(s.passing(now, t))
+	return t.way + s.reading(now, t, w) + s.stretched(s.passing(now, t))
 }
 
 // reading is the part of the time to a first answer in which the engine reads
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -103,6 +103,8 @@
 	services map[string]*service
 	targets  map[string]*target
 	running  map[string]*run
+	// ways holds the round trip to the targets of each zone, as far as known.
+	ways map[string]time.Duration
 }
 
 // run is a request at its target.
@@ -151,6 +153,7 @@
 			k = &target{distance: p.distance(t.Zone)}
 		}
 		k.learn(now, t)
+		k.way = p.wayTo(t.Zone)
 		p.targets[t.ID] = k
 		s.targets = append(s.targets, k)
 	}
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -10,18 +10,18 @@
 	if w.Objective <= 0 {
 		return false
 	}
-	return now.Add(expected).Sub(w.Asked) > s.allowed(w)
+	return now.Add(expected).Sub(w.Asked) > s.allowed(now, w)
 }
 
 // allowed is the time that a first answer may take. Work that no engine could
 // answer on time, such as the longest prompts at slow engines, is served as soon
 // as one can: refused at once, the largest requests would never be served.
-func (s *service) allowed(w *Work) time.Duration {
+func (s *service) allowed(now time.Time, w *Work) time.Duration {
 	usual := time.Duration(onTime * float64(w.Objective))
 	if s.engine == nil {
 		return usual
 	}
-	if least := s.leastTime(w); least > usual {
+	if least := s.leastTime(now, w); least > usual {
 		return least + time.Duration(overTime*float64(w.Objective))
 	}
 	return usual
@@ -64,7 +64,7 @@
 	if w.returned(now) {
 		return ReasonFull, false
 	}
-	least := s.leastTime(w)
+	least := s.leastTime(now, w)
 	if s.late(now, w, least) {
 		return ReasonLate, false
 	}
@@ -73,19 +73,24 @@
 
 // leastTime is the time to the first answer at an engine with a single place
 // left.
-func (s *service) leastTime(w *Work) time.Duration {
+func (s *service) leastTime(now time.Time, w *Work) time.Duration {
 	read := time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second))
 	pass := passTime(s.engine, s.engine.Slots)
-	return hop + pass + pass/2 + read
+	return hop + s.leastWay(now, w) + pass + pass/2 + read
 }
 
 // anyUsable reports whether some target may run the work now or once it has
 // room.
 func anyUsable(now time.Time, s *service, w *Work) bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool {
-		if t.Leaving || slices.Contains(w.Avoid, t.ID) {
-			return false
-		}
-		return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+		return s.mayServe(now, t, w)
 	})
 }
+
+// mayServe reports whether a target may run the work now or once it has room.
+func (s *service) mayServe(now time.Time, t *target, w *Work) bool {
+	if t.Leaving || slices.Contains(w.Avoid, t.ID) {
+		return false
+	}
+	return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+}
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -38,7 +38,7 @@
 	// and more times a second.
 	reportAge = 700 * time.Millisecond
 	// onTheWay is how old a request must be for a report to show it: the way
-	// to the target and back.
+	// to a near target and back.
 	onTheWay = 10 * time.Millisecond
 	// alikeShare is the part of its own requests that an entry takes each other
 	// entry to have sent to the same target meanwhile: less than all, since
@@ -50,6 +50,8 @@
 type target struct {
 	facts.Target
 	distance int
+	// way is how much longer than hop its answers are on their way.
+	way time.Duration
 
 	// own counts this entry's requests at the target, unread the prompt
 	// tokens of those that have not begun to be answered.
@@ -95,7 +97,7 @@
 		r = Report{Entries: r.Entries}
 	}
 	t.reported = now
-	t.sent = slices.DeleteFunc(t.sent, func(s sending) bool { return now.Sub(s.at) > onTheWay })
+	t.sent = slices.DeleteFunc(t.sent, func(s sending) bool { return now.Sub(s.at) > onTheWay+t.way })
 	t.entries = r.Entries
 	t.alive = r.Alive
 	t.busy = r.Busy
--- /dev/null
+++ b/core/request/place/way_test.go
@@ -0,0 +1,72 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// farRoundTrip is that between two continents.
+const farRoundTrip = 180 * time.Millisecond
+
+// A third of the engines are a round trip of 180 ms away. The placer counted that
+// as 50 ms at most, and sent work there as soon as a near engine was busy for as
+// long: it was late by the way alone, where the near engine would have answered on
+// time. The surplus was learnt as slowness of all engines, the near ones too, so
+// that these seemed to be late as well and refused what they could have served.
+func TestTheWayCountsInTheChoice(t *testing.T) {
+	tests := []struct {
+		name      string
+		roundTrip time.Duration
+		target    string
+	}{
+		{"neighbouring regions", 6 * time.Millisecond, "far"},
+		{"continents apart", farRoundTrip, "near"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := testFacts(modelEngine, 16, "near", "far")
+			f.Targets[1].Zone = "z1"
+			p := testPlacer(f)
+			p.Way("z0", time.Millisecond)
+			p.Way("z1", tc.roundTrip)
+			before := testWork("before")
+			before.Prompt = 2500
+			p.Offer(start, before)
+			if diff := cmp.Diff([]string{"next placed " + tc.target}, decisions(p.Offer(start, testWork("next")))); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// All engines are a round trip of 180 ms away, and no answer can be on time. What
+// they serve is late but served, the way is not learnt as slowness of the engines,
+// and a caller that has come back is not refused for the way.
+func TestFarEnginesServe(t *testing.T) {
+	f := testFacts(modelEngine, 16, "far")
+	f.Targets[0].Zone = "z1"
+	p := testPlacer(f)
+	p.Way("z1", farRoundTrip)
+	now := start
+	for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9", "10"} {
+		w := testWork(id)
+		w.Asked = now
+		if diff := cmp.Diff([]string{id + " placed far"}, decisions(p.Offer(now, w))); diff != "" {
+			t.Errorf("verdicts (-want +got):\n%s", diff)
+		}
+		now = now.Add(2*farRoundTrip + 120*time.Millisecond)
+		p.Began(now, id)
+		p.Done(now, id, ResultDone)
+	}
+	if got := p.service("svc").stretch.value; got > 1.1 {
+		t.Errorf("passes are taken to be %.2f times as long as worked out", got)
+	}
+	back := testWork("back")
+	back.Asked = now.Add(-2 * time.Second)
+	back.Deadline = now.Add(4 * time.Second)
+	if diff := cmp.Diff([]string{"back placed far"}, decisions(p.Offer(now, back))); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -72,6 +72,13 @@
 	d.Do(func() []place.Verdict { return d.placer.Update(d.clock.Now(), f) })
 }
 
+func (d *desk) way(zone string, roundTrip time.Duration) {
+	d.Do(func() []place.Verdict {
+		d.placer.Way(zone, roundTrip)
+		return nil
+	})
+}
+
 func (d *desk) report(target string, r place.Report) {
 	d.Do(func() []place.Verdict { return d.placer.Report(d.clock.Now(), target, r) })
 }
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -91,6 +91,7 @@
 		s.meter = newMeter(s.Metrics)
 		s.desk = newDesk(s.Clock, s.Placer)
 		s.sender = newSender(s.Clock)
+		s.sender.ways.learnt = s.desk.way
 		s.budgets = map[string]*spend.Budget{}
 		s.server = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
--- a/io/request/direct/ways_test.go
+++ b/io/request/direct/ways_test.go
@@ -109,3 +109,24 @@
 		})
 	}
 }
+
+// An entry starts beside its targets, which answer slowly at first. The choice of
+// targets must not take the near zone for a far one then: it would send nothing
+// there that shows how near it is.
+func TestTheWayIsToldWhenItIsKnown(t *testing.T) {
+	type told struct {
+		Zone  string
+		Takes time.Duration
+	}
+	var got []told
+	w := ways{clock: clockwork.NewFakeClock(), learnt: func(zone string, takes time.Duration) {
+		got = append(got, told{zone, takes})
+	}}
+	for _, ms := range []int{300, 120, 4, 9, 5, 6, 3, 3, 8} {
+		w.note("z", time.Duration(ms)*time.Millisecond)
+	}
+	want := []told{{"z", 4 * time.Millisecond}, {"z", 3 * time.Millisecond}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
