place: serve long prompts that only an idle engine could answer on time

A prompt of 3800 tokens takes 400 ms of the 425 at an idle engine there, and has room at none with load.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -18,6 +18,9 @@
 	// overTime is how much longer than the least, in objectives, work may take
 	// that cannot be on time: as much as half of other work spends waiting.
 	overTime = 0.4
+	// tightShare is the part of the usual time from which work counts as such that
+	// can hardly be on time: the engine that answers it then would have to be idle.
+	tightShare = 0.85
 	// hop is the round trip to the caller and a near target together.
 	hop = 12 * time.Millisecond
 	// distanceCost is how much longer a first answer may take at a near
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -106,6 +106,42 @@
 	}
 }
 
+// Engines read so slowly that the longest prompts can just be answered on time by
+// an idle one, and passes turn out to take half as long again as declared. No engine
+// with any load fits the objective then: the longest prompts waited for one that is
+// idle, which never came while there was load, and were refused, when four of five
+// of the other requests were served.
+func TestLongPromptJustWithinReachIsServed(t *testing.T) {
+	slow := *modelEngine
+	slow.ReadRate, slow.Step = 13800, 13900*time.Microsecond
+	tests := []struct {
+		name    string
+		prompt  int
+		stretch float64
+		load    int
+		want    string
+	}{
+		{"long, idle engine", 3800, 1.5, 0, "new placed a"},
+		{"long, some load", 3800, 1.5, 6, "new placed a"},
+		{"nearly long, some load", 3000, 1.5, 6, "new placed a"},
+		{"usual, some load", 1000, 1.5, 6, "new placed a"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(&slow, 16, "a"))
+			p.service("svc").stretch.value = tc.stretch
+			p.Report(start, "a", Report{Alive: true, Serving: 1, Pace: 1, Active: tc.load})
+			w := testWork("new")
+			w.Prompt, w.Objective = tc.prompt, 500*time.Millisecond
+			got := p.Offer(start, w)
+			got = append(got, p.Tick(start.Add(100*time.Millisecond))...)
+			if diff := cmp.Diff([]string{tc.want}, decisions(got)); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A caller whose stream broke off gets the rest before anyone else is served.
 func TestBegunGoesFirst(t *testing.T) {
 	p := testPlacer(testFacts(nil, 1, "a"))
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -14,14 +14,17 @@
 }
 
 // allowed is the time that a first answer may take. Work that no engine could
-// answer on time, such as the longest prompts at slow engines, is served as soon
-// as one can: refused at once, the largest requests would never be served.
+// answer on time, or only one that is idle, such as the longest prompts at slow
+// engines, is served as soon as one can: held to its objective, the largest requests
+// would hardly ever be served.
 func (s *service) allowed(now time.Time, w *Work) time.Duration {
 	usual := time.Duration(onTime * float64(w.Objective))
 	if s.engine == nil {
 		return usual
 	}
-	if least := s.leastTime(now, w); least > usual {
+	// What passes were seen to take is left out: it grows with the load, and more
+	// work would be let in late the more there is.
+	if least := s.leastTime(now, w); float64(least) > tightShare*float64(usual) {
 		return least + time.Duration(overTime*float64(w.Objective))
 	}
 	return usual
