--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -70,9 +70,11 @@
 	r.changed = make(chan struct{})
 }
 
-// wantedOf returns the model of a service and the versions that are wanted,
-// the newest first: older ones are of use while the newest cannot be had.
-func wantedOf(f *facts.Facts, service string) (string, []uint64, bool) {
+// wantedOf returns the model of a service and the versions that are wanted at now,
+// the newest first: older ones are of use while the newest cannot be had and its own
+// time, bound, leaves room for a load. From then on they would only share the links
+// with the newest, and a load of one would hold up that of the newest.
+func wantedOf(f *facts.Facts, service string, now time.Time, bound time.Duration) (string, []uint64, bool) {
 	if f.Table == nil {
 		return "", nil, false
 	}
@@ -87,6 +89,9 @@
 		return s.Engine.Model, []uint64{firstVersion}, true
 	}
 	out := []uint64{named[0].Version}
+	if bound > 0 && now.Sub(named[0].Since) >= bound-overdueReserve {
+		return s.Engine.Model, out, true
+	}
 	for _, v := range named[1:min(len(named), mostWanted)] {
 		if named[0].Since.Sub(v.Since) >= leastLead {
 			out = append(out, v.Version)
--- a/io/process/hosted/rollout_test.go
+++ b/io/process/hosted/rollout_test.go
@@ -14,6 +14,10 @@
 // once. Fetching both halves the rate at which the newest comes, and callers wait
 // for it, since neither may be begun late. The older one is fetched only when it
 // was known for some time before.
+//
+// The origin is away until the newest version's own time runs out. Both were fetched
+// on at half the rate each then, though nothing could be answered by the older one any
+// more, and every engine came back that much later.
 func TestWantedVersions(t *testing.T) {
 	start := time.Unix(1000, 0)
 	named := func(version uint64, after time.Duration) facts.Named {
@@ -23,20 +27,25 @@
 	tests := []struct {
 		name  string
 		named []facts.Named
-		want  []uint64
+		// now is how long after start the question is put.
+		now  time.Duration
+		want []uint64
 	}{
-		{"none named", nil, []uint64{firstVersion}},
-		{"one named", []facts.Named{named(2, 0)}, []uint64{2}},
-		{"two at once", []facts.Named{named(2, 0), named(3, 100*time.Millisecond)}, []uint64{3}},
-		{"two in turn", []facts.Named{named(2, 0), named(3, 2*time.Second)}, []uint64{3, 2}},
-		{"one that only peers know of", []facts.Named{unseen, named(3, 2*time.Second)}, []uint64{3}},
-		{"three in turn", []facts.Named{named(2, 0), named(3, 2*time.Second), named(4, 4*time.Second)}, []uint64{4, 3}},
+		{"none named", nil, 0, []uint64{firstVersion}},
+		{"one named", []facts.Named{named(2, 0)}, 0, []uint64{2}},
+		{"two at once", []facts.Named{named(2, 0), named(3, 100*time.Millisecond)}, time.Second, []uint64{3}},
+		{"two in turn", []facts.Named{named(2, 0), named(3, 2*time.Second)}, 3 * time.Second, []uint64{3, 2}},
+		{"the newest has time for a load", []facts.Named{named(2, 0), named(3, 2*time.Second)}, 6 * time.Second, []uint64{3, 2}},
+		{"the newest runs out", []facts.Named{named(2, 0), named(3, 2*time.Second)}, 7 * time.Second, []uint64{3}},
+		{"all too old", []facts.Named{named(2, 0), named(3, 2*time.Second)}, time.Hour, []uint64{3}},
+		{"one that only peers know of", []facts.Named{unseen, named(3, 2*time.Second)}, 3 * time.Second, []uint64{3}},
+		{"three in turn", []facts.Named{named(2, 0), named(3, 2*time.Second), named(4, 4*time.Second)}, 5 * time.Second, []uint64{4, 3}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			tab := &table.Table{Services: []table.Service{{Name: "svc", Engine: &table.Engine{Model: "m"}}}}
 			tab.Index()
-			_, got, _ := wantedOf(&facts.Facts{Table: tab, Versions: tc.named}, "svc")
+			_, got, _ := wantedOf(&facts.Facts{Table: tab, Versions: tc.named}, "svc", start.Add(tc.now), 8*time.Second)
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("wanted versions (-want +got):\n%s", diff)
 			}
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -142,7 +142,7 @@
 // the distribution and to the load orders.
 func (s *Side) refresh() {
 	f := s.frame.feed.Current()
-	model, versions, ok := wantedOf(f, s.Settings.VM.Service)
+	model, versions, ok := s.wanted(f)
 	if !ok {
 		return
 	}
@@ -164,6 +164,10 @@
 	s.node.Update(v, wanted)
 }
 
+func (s *Side) wanted(f *facts.Facts) (string, []uint64, bool) {
+	return wantedOf(f, s.Settings.VM.Service, s.frame.clock.Now(), s.Settings.Bounds.Version)
+}
+
 // pick is the version to load: the newest, unless its weights are not whole
 // and the time for the one before it, whose weights are, is running out.
 // Without that, nobody would be served from the end of that time until the
@@ -212,7 +216,7 @@
 // overdue reports whether the time for the wanted version is running out.
 func (s *Side) overdue() bool {
 	f := s.frame.feed.Current()
-	model, _, ok := wantedOf(f, s.Settings.VM.Service)
+	model, _, ok := s.wanted(f)
 	if !ok {
 		return false
 	}
