--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -53,15 +53,6 @@
 	// memoryShare is the part of the limit above which the collector works
 	// harder.
 	memoryShare = 0.8
-	// entryWait and sideWait are how long one watch of the store waits. An
-	// entry must vouch for keys and confirms its belief that often; a side
-	// only has to hear of changes. entryTold and sideTold are the same for one
-	// that is told by a peer: a teller that froze costs an entry little more than
-	// half a second, of the two within which a configuration is to be in force.
-	entryWait = 800 * time.Millisecond
-	sideWait  = 4 * time.Second
-	entryTold = 500 * time.Millisecond
-	sideTold  = 2 * time.Second
 )
 
 // part is one component of a process.
@@ -113,20 +104,17 @@
 	f.logger = logger
 	f.log = &trace.Log{Process: s.Node, Boot: f.self.Boot, Clock: f.clock, Logger: logger, Routine: direct.Routine, Budget: &trace.Budget{PerSecond: logBudget}}
 	f.watch = &awake.Watch{Clock: f.clock, Now: awake.Now, Log: f.log, Metrics: f.metrics}
+	wait, told := entryWaits(s.Bounds)
+	if s.VM.Role == fleet.RoleSide {
+		wait, told = sideWait, sideTold
+	}
 	f.feed = &feed.Feed{
 		Self: f.self, Clock: f.clock, Log: f.log, Metrics: f.metrics,
-		Store: p.Store, Reader: p.Reader, Awake: awake.Now, RanSince: f.watch.RanSince, Wait: entryWait,
+		Store: p.Store, Reader: p.Reader, Awake: awake.Now, RanSince: f.watch.RanSince, Wait: wait,
 		Drain: s.Bounds.Drain, Peers: f.peers,
 	}
-	if s.VM.Role == fleet.RoleSide {
-		f.feed.Wait = sideWait
-	}
 	if !f.reads() {
-		f.feed.Tellers = f.seeds
-		f.feed.TellWait = entryTold
-		if s.VM.Role == fleet.RoleSide {
-			f.feed.TellWait = sideTold
-		}
+		f.feed.Tellers, f.feed.TellWait = f.seeds, told
 	}
 	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
 	return f, nil
