--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -45,12 +45,13 @@
 	// 0.795, 0.643 and 0.729.
 	lateShare = 0.5
 	lateSoon  = 0.45
-	// retryAfter is what a refused caller is told to wait. Callers with a
-	// deadline of six seconds keep to no more than a third of it, and a burst of
+	// mostRetryAfter is what a refused caller is told to wait at the most, and
+	// retryShare the part of its deadline that callers keep to. A burst of
 	// a second or two is over by then: on the model at 180 requests a second for
 	// 113 that 12 engines carry, callers get 0.543 of their credit with 1.7 s,
 	// 0.535 with 1 s and 0.530 with 0.5 s.
-	retryAfter = 1700 * time.Millisecond
+	mostRetryAfter = 1700 * time.Millisecond
+	retryShare     = 1.0 / 3
 	// plainQueue is how many requests a plain target may have beyond its
 	// slots: it queues a few itself.
 	plainQueue = 2
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -142,6 +142,35 @@
 	}
 }
 
+// A plain service is full, and its callers wait for 1.5 s in all. They were told to
+// come back after 1.7 s, when they have given up; the service had room again within a
+// fraction of a second, and none of them was served.
+func TestCallersAreToldToComeBackInTime(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		want     time.Duration
+	}{
+		{"seconds", 6 * time.Second, 1700 * time.Millisecond},
+		{"short", 1500 * time.Millisecond, 500 * time.Millisecond},
+		{"long", 20 * time.Second, 1700 * time.Millisecond},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(nil, 1, "a"))
+			w := testWork("1")
+			w.Version, w.Avoid, w.Deadline = 0, []string{"a"}, start.Add(tc.deadline)
+			got := p.Offer(start, w)
+			if diff := cmp.Diff([]string{"1 refused noTarget"}, decisions(got)); diff != "" {
+				t.Fatalf("verdicts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.want, got[0].RetryAfter); diff != "" {
+				t.Errorf("told to wait (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A caller whose stream broke off gets the rest before anyone else is served.
 func TestBegunGoesFirst(t *testing.T) {
 	p := testPlacer(testFacts(nil, 1, "a"))
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -36,6 +36,13 @@
 	return w.Objective > 0 && now.Sub(w.Asked) > w.Objective
 }
 
+// retryAfter is what its caller is told to wait. One that is told to come back after
+// its deadline never does.
+func (w *Work) retryAfter() time.Duration {
+	whole := w.Deadline.Sub(w.Asked)
+	return min(mostRetryAfter, time.Duration(retryShare*float64(whole)))
+}
+
 // hopeless refuses a request that waiting does not help.
 func (p *Placer) hopeless(now time.Time, s *service, q *wait) (Verdict, bool) {
 	w := &q.work
@@ -46,7 +53,7 @@
 	s.fair.note(s.large(w), false)
 	return Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
-		RetryAfter: retryAfter, Waited: now.Sub(q.since),
+		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since),
 	}, true
 }
 
