--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -18,7 +18,10 @@
 	// overTime is how much longer than the least, in objectives, work may take
 	// that cannot be on time: as much as half of other work spends waiting.
 	overTime = 0.4
-	// hop is the round trip to the caller and the target together.
+	// tightShare is the part of the usual time from which work counts as such that
+	// can hardly be on time: the engine that answers it then would have to be idle.
+	tightShare = 0.85
+	// hop is the round trip to the caller and a near target together.
 	hop = 12 * time.Millisecond
 	// distanceCost is how much longer a first answer may take at a near
 	// target before a farther one is chosen, a step of distance each.
@@ -42,12 +45,13 @@
 	// 0.795, 0.643 and 0.729.
 	lateShare = 0.5
 	lateSoon  = 0.45
-	// retryAfter is what a refused caller is told to wait. Callers with a
-	// deadline of six seconds keep to no more than a third of it, and a burst of
+	// mostRetryAfter is what a refused caller is told to wait at the most, and
+	// retryShare the part of its deadline that callers keep to. A burst of
 	// a second or two is over by then: on the model at 180 requests a second for
 	// 113 that 12 engines carry, callers get 0.543 of their credit with 1.7 s,
 	// 0.535 with 1 s and 0.530 with 0.5 s.
-	retryAfter = 1700 * time.Millisecond
+	mostRetryAfter = 1700 * time.Millisecond
+	retryShare     = 1.0 / 3
 	// plainQueue is how many requests a plain target may have beyond its
 	// slots: it queues a few itself.
 	plainQueue = 2
@@ -66,7 +70,7 @@
 	}
 	r := &run{work: q.work, target: best, since: now}
 	if s.engine != nil {
-		r.reading, r.passing = s.reading(now, best, &q.work), s.passing(now, best)
+		r.reading, r.passing = best.way+s.reading(now, best, &q.work), s.passing(now, best)
 	}
 	p.running[q.work.ID] = r
 	s.fair.note(s.large(&q.work), true)
@@ -146,7 +150,7 @@
 		over := max(0, t.load(now)+1-slotsOf(t.Target))
 		return hop + t.spent*time.Duration(1+over)
 	}
-	return s.reading(now, t, w) + s.stretched(s.passing(now, t))
+	return t.way + s.reading(now, t, w) + s.stretched(s.passing(now, t))
 }
 
 // reading is the part of the time to a first answer in which the engine reads
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -10,18 +10,21 @@
 	if w.Objective <= 0 {
 		return false
 	}
-	return now.Add(expected).Sub(w.Asked) > s.allowed(w)
+	return now.Add(expected).Sub(w.Asked) > s.allowed(now, w)
 }
 
 // allowed is the time that a first answer may take. Work that no engine could
-// answer on time, such as the longest prompts at slow engines, is served as soon
-// as one can: refused at once, the largest requests would never be served.
-func (s *service) allowed(w *Work) time.Duration {
+// answer on time, or only one that is idle, such as the longest prompts at slow
+// engines, is served as soon as one can: held to its objective, the largest requests
+// would hardly ever be served.
+func (s *service) allowed(now time.Time, w *Work) time.Duration {
 	usual := time.Duration(onTime * float64(w.Objective))
 	if s.engine == nil {
 		return usual
 	}
-	if least := s.leastTime(w); least > usual {
+	// What passes were seen to take is left out: it grows with the load, and more
+	// work would be let in late the more there is.
+	if least := s.leastTime(now, w); float64(least) > tightShare*float64(usual) {
 		return least + time.Duration(overTime*float64(w.Objective))
 	}
 	return usual
@@ -33,6 +36,13 @@
 	return w.Objective > 0 && now.Sub(w.Asked) > w.Objective
 }
 
+// retryAfter is what its caller is told to wait. One that is told to come back after
+// its deadline never does.
+func (w *Work) retryAfter() time.Duration {
+	whole := w.Deadline.Sub(w.Asked)
+	return min(mostRetryAfter, time.Duration(retryShare*float64(whole)))
+}
+
 // hopeless refuses a request that waiting does not help.
 func (p *Placer) hopeless(now time.Time, s *service, q *wait) (Verdict, bool) {
 	w := &q.work
@@ -43,7 +53,7 @@
 	s.fair.note(s.large(w), false)
 	return Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
-		RetryAfter: retryAfter, Waited: now.Sub(q.since),
+		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since),
 	}, true
 }
 
@@ -64,7 +74,7 @@
 	if w.returned(now) {
 		return ReasonFull, false
 	}
-	least := s.leastTime(w)
+	least := s.leastTime(now, w)
 	if s.late(now, w, least) {
 		return ReasonLate, false
 	}
@@ -73,19 +83,24 @@
 
 // leastTime is the time to the first answer at an engine with a single place
 // left.
-func (s *service) leastTime(w *Work) time.Duration {
+func (s *service) leastTime(now time.Time, w *Work) time.Duration {
 	read := time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second))
 	pass := passTime(s.engine, s.engine.Slots)
-	return hop + pass + pass/2 + read
+	return hop + s.leastWay(now, w) + pass + pass/2 + read
 }
 
 // anyUsable reports whether some target may run the work now or once it has
 // room.
 func anyUsable(now time.Time, s *service, w *Work) bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool {
-		if t.Leaving || slices.Contains(w.Avoid, t.ID) {
-			return false
-		}
-		return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+		return s.mayServe(now, t, w)
 	})
 }
+
+// mayServe reports whether a target may run the work now or once it has room.
+func (s *service) mayServe(now time.Time, t *target, w *Work) bool {
+	if t.Leaving || slices.Contains(w.Avoid, t.ID) {
+		return false
+	}
+	return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+}
