--- a/io/process/feed/late_test.go
+++ b/io/process/feed/late_test.go
@@ -144,7 +144,7 @@
 	knows, _ := answering(t, reader)
 	var rounds atomic.Int64
 	f.Peers = func() []Peer {
-		if rounds.Add(1) <= leastQuestions+1 {
+		if rounds.Add(1) <= naming.LeastQuestions+1 {
 			return []Peer{silent}
 		}
 		return []Peer{knows}
@@ -251,7 +251,7 @@
 	f.Peers = func() []Peer { return []Peer{peer} }
 	runFeed(t, f)
 	eventually(t, "version 1 is known", func() bool { return newest(f) == 1 })
-	for v := uint64(2); v < mostQuestions; v++ {
+	for v := uint64(2); v < naming.MostQuestions; v++ {
 		s.set("version/m", strconv.FormatUint(v, 10), false)
 		eventually(t, "the version is known", func() bool { return newest(f) == v })
 		eventually(t, "the time of its naming is known", func() bool {
@@ -278,9 +278,9 @@
 		at     uint64
 		want   naming.Entry
 	}{
-		{"at once", now - mostRoundTrip/2, false, true, 5, naming.Entry{Since: now - age, Heard: true}},
-		{"read the store meanwhile", now - mostRoundTrip/2, false, true, 4, naming.Entry{Since: now - age, Heard: true}},
-		{"slow answer", now - 2*mostRoundTrip, false, true, 5, naming.Entry{Since: now - 2*mostRoundTrip - age}},
+		{"at once", now - naming.MostRoundTrip/2, false, true, 5, naming.Entry{Since: now - age, Heard: true}},
+		{"read the store meanwhile", now - naming.MostRoundTrip/2, false, true, 4, naming.Entry{Since: now - age, Heard: true}},
+		{"slow answer", now - 2*naming.MostRoundTrip, false, true, 5, naming.Entry{Since: now - 2*naming.MostRoundTrip - age}},
 		{"waited for news", now - time.Second, true, true, 5, naming.Entry{Since: now - age, Heard: true}},
 		{"stood still while it waited", now - time.Second, true, false, 5, naming.Entry{Since: now - time.Second - age}},
 	}
@@ -292,7 +292,7 @@
 			f.init()
 			f.known, f.revision, f.confirmed = true, 5, now-time.Second
 			f.take(tc.asked, tc.waited, "peer", &tell{
-				Known: true, At: tc.at, Named: []named{{Model: "m", Version: 2, Age: age, Heard: true}},
+				Known: true, At: tc.at, Named: []naming.Statement{{Model: "m", Version: 2, Age: age, Heard: true}},
 			})
 			tc.want.Model, tc.want.Version = "m", 2
 			if diff := cmp.Diff([]naming.Entry{tc.want}, f.namings.All()); diff != "" {
--- a/io/process/feed/outage_test.go
+++ b/io/process/feed/outage_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"hawthornferry/core/process/naming"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -89,7 +91,7 @@
 	s.set("version/m", "2", false)
 	eventually(t, "one has heard", func() bool { return newest(heard.Feed) == 2 })
 	// What it tells is late by the way.
-	heardAt := time.Now().Add(mostRoundTrip)
+	heardAt := time.Now().Add(naming.MostRoundTrip)
 	awayFor(2*time.Second, cutA, cutB)
 	for _, w := range []*watcher{a, b} {
 		eventually(t, "it counts from the naming", func() bool { return dueSince(w.Feed, heardAt) == 2 })
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/process/naming"
 	"hawthornferry/io/conn/frame"
 	"hawthornferry/io/conn/link"
 )
@@ -80,7 +81,7 @@
 	Keys    []string `msgpack:"keys"`
 	// Named are the versions that were named, replaced ones too: the store
 	// holds only the newest, and the bound of the one before may end first.
-	Named []named `msgpack:"named"`
+	Named []naming.Statement `msgpack:"named"`
 	// Away tells that the store is out of the sender's reach since Age.
 	Away bool `msgpack:"away"`
 	Last bool `msgpack:"last"`
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -7,16 +7,6 @@
 	"hawthornferry/core/process/naming"
 )
 
-// mostRoundTrip, leastQuestions and mostQuestions are those of naming.
-const (
-	mostRoundTrip  = naming.MostRoundTrip
-	leastQuestions = naming.LeastQuestions
-	mostQuestions  = naming.MostQuestions
-)
-
-// named is what a process tells its peers of a naming.
-type named = naming.Statement
-
 // contact is how this process was last in touch; it is called with the feed locked.
 func (f *Feed) contact() naming.Contact {
 	return naming.Contact{Known: f.known, Revision: f.revision, Confirmed: f.confirmed, Answered: f.answered, Failed: f.failed}
@@ -52,7 +42,7 @@
 
 // takeNamed adopts what a peer tells of the namings; it is called with the feed
 // locked.
-func (f *Feed) takeNamed(r naming.Reply, told []named) {
+func (f *Feed) takeNamed(r naming.Reply, told []naming.Statement) {
 	before := f.namings.All()
 	if !f.namings.Take(r, told, f.ranSince) || !f.known {
 		return
