direct: take nothing late in a drain that the end of the process would cut

It takes callers for 3.5 s since the balancer needs three, and a stream may last for six while the grace period leaves four. What comes later than callers are sent here and may outlast the process is refused at once now, with a time to come back; what ends in time is served. Ruled out: a shorter notice for all, which would close connections that callers have just opened.

--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -72,6 +72,8 @@
 	server   *http.Server
 	meter    meter
 	draining atomic.Bool
+	// leave is set once the entry drains.
+	leave atomic.Pointer[leave]
 
 	budgetMu sync.Mutex
 	budgets  map[string]*spend.Budget
@@ -175,13 +177,33 @@
 	// the grace period, whose rest is for the requests in flight.
 	mostNotice  = 3500 * time.Millisecond
 	noticeShare = 0.45
+	// lateNotice is from when on only requests are taken that end before the
+	// entry does, however long they last: callers have been sent elsewhere for
+	// two missed questions, and a stream that begins now may be cut.
+	lateNotice = 2900 * time.Millisecond
 )
 
+// leave is when a drain began and by when the process ends.
+type leave struct {
+	began time.Time
+	ends  time.Time
+}
+
+// leavesBefore reports whether the entry may end before a request does that has
+// come late in its drain.
+func (s *Server) leavesBefore(q *request) bool {
+	l := s.leave.Load()
+	return l != nil && q.arrived.Sub(l.began) > lateNotice && q.deadline.After(l.ends)
+}
+
 // Drain makes the entry not ready, serves those who still come until the
 // balancer has taken it out, and returns when the requests in flight have
 // ended or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.init()
+	if ends, ok := ctx.Deadline(); ok {
+		s.leave.Store(&leave{began: s.Clock.Now(), ends: ends})
+	}
 	s.draining.Store(true)
 	select {
 	case <-s.Clock.After(min(mostNotice, time.Duration(noticeShare*float64(s.Rules.Grace)))):
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -29,6 +29,8 @@
 	// unservedWait is for a service whose targets all fail: they are tried
 	// anew after pauses of this order.
 	unservedWait = 800 * time.Millisecond
+	// elsewhereWait is for a caller that any other entry can serve now.
+	elsewhereWait = 50 * time.Millisecond
 )
 
 // request is one request of a caller on its way.
@@ -96,6 +98,9 @@
 		return a, false
 	}
 	s.setDeadline(q)
+	if s.leavesBefore(q) {
+		return answer{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: elsewhereWait}, false
+	}
 	return answer{}, true
 }
 
