--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -27,10 +27,7 @@
 	// target before a farther one is chosen, a step of distance each.
 	distanceCost = 25 * time.Millisecond
 	// alikeCost is how much longer a first answer may take at targets that count as
-	// equal; one of them is drawn. Entries that all take the best meet there. On the
-	// model, 12 entries before 45 engines at 7 requests a second each: 0.970 of the
-	// credit with 0, 0.999 with 8 ms, and 0.88 and 0.99 of large prompts on time;
-	// 3 entries before 12 engines at 9 a second: 0.971 and 0.965.
+	// equal; one of them is drawn. Entries that all take the best meet there.
 	alikeCost = 8 * time.Millisecond
 	// lostCost is how much longer a first answer may take elsewhere before a
 	// target is chosen whose side has fallen silent, and lostShare the part of
@@ -39,17 +36,13 @@
 	lostShare = 0.5
 	// lateShare is the part of an engine's slots up to which it takes work
 	// whose objective has passed, and lateSoon the part of that objective that the
-	// prompts before it and a pass may take. Late answers earn a quarter, and what
-	// they take is taken from those that can be on time: with 0.75 and 0.85 three
-	// days of trouble gave callers 0.787, 0.630 and 0.700 of their credit, with these
-	// 0.795, 0.643 and 0.729.
+	// prompts before it and a pass may take. Late answers are worth little to their
+	// callers, and what they take is taken from those that can be on time.
 	lateShare = 0.5
 	lateSoon  = 0.45
 	// mostRetryAfter is what a refused caller is told to wait at the most, and
 	// retryShare the part of its deadline that callers keep to. A burst of
-	// a second or two is over by then: on the model at 180 requests a second for
-	// 113 that 12 engines carry, callers get 0.543 of their credit with 1.7 s,
-	// 0.535 with 1 s and 0.530 with 0.5 s.
+	// a second or two is over by then.
 	mostRetryAfter = 1700 * time.Millisecond
 	retryShare     = 1.0 / 3
 	// plainQueue is how many requests a plain target may have beyond its
