naming: no witness of an outage who knows that somebody heard

Callers' requests could begin on old weights past the bound until a prompt answer came. The case fails without the change.

--- a/core/process/naming/naming_test.go
+++ b/core/process/naming/naming_test.go
@@ -75,3 +75,42 @@
 		t.Error("a newest version that nobody heard of leaves no question open")
 	}
 }
+
+// A version is found at the end of an outage, and a peer says what it knows of it.
+// Only one from which the store was away as well, and that knows of nobody who heard,
+// makes it count from the return; else engines were told of it in time, and callers'
+// requests would begin on the old one past the bound.
+func TestWhoIsAWitnessOfAnOutage(t *testing.T) {
+	const last, back = time.Second, 9 * time.Second
+	tests := []struct {
+		name  string
+		reply Reply
+		told  []Statement
+		want  bool
+	}{
+		{"still away", Reply{Away: true}, nil, true},
+		{"was away", Reply{}, []Statement{{Away: true}}, true},
+		{"in touch, without the version", Reply{}, nil, false},
+		{"in touch, with the version", Reply{}, []Statement{{}}, false},
+		{"was away, and was told that somebody heard", Reply{}, []Statement{{Away: true, Heard: true}}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var l Ledger
+			l.Add(Entry{Model: "m", Version: 2, Since: last, Read: true, Until: back, Away: true})
+			for i := range tc.told {
+				tc.told[i].Model, tc.told[i].Version, tc.told[i].Age = "m", 2, time.Minute
+			}
+			// The answer is slow, so that what somebody heard is not taken from it.
+			tc.reply.Asked, tc.reply.Got = back, back+2*MostRoundTrip
+			l.Take(tc.reply, tc.told, func(time.Duration) bool { return true })
+			want := Entry{Model: "m", Version: 2, Since: last, Read: true, Until: back, Away: true}
+			if tc.want {
+				want.Since, want.Returned = back, true
+			}
+			if diff := cmp.Diff([]Entry{want}, l.All()); diff != "" {
+				t.Errorf("namings (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/process/naming/statement.go
+++ b/core/process/naming/statement.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		at := slices.IndexFunc(told, func(t Statement) bool { return t.Model == e.Model && t.Version == e.Version })
-		if at < 0 && r.Away || at >= 0 && told[at].Away {
+		if at < 0 && r.Away || at >= 0 && told[at].Away && !told[at].Heard {
 			l.entries[i].Since, l.entries[i].Returned = e.Until, true
 			news = true
 		}
