swarm: number transfers, so that a withdrawal ends only its own

Cause: a side that stops an import and asks the same exporter anew sends the new want from one goroutine and the withdrawal of the old one from another. Where the withdrawal came second, the exporter took it for both and forgot the new want without a word. The importer had been told that the exporter lacks the chunk as yet, so that it waited for up to four patiences, and those behind it in the chain of regions with it. Wants, blocks and their answers now carry the number of the transfer. Blocks of a stopped transfer can no longer pass for faulty ones of the next either.

Ruled out: a slow exporter (it held the chunk 0.1 s after the want), the origin (one copy, all drawn by 2.25 s), the links (idle meanwhile).

--- a/io/version/swarm/conn.go
+++ b/io/version/swarm/conn.go
@@ -183,13 +183,13 @@
 	case *want:
 		n.uploads.request(c, m)
 	case *drop:
-		n.uploads.cancel(c, m.Chunk)
+		n.uploads.cancel(c, m.transferID)
 	case *block:
 		n.deliver(c, m)
 	case *lacks:
-		n.lacking(c, m.Chunk)
+		n.lacking(c, m.transferID)
 	case *later:
-		n.deferred(c, m.Chunk)
+		n.deferred(c, m.transferID)
 	case *askManifest:
 		n.serveManifest(c, m.Manifest)
 	case *part:
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -25,6 +25,7 @@
 
 // incoming is one chunk on its way to this side.
 type incoming struct {
+	id     transferID
 	fetch  burst.Fetch
 	cancel context.CancelCauseFunc
 	blocks chan *block
@@ -41,7 +42,9 @@
 // fetch starts a transfer; it is called with the state locked.
 func (n *Node) fetch(s *state, f burst.Fetch) {
 	ctx, cancel := context.WithCancelCause(n.ctx)
-	in := &incoming{fetch: f, cancel: cancel, blocks: make(chan *block, 2*window), later: make(chan struct{}, 1)}
+	s.transfers++
+	id := transferID{Chunk: f.Chunk.Digest, Number: s.transfers}
+	in := &incoming{id: id, fetch: f, cancel: cancel, blocks: make(chan *block, 2*window), later: make(chan struct{}, 1)}
 	s.incoming[f.Chunk.Digest] = in
 	n.wg.Go(func() {
 		defer cancel(nil)
@@ -70,7 +73,7 @@
 	}
 	b, err := n.receive(ctx, c, in)
 	if err != nil {
-		c.send(&drop{Chunk: in.fetch.Chunk.Digest})
+		c.send(&drop{transferID: in.id})
 		return nil, err
 	}
 	if got := chunk.Sum(b); got != in.fetch.Chunk.Digest {
@@ -125,7 +128,7 @@
 			if asked == 0 {
 				n.requested(in)
 			}
-			c.send(&want{Chunk: in.fetch.Chunk.Digest, Offset: asked, Length: k})
+			c.send(&want{transferID: in.id, Offset: asked, Length: k})
 			asked += k
 			if asked == size {
 				n.do(func(s *state) { s.add(s.core.Asked(s.now, in.fetch.Chunk.Digest)) })
@@ -272,10 +275,8 @@
 // deliver hands a block to its transfer. A block that nobody asked for is
 // dropped: it may have crossed with a drop.
 func (n *Node) deliver(c *conn, b *block) {
-	n.mu.Lock()
-	in := n.state.incoming[b.Chunk]
-	n.mu.Unlock()
-	if in == nil || in.fetch.Peer != c.name() {
+	in := n.transfer(c, b.transferID)
+	if in == nil {
 		return
 	}
 	select {
@@ -287,10 +288,10 @@
 }
 
 // deferred takes a peer's word that it wants a chunk too and still lacks it.
-func (n *Node) deferred(c *conn, d chunk.Digest) {
+func (n *Node) deferred(c *conn, id transferID) {
 	n.do(func(s *state) {
-		in := s.incoming[d]
-		if in == nil || in.fetch.Peer != c.name() {
+		in := s.transfer(c, id)
+		if in == nil {
 			return
 		}
 		select {
@@ -298,15 +299,28 @@
 		default:
 			// It was told before and has not been taken yet.
 		}
-		s.add(s.core.Deferred(s.now, d, c.name()))
+		s.add(s.core.Deferred(s.now, id.Chunk, c.name()))
 	})
 }
 
-func (n *Node) lacking(c *conn, d chunk.Digest) {
+// transfer returns the transfer that a peer's message belongs to, nil if it is
+// over.
+func (n *Node) transfer(c *conn, id transferID) *incoming {
 	n.mu.Lock()
-	in := n.state.incoming[d]
-	n.mu.Unlock()
-	if in != nil && in.fetch.Peer == c.name() {
+	defer n.mu.Unlock()
+	return n.state.transfer(c, id)
+}
+
+func (s *state) transfer(c *conn, id transferID) *incoming {
+	in := s.incoming[id.Chunk]
+	if in == nil || in.id != id || in.fetch.Peer != c.name() {
+		return nil
+	}
+	return in
+}
+
+func (n *Node) lacking(c *conn, id transferID) {
+	if in := n.transfer(c, id); in != nil {
 		in.cancel(fault.At("ask for chunk", c.name(), errLacks))
 	}
 }
--- a/io/version/swarm/fuzz_test.go
+++ b/io/version/swarm/fuzz_test.go
@@ -13,15 +13,16 @@
 // every message that is returned keeps to its bounds.
 func FuzzMessages(f *testing.F) {
 	d := chunk.Sum([]byte("a"))
+	id := transferID{Chunk: d, Number: 3}
 	seeds := []frame.Message{
 		&maps{Manifest: d, Have: burst.Bits{1}, Seen: burst.Bits{3}},
 		&news{Manifest: d, Have: []int{1}, Seen: []int{2, 3}},
 		&offer{},
-		&want{Chunk: d, Offset: 4, Length: 8},
-		&block{Chunk: d, Offset: 4, Data: []byte{1, 2}},
-		&lacks{Chunk: d},
-		&later{Chunk: d},
-		&drop{Chunk: d},
+		&want{transferID: id, Offset: 4, Length: 8},
+		&block{transferID: id, Offset: 4, Data: []byte{1, 2}},
+		&lacks{transferID: id},
+		&later{transferID: id},
+		&drop{transferID: id},
 		&askManifest{Manifest: d},
 		&part{Manifest: d, Offset: 1, Total: 9, Data: []byte{1, 2}},
 	}
--- a/io/version/swarm/liar_test.go
+++ b/io/version/swarm/liar_test.go
@@ -104,16 +104,16 @@
 		answer     func(c *link.Conn, nc net.Conn, w *want) error
 	}{
 		{"lacks what it claims", "transfer chunk", func(c *link.Conn, _ net.Conn, w *want) error {
-			return c.Send(&lacks{Chunk: w.Chunk})
+			return c.Send(&lacks{transferID: w.transferID})
 		}},
 		{"wrong place", "transfer chunk", func(c *link.Conn, _ net.Conn, w *want) error {
-			return c.Send(&block{Chunk: w.Chunk, Offset: w.Offset + 1, Data: make([]byte, w.Length)})
+			return c.Send(&block{transferID: w.transferID, Offset: w.Offset + 1, Data: make([]byte, w.Length)})
 		}},
 		{"too long", "transfer chunk", func(c *link.Conn, _ net.Conn, w *want) error {
-			return c.Send(&block{Chunk: w.Chunk, Offset: w.Offset, Data: make([]byte, MaxBlock)})
+			return c.Send(&block{transferID: w.transferID, Offset: w.Offset, Data: make([]byte, MaxBlock)})
 		}},
 		{"wrong bytes", "transfer chunk", func(c *link.Conn, _ net.Conn, w *want) error {
-			return c.Send(&block{Chunk: w.Chunk, Offset: w.Offset, Data: make([]byte, w.Length)})
+			return c.Send(&block{transferID: w.transferID, Offset: w.Offset, Data: make([]byte, w.Length)})
 		}},
 		{"frame over the bound", "serve connection", func(_ *link.Conn, nc net.Conn, _ *want) error {
 			_, err := nc.Write(binary.BigEndian.AppendUint32(nil, frame.MaxFrame+1))
--- a/io/version/swarm/messages.go
+++ b/io/version/swarm/messages.go
@@ -39,34 +39,44 @@
 	ping  struct{}
 )
 
+// transferID names one transfer of one chunk. The receiver of the chunk numbers
+// its transfers. A transfer that is stopped and begun anew has another number,
+// since messages of both may cross.
+type transferID struct {
+	Chunk  chunk.Digest `msgpack:"chunk"`
+	Number uint64       `msgpack:"number"`
+}
+
 // want asks for Length bytes of a chunk from Offset on.
 type want struct {
-	Chunk  chunk.Digest `msgpack:"chunk"`
-	Offset int64        `msgpack:"offset"`
-	Length int64        `msgpack:"length"`
+	transferID `msgpack:",inline"`
+
+	Offset int64 `msgpack:"offset"`
+	Length int64 `msgpack:"length"`
 }
 
 // block carries bytes of a chunk.
 type block struct {
-	Chunk  chunk.Digest `msgpack:"chunk"`
-	Offset int64        `msgpack:"offset"`
-	Data   []byte       `msgpack:"data"`
+	transferID `msgpack:",inline"`
+
+	Offset int64  `msgpack:"offset"`
+	Data   []byte `msgpack:"data"`
 }
 
 // lacks answers a want for a chunk that the sender will not send.
 type lacks struct {
-	Chunk chunk.Digest `msgpack:"chunk"`
+	transferID `msgpack:",inline"`
 }
 
 // later answers a want for a chunk that the sender wants too and still lacks;
 // it is sent once the sender has it.
 type later struct {
-	Chunk chunk.Digest `msgpack:"chunk"`
+	transferID `msgpack:",inline"`
 }
 
-// drop withdraws all wants for a chunk.
+// drop withdraws all wants of one transfer.
 type drop struct {
-	Chunk chunk.Digest `msgpack:"chunk"`
+	transferID `msgpack:",inline"`
 }
 
 func (*maps) Kind() frame.Kind  { return "maps" }
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -127,6 +127,7 @@
 	conns     map[string]*conn
 	dialing   map[string]chan struct{}
 	incoming  map[chunk.Digest]*incoming
+	transfers uint64 // begun
 	asks      map[chunk.Digest]*manifestAsk
 	early     map[chunk.Digest][]*conn
 	earlyAsks int
--- a/io/version/swarm/upload.go
+++ b/io/version/swarm/upload.go
@@ -16,6 +16,7 @@
 
 // outgoing is one chunk on its way to a peer.
 type outgoing struct {
+	id       transferID
 	conn     *conn
 	ref      chunk.Ref
 	far      bool // to another region
@@ -49,21 +50,21 @@
 	ref, ok := u.node.wantedRef(w.Chunk)
 	if !ok || w.Offset+w.Length > ref.Size {
 		u.node.report("serve chunk", c.name(), fault.Newf("serve chunk", c.name(), "asked for %s at %d, which is not offered", w.Chunk, w.Offset))
-		u.refuse(c, w.Chunk)
+		u.refuse(c, w.transferID)
 		return
 	}
 	if !u.add(c, ref, w) {
-		u.refuse(c, w.Chunk)
+		u.refuse(c, w.transferID)
 		return
 	}
 	if !u.node.held(w.Chunk) {
-		c.send(&later{Chunk: w.Chunk})
+		c.send(&later{transferID: w.transferID})
 	}
 	u.signal()
 }
 
-func (u *uploads) refuse(c *conn, d chunk.Digest) {
-	c.send(&lacks{Chunk: d})
+func (u *uploads) refuse(c *conn, id transferID) {
+	c.send(&lacks{transferID: id})
 	u.node.served(c.name())
 }
 
@@ -76,7 +77,7 @@
 			continue
 		}
 		mine++
-		if o.ref.Digest != ref.Digest {
+		if o.id != w.transferID {
 			continue
 		}
 		if len(o.requests) >= maxRequests {
@@ -89,13 +90,13 @@
 		return false
 	}
 	far := c.Peer.VM.Region != u.node.Self.VM.Region
-	u.list = append(u.list, &outgoing{conn: c, ref: ref, far: far, requests: []*want{w}})
+	u.list = append(u.list, &outgoing{id: w.transferID, conn: c, ref: ref, far: far, requests: []*want{w}})
 	return true
 }
 
-// cancel forgets what a peer asked for of one chunk.
-func (u *uploads) cancel(c *conn, d chunk.Digest) {
-	u.remove(func(o *outgoing) bool { return o.conn == c && o.ref.Digest == d })
+// cancel forgets what a peer asked for in one transfer.
+func (u *uploads) cancel(c *conn, id transferID) {
+	u.remove(func(o *outgoing) bool { return o.conn == c && o.id == id })
 	u.node.served(c.name())
 }
 
@@ -163,8 +164,8 @@
 		}
 		if err := u.serve(ctx, o, w); err != nil {
 			u.node.report("serve chunk", o.conn.name(), err)
-			o.conn.send(&lacks{Chunk: o.ref.Digest})
-			u.cancel(o.conn, o.ref.Digest)
+			o.conn.send(&lacks{transferID: o.id})
+			u.cancel(o.conn, o.id)
 		}
 	}
 }
@@ -181,11 +182,11 @@
 		return err
 	}
 	end := w.Offset + w.Length
-	o.conn.sendBlock(&block{Chunk: o.ref.Digest, Offset: w.Offset, Data: o.data[w.Offset:end]})
+	o.conn.sendBlock(&block{transferID: o.id, Offset: w.Offset, Data: o.data[w.Offset:end]})
 	u.node.sentBlock(o.conn.name())
 	u.node.counters.sent.Inc(w.Length)
 	if end == o.ref.Size {
-		u.cancel(o.conn, o.ref.Digest)
+		u.cancel(o.conn, o.id)
 	}
 	return nil
 }
