roll: space a zone's loads over the time that the old version may be used

Cause: all sides hold the weights within half a second of each other, half of a zone began to load at once, and three seconds before the bound the other half followed, whether the first had ended or not. Nobody needs to be done by then: entries use the old version until a second before the bound.

Change: a side asks the others of its zone how long ago the last load began, and waits for its part of the time that is left. The limit is when entries stop using the version that the engine serves, which one method of facts now says for entries and sides. A replica that is late goes at once, as before.

Hypothesis: loads that do not fall together cost callers little.

--- a/core/version/roll/explore_test.go
+++ b/core/version/roll/explore_test.go
@@ -166,7 +166,7 @@
 }
 
 func (m zoneModel) answer(z *zone, i, j int) {
-	st := z.sides[j].machine.Status(m.facts(z, j))
+	st := z.sides[j].machine.Status(z.at(), m.facts(z, j))
 	st.Name = fmt.Sprint("side", j)
 	if m.omitted == omitAsking && st.Phase == PhaseAsking {
 		st.Phase = PhaseIdle
--- a/core/version/roll/machine.go
+++ b/core/version/roll/machine.go
@@ -38,9 +38,8 @@
 	Target      Target
 	TargetKnown bool
 	Draining    bool
-	// Overdue is set when the old version may soon not be served any more,
-	// so that a target that keeps to the floor serves nobody.
-	Overdue bool
+	// Deadline bounds when the load may begin.
+	Deadline Deadline
 }
 
 // Status is a side's answer to a replica that asks it. Serving is what its
@@ -52,6 +51,10 @@
 	Wanted   chunk.Digest `msgpack:"wanted"`
 	Revision uint64       `msgpack:"revision"`
 	Leaving  bool         `msgpack:"leaving"`
+	// Ordered is the version of the replica's last order, empty for none, and
+	// OrderAge how long ago that was given.
+	Ordered  chunk.Digest  `msgpack:"ordered,omitempty"`
+	OrderAge time.Duration `msgpack:"orderAge,omitempty"`
 }
 
 // ActionKind says what the side has to do next.
@@ -89,6 +92,7 @@
 	ReasonOverdue      Reason = "the old version may not be served any longer"
 	ReasonAsking       Reason = "asking the replicas of the zone"
 	ReasonFloor        Reason = "floor of serving replicas"
+	ReasonSpaced       Reason = "loads of the zone are spaced out"
 	ReasonBehind       Reason = "a replica holds a higher revision"
 	ReasonPermitOld    Reason = "permission is too old"
 	ReasonWantChanged  Reason = "wanted version changed"
@@ -137,7 +141,7 @@
 	if f.Target.Serving == "" && !now.Before(m.retryAt) {
 		return m.order(now, f, ReasonFirstLoad)
 	}
-	if f.Overdue && !now.Before(m.retryAt) {
+	if f.Deadline.passed() && !now.Before(m.retryAt) {
 		return m.order(now, f, ReasonOverdue)
 	}
 	if m.manifest != f.Want.Manifest {
@@ -168,6 +172,11 @@
 		m.retryAt = now.Add(backoff(f.Want))
 		return none(r)
 	}
+	if wait := f.Deadline.wait(f.Want.Manifest, answers); wait > 0 {
+		m.phase = PhaseIdle
+		m.retryAt = now.Add(min(wait, mostSpacing) + time.Duration(f.Want.Rank)*perRank)
+		return none(ReasonSpaced)
+	}
 	return m.order(now, f, ReasonFloorHolds)
 }
 
@@ -244,7 +253,7 @@
 
 // Status is the answer to another replica that asks. The name is the
 // caller's to fill in.
-func (m *Machine) Status(f Facts) Status {
+func (m *Machine) Status(now time.Time, f Facts) Status {
 	s := Status{
 		Phase:    m.phase,
 		Wanted:   f.Want.Manifest,
@@ -254,6 +263,9 @@
 	if f.TargetKnown {
 		s.Serving = f.Target.Serving
 	}
+	if !m.ordered.IsZero() {
+		s.Ordered, s.OrderAge = m.manifest, now.Sub(m.ordered)
+	}
 	if s.Phase == "" {
 		s.Phase = PhaseIdle
 	}
--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -31,6 +31,10 @@
 // alone is in time for the older one's bound when it follows within a second.
 const leastLead = time.Second
 
+// olderCutoff is how long before the newest version's bound the one before it is
+// not wanted any more.
+const olderCutoff = 3 * time.Second
+
 // loadingPart is the part of a zone's replicas that may load at once. With
 // half, a version takes two rounds of about two seconds after its weights
 // have come, which the bound on versions leaves; with a third it takes three.
@@ -89,7 +93,7 @@
 		return s.Engine.Model, []uint64{firstVersion}, true
 	}
 	out := []uint64{named[0].Version}
-	if bound > 0 && now.Sub(named[0].Since) >= bound-overdueReserve {
+	if bound > 0 && now.Sub(named[0].Since) >= bound-olderCutoff {
 		return s.Engine.Model, out, true
 	}
 	for _, v := range named[1:min(len(named), mostWanted)] {
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -12,6 +12,7 @@
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/roll"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/awake"
 	"hawthornferry/io/process/pulse"
@@ -38,9 +39,6 @@
 	leastInflow = 64 << 10
 	// cacheBytes holds the chunks that several peers ask for at once.
 	cacheBytes = 1 << 20
-	// overdueReserve is how long before the bound on versions a side loads
-	// whatever the others do: a load takes about two seconds.
-	overdueReserve = 3 * time.Second
 	// olderReserve is how long before that bound a side turns to the version
 	// before the newest: time for two rounds of loads.
 	olderReserve = 5500 * time.Millisecond
@@ -66,6 +64,7 @@
 	library *shelf.Library
 	node    *swarm.Node
 	rollout *rollout
+	teller  *pulse.Teller
 }
 
 // Run runs the side until ctx ends.
@@ -105,21 +104,21 @@
 	}
 	orderer := &order.Orderer{
 		Self: f.self, Clock: f.clock, Awake: awake.Now, Log: f.log, Source: s.rollout, Engine: s.shelf,
-		Verified: s.verified, Draining: func() bool { return false }, Overdue: s.overdue,
+		Verified: s.verified, Draining: func() bool { return false }, Deadline: s.loadDeadline,
 	}
-	teller := &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
-	s.shelf.Loading = teller.Announce
-	f.served = func() []place.Served { return s.servedBy(teller) }
+	s.teller = &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine}
+	s.shelf.Loading = s.teller.Announce
+	f.served = s.served
 	f.handlers[link.PurposeWeights] = s.node.Handler()
 	f.handlers[link.PurposeOrders] = orderer.Handler()
-	f.handlers[link.PurposeLoad] = teller.Handler()
+	f.handlers[link.PurposeLoad] = s.teller.Handler()
 	f.handlers[link.PurposeEditions] = s.library.Handler()
 	f.parts = append(
 		f.parts,
 		part{"weights", s.node.Run},
 		part{"load orders", orderer.Run},
 		part{"manifests", s.library.Run},
-		part{"load reports", teller.Run},
+		part{"load reports", s.teller.Run},
 		part{"wanted version", s.follow},
 	)
 }
@@ -205,9 +204,9 @@
 	return out
 }
 
-// servedBy is what the engine beside this process serves, once it has answered.
-func (s *Side) servedBy(teller *pulse.Teller) []place.Served {
-	version, known := teller.Serving()
+// served is what the engine beside this process serves, once it has answered.
+func (s *Side) served() []place.Served {
+	version, known := s.teller.Serving()
 	if !known {
 		return nil
 	}
@@ -224,13 +223,21 @@
 	return chunk.Manifest{}, false
 }
 
-// overdue reports whether the time for the wanted version is running out.
-func (s *Side) overdue() bool {
+// loadDeadline is when entries send nothing more to what the engine serves.
+func (s *Side) loadDeadline() roll.Deadline {
+	serving, known := s.teller.Serving()
+	bound := s.Settings.Bounds.Version
 	f := s.frame.feed.Current()
-	model, _, ok := s.wanted(f)
-	if !ok {
-		return false
+	if !known || serving == 0 || bound <= 0 || f.Table == nil {
+		return roll.Deadline{}
+	}
+	service, _ := f.Table.ServiceByName(s.Settings.VM.Service)
+	if service.Engine == nil {
+		return roll.Deadline{}
+	}
+	since, replaced := f.ReplacedSince(service.Engine.Model, serving)
+	if !replaced {
+		return roll.Deadline{}
 	}
-	_, due := f.Due(model, s.frame.clock.Now().Add(overdueReserve-s.Settings.Bounds.Version))
-	return due
+	return roll.Deadline{Bounded: true, Left: bound - facts.DemandReserve - s.frame.clock.Since(since)}
 }
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -61,17 +61,11 @@
 	if q.service.Engine == nil || serving == 0 || s.Rules.Version <= 0 {
 		return 0, false
 	}
-	least, bounded := time.Duration(0), false
-	for _, v := range s.Source.Current().Named(q.service.Engine.Model) {
-		if v.Version <= serving {
-			continue
-		}
-		left := s.Rules.Version - beginReserve - s.Clock.Since(v.Since)
-		if !bounded || left < least {
-			least, bounded = left, true
-		}
+	since, replaced := s.Source.Current().ReplacedSince(q.service.Engine.Model, serving)
+	if !replaced {
+		return 0, false
 	}
-	return least, bounded
+	return s.Rules.Version - beginReserve - s.Clock.Since(since), true
 }
 
 // overdue reports whether a request may not begin on a version any more.
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -230,12 +230,6 @@
 	}
 }
 
-// versionReserve is how long before the operator's bound a version is
-// demanded of the targets: a request begins at its engine up to an objective
-// later than it was sent, and this process heard of the version a little after
-// it was named.
-const versionReserve = time.Second
-
 // demanded is the least version that a request may be answered by: none while
 // the targets load a new one, and that one when the time for it has passed.
 func (s *Server) demanded(q *request) uint64 {
@@ -243,7 +237,7 @@
 	if e == nil || s.Rules.Version <= 0 {
 		return 0
 	}
-	v, ok := s.Source.Current().Due(e.Model, s.Clock.Now().Add(versionReserve-s.Rules.Version))
+	v, ok := s.Source.Current().Due(e.Model, s.Clock.Now().Add(facts.DemandReserve-s.Rules.Version))
 	if ok {
 		s.noteDemanded(v)
 	}
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -45,9 +45,8 @@
 	Verified func(chunk.Digest) (chunk.Manifest, bool)
 	// Draining reports whether this process is shutting down.
 	Draining func() bool
-	// Overdue reports whether the wanted version must be loaded whatever the
-	// other replicas do; it may be nil.
-	Overdue func() bool
+	// Deadline bounds when the target may begin to load; nil for no bound.
+	Deadline func() roll.Deadline
 
 	mu      sync.Mutex
 	machine roll.Machine
@@ -114,7 +113,9 @@
 	if want.Manifest == "" {
 		return f, true
 	}
-	f.Overdue = o.Overdue != nil && o.Overdue()
+	if o.Deadline != nil {
+		f.Deadline = o.Deadline()
+	}
 	_, f.Verified = o.Verified(want.Manifest)
 	t, err := o.Engine.State(ctx)
 	if err == nil {
@@ -170,7 +171,7 @@
 func (o *Orderer) status() roll.Status {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.machine.Status(o.facts)
+	s := o.machine.Status(o.Clock.Now(), o.facts)
 	s.Name = o.Self.VM.Name
 	return s
 }
