burst: after an outage of the origin each chunk is drawn once, and nobody waits on a promise

A chunk was told as held in the region once all of it had been asked for, although its exporter lacked it; with chunks of one block that was at once, and each side that stepped in began anew ten times a second. And when the turns began anew after an outage, all chunks that had come due one after the other in it were overdue in the same moment.

Change: the turn passes once bytes flow; who steps in and is told that the exporter lacks the chunk waits a whole step again; turns begin anew without the chunks that had them; one side draws at most as many as a region does.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -113,6 +113,9 @@
 	if pos < 0 || late < s.stepIn(up, pos) {
 		return
 	}
+	if up == "" && s.running(ViaOrigin) >= s.cfg.Draws {
+		return
+	}
 	s.fetchFrom(now, st, i, up, pos)
 }
 
@@ -250,7 +253,7 @@
 	it.from = f.Peer
 	it.began = now
 	it.since = now
-	it.flowing = false
+	it.flowing, it.asked = false, false
 	it.queued = true
 	it.deadline = now.Add(max(s.startPatience(f.Via), queueFactor*s.cfg.MostPause))
 	for _, pl := range it.places {
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -23,9 +23,9 @@
 	// dial it.
 	DefaultDegree = 6
 	// DefaultUploads is how many chunks a side sends at a time.
-	DefaultUploads = 3
+	DefaultUploads = 4
 	// DefaultInbound is how many traded chunks a side takes at a time.
-	DefaultInbound = 4
+	DefaultInbound = 6
 	// DefaultTurns is how many chunks cross a region link at a time for
 	// each pair of regions.
 	DefaultTurns = 2
@@ -35,7 +35,7 @@
 	WideTurns = 4
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
-	DefaultDraws = 4
+	DefaultDraws = 8
 	// DefaultLeastPatience is above what a busy machine or a pause of the
 	// runtime costs.
 	DefaultLeastPatience = 500 * time.Millisecond
@@ -159,7 +159,9 @@
 	retryAt time.Time
 	// flowing is set once bytes of the transfer came in.
 	flowing bool
-	// early is set once this side has passed on its turn for the chunk.
+	// asked is set once all of an import has been asked for, and early once this
+	// side has passed on its turn for the chunk.
+	asked bool
 	early bool
 	// badTrades counts the neighbours' failures to send the chunk.
 	badTrades int
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -222,10 +222,10 @@
 // Progressed tells that some bytes of a transfer came in. Once they flow, a
 // pause as long as a whole transfer means that it has stalled. A transfer from
 // a peer may not trickle for ever either.
-func (s *State) Progressed(now time.Time, d chunk.Digest) {
+func (s *State) Progressed(now time.Time, d chunk.Digest) []Action {
 	it, ok := s.items[d]
 	if !ok || !it.pending() {
-		return
+		return nil
 	}
 	it.queued = false
 	if !it.flowing {
@@ -246,6 +246,8 @@
 	if it.via != ViaOrigin && it.deadline.After(last) {
 		it.deadline = last
 	}
+	s.passTurn(now, it)
+	return s.settle(now)
 }
 
 // Deferred tells that the peer of an import wants the chunk too and still lacks
@@ -264,7 +266,7 @@
 	if s.steppedIn(it) {
 		s.emit(Stop{Chunk: d, Peer: from, Reason: string(FailLater)})
 		s.clearPending(it)
-		it.dueAt = now
+		it.dueAt, it.lostAt = now, now
 		return s.settle(now)
 	}
 	it.later = true
@@ -272,20 +274,30 @@
 	return s.settle(now)
 }
 
-// Asked tells that all of an import has been asked for: its share of the
-// region link is spent, so the turn passes on while the last bytes come in.
-// The region is told that the chunk is there; should the import fail after
-// all, this side at once begins anew.
+// Asked tells that all of an import has been asked for.
 func (s *State) Asked(now time.Time, d chunk.Digest) []Action {
 	it, ok := s.items[d]
 	if !ok || it.via != ViaImport {
 		return nil
 	}
+	it.asked = true
+	s.passTurn(now, it)
+	return s.settle(now)
+}
+
+// passTurn passes on the turn of an import once all of it has been asked for and
+// its bytes flow: its share of the region link is spent while the last of them come
+// in. The region is told that the chunk is there; should the import fail after all,
+// this side at once begins anew. An exporter that still lacks the chunk spends
+// nothing, and may never have it.
+func (s *State) passTurn(now time.Time, it *item) {
+	if !it.asked || !it.flowing || it.early {
+		return
+	}
 	it.early = true
 	for _, pl := range it.places {
 		s.spread(now, pl.set, []int{pl.index}, "")
 	}
-	return s.settle(now)
 }
 
 // Failed tells that a transfer ended without the chunk. After is how long the
--- /dev/null
+++ b/core/version/burst/outage_test.go
@@ -0,0 +1,119 @@
+package burst
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/version/chunk"
+)
+
+// Guards against a region that waits for a chunk which its importer has only asked
+// for: the others hear of it once bytes flow, not before.
+func TestImportThatWaitsIsNotToldAsHeld(t *testing.T) {
+	n := newNetwork(t, regionsOf(1, 2)...)
+	v := version("1", 0, 1).of(n.members())
+	d := v.Manifest.Chunks[0].Digest
+	importer, neighbour := importerOf(n, v)
+	importer.state.Connected(n.time(), neighbour.Member)
+	importer.state.Requested(n.time(), d)
+	asked := importer.state.Asked(n.time(), d)
+	later := importer.state.Deferred(n.time(), d, "side00")
+	if seen := seenIn(append(asked, later...)); len(seen) > 0 {
+		t.Errorf("the region was told of %v while the exporter lacks it", seen)
+	}
+	if diff := cmp.Diff([]int{0}, seenIn(importer.state.Progressed(n.time(), d))); diff != "" {
+		t.Errorf("told once bytes flow (-want +got):\n%s", diff)
+	}
+}
+
+// importerOf gives both sides of the second region the version and returns the one
+// that imports its only chunk, and the other.
+func importerOf(n *network, v Set) (importer, neighbour *fakeSide) {
+	for _, name := range []string{"side01", "side02"} {
+		s := n.sides[name]
+		acts := s.state.Update(n.time(), []Set{v})
+		if slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Fetch); return ok }) {
+			importer = s
+		} else {
+			neighbour = s
+		}
+	}
+	return importer, neighbour
+}
+
+func seenIn(actions []Action) []int {
+	var out []int
+	for _, a := range actions {
+		if a, ok := a.(Announce); ok {
+			out = append(out, a.Seen...)
+		}
+	}
+	return out
+}
+
+// Guards against a side that, told that an exporter lacks a chunk, asks for it in
+// another's place ten times a second.
+func TestStepInIsNotRepeatedAtOnce(t *testing.T) {
+	n := newNetwork(t, regionsOf(1, 2)...)
+	v := version("1", 0, 1).of(n.members())
+	d := v.Manifest.Chunks[0].Digest
+	_, s := importerOf(n, v)
+	asked := 0
+	for range 100 {
+		n.now += tickTime
+		acts := s.state.Tick(n.time())
+		if !slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Fetch); return ok }) {
+			continue
+		}
+		asked++
+		s.state.Requested(n.time(), d)
+		s.state.Asked(n.time(), d)
+		s.state.Deferred(n.time(), d, "side00")
+	}
+	if asked == 0 || asked > 4 {
+		t.Errorf("asked %d times in 10 s, want 1 to 4", asked)
+	}
+}
+
+// Guards against an outage of the origin after which all chunks are overdue in one
+// moment: a side then drew all of them at once, most of them for the second time.
+func TestOutageLeavesFewDrawsDue(t *testing.T) {
+	const outage = 6 * time.Second
+	n := newNetwork(t, regionsOf(7, 7, 6)...)
+	for _, s := range n.sides {
+		s.state.cfg.LeastPatience = 300 * time.Millisecond
+		s.state.cfg.MostPause = 500 * time.Millisecond
+	}
+	begin := n.now
+	drawn := map[chunk.Digest]int{}
+	n.origin = func(_ string, d chunk.Digest, _ int) (bool, time.Duration) {
+		if n.now-begin < outage {
+			return false, 0
+		}
+		drawn[d]++
+		return true, 0
+	}
+	v := version("1", 0, 64).of(n.members())
+	n.update(v)
+	most := 0
+	whole := n.whole(v.ID)
+	n.until(func() bool {
+		for _, s := range n.sides {
+			most = max(most, s.state.running(ViaOrigin))
+		}
+		return whole()
+	})
+	total := 0
+	for _, k := range drawn {
+		total += k
+	}
+	if total > 64*5/4 {
+		t.Errorf("%d draws of 64 chunks after the outage, want at most a quarter more", total)
+	}
+	if most > DefaultDraws {
+		t.Errorf("one side drew %d chunks at a time, want at most %d", most, DefaultDraws)
+	}
+}
--- a/core/version/burst/suspect.go
+++ b/core/version/burst/suspect.go
@@ -55,12 +55,13 @@
 }
 
 // turnAnew ends all suspicions and has the turns of the chunks that are due from
-// an upstream begin now.
+// an upstream begin anew. Left due together, the chunks that came due one after the
+// other meanwhile would all be overdue in the same moment.
 func (s *State) turnAnew(now time.Time, up string) {
 	for _, st := range s.sets {
 		for i, it := range st.items {
 			if st.upstream[i] == up && !it.held && !it.dueAt.IsZero() {
-				it.dueAt = now
+				it.dueAt = time.Time{}
 			}
 		}
 	}
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -15,7 +15,7 @@
 // Times that one block may take on a machine's link and on a region link,
 // and the size under which the cost of a message is more than it saves.
 const (
-	blockTime      = 4 * time.Millisecond
+	blockTime      = 8 * time.Millisecond
 	crossBlockTime = 2 * time.Millisecond
 	leastBlock     = 2 << 10
 )
@@ -238,11 +238,11 @@
 }
 
 func (n *Node) advance(in *incoming) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if d := in.fetch.Chunk.Digest; n.state.incoming[d] == in {
-		n.state.core.Progressed(n.Clock.Now(), d)
-	}
+	n.do(func(s *state) {
+		if d := in.fetch.Chunk.Digest; s.incoming[d] == in {
+			s.add(s.core.Progressed(s.now, d))
+		}
+	})
 }
 
 // waitLinks waits until the share of the region link and the machine's own link
