roll: of two sides that ask to load at once the better rank goes

Change: an answer carries the rank, and a side waits for a better one that asks. It is a preference only; the floor never rests on it.

--- a/core/version/roll/machine.go
+++ b/core/version/roll/machine.go
@@ -51,6 +51,8 @@
 	Wanted   chunk.Digest `msgpack:"wanted"`
 	Revision uint64       `msgpack:"revision"`
 	Leaving  bool         `msgpack:"leaving"`
+	// Rank is the replica's place in the order of loading.
+	Rank int `msgpack:"rank,omitempty"`
 	// Ordered is the version of the replica's last order, empty for none, and
 	// OrderAge how long ago that was given.
 	Ordered  chunk.Digest  `msgpack:"ordered,omitempty"`
@@ -172,7 +174,7 @@
 		m.retryAt = now.Add(backoff(f.Want))
 		return none(r)
 	}
-	if wait := f.Deadline.wait(f.Want.Manifest, answers); wait > 0 {
+	if wait := f.Deadline.wait(f.Want, answers); wait > 0 {
 		m.phase = PhaseIdle
 		m.retryAt = now.Add(min(wait, mostSpacing) + time.Duration(f.Want.Rank)*perRank)
 		return none(ReasonSpaced)
@@ -259,6 +261,7 @@
 		Wanted:   f.Want.Manifest,
 		Revision: f.Want.Revision,
 		Leaving:  f.Draining || !f.Want.Placed,
+		Rank:     f.Want.Rank,
 	}
 	if f.TargetKnown {
 		s.Serving = f.Target.Serving
--- a/core/version/roll/space.go
+++ b/core/version/roll/space.go
@@ -1,10 +1,6 @@
 package roll
 
-import (
-	"time"
-
-	"hawthornferry/core/version/chunk"
-)
+import "time"
 
 // mostSpacing bounds the wait between two questions of a side whose load is
 // put off: the other replicas may have begun theirs, or left, meanwhile.
@@ -25,17 +21,23 @@
 // the time that is left. An engine that is about to load takes nothing new until
 // what it runs has ended; those that do so together leave the others more than
 // they can bear, though each alone would hardly be missed.
-func (d Deadline) wait(want chunk.Digest, answers []Status) time.Duration {
+//
+// Of two that ask at the same moment the one that ranks first goes. Where views of
+// the ranks differ both may go; the floor holds all the same.
+func (d Deadline) wait(want Want, answers []Status) time.Duration {
 	if !d.Bounded {
 		return 0
 	}
 	remaining := 1
 	last := time.Duration(-1)
 	for _, s := range answers {
-		if s.Ordered == want && (last < 0 || s.OrderAge < last) {
+		if s.Ordered == want.Manifest && (last < 0 || s.OrderAge < last) {
 			last = s.OrderAge
 		}
-		if s.Serving != "" && s.Serving != want && s.Phase != PhaseLoading {
+		if s.Phase == PhaseAsking && s.Wanted == want.Manifest && s.Rank < want.Rank {
+			last = 0
+		}
+		if s.Serving != "" && s.Serving != want.Manifest && s.Phase != PhaseLoading {
 			remaining++
 		}
 	}
--- a/core/version/roll/space_test.go
+++ b/core/version/roll/space_test.go
@@ -14,6 +14,9 @@
 	loading.Phase, loading.Ordered, loading.OrderAge = PhaseLoading, newVersion, 300*time.Millisecond
 	loaded := waiting
 	loaded.Serving, loaded.Ordered, loaded.OrderAge = newVersion, newVersion, 2*time.Second
+	asksFirst, asksLater := waiting, waiting
+	asksFirst.Phase = PhaseAsking
+	asksLater.Phase, asksLater.Rank = PhaseAsking, 2
 	earlier := waiting
 	earlier.Ordered, earlier.OrderAge = oldVersion, time.Millisecond
 	tests := []struct {
@@ -27,11 +30,13 @@
 		{"one has begun, one waits", Deadline{true, 4 * time.Second}, []Status{loading, waiting}, 1700 * time.Millisecond},
 		{"the last one", Deadline{true, time.Second}, []Status{loaded, loading}, 700 * time.Millisecond},
 		{"last began long ago", Deadline{true, 4 * time.Second}, []Status{loaded, waiting, waiting}, -2*time.Second + 4*time.Second/3},
+		{"one of a better rank asks", Deadline{true, 4 * time.Second}, []Status{asksFirst}, 2 * time.Second},
+		{"one of a worse rank asks", Deadline{true, 4 * time.Second}, []Status{asksLater}, 0},
 		{"order of another version", Deadline{true, 4 * time.Second}, []Status{earlier}, 0},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			if diff := cmp.Diff(tc.want, tc.deadline.wait(newVersion, tc.answers)); diff != "" {
+			if diff := cmp.Diff(tc.want, tc.deadline.wait(Want{Manifest: newVersion, Rank: 1}, tc.answers)); diff != "" {
 				t.Errorf("wait (-want +got):\n%s", diff)
 			}
 		})
