place: a replaced version is left by when each request would begin

Callers met half a second less of the engines that have not loaded than the bound allows, in the seconds in which loads leave the fewest: entries demanded the new version one second before the bound, whatever the engine.

Change: work carries until when it may begin on each replaced version, and a target is passed over when its first answer is foreseen later. A side loads 0.6 s before the bound at the latest. The end of requests that have not begun in time stays.

--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -84,11 +84,6 @@
 	return best, best.Version > 0
 }
 
-// DemandReserve is how long before the bound on versions a replaced one is not
-// sent requests any more: a request begins at its target up to an objective later
-// than it was sent, and processes hear of a version a little after it was named.
-const DemandReserve = time.Second
-
 // ReplacedSince returns when a version that is still in use was first replaced by
 // a newer one, false if it is the newest.
 func (f *Facts) ReplacedSince(model string, serving uint64) (time.Time, bool) {
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		expected := s.expect(now, t, w)
-		if !s.room(now, t, w, expected) {
+		if !s.room(now, t, w, expected) || !s.beginsInTime(now, t, w, expected) {
 			continue
 		}
 		cost := expected + time.Duration(t.distance)*distanceCost
@@ -109,6 +109,12 @@
 	return o.target, o.expected
 }
 
+// beginsInTime reports whether the target may still begin the work on the version
+// that it serves when the first answer is foreseen.
+func (s *service) beginsInTime(now time.Time, t *target, w *Work, expected time.Duration) bool {
+	return s.engine == nil || w.mayBegin(t.serves(now, s.engine.Model), now.Add(expected))
+}
+
 // option is a target that has room. Cost is when its first answer is foreseen,
 // with what speaks against it added.
 type option struct {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -34,8 +34,8 @@
 	Objective time.Duration
 	Deadline  time.Time
 	Priority  int
-	// Version is the least version of the model that may run it.
-	Version uint64
+	// Limits bound the use of older versions of the model.
+	Limits []VersionLimit
 	// Newest is the newest version that is named.
 	Newest uint64
 	// Avoid are the targets that have failed it.
@@ -45,6 +45,24 @@
 	Begun bool
 }
 
+// VersionLimit is until when work may begin at a target that serves less than a
+// version of its model.
+type VersionLimit struct {
+	Version uint64
+	Until   time.Time
+}
+
+// mayBegin reports whether the work may begin at a time at a target that serves a
+// version.
+func (w *Work) mayBegin(serving uint64, at time.Time) bool {
+	for _, l := range w.Limits {
+		if serving < l.Version && !at.Before(l.Until) {
+			return false
+		}
+	}
+	return true
+}
+
 // Decision is what becomes of offered work.
 type Decision string
 
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -159,7 +159,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			p := testPlacer(testFacts(nil, 1, "a"))
 			w := testWork("1")
-			w.Version, w.Avoid, w.Deadline = 0, []string{"a"}, start.Add(tc.deadline)
+			w.Limits, w.Avoid, w.Deadline = nil, []string{"a"}, start.Add(tc.deadline)
 			got := p.Offer(start, w)
 			if diff := cmp.Diff([]string{"1 refused noTarget"}, decisions(got)); diff != "" {
 				t.Fatalf("verdicts (-want +got):\n%s", diff)
@@ -203,7 +203,7 @@
 		{"loading", nil, &Report{Alive: true, Serving: 1, Busy: true}, nil},
 		{"no weights", func(f *facts.Target) { f.Serving = nil }, nil, nil},
 		{"lost its weights", nil, &Report{Alive: true, Serving: 0}, nil},
-		{"old weights", nil, &alive, func(w *Work) { w.Version = 2 }},
+		{"old weights", nil, &alive, func(w *Work) { w.Limits = []VersionLimit{{Version: 2, Until: start}} }},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -106,5 +106,9 @@
 	if t.Leaving || slices.Contains(w.Avoid, t.ID) {
 		return false
 	}
-	return s.engine == nil || t.serves(now, s.engine.Model) >= max(w.Version, 1)
+	if s.engine == nil {
+		return true
+	}
+	v := t.serves(now, s.engine.Model)
+	return v > 0 && w.mayBegin(v, now)
 }
--- a/core/request/place/stand.go
+++ b/core/request/place/stand.go
@@ -45,7 +45,7 @@
 		// caller and this entry have long given it up.
 		return obstacleUnheard
 	}
-	if v == 0 || v < w.Version {
+	if v == 0 || !w.mayBegin(v, now) {
 		return obstacleOldVersion
 	}
 	return obstacleNone
--- a/core/request/place/stand_test.go
+++ b/core/request/place/stand_test.go
@@ -48,7 +48,7 @@
 	p.Report(start, "b", Report{})
 	p.Report(start, "c", Report{Alive: true, Serving: 1})
 	w := testWork("1")
-	w.Version = 2
+	w.Limits = []VersionLimit{{Version: 2, Until: start}}
 	got := p.Offer(start, w)
 	if diff := cmp.Diff([]string{"1 refused noTarget"}, decisions(got)); diff != "" {
 		t.Fatalf("decision (-want +got):\n%s", diff)
@@ -77,3 +77,32 @@
 		t.Errorf("what the refusal rests on (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against work that is sent to an engine on a replaced version and would
+// begin there only after the bound: it would be ended and sent again.
+func TestReplacedVersionIsLeftInTime(t *testing.T) {
+	tests := []struct {
+		name string
+		left time.Duration
+		want Decision
+	}{
+		{"time to begin", time.Second, Placed},
+		{"over before the first answer", 20 * time.Millisecond, ""},
+		{"over", -time.Millisecond, Refused},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(modelEngine, 16, "a"))
+			p.Report(start, "a", Report{Alive: true, Serving: 1})
+			w := testWork("1")
+			w.Limits = []VersionLimit{{Version: 2, Until: start.Add(tc.left)}}
+			var got Decision
+			for _, v := range p.Offer(start, w) {
+				got = v.Decision
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -39,6 +39,10 @@
 	leastInflow = 64 << 10
 	// cacheBytes holds the chunks that several peers ask for at once.
 	cacheBytes = 1 << 20
+	// loadReserve is how long before the bound on versions a side loads whatever
+	// the others do: entries send less and less to a replaced version then, since a
+	// request must have begun on it before the bound.
+	loadReserve = 600 * time.Millisecond
 	// olderReserve is how long before that bound a side turns to the version
 	// before the newest: time for two rounds of loads.
 	olderReserve = 5500 * time.Millisecond
@@ -239,5 +243,5 @@
 	if !replaced {
 		return roll.Deadline{}
 	}
-	return roll.Deadline{Bounded: true, Left: bound - facts.DemandReserve - s.frame.clock.Since(since)}
+	return roll.Deadline{Bounded: true, Left: bound - loadReserve - s.frame.clock.Since(since)}
 }
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -226,18 +226,30 @@
 	return place.Work{
 		ID: q.call.ID, Service: q.service.Name, Prompt: q.call.Prompt, Answer: answerTokens,
 		Asked: q.asked, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
-		Version: s.demanded(q), Newest: s.newest(q), Avoid: q.failed, Begun: q.begun,
+		Limits: s.versionLimits(q), Newest: s.newest(q), Avoid: q.failed, Begun: q.begun,
 	}
 }
 
-// demanded is the least version that a request may be answered by: none while
-// the targets load a new one, and that one when the time for it has passed.
+// versionLimits are until when the request may begin on replaced versions.
+func (s *Server) versionLimits(q *request) []place.VersionLimit {
+	e := q.service.Engine
+	if e == nil || s.Rules.Version <= 0 {
+		return nil
+	}
+	var out []place.VersionLimit
+	for _, v := range s.Source.Current().Named(e.Model) {
+		out = append(out, place.VersionLimit{Version: v.Version, Until: v.Since.Add(s.Rules.Version - beginReserve)})
+	}
+	return out
+}
+
+// demanded is the least version that the request may begin on now, 0 for any.
 func (s *Server) demanded(q *request) uint64 {
 	e := q.service.Engine
 	if e == nil || s.Rules.Version <= 0 {
 		return 0
 	}
-	v, ok := s.Source.Current().Due(e.Model, s.Clock.Now().Add(facts.DemandReserve-s.Rules.Version))
+	v, ok := s.Source.Current().Due(e.Model, s.Clock.Now().Add(beginReserve-s.Rules.Version))
 	if ok {
 		s.noteDemanded(v)
 	}
