feed: leave a teller at once that the store refuses

A request ran at 27.236 s as version 22 of the configuration allows, version 29 was acknowledged at 24.968 s (bound 2 s).

Cause, from the logs: the store answers two entries with 429 from 24.5 s on. One of them tells edge-centro-a-2, which is in touch itself. That one followed its teller until the belief it was told was 3.5 s old, and had the configuration at 27.195 s.

Change: an answer says that the sender's last call to the store failed, a question that waits is answered at once then, and who is told goes to the next teller, or to the store if none has it.

The test takes 1.9 s without the change, its bound is 1 s.

--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -186,7 +186,7 @@
 		if len(t.Named) == 0 {
 			t.Named = whole.Named
 		}
-		t.Away = t.Away || whole.Away
+		t.Away, t.Lost = t.Away || whole.Away, t.Lost || whole.Lost
 		t.Items = append(whole.Items, t.Items...)
 		t.Keys = append(whole.Keys, t.Keys...)
 		whole = t
@@ -194,8 +194,12 @@
 	return whole, nil
 }
 
-// errOldTeller ends the following of a peer that has itself lost the store.
-var errOldTeller = errors.New("the peer's belief is old")
+// Why a peer is not followed any longer: its belief is old, or it says itself that
+// the store does not answer it.
+var (
+	errOldTeller  = errors.New("the peer's belief is old")
+	errLostTeller = errors.New("the peer has lost the store")
+)
 
 // followPeer is told of changes by one peer for as long as that one's belief
 // is young. What other peers tell meanwhile does not count: they are asked now and
@@ -216,6 +220,9 @@
 		if err != nil {
 			return err
 		}
+		if t.Lost {
+			return errLostTeller
+		}
 		if age := f.Awake() - asked + t.Age; !t.Known || age > 2*f.TellWait+tellerLag {
 			return errOldTeller
 		}
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -152,6 +152,8 @@
 	answered time.Duration
 	// failed is when, on Awake, a call of this process to the store last failed.
 	failed time.Duration
+	// lost is set while the last call of this process to the store has failed.
+	lost bool
 	// upUntil is the latest moment, on Awake, at which the store is known to have
 	// answered anybody; toldAt is until when a teller told. Both are moved on over
 	// the silence of tellers.
--- a/io/process/feed/outage.go
+++ b/io/process/feed/outage.go
@@ -12,6 +12,7 @@
 		f.backSince = f.Clock.Now()
 	}
 	f.upUntil = now
+	f.lost = false
 }
 
 // peerTold notes that a peer answered whose belief has the given age; it is called
--- a/io/process/feed/tell.go
+++ b/io/process/feed/tell.go
@@ -84,6 +84,8 @@
 	Named []naming.Statement `msgpack:"named"`
 	// Away tells that the store is out of the sender's reach since Age.
 	Away bool `msgpack:"away"`
+	// Lost tells that the last call of the sender to the store failed.
+	Lost bool `msgpack:"lost"`
 	Last bool `msgpack:"last"`
 }
 
@@ -151,8 +153,8 @@
 	return c.Send(t)
 }
 
-// awaitNews returns once there is more than the asker holds, or its wait is
-// over.
+// awaitNews returns once there is more than the asker holds, the store is lost, or
+// the asker's wait is over.
 func (f *Feed) awaitNews(ctx context.Context, q *ask) {
 	if q.Wait <= 0 {
 		return
@@ -160,7 +162,7 @@
 	over := f.Clock.After(q.Wait)
 	for {
 		changed := f.Changed()
-		if f.Current().Revision > q.After {
+		if f.Current().Revision > q.After || f.lostStore() {
 			return
 		}
 		select {
@@ -177,7 +179,7 @@
 func (f *Feed) answerTo(q *ask) []*tell {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.namings.Statements(f.Awake()), Away: f.contact().Away(f.ranSince)}
+	t := &tell{Known: f.known, At: f.revision, Age: max(0, f.Awake()-f.confirmed), Named: f.namings.Statements(f.Awake()), Away: f.contact().Away(f.ranSince), Lost: f.lost}
 	if !f.known || f.revision <= q.After {
 		t.Last = true
 		return []*tell{t}
--- a/io/process/feed/touch_test.go
+++ b/io/process/feed/touch_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// Guards against an entry that goes on by a replaced configuration for longer than
+// the bound, because the store refuses the entry that tells it and no other.
+func TestTellerThatTheStoreRefusesIsLeftAtOnce(t *testing.T) {
+	const bound = 2 * time.Second
+	s, refused := newFakeStore(), newFakeStore()
+	s.set("config", "1", false)
+	refused.set("config", "1", false)
+	_, sound := tellingFeed(t, "sound", s)
+	_, teller := tellingFeed(t, "refused", refused)
+	f := newFeed(s)
+	entryTimes(f)
+	f.Tellers = func() []Peer { return []Peer{teller} }
+	f.Peers = func() []Peer { return []Peer{sound} }
+	runFeed(t, f)
+	eventually(t, "the configuration is known", func() bool { return f.Current().Table != nil })
+	refused.fail(errors.New("refused"))
+	s.set("config", "2", false)
+	took := eventually(t, "the new configuration is known", func() bool { return f.Current().Table.Version == 2 })
+	if most := bound / 2; took > most {
+		t.Errorf("the new configuration was in force after %s, want %s at most", took, most)
+	}
+}
+
 // Callers are routed by a replaced configuration. An entry that has lost the store
 // asks two peers, and the first of them is dark: the other one, which knows of the
 // change, was asked only once the dark one had timed out.
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -17,6 +17,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed = f.Awake()
+	if !f.lost {
+		f.lost = true
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// lostStore reports whether the last call to the store failed.
+func (f *Feed) lostStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
 }
 
 // hearStore takes in that the store answered; it is called with the feed locked.
