burst: an import that waits looks at another side upstream now and then

Change: a wait at a side that lacks the chunk lasts one least patience, then another side upstream is asked once whether it has it; if not, the wait goes on at the first. The region counts as cut off from the origin after the same time as before.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -170,7 +170,7 @@
 // first for it, which has it first; after failures the next in rank, and
 // after those none, which means the origin.
 func (s *State) exporter(now time.Time, st *set, it *item, up string) string {
-	if up == "" || it.attempts >= sourceTries || it.laters >= laterTries {
+	if up == "" || it.attempts >= sourceTries || s.cutOff(now, it) {
 		return ""
 	}
 	names := st.members[up]
@@ -178,6 +178,9 @@
 	if len(ordered) == 0 {
 		return ""
 	}
+	if it.probing && len(ordered) > 1 {
+		return ordered[(it.attempts+1+(it.laters-1)%(len(ordered)-1))%len(ordered)]
+	}
 	for _, n := range ordered[min(it.attempts, len(ordered)):] {
 		if p, ok := s.peers[n]; ok && now.Before(p.badUntil) {
 			continue
@@ -187,6 +190,12 @@
 	return ordered[it.attempts%len(ordered)]
 }
 
+// cutOff reports whether the sides upstream have lacked a chunk for so long that
+// they are taken to be cut off from the origin.
+func (s *State) cutOff(now time.Time, it *item) bool {
+	return it.laters > 0 && now.Sub(it.laterSince) >= laterFactor*s.startPatience(ViaImport)
+}
+
 // recover fetches a chunk that the region was heard to hold but that no
 // neighbour has had for long, or that neighbours failed to send more than
 // once: those that held it may be gone, or hold it corrupt, and the side
@@ -270,7 +279,7 @@
 		s.trades--
 	}
 	it.via, it.from = "", ""
-	it.later, it.queued = false, false
+	it.later, it.queued, it.probing = false, false, false
 	for _, pl := range it.places {
 		pl.set.pending.Clear(pl.index)
 	}
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -168,11 +168,14 @@
 	attempts  int // sources tried since the last draw from the origin
 	// queued is set until the source has been asked.
 	queued bool
-	// later is set while the peer asked is known to lack the chunk as yet, and
-	// laters counts the waits in vain in a row.
-	later  bool
-	laters int
-	fails  int
+	// later is set while the peer asked is known to lack the chunk as yet. laters
+	// counts the answers of that kind in a row, and laterSince is when the first
+	// came. probing is set while a peer is asked only whether it has the chunk.
+	later      bool
+	laters     int
+	laterSince time.Time
+	probing    bool
+	fails      int
 }
 
 func (it *item) pending() bool { return it.via != "" }
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -262,15 +262,23 @@
 	if s.steppedIn(it) {
 		s.trouble(now, it.places[0].upstream())
 	}
+	if it.laterSince.IsZero() {
+		it.laterSince = now
+	}
 	// Without the suspicions that ended just now this side may rank first.
-	if s.steppedIn(it) {
+	if stepped := s.steppedIn(it); stepped || it.probing {
 		s.emit(Stop{Chunk: d, Peer: from, Reason: string(FailLater)})
 		s.clearPending(it)
-		it.dueAt, it.lostAt = now, now
+		if stepped {
+			it.dueAt, it.lostAt = now, now
+			it.laters++
+			it.probing = true
+		}
+		s.stale = true
 		return s.settle(now)
 	}
 	it.later = true
-	it.deadline = now.Add(laterFactor * s.startPatience(ViaImport))
+	it.deadline = now.Add(s.cfg.LeastPatience)
 	return s.settle(now)
 }
 
--- a/core/version/burst/outage_test.go
+++ b/core/version/burst/outage_test.go
@@ -117,3 +117,30 @@
 		t.Errorf("one side drew %d chunks at a time, want at most %d", most, DefaultDraws)
 	}
 }
+
+// Guards against a region that waits for seconds at the one side upstream which
+// lacks a chunk, behind a choked link, while all others there hold it.
+func TestExporterThatLacksIsNotTheOnlyOneAsked(t *testing.T) {
+	n := newNetwork(t, regionsOf(4, 3)...)
+	for _, s := range n.sides {
+		s.state.cfg.LeastPatience = 300 * time.Millisecond
+		s.state.cfg.MostPause = 500 * time.Millisecond
+	}
+	const choked = "side00"
+	n.stall = func(_, to string) bool { return to == choked }
+	n.origin = func(to string, _ chunk.Digest, _ int) (bool, time.Duration) { return to != choked, 0 }
+	v := version("1", 0, 32).of(n.members())
+	begin := n.now
+	n.update(v)
+	n.until(func() bool {
+		for _, s := range n.sides {
+			if tally, _ := s.state.Tally(v.ID); s.Name != choked && tally.Have < tally.Total {
+				return false
+			}
+		}
+		return true
+	})
+	if most, took := 5*time.Second, n.now-begin; took > most {
+		t.Errorf("whole beside the choked side after %v, want %v at most", took, most)
+	}
+}
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -20,11 +20,10 @@
 	// The first time it is the patience of a trade; each further fault in a
 	// row doubles it.
 	mostBadPauses = 12
-	// laterFactor is how many times its patience an import waits at a peer that
-	// has said that it still lacks the chunk, and laterTries how often in a row
-	// before the region of that peer is taken to be cut off from the origin.
-	laterFactor = 4
-	laterTries  = 3
+	// laterFactor is how many times its patience an import waits for a chunk that
+	// the sides upstream say they still lack before their region is taken to be cut
+	// off from the origin.
+	laterFactor = 12
 	// queueFactor bounds, in longest pauses, how long a transfer waits on this
 	// side for its turn on the machine's link.
 	queueFactor = 4
@@ -163,6 +162,8 @@
 	}
 	switch {
 	case why == FailLater:
+		// The wait goes on after a look at another side: the one that ranks first may
+		// be the only one upstream that lacks the chunk.
 		it.laters++
 	case why == FailQueued:
 	case it.via != ViaTrade:
@@ -172,12 +173,14 @@
 	}
 	if it.via == ViaOrigin && why != FailQueued {
 		it.attempts, it.laters = 0, 0
+		it.laterSince = time.Time{}
 		s.trouble(now, "")
 	}
 	if why == FailLacks {
 		s.disbelieve(it)
 	}
 	s.clearPending(it)
+	it.probing = why == FailLater
 	s.stale = true
 	s.invite()
 }
