direct: the last streams leave an engine that waits to load

Callers meet fewer engines in the seconds of a new version than loads alone would take: an engine that is ordered to load takes nothing new until its longest stream has ended, 1.2 to 2.2 s later, most of that time with a few places in use.

Change: once a fifth of its slots or less are in use, entries let the streams there go on at another engine that has a free place, after their last event, within the budget of repeats. A stream costs one prompt to read again.

--- /dev/null
+++ b/core/request/place/move.go
@@ -0,0 +1,34 @@
+package place
+
+import "time"
+
+// fewShare is the part of an engine's slots below which the requests that it still
+// has count as few.
+const fewShare = 0.2
+
+// FewLeft reports whether a target that waits to load has few requests left. Its
+// other places stay empty until the last of them has ended; to go on elsewhere
+// costs each of them one prompt to read.
+func (p *Placer) FewLeft(target string, r Report) bool {
+	t, ok := p.targets[target]
+	if !ok || !r.Alive || !r.Busy || r.Active == 0 {
+		return false
+	}
+	return float64(r.Active) <= fewShare*float64(slotsOf(t.Target))
+}
+
+// Free reports whether a target of the service other than the given one has a place
+// below its slots.
+func (p *Placer) Free(now time.Time, serviceName, target string) bool {
+	s := p.services[serviceName]
+	if s == nil {
+		return false
+	}
+	w := &Work{Avoid: []string{target}, Begun: true}
+	for _, t := range s.targets {
+		if usable(now, s, t, w) && t.load(now) < slotsOf(t.Target) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/request/place/move_test.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestFewLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		report Report
+		want   bool
+	}{
+		{"a few before a load", Report{Alive: true, Busy: true, Active: 3}, true},
+		{"many before a load", Report{Alive: true, Busy: true, Active: 8}, false},
+		{"none", Report{Alive: true, Busy: true}, false},
+		{"no load", Report{Alive: true, Active: 3}, false},
+		{"silent", Report{Busy: true, Active: 3}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(modelEngine, 16, "a"))
+			if diff := cmp.Diff(tc.want, p.FewLeft("a", tc.report)); diff != "" {
+				t.Errorf("few left (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is taken from its target while every other place is
+// taken: it would wait behind its own prompt.
+func TestStreamMovesToAFreePlaceOnly(t *testing.T) {
+	p := testPlacer(testFacts(modelEngine, 2, "a", "b"))
+	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
+	for i := range 2 {
+		if diff := cmp.Diff(true, p.Free(start, "svc", "a")); diff != "" {
+			t.Errorf("free with %d requests at the other (-want +got):\n%s", i, diff)
+		}
+		w := testWork(fmt.Sprint(i))
+		w.Prompt = 10
+		p.Offer(start, w)
+	}
+	if diff := cmp.Diff(false, p.Free(start, "svc", "a")); diff != "" {
+		t.Errorf("free with all places taken (-want +got):\n%s", diff)
+	}
+}
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -68,6 +68,24 @@
 	return ok
 }
 
+// free reports whether a target but the given one has a place below its slots.
+func (d *desk) free(service, target string) (ok bool) {
+	d.Do(func() []place.Verdict {
+		ok = d.placer.Free(d.clock.Now(), service, target)
+		return nil
+	})
+	return ok
+}
+
+// fewLeft reports whether a target that waits to load has few requests left.
+func (d *desk) fewLeft(target string, r place.Report) (ok bool) {
+	d.Do(func() []place.Verdict {
+		ok = d.placer.FewLeft(target, r)
+		return nil
+	})
+	return ok
+}
+
 func (d *desk) served() (out []place.Served) {
 	d.Do(func() []place.Verdict {
 		out = d.placer.Served(d.clock.Now())
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -80,6 +80,7 @@
 	// entries is the most entries that a report told of; budgetMu guards it.
 	entries  int
 	patience patience
+	moves    moves
 	// demandedNow holds the version of each model that was last demanded.
 	demandedNow sync.Map
 }
@@ -142,6 +143,7 @@
 	s.init()
 	s.hearEntries(r.Entries)
 	s.desk.report(target, r)
+	s.moveFrom(target, r)
 }
 
 // hearEntries takes how many entries a target reports to. The most that was
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -33,23 +35,33 @@
 	server  *Server
 	q       *request
 	x       *exchange
+	target  string
 	serving uint64
 	timer   clockwork.Timer
+	// movable is set when another target may take the request over.
+	movable bool
 
 	mu  sync.Mutex
 	due clockwork.Timer
 	// settled is set once the request has begun or the exchange is over.
 	settled bool
+	// begun is set once a part of the answer has come.
+	begun atomic.Bool
 }
 
-// reasonOverdue is why an attempt at a target is ended whose version may not be
-// begun on any more.
-const reasonOverdue = "not begun before its version is too old"
+// Why an entry itself ends an attempt. errOverdue is for one at a target whose
+// version may not be begun on any more.
+var (
+	errOverdue = errors.New("not begun before its version is too old")
+	errSilent  = errors.New("target is silent")
+	errLoading = errors.New("target waits to load")
+)
 
 func (s *Server) guard(q *request, x *exchange, serving uint64) *guard {
-	g := &guard{server: s, q: q, x: x, serving: serving}
+	g := &guard{server: s, q: q, x: x, target: q.target, serving: serving, movable: q.tries.Movable()}
 	g.watchDue()
-	if q.tries.Movable() {
+	s.moves.add(g)
+	if g.movable {
 		g.timer = s.Clock.AfterFunc(patienceOf(q.route.Objective, firstPatience), g.silent)
 	}
 	return g
@@ -85,7 +97,7 @@
 	if left, bounded := g.server.beginWithin(g.q, g.serving); bounded {
 		if left <= 0 {
 			g.settled = true
-			g.x.abandon(reasonOverdue)
+			g.x.abandon(errOverdue)
 			return
 		}
 		pause = min(pause, left)
@@ -115,11 +127,12 @@
 		return
 	}
 	g.q.prepaid.Store(true)
-	g.x.abandon("target is silent")
+	g.x.abandon(errSilent)
 }
 
 // heard takes a part of the answer.
 func (g *guard) heard() {
+	g.begun.Store(true)
 	g.settle()
 	if g.timer != nil && g.q.route.Gap > 0 {
 		g.timer.Reset(patienceOf(g.q.route.Gap, gapPatience))
@@ -127,6 +140,7 @@
 }
 
 func (g *guard) stop() {
+	g.server.moves.remove(g)
 	if g.timer != nil {
 		g.timer.Stop()
 	}
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -34,6 +34,14 @@
 	final() bool
 }
 
+// resultOf is what the end of an attempt says of its target.
+func resultOf(o resend.Outcome, err error) place.Result {
+	if errors.Is(err, errLoading) {
+		return place.ResultLeft
+	}
+	return results[o]
+}
+
 // run makes attempts until the caller has its answer or there is none to be
 // had.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, q *request) {
@@ -57,7 +65,7 @@
 			continue
 		}
 		o, err := s.attempt(ctx, q, v, out)
-		s.desk.done(q.call.ID, results[o])
+		s.desk.done(q.call.ID, resultOf(o, err))
 		s.noteAttempt(ctx, q, o, err)
 		if o == resend.Relayed {
 			s.finish(q, string(o), q.story.status)
--- a/io/request/direct/send.go
+++ b/io/request/direct/send.go
@@ -39,11 +39,11 @@
 	resp *http.Response
 	stop func() bool
 	// left says why the entry itself ended the exchange.
-	left atomic.Pointer[string]
+	left atomic.Pointer[error]
 }
 
 // abandon ends the exchange from the entry's side.
-func (x *exchange) abandon(why string) {
+func (x *exchange) abandon(why error) {
 	x.left.Store(&why)
 	x.conn.Close()
 }
@@ -51,7 +51,7 @@
 // reason is why the entry ended the exchange, nil when it did not.
 func (x *exchange) reason() error {
 	if why := x.left.Load(); why != nil {
-		return errors.New(*why)
+		return *why
 	}
 	return nil
 }
