place: a test that plays loads of a version under callers' requests

The model of engines takes orders to load: an engine takes nothing new until what it runs has ended, and then loads.

--- a/core/request/place/model_test.go
+++ b/core/request/place/model_test.go
@@ -24,6 +24,9 @@
 	reportEvery   = 50 * time.Millisecond
 	networkWay    = 3 * time.Millisecond
 	modelDeadline = 6 * time.Second
+	// modelLoad is how long an empty engine takes to load.
+	modelLoad   = 300 * time.Millisecond
+	modelWindow = 2 * time.Second
 	// backInVain is what a caller loses, in answers, that comes back as it was
 	// told and is refused again.
 	backInVain = 0.3
@@ -57,10 +60,22 @@
 	active  []*job
 	queue   []*job
 	passEnd time.Duration
+	// loadAt is when it is ordered to load a version, 0 for never, and loadEnd
+	// when it has, 0 until what runs has ended.
+	loadAt  time.Duration
+	loadEnd time.Duration
+}
+
+// busy reports whether the engine takes nothing new since it is to load.
+func (e *engineSim) busy(now time.Duration) bool {
+	return e.loadAt > 0 && now >= e.loadAt && (e.loadEnd == 0 || now < e.loadEnd)
 }
 
 func (e *engineSim) step(now time.Duration, begun, done func(j *job)) {
-	for len(e.active) < modelSlots && len(e.queue) > 0 {
+	if e.busy(now) && len(e.active) == 0 && e.loadEnd == 0 {
+		e.loadEnd = now + modelLoad
+	}
+	for !e.busy(now) && len(e.active) < modelSlots && len(e.queue) > 0 {
 		e.active = append(e.active, e.queue[0])
 		e.queue = e.queue[1:]
 	}
@@ -102,6 +117,30 @@
 	credit, owed                 float64
 	largeAsked, largeServed      int
 	largeOnTime                  int
+	// windows count the requests asked in each window, and those on time.
+	windows []window
+}
+
+type window struct{ asked, onTime int }
+
+// worst is the least share on time of any window.
+func (o outcomes) worst() float64 {
+	least := 1.0
+	for _, w := range o.windows {
+		if w.asked > 0 {
+			least = min(least, float64(w.onTime)/float64(w.asked))
+		}
+	}
+	return least
+}
+
+// window returns the counts of the window in which a request is asked.
+func (o *outcomes) window(asked time.Duration) *window {
+	i := int(asked / modelWindow)
+	for len(o.windows) <= i {
+		o.windows = append(o.windows, window{})
+	}
+	return &o.windows[i]
 }
 
 func (o outcomes) share() float64 { return o.credit / o.owed }
@@ -121,8 +160,9 @@
 var modelZones = []string{"z0", "z1", "z2"}
 
 // playLoad plays perSecond requests a second for length on engines that entries
-// share, each with a policy of its own.
-func playLoad(engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf) outcomes {
+// share, each with a policy of its own. Loads are when the engines, in order, are
+// ordered to load a version.
+func playLoad(engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf, loads ...time.Duration) outcomes {
 	rng := rand.New(rand.NewPCG(1, 2))
 	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: modelEngine}}}
 	t.Index()
@@ -131,6 +171,9 @@
 	byID := map[string]*engineSim{}
 	for i := range engines {
 		e := &engineSim{id: "i" + strconv.Itoa(i), zone: modelZones[i%len(modelZones)]}
+		if i < len(loads) {
+			e.loadAt = loads[i]
+		}
 		sims = append(sims, e)
 		byID[e.id] = e
 		f.Targets = append(f.Targets, facts.Target{
@@ -186,6 +229,7 @@
 			jobs[j.id] = j
 			n++
 			o.asked++
+			o.window(next).asked++
 			o.owed += size(j)
 			if j.prompt > 2000 {
 				o.largeAsked++
@@ -209,6 +253,7 @@
 				on := j.first+networkWay-j.asked <= j.objective
 				if on {
 					o.onTime++
+					o.window(j.asked).onTime++
 					if j.prompt > 2000 {
 						o.largeOnTime++
 					}
@@ -225,7 +270,7 @@
 		}
 		if now%reportEvery == 0 {
 			for _, e := range sims {
-				r := Report{Alive: true, Active: len(e.active), Queued: len(e.queue), Pace: 1, Serving: 1, Entries: len(policies)}
+				r := Report{Alive: true, Active: len(e.active), Queued: len(e.queue), Pace: 1, Serving: 1, Busy: e.busy(now), Entries: len(policies)}
 				after(now+networkWay, func(now time.Duration) {
 					for _, p := range policies {
 						deliver(now, p.Report(modelStart.Add(now), e.id, r))
