--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -6,73 +6,19 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/naming"
 	"hawthornferry/core/process/trail"
-	"hawthornferry/core/request/table"
 	"hawthornferry/io/conn/link"
 )
 
-// ErrHistory is returned by a watch whose starting point the store has
-// dropped; everything has to be listed anew.
-var ErrHistory = errors.New("the store no longer has this history")
-
-// Item is one key of the store. Deleted marks one that was removed at
-// Revision; it has no value.
-type Item struct {
-	Key      string `msgpack:"key"`
-	Value    []byte `msgpack:"value"`
-	Revision uint64 `msgpack:"revision"`
-	Deleted  bool   `msgpack:"deleted,omitempty"`
-}
-
-// Page is one page of a list. At is the store's revision when it was read.
-type Page struct {
-	Items []Item
-	More  bool
-	At    uint64
-}
-
-// Changes are what a watch brought; the next one goes on from At.
-type Changes struct {
-	Items []Item
-	At    uint64
-}
-
-// Store is the platform's store. Both calls return within their context.
-type Store interface {
-	List(ctx context.Context, after string) (Page, error)
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
-}
-
-// Fact is what one item says. At most one field is set; none is for an item
-// that is not the system's concern.
-type Fact struct {
-	Config  *Config
-	Target  *facts.Target
-	Version *facts.Named
-}
-
-// Config is the operator's configuration with the origin that it names.
-type Config struct {
-	Table  *table.Table
-	Origin facts.Origin
-}
-
-// Reader decodes items. An error means that the item is not usable.
-type Reader interface {
-	Read(it Item) (Fact, error)
-}
-
 // Times of the feed.
 const (
 	// callTimeout bounds what a watch takes beyond its wait. The store answers in
@@ -265,143 +211,3 @@
 	bound := min(firstRetry<<min(fails, 8), mostRetry)
 	return bound/2 + rand.N(bound/2)
 }
-
-// step lists the store, or waits for one set of changes.
-func (f *Feed) step(ctx context.Context) error {
-	f.mu.Lock()
-	contact, wait := f.contact(), f.Wait
-	if len(f.lapsing) > 0 {
-		wait = min(wait, lapseEvery)
-	}
-	f.mu.Unlock()
-	if !contact.Known {
-		return f.list(ctx)
-	}
-	asked := f.Awake()
-	wait = contact.WaitOf(asked, wait)
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	c, err := f.Store.Watch(callCtx, contact.Revision, wait)
-	got := f.Awake()
-	if errors.Is(err, ErrHistory) {
-		f.mu.Lock()
-		f.storeAnswered(f.Wait)
-		f.mu.Unlock()
-		f.Log.Decide(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: contact.Revision})
-		return f.list(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// A peer may have told of more meanwhile.
-	if c.At >= f.revision {
-		call := naming.Call{Asked: asked, Got: got, Wait: wait}
-		live := f.contact().LiveAt(call, f.ranSince)
-		f.storeAnswered(f.Wait)
-		f.hearStore(call)
-		f.apply(c.Items, live)
-		f.confirm(asked, c.At)
-	}
-	return nil
-}
-
-// list reads every page and takes it for the whole.
-func (f *Feed) list(ctx context.Context) error {
-	asked := f.Awake()
-	var items []Item
-	var first uint64
-	after := ""
-	for {
-		p, err := f.page(ctx, after)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		f.storeAnswered(listTimeout)
-		f.mu.Unlock()
-		if after == "" {
-			first = p.At
-		}
-		items = append(items, p.Items...)
-		if !p.More || len(p.Items) == 0 {
-			break
-		}
-		after = p.Items[len(p.Items)-1].Key
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// Pages are not a snapshot: what changed between them comes again with
-	// the watch from the first page's revision.
-	if first < f.revision {
-		return nil
-	}
-	f.hearStore(naming.Call{Asked: asked, Got: f.Awake()})
-	f.replace(items, first)
-	f.confirm(asked, first)
-	return nil
-}
-
-func (f *Feed) page(ctx context.Context, after string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	return f.Store.List(ctx, after)
-}
-
-// confirm makes what is held the belief of the moment asked; it is called
-// with the feed locked.
-func (f *Feed) confirm(asked time.Duration, at uint64) {
-	c := f.contact()
-	if !c.Known {
-		f.gone.from = at
-	}
-	c.Confirm(asked, at)
-	f.known, f.revision, f.confirmed = c.Known, c.Revision, c.Confirmed
-	f.lapse()
-	f.publish()
-}
-
-// lapse drops the targets whose grace has ended.
-func (f *Feed) lapse() {
-	now := f.Clock.Now()
-	for key, end := range f.lapsing {
-		if now.Before(end) {
-			continue
-		}
-		f.noteTarget("lost", f.facts[key], f.revision)
-		delete(f.lapsing, key)
-		delete(f.facts, key)
-	}
-}
-
-// publish hands the belief out when it has changed.
-func (f *Feed) publish() {
-	old := f.current.Load()
-	now := &facts.Facts{Revision: f.revision, Versions: f.versions()}
-	for _, key := range sortedKeys(f.facts) {
-		fact := f.facts[key]
-		switch {
-		case fact.Config != nil:
-			now.Table, now.Origin = fact.Config.Table, fact.Config.Origin
-		case fact.Target != nil:
-			now.Targets = append(now.Targets, *fact.Target)
-		}
-	}
-	now.Targets = facts.Present(now.Targets)
-	f.current.Store(now)
-	f.Self.Revision.Store(f.revision)
-	if old.Revision != now.Revision || old.Table != now.Table || len(old.Targets) != len(now.Targets) {
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
-}
-
-func sortedKeys(m map[string]Fact) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
