--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -23,9 +23,9 @@
 	// dial it.
 	DefaultDegree = 6
 	// DefaultUploads is how many chunks a side sends at a time.
-	DefaultUploads = 4
+	DefaultUploads = 3
 	// DefaultInbound is how many traded chunks a side takes at a time.
-	DefaultInbound = 6
+	DefaultInbound = 4
 	// DefaultTurns is how many chunks cross a region link at a time for
 	// each pair of regions.
 	DefaultTurns = 2
@@ -35,7 +35,7 @@
 	WideTurns = 4
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
-	DefaultDraws = 8
+	DefaultDraws = 4
 	// DefaultLeastPatience is above what a busy machine or a pause of the
 	// runtime costs.
 	DefaultLeastPatience = 500 * time.Millisecond
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -30,6 +30,14 @@
 	// mostPause bounds the pauses after failures: the origin may be away for
 	// most of the time that a version has, and each pause after is lost.
 	mostPause = 500 * time.Millisecond
+	// draws, uploads and inbound are the transfers under way at a time, and blockTime
+	// is what a block of them takes. A chunk of some tens of KiB passes in tens of
+	// milliseconds, so that the wait for each next one weighs more than what many
+	// at a time cost.
+	draws     = 8
+	uploads   = 4
+	inbound   = 6
+	blockTime = 8 * time.Millisecond
 	// linkShare is the part of a machine's link that weights may take: the
 	// answers of the engine pass there too.
 	linkShare = 0.92
@@ -102,9 +110,12 @@
 	s.node = &swarm.Node{
 		Self: f.self, Clock: f.clock, Log: f.log, Logger: f.logger, Metrics: f.metrics,
 		Members: s.members, Staging: s.shelf, Source: s.shelf, CacheBytes: cacheBytes,
-		Burst:  burst.Config{LeastPatience: leastPatience, MostPause: mostPause},
-		Inflow: &pace.Window{Clock: f.clock, Most: max(scaledRate(rate, inflowTime.Seconds()), leastInflow)},
-		Pacer:  pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
+		Burst: burst.Config{
+			LeastPatience: leastPatience, MostPause: mostPause, Draws: draws, Uploads: uploads, Inbound: inbound,
+		},
+		BlockTime: blockTime,
+		Inflow:    &pace.Window{Clock: f.clock, Most: max(scaledRate(rate, inflowTime.Seconds()), leastInflow)},
+		Pacer:     pace.New(pace.Config{Up: rate, Down: rate}, f.clock),
 	}
 	orderer := &order.Orderer{
 		Self: f.self, Clock: f.clock, Awake: awake.Now, Log: f.log, Source: s.rollout, Engine: s.shelf,
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -12,10 +12,12 @@
 	"hawthornferry/io/version/pace"
 )
 
-// Times that one block may take on a machine's link and on a region link,
-// and the size under which the cost of a message is more than it saves.
+// DefaultBlockTime and crossBlockTime are what one block may take on a machine's
+// link and on a region link, leastBlock the size under which the cost of a message
+// is more than it saves.
 const (
-	blockTime      = 8 * time.Millisecond
+	DefaultBlockTime = 4 * time.Millisecond
+
 	crossBlockTime = 2 * time.Millisecond
 	leastBlock     = 2 << 10
 )
@@ -158,7 +160,7 @@
 // that shares the link.
 func (n *Node) pieceSize(v burst.Via) int64 {
 	rate := float64(n.pacer.Down.Rate)
-	most := blockTime
+	most := n.BlockTime
 	if v == burst.ViaImport {
 		rate = n.pacer.RegionLeft(n.sidesInRegion())
 		most = crossBlockTime
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -98,8 +98,11 @@
 	Pacer        *pace.Pacer
 	Burst        burst.Config
 	BlockSize    int64
-	CacheBytes   int64
-	Shaper       Shaper
+	// BlockTime is what one block may take on the machine's link: a live call may
+	// wait behind a block of each transfer.
+	BlockTime  time.Duration
+	CacheBytes int64
+	Shaper     Shaper
 
 	start    sync.Once
 	ctx      context.Context
@@ -145,6 +148,9 @@
 		if n.BlockSize <= 0 {
 			n.BlockSize = DefaultBlockSize
 		}
+		if n.BlockTime <= 0 {
+			n.BlockTime = DefaultBlockTime
+		}
 		if n.CacheBytes <= 0 {
 			n.CacheBytes = DefaultCacheBytes
 		}
