swarm: nothing starts once the node waits for its end; feed: a test that knows its own pauses

TestSideDiesMidway: the race detector saw a goroutine started while the node waited for those it had started. Cause: Update and the state's actions start transfers whether the node ends or not; one that begins after the wait goes on in a process that counts as stopped. What starts under the lock now asks whether the node is closed.

TestVersionNamedAfterAnOutageIsNotTakenForOld: version 2 was taken to be named before it was. A process that pauses for over naming.MostGap (200 ms) between two watches cannot know that it heard a naming live, and takes it for as early as it can have been; that is what keeps the bound. The test took for granted that it never pauses.

--- a/io/process/feed/fakes_test.go
+++ b/io/process/feed/fakes_test.go
@@ -48,6 +48,10 @@
 	history  uint64
 	fails    error
 	calls    int
+	// answered is when the last watch ended, and gap the longest pause between two
+	// watches since the last call of restart.
+	answered time.Time
+	gap      time.Duration
 	changed  chan struct{}
 }
 
@@ -94,12 +98,35 @@
 	return p, s.fails
 }
 
+// endWatch notes the end of a watch.
+func (s *fakeStore) endWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = time.Now()
+}
+
+// restart counts the pauses between watches anew.
+func (s *fakeStore) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered, s.gap = time.Now(), 0
+}
+
+// longestGap is the longest pause between two watches since restart.
+func (s *fakeStore) longestGap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gap
+}
+
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	defer s.endWatch()
 	over := time.After(wait)
 	for first := true; ; first = false {
 		s.mu.Lock()
 		if first {
 			s.calls++
+			s.gap = max(s.gap, time.Since(s.answered))
 		}
 		c := Changes{At: s.revision}
 		for _, it := range s.log {
--- a/io/version/swarm/act.go
+++ b/io/version/swarm/act.go
@@ -16,7 +16,7 @@
 		n.stopTransfer(s, a)
 	case burst.Discard:
 		n.decide("discard", a.Chunk, "", "", "no longer wanted")
-		n.discard(a.Chunk)
+		n.discard(s, a.Chunk)
 	case burst.Connect:
 		n.dial(s, a.Peer)
 	case burst.Disconnect:
@@ -54,9 +54,9 @@
 	in.cancel(errStopped)
 }
 
-func (n *Node) discard(d chunk.Digest) {
+func (n *Node) discard(s *state, d chunk.Digest) {
 	n.cache.drop(d)
-	n.wg.Go(func() {
+	n.spawn(s, func() {
 		// A version that is wanted again may have fetched the chunk anew
 		// since; it must then stay.
 		if n.wanted(d) {
--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -48,7 +48,7 @@
 	id := transferID{Chunk: f.Chunk.Digest, Number: s.transfers}
 	in := &incoming{id: id, fetch: f, cancel: cancel, blocks: make(chan *block, 2*window), later: make(chan struct{}, 1)}
 	s.incoming[f.Chunk.Digest] = in
-	n.wg.Go(func() {
+	n.spawn(s, func() {
 		defer cancel(nil)
 		n.carry(ctx, in)
 	})
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -134,6 +134,8 @@
 	asks      map[chunk.Digest]*manifestAsk
 	early     map[chunk.Digest][]*conn
 	earlyAsks int
+	// closed is set once the node waits for what it started.
+	closed bool
 }
 
 func (s *state) add(a []burst.Action) { s.pending = append(s.pending, a...) }
@@ -181,6 +183,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.init()
 	defer n.wg.Wait()
+	defer n.close()
 	defer n.stop()
 	stop := context.AfterFunc(ctx, n.stop)
 	defer stop()
@@ -198,6 +201,20 @@
 	}
 }
 
+// close has nothing more start.
+func (n *Node) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.closed = true
+}
+
+// spawn starts f unless the node ends; it is called with the state locked.
+func (n *Node) spawn(s *state, f func()) {
+	if !s.closed {
+		n.wg.Go(f)
+	}
+}
+
 // do runs f on the locked state and carries out the actions that come of it.
 // Nothing in it blocks.
 func (n *Node) do(f func(s *state)) {
--- a/io/version/swarm/peers.go
+++ b/io/version/swarm/peers.go
@@ -41,7 +41,7 @@
 		return done
 	}
 	s.dialing[name] = done
-	n.wg.Go(func() { n.dialAndServe(name, addr, done) })
+	n.spawn(s, func() { n.dialAndServe(name, addr, done) })
 	return done
 }
 
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	s.manifests[w.Manifest] = &known{cancel: cancel, waiting: s.takeEarly(w.Manifest)}
 	n.decide("want", w.Manifest, w.Model, w.Version, "document")
-	n.wg.Go(func() {
+	n.spawn(s, func() {
 		defer cancel()
 		n.readManifest(ctx, w.Manifest)
 	})
