--- a/core/request/place/load_test.go
+++ b/core/request/place/load_test.go
@@ -7,8 +7,8 @@
 
 // Guards against a new version whose loads leave callers half of the engines. The
 // load is five to six requests a second for each engine, with which the engines of
-// the model write without a pause. Halves that load one after the other are what was
-// done before: 0.80 of the worst two seconds on time, 0.97 with the loads spread.
+// the model write without a pause. Halves that load one after the other leave 0.80 of
+// the worst two seconds on time, loads that are spread 0.97.
 func TestSpreadLoadsKeepCallersOnTime(t *testing.T) {
 	const (
 		engines   = 12
