--- /dev/null
+++ b/core/version/tree/tree_test.go
@@ -0,0 +1,128 @@
+package tree
+
+import (
+	"fmt"
+	"testing"
+
+	"hawthornferry/core/process/fleet"
+)
+
+const regions = 5
+
+func sidesOf(n int) []fleet.VM {
+	var out []fleet.VM
+	for i := range n {
+		out = append(out, fleet.VM{Name: fmt.Sprintf("side%03d", i), Region: fmt.Sprintf("r%d", i%regions), State: fleet.StateLive})
+	}
+	return out
+}
+
+func without(all []fleet.VM, name string) []fleet.VM {
+	var out []fleet.VM
+	for _, vm := range all {
+		if vm.Name != name {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Guards against a fleet all of whose sides read a manifest from the origin, or
+// whose sides ask one side for it: the load of both stays the same as it grows.
+func TestReadersDoNotGrowWithTheFleet(t *testing.T) {
+	for _, n := range []int{1, 5, 20, 204} {
+		all := sidesOf(n)
+		readers := 0
+		asked := map[string]int{}
+		for _, self := range all {
+			p := At("m/2", self, without(all, self.Name), Tries{})
+			if p.Origin {
+				readers++
+				continue
+			}
+			asked[p.Above[0].Name]++
+		}
+		if most := min(n, regions*Roots); readers != most {
+			t.Errorf("%d sides: %d read from the origin, want %d", n, readers, most)
+		}
+		for who, k := range asked {
+			if k > Fanout {
+				t.Errorf("%d sides: %d ask %s, want %d at most", n, k, who, Fanout)
+			}
+		}
+	}
+}
+
+// Guards against sides that never hear of a manifest since those above them in
+// the tree are dead: any that live come to it in a few rounds.
+func TestManifestPassesDeadSides(t *testing.T) {
+	const rounds = 6
+	all := sidesOf(120)
+	for _, dead := range []int{0, 2, 4, 10} {
+		w := &world{t: t, dead: dead, have: map[string]bool{}, tries: map[string]Tries{}}
+		for range rounds {
+			w.round(all)
+		}
+		for _, vm := range all {
+			if w.alive(vm) && !w.have[vm.Name] {
+				t.Errorf("%d of %d sides dead: %s has no manifest after %d rounds", dead, deadOf, vm.Name, rounds)
+			}
+		}
+	}
+}
+
+const deadOf = 11
+
+// depth is how many sides a manifest passes at the most.
+const depth = 8
+
+// world is a fleet in which the same part of each deadOf sides is dead.
+type world struct {
+	t     *testing.T
+	dead  int
+	have  map[string]bool
+	tries map[string]Tries
+}
+
+func (w *world) alive(vm fleet.VM) bool {
+	var i int
+	if _, err := fmt.Sscanf(vm.Name, "side%d", &i); err != nil {
+		w.t.Fatal(err)
+	}
+	return i%deadOf >= w.dead
+}
+
+// round has each side ask once; what one has come to is passed down the tree.
+func (w *world) round(all []fleet.VM) {
+	plans := map[string]Plan{}
+	for _, self := range all {
+		plans[self.Name] = At("m/2", self, without(all, self.Name), w.tries[self.Name])
+	}
+	for range depth {
+		for _, self := range all {
+			p := plans[self.Name]
+			if w.alive(self) && (p.Origin || w.anyHas(append(p.Above, p.Other...))) {
+				w.have[self.Name] = true
+			}
+		}
+	}
+	for _, self := range all {
+		tries := w.tries[self.Name]
+		tries.Failed++
+		for _, vm := range plans[self.Name].Above {
+			if !w.alive(vm) {
+				tries.Silent++
+			}
+		}
+		w.tries[self.Name] = tries
+	}
+}
+
+func (w *world) anyHas(vms []fleet.VM) bool {
+	for _, vm := range vms {
+		if w.alive(vm) && w.have[vm.Name] {
+			return true
+		}
+	}
+	return false
+}
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -202,21 +202,13 @@
 }
 
 // members are the other sides, whatever the version.
-func (s *Side) members(chunk.Digest) []fleet.VM {
-	return vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service)[1:]
-}
+func (s *Side) members(chunk.Digest) []fleet.VM { return s.sides() }
 
 func (s *Side) originAddress() netip.AddrPort { return s.frame.feed.Current().Origin.Address }
 
-// sides are the addresses of the other sides.
-func (s *Side) sides() []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, vm := range vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service) {
-		if vm.Name != s.Settings.VM.Name {
-			out = append(out, vm.Address)
-		}
-	}
-	return out
+// sides are the other sides.
+func (s *Side) sides() []fleet.VM {
+	return vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service)[1:]
 }
 
 // served is what the engine beside this process serves, once it has answered.
