burst: one copy around an outage at any size, and no turn waits for a side that ended

While the origin was away all others passed over one after the other, each with its own list, and drew eight chunks each when it was back. A refused connection says that a side has ended, and goes round too. - Two versions shared the draws: one of which less than half as much is missing goes first now. A version that cannot be had still holds up no other. - Before the first draw each side read all 48 chunks of the old version back from its engine.

The test's network keeps its events in a heap, and a transfer that waits for its source ends when that has the chunk.

--- a/core/version/burst/acquire.go
+++ b/core/version/burst/acquire.go
@@ -1,21 +1,26 @@
 package burst
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"hawthornferry/core/process/rank"
 )
 
-// sourceTries is how many sides of the earlier region an import asks before
-// it turns to the origin.
+// sourceTries is how many tries at sides of the earlier region an import makes at
+// the least before it turns to the origin.
 const sourceTries = 3
 
-// chain returns the regions in the order in which chunk i passes through
+// soonerFactor is how many times less a version must lack than the newest to be
+// fetched before it.
+const soonerFactor = 2
+
+// regionOrder returns the regions in the order in which chunk i passes through
 // them. The origin's region comes first when it has members; the others
 // follow in rendezvous order, turned by one place for each chunk, so that
 // the pairs of regions carry equal shares.
-func (s *State) chain(st *set, i int) []string {
+func (s *State) regionOrder(st *set, i int) []string {
 	var first, rest []string
 	for _, r := range st.regions {
 		if r == s.cfg.OriginRegion {
@@ -35,14 +40,12 @@
 // upstreamOf is the region from which the own region gets chunk i, empty for
 // the origin.
 func (s *State) upstreamOf(st *set, i int) string {
-	prev := ""
-	for _, r := range s.chain(st, i) {
-		if r == s.cfg.Self.Region {
-			return prev
-		}
-		prev = r
+	order := s.regionOrder(st, i)
+	k := slices.Index(order, s.cfg.Self.Region)
+	if k <= 0 {
+		return ""
 	}
-	return ""
+	return order[(k-1)/s.cfg.Fanout]
 }
 
 // acquire starts the draws and imports whose turn it is. Chunks take turns in
@@ -50,20 +53,53 @@
 // from one upstream at a time, so that the shares of the link that the
 // importers use add up to no more than the link, with no shared record.
 func (s *State) acquire(now time.Time) {
-	for _, st := range s.sets {
-		if st.keep {
-			continue
-		}
+	shared := map[string]int{}
+	for _, st := range s.inTurn() {
 		if s.cfg.Direct {
 			s.drawAll(now, st)
 			continue
 		}
-		s.takeTurns(now, st)
+		s.takeTurns(now, st, shared)
 		s.drawExtra(now, st)
 	}
 }
 
-func (s *State) takeTurns(now time.Time, st *set) {
+// inTurn lists the versions to fetch in the order in which they take turns: the
+// newest first, but one of which the region lacks less than half as much goes before
+// it. Were they to share the link, neither might be whole when the origin goes away.
+func (s *State) inTurn() []*set {
+	var out []*set
+	for _, st := range s.sets {
+		if !st.keep {
+			out = append(out, st)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	newest := out[0].unseen()
+	slices.SortStableFunc(out, func(a, b *set) int {
+		return cmp.Compare(b.goesFirst(newest), a.goesFirst(newest))
+	})
+	return out
+}
+
+// unseen is how many chunks the region is not known to hold.
+func (st *set) unseen() int { return len(st.items) - st.seen.Count() }
+
+// goesFirst is 1 for a version that is nearly there, where the newest lacks the
+// given number of chunks.
+func (st *set) goesFirst(newest int) int {
+	if n := st.unseen(); n > 0 && n*soonerFactor <= newest {
+		return 1
+	}
+	return 0
+}
+
+// takeTurns starts what is due of one version. shared counts the turns that all
+// versions use of each upstream; a chunk that is tried in vain takes one of its own
+// version only, or a version that cannot be had would hold up another.
+func (s *State) takeTurns(now time.Time, st *set, shared map[string]int) {
 	taken := map[string]int{}
 	for i, it := range st.items {
 		if it.held {
@@ -78,7 +114,7 @@
 			continue
 		}
 		up := st.upstream[i]
-		if taken[up] >= s.turns(up) {
+		if max(taken[up], shared[up]) >= s.turns(up) {
 			continue
 		}
 		if it.dueAt.IsZero() {
@@ -87,6 +123,9 @@
 		late := now.Sub(it.dueAt)
 		if late < s.stepIn(up, 1) {
 			taken[up]++
+			if !it.inVain(now) {
+				shared[up]++
+			}
 		} else {
 			s.suspectFirst(now, st, i)
 		}
@@ -94,6 +133,12 @@
 	}
 }
 
+// inVain reports whether the region is known to have tried to fetch a chunk and
+// failed lately.
+func (it *item) inVain(now time.Time) bool {
+	return it.fails > 0 || it.laters > 0 || !it.tried.IsZero() && now.Sub(it.tried) < leastStepIn
+}
+
 func (s *State) turns(up string) int {
 	if up == "" {
 		return s.cfg.Draws
@@ -170,7 +215,7 @@
 // first for it, which has it first; after failures the next in rank, and
 // after those none, which means the origin.
 func (s *State) exporter(now time.Time, st *set, it *item, up string) string {
-	if up == "" || it.attempts >= sourceTries || s.cutOff(now, it) {
+	if up == "" || s.drawsInstead(now, st, it, up) {
 		return ""
 	}
 	names := st.members[up]
@@ -190,12 +235,6 @@
 	return ordered[it.attempts%len(ordered)]
 }
 
-// cutOff reports whether the sides upstream have lacked a chunk for so long that
-// they are taken to be cut off from the origin.
-func (s *State) cutOff(now time.Time, it *item) bool {
-	return it.laters > 0 && now.Sub(it.laterSince) >= laterFactor*s.startPatience(ViaImport)
-}
-
 // recover fetches a chunk that the region was heard to hold but that no
 // neighbour has had for long, or that neighbours failed to send more than
 // once: those that held it may be gone, or hold it corrupt, and the side
@@ -212,13 +251,23 @@
 		it.lostAt = now
 	}
 	up := st.upstream[i]
-	late := now.Sub(it.lostAt) - lostFactor*s.stepIn(up, 1)
+	late := now.Sub(it.lostAt) - s.lostWait(now, up)
 	if late < 0 {
 		return
 	}
 	s.start(now, st, i, late)
 }
 
+// lostWait is how long a chunk that was heard of may stay out of reach: it takes some
+// steps from neighbour to neighbour. When a side has ended it may have been the only
+// one to hold it.
+func (s *State) lostWait(now time.Time, up string) time.Duration {
+	if now.Sub(s.passedOver) < goneFor {
+		return triedEvery
+	}
+	return lostFactor * s.stepIn(up, 1)
+}
+
 // withinReach reports whether a neighbour that is not left alone holds chunk i.
 func (s *State) withinReach(now time.Time, st *set, i int) bool {
 	if st.copies[i] == 0 || !s.blaming(now) {
--- a/core/version/burst/action.go
+++ b/core/version/burst/action.go
@@ -43,13 +43,15 @@
 // Ready tells a peer whose offer was refused that it may offer again.
 type Ready struct{ Peer string }
 
-// Announce tells a peer of chunks of one manifest: Have, held by this side,
-// and Seen, held by some side of the region.
+// Announce tells a peer of chunks of one manifest: Have, held by this side, Seen,
+// held by some side of the region, and Tried, which some side keeps trying to fetch
+// for the region.
 type Announce struct {
 	Peer     string
 	Manifest chunk.Digest
 	Have     []int
 	Seen     []int
+	Tried    []int
 }
 
 // Greet sends a peer the whole maps of one manifest.
@@ -60,6 +62,12 @@
 	Seen     Bits
 }
 
+// Gone tells a peer of sides of the region that do not run.
+type Gone struct {
+	Peer  string
+	Sides []string
+}
+
 // Connect opens a connection to a neighbour.
 type Connect struct{ Peer string }
 
@@ -75,6 +83,7 @@
 func (Pass) isAction()       {}
 func (Ready) isAction()      {}
 func (Announce) isAction()   {}
+func (Gone) isAction()       {}
 func (Greet) isAction()      {}
 func (Connect) isAction()    {}
 func (Disconnect) isAction() {}
--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -33,6 +33,12 @@
 	// take in: the wait for each next chunk then weighs more than the time
 	// that a chunk takes along the chain.
 	WideTurns = 4
+	// DefaultFanout has each region hand a chunk on to one other: the link out of
+	// no region then carries more than one copy.
+	DefaultFanout = 1
+	// WideFanout is the same for links that carry more than the sides can take in:
+	// the number of regions that a chunk passes one after the other weighs more.
+	WideFanout = 2
 	// DefaultDraws is how many chunks a region draws from the origin at a
 	// time.
 	DefaultDraws = 4
@@ -74,6 +80,7 @@
 	Uploads      int
 	Inbound      int
 	Turns        int
+	Fanout       int
 	Draws        int
 	Direct       bool
 	// LeastPatience bounds from below how long a transfer may bring nothing
@@ -101,9 +108,20 @@
 	// suspects are sides that missed their turn, with the time until which
 	// they are passed over.
 	suspects map[string]time.Time
+	// ended are sides that were found to have ended, with the time until which they
+	// are taken not to have started again.
+	ended map[string]time.Time
+	// passedOver is when a side was last found to have ended.
+	passedOver time.Time
 	// troubled are the upstreams, empty for the origin, from which this side
 	// found nothing to be had.
 	troubled map[string]bool
+	// flowed is when a chunk last came from an upstream.
+	flowed map[string]time.Time
+	// originUp is since when the origin has answered this side, zero if it failed
+	// last, and originDown when it last failed.
+	originUp   time.Time
+	originDown time.Time
 	// blameEnd is when the last peer that is left alone is asked again.
 	blameEnd time.Time
 	// stale is set when the next settle must look for draws and imports.
@@ -169,13 +187,16 @@
 	// queued is set until the source has been asked.
 	queued bool
 	// later is set while the peer asked is known to lack the chunk as yet. laters
-	// counts the answers of that kind in a row, and laterSince is when the first
+	// counts the answers of that kind in a row, and lackedSince is when the first
 	// came. probing is set while a peer is asked only whether it has the chunk.
-	later      bool
-	laters     int
-	laterSince time.Time
-	probing    bool
-	fails      int
+	later       bool
+	laters      int
+	lackedSince time.Time
+	probing     bool
+	fails       int
+	// tried is when some side of the region, this one or another, was last known to
+	// keep trying to fetch the chunk.
+	tried time.Time
 }
 
 func (it *item) pending() bool { return it.via != "" }
@@ -211,6 +232,7 @@
 	cfg.Uploads = orDefault(cfg.Uploads, DefaultUploads)
 	cfg.Inbound = orDefault(cfg.Inbound, DefaultInbound)
 	cfg.Turns = orDefault(cfg.Turns, DefaultTurns)
+	cfg.Fanout = orDefault(cfg.Fanout, DefaultFanout)
 	cfg.Draws = orDefault(cfg.Draws, DefaultDraws)
 	if cfg.MostPause <= 0 {
 		cfg.MostPause = DefaultMostPause
@@ -225,7 +247,9 @@
 		peers:    map[string]*peer{},
 		timing:   map[Via]*timing{},
 		suspects: map[string]time.Time{},
+		ended:    map[string]time.Time{},
 		troubled: map[string]bool{},
+		flowed:   map[string]time.Time{},
 	}
 }
 
@@ -242,6 +266,10 @@
 // SetTurns changes how many chunks cross a region link at a time.
 func (s *State) SetTurns(n int) { s.cfg.Turns = n }
 
+// SetFanout changes to how many regions one hands a chunk on; it takes effect at
+// the next Update.
+func (s *State) SetFanout(n int) { s.cfg.Fanout = n }
+
 // SetOriginRegion changes the region in which the origin lies; it takes
 // effect at the next Update.
 func (s *State) SetOriginRegion(region string) { s.cfg.OriginRegion = region }
--- a/core/version/burst/burst_test.go
+++ b/core/version/burst/burst_test.go
@@ -353,7 +353,7 @@
 	}
 	d := v.Manifest.Chunks[0].Digest
 	s.state.Requested(n.time(), d)
-	for end := n.now + 2*laterFactor*s.state.startPatience(ViaImport); n.now < end; n.now += tickTime {
+	for end := n.now + 2*silentFactor*s.state.startPatience(ViaImport); n.now < end; n.now += tickTime {
 		s.state.Deferred(n.time(), d, "side00")
 		s.state.Tick(n.time())
 	}
--- a/core/version/burst/events.go
+++ b/core/version/burst/events.go
@@ -26,6 +26,7 @@
 // starts overdue ones and dials again.
 func (s *State) Tick(now time.Time) []Action {
 	s.expire(now)
+	s.tellTried(now)
 	s.forgive(now)
 	s.connect(now)
 	s.wake()
@@ -41,6 +42,7 @@
 	p := s.peer(m.Name, m.Region)
 	p.connected = true
 	p.dialFails = 0
+	s.trust(m.Name)
 	s.greet(p)
 	return s.settle(now)
 }
@@ -63,6 +65,8 @@
 			s.failed(now, it, FailGone, 0)
 		}
 	}
+	// Whether the side has ended shows at once by a new connection.
+	s.connect(now)
 	return s.settle(now)
 }
 
@@ -180,6 +184,9 @@
 		return nil
 	}
 	if it.pending() {
+		if it.via == ViaOrigin {
+			s.originAnswered(now, true)
+		}
 		s.measure(it, now)
 		s.pardon(it.from)
 		s.clearPending(it)
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -25,13 +25,30 @@
 	run func()
 }
 
+// queue holds what is still to happen, the next one first.
+type queue []event
+
+func (q queue) Len() int      { return len(q) }
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q queue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
 // network joins States by messages that take a fixed time. Everything in it
 // is determined by the seeds.
 type network struct {
 	t      *testing.T
 	now    time.Duration
 	seq    int
-	events []event
+	events queue
 	sides  map[string]*fakeSide
 	names  []string
 	links  map[[2]string]bool
@@ -43,6 +60,11 @@
 	corrupt func(from, to string) bool
 	// origin answers a draw: whether it succeeds, and when to come back.
 	origin func(to string, d chunk.Digest, k int) (ok bool, after time.Duration)
+	// wires, when set, are the links that transfers share; else each takes
+	// transferTime.
+	wires *wires
+	// arrived, when set, is told of each chunk that comes to a side.
+	arrived func(s *fakeSide, d chunk.Digest)
 }
 
 type fakeSide struct {
@@ -79,7 +101,7 @@
 
 func (n *network) after(d time.Duration, run func()) {
 	n.seq++
-	n.events = append(n.events, event{at: n.now + d, seq: n.seq, run: run})
+	heap.Push(&n.events, event{at: n.now + d, seq: n.seq, run: run})
 }
 
 func (n *network) tick(s *fakeSide) {
@@ -97,14 +119,7 @@
 		if n.now > giveUpTime {
 			n.t.Fatalf("not done after %v", giveUpTime)
 		}
-		k := 0
-		for i, e := range n.events {
-			if cmp.Or(cmp.Compare(e.at, n.events[k].at), cmp.Compare(e.seq, n.events[k].seq)) < 0 {
-				k = i
-			}
-		}
-		e := n.events[k]
-		n.events = slices.Delete(n.events, k, k+1)
+		e := heap.Pop(&n.events).(event)
 		n.now = e.at
 		e.run()
 	}
@@ -160,6 +175,13 @@
 
 func key(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
 
+// dial connects a side to another; one that is dead refuses it.
+func (n *network) dial(a, b *fakeSide) {
+	if !n.connect(a, b) && b.dead && !a.dead {
+		n.act(a, a.state.Refused(n.time(), b.Name))
+	}
+}
+
 func (n *network) connect(a, b *fakeSide) bool {
 	if n.links[key(a.Name, b.Name)] {
 		return true
@@ -182,11 +204,18 @@
 func (n *network) carryOut(s *fakeSide, a Action) {
 	switch a := a.(type) {
 	case Connect:
-		n.after(messageTime, func() { n.connect(s, n.sides[a.Peer]) })
+		n.after(messageTime, func() { n.dial(s, n.sides[a.Peer]) })
+	case Gone:
+		n.tell(s, a.Peer, func(p *State) []Action { return p.SidesGone(n.time(), s.Name, a.Sides) })
 	case Greet:
 		n.tell(s, a.Peer, func(p *State) []Action { return p.Greeted(n.time(), s.Name, a.Manifest, a.Have, a.Seen) })
 	case Announce:
-		n.tell(s, a.Peer, func(p *State) []Action { return p.Announced(n.time(), s.Name, a.Manifest, a.Have, a.Seen) })
+		n.tell(s, a.Peer, func(p *State) []Action {
+			if len(a.Tried) > 0 {
+				return p.Tried(n.time(), s.Name, a.Manifest, a.Tried)
+			}
+			return p.Announced(n.time(), s.Name, a.Manifest, a.Have, a.Seen)
+		})
 	case Offer:
 		n.tell(s, a.Peer, func(p *State) []Action { return p.Offered(n.time(), s.Name) })
 	case Pass:
@@ -203,16 +232,28 @@
 	case Fetch:
 		s.transfer[a.Chunk.Digest]++
 		s.state.Requested(n.time(), a.Chunk.Digest)
-		id := s.transfer[a.Chunk.Digest]
-		n.after(transferTime/2, func() {
-			if s.transfer[a.Chunk.Digest] == id && !s.dead && !n.stall(a.Peer, s.Name) {
-				n.halfWay(s, a)
-			}
-		})
-		n.after(transferTime, func() { n.end(s, a, id) })
+		n.transferOver(s, a, s.transfer[a.Chunk.Digest], n.span(s, a))
 	}
 }
 
+// transferOver has a transfer end, and half of its bytes come before.
+func (n *network) transferOver(s *fakeSide, f Fetch, id int, span time.Duration) {
+	n.after(span/2, func() {
+		if s.transfer[f.Chunk.Digest] == id && !s.dead && !n.stall(f.Peer, s.Name) {
+			n.halfWay(s, f)
+		}
+	})
+	n.after(span, func() { n.end(s, f, id) })
+}
+
+// span is how long a transfer takes that begins now.
+func (n *network) span(s *fakeSide, f Fetch) time.Duration {
+	if n.wires == nil {
+		return transferTime
+	}
+	return n.wires.span(n, s, f)
+}
+
 // halfWay is when half of a transfer's bytes are there, if the peer has them.
 func (n *network) halfWay(s *fakeSide, f Fetch) {
 	d := f.Chunk.Digest
@@ -263,7 +304,20 @@
 		return
 	}
 	n.act(s, s.state.Deferred(n.time(), f.Chunk.Digest, f.Peer))
-	n.after(transferTime, func() { n.end(s, f, id) })
+	n.whenHeld(s, p, f, id)
+}
+
+// whenHeld sends a chunk once the peer has it.
+func (n *network) whenHeld(s, p *fakeSide, f Fetch, id int) {
+	n.after(messageTime, func() {
+		switch {
+		case s.dead || s.transfer[f.Chunk.Digest] != id:
+		case p.state.Held(f.Chunk.Digest):
+			n.transferOver(s, f, id, n.span(s, f))
+		default:
+			n.whenHeld(s, p, f, id)
+		}
+	})
 }
 
 func (n *network) endDraw(s *fakeSide, d chunk.Digest) {
@@ -279,6 +333,9 @@
 func (n *network) arrive(s *fakeSide, d chunk.Digest) {
 	s.fetched[d]++
 	n.act(s, s.state.Arrived(n.time(), d))
+	if n.arrived != nil {
+		n.arrived(s, d)
+	}
 }
 
 func (n *network) draws() int {
--- a/core/version/burst/stall.go
+++ b/core/version/burst/stall.go
@@ -20,10 +20,13 @@
 	// The first time it is the patience of a trade; each further fault in a
 	// row doubles it.
 	mostBadPauses = 12
-	// laterFactor is how many times its patience an import waits for a chunk that
-	// the sides upstream say they still lack before their region is taken to be cut
-	// off from the origin.
-	laterFactor = 12
+	// silentFactor is how many times the patience of imports the region upstream may
+	// bring nothing before it is taken to be cut off from the origin. probeShare is
+	// the part of that time between two tries at the origin, and returnPauses how
+	// many of the longest pauses it has, once the origin answers, to bring something.
+	silentFactor = 12
+	probeShare   = 4
+	returnPauses = 2
 	// queueFactor bounds, in longest pauses, how long a transfer waits on this
 	// side for its turn on the machine's link.
 	queueFactor = 4
@@ -32,6 +35,8 @@
 	silentStrikes = 2
 	// suspectFor is how long a side that missed its turn is passed over.
 	suspectFor = 30 * time.Second
+	// goneFor is the same for one that has ended: it may have started again.
+	goneFor = 4 * time.Second
 	// mostBadTrades is how many failures of neighbours to send a chunk are
 	// borne before it is fetched anew for the region.
 	mostBadTrades = 2
@@ -102,7 +107,7 @@
 	if up == "" {
 		via = ViaOrigin
 	}
-	each := s.startPatience(via)
+	each := max(s.startPatience(via), leastStepIn)
 	if s.troubled[up] {
 		each += s.cfg.MostPause
 	}
@@ -168,12 +173,12 @@
 	case why == FailQueued:
 	case it.via != ViaTrade:
 		it.attempts++
-		it.retryAt = now.Add(max(after, doubled(firstRetry, it.fails, s.cfg.MostPause)))
+		it.retryAt = now.Add(max(after, s.retryPause(it, why)))
 		it.fails++
 	}
 	if it.via == ViaOrigin && why != FailQueued {
 		it.attempts, it.laters = 0, 0
-		it.laterSince = time.Time{}
+		s.originAnswered(now, false)
 		s.trouble(now, "")
 	}
 	if why == FailLacks {
@@ -185,6 +190,16 @@
 	s.invite()
 }
 
+// retryPause is how long a chunk is left alone after its source failed: not at all
+// while another side upstream can be asked in place of one that has ended.
+func (s *State) retryPause(it *item, why Failure) time.Duration {
+	at := it.places[0]
+	if it.via == ViaImport && why == FailGone && it.attempts < len(at.set.members[at.upstream()]) {
+		return 0
+	}
+	return doubled(firstRetry, it.fails, s.cfg.MostPause)
+}
+
 // blame leaves a peer alone for a while after a fault. Without it the next
 // pick would often fall on the same peer and the chunk would never come.
 func (s *State) blame(now time.Time, name string, why Failure) {
--- a/core/version/burst/suspect.go
+++ b/core/version/burst/suspect.go
@@ -1,6 +1,8 @@
 package burst
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornferry/core/process/rank"
@@ -25,12 +27,67 @@
 	s.rerank()
 }
 
+// Refused tells that nothing listens where a side should: it has ended. The sides
+// after it need not wait for its turns to be overdue.
+func (s *State) Refused(now time.Time, name string) []Action {
+	s.passOver(now, []string{name}, "")
+	return s.settle(now)
+}
+
+// SidesGone takes a peer's word of sides that do not run.
+func (s *State) SidesGone(now time.Time, from string, sides []string) []Action {
+	if p, ok := s.peers[from]; !ok || !s.near(p) {
+		return nil
+	}
+	s.passOver(now, sides, from)
+	return s.settle(now)
+}
+
+// passOver takes sides of the region for ended unless this side has a connection to
+// them, and passes on those that it did not know of.
+func (s *State) passOver(now time.Time, sides []string, from string) {
+	var fresh []string
+	for _, name := range sides {
+		if !s.inRegion(name) || name == s.cfg.Self.Name {
+			continue
+		}
+		if p, ok := s.peers[name]; ok && p.connected {
+			continue
+		}
+		if s.ended[name].Sub(now) > goneFor/2 {
+			continue
+		}
+		s.ended[name] = now.Add(goneFor)
+		fresh = append(fresh, name)
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	s.passedOver = now
+	s.rerank()
+	s.stale = true
+	for _, p := range s.order {
+		if s.near(p) && p.Name != from {
+			s.emit(Gone{Peer: p.Name, Sides: fresh})
+		}
+	}
+}
+
+func (s *State) inRegion(name string) bool {
+	return slices.ContainsFunc(s.sets, func(st *set) bool {
+		return slices.Contains(st.members[s.cfg.Self.Region], name)
+	})
+}
+
 // trust ends the suspicion against a side that shows itself to fetch.
 func (s *State) trust(name string) {
-	if _, ok := s.suspects[name]; !ok {
+	_, suspected := s.suspects[name]
+	_, ended := s.ended[name]
+	if !suspected && !ended {
 		return
 	}
 	delete(s.suspects, name)
+	delete(s.ended, name)
 	s.rerank()
 }
 
@@ -47,6 +104,7 @@
 // flows notes that a chunk has come from an upstream. After trouble the turns
 // begin anew: time that was lost in it does not count.
 func (s *State) flows(now time.Time, up string) {
+	s.flowed[up] = now
 	if !s.troubled[up] {
 		return
 	}
@@ -79,26 +137,26 @@
 
 // forgive ends the suspicions that are old.
 func (s *State) forgive(now time.Time) {
-	n := len(s.suspects)
-	for name, until := range s.suspects {
-		if now.After(until) {
-			delete(s.suspects, name)
-		}
+	n := len(s.suspects) + len(s.ended)
+	for _, over := range []map[string]time.Time{s.suspects, s.ended} {
+		maps.DeleteFunc(over, func(_ string, until time.Time) bool { return now.After(until) })
 	}
-	if len(s.suspects) < n {
+	if len(s.suspects)+len(s.ended) < n {
 		s.rerank()
 	}
 }
 
-// trusted are the sides of the own region that are not suspected.
+// trusted are the sides of the own region that are neither suspected nor ended.
 func (s *State) trusted(st *set) []string {
 	all := st.members[s.cfg.Self.Region]
-	if len(s.suspects) == 0 {
+	if len(s.suspects)+len(s.ended) == 0 {
 		return all
 	}
 	var out []string
 	for _, n := range all {
-		if _, ok := s.suspects[n]; !ok || n == s.cfg.Self.Name {
+		_, suspected := s.suspects[n]
+		_, ended := s.ended[n]
+		if !suspected && !ended || n == s.cfg.Self.Name {
 			out = append(out, n)
 		}
 	}
--- a/core/version/burst/transfer.go
+++ b/core/version/burst/transfer.go
@@ -61,8 +61,8 @@
 	if s.steppedIn(it) {
 		s.trouble(now, it.places[0].upstream())
 	}
-	if it.laterSince.IsZero() {
-		it.laterSince = now
+	if it.lackedSince.IsZero() {
+		it.lackedSince = now
 	}
 	// Without the suspicions that ended just now this side may rank first.
 	if stepped := s.steppedIn(it); stepped || it.probing {
--- a/io/version/shelf/keep.go
+++ b/io/version/shelf/keep.go
@@ -9,8 +9,9 @@
 	"hawthornferry/core/version/chunk"
 )
 
-// List returns the chunks of the latest edition whose numbers the engine
-// keeps. What lies there may be of another version: Get verifies it.
+// List returns the chunks of the latest edition whose numbers the engine keeps,
+// but for those where a chunk of another version is known to lie. What lies at the
+// others may be of another version too: Get verifies it.
 func (s *Shelf) List(ctx context.Context) ([]chunk.Digest, error) {
 	s.mu.Lock()
 	if len(s.editions) == 0 {
@@ -25,7 +26,7 @@
 	}
 	var out []chunk.Digest
 	for _, num := range held {
-		if num >= 0 && num < len(e.Manifest.Chunks) {
+		if num >= 0 && num < len(e.Manifest.Chunks) && s.mayLie(num, e.Manifest.Chunks[num].Digest) {
 			out = append(out, e.Manifest.Chunks[num].Digest)
 		}
 	}
@@ -66,7 +67,29 @@
 	if err := s.ask(ctx); err != nil {
 		return err
 	}
-	return s.Engine.Put(ctx, p.model, p.num, b)
+	if err := s.Engine.Put(ctx, p.model, p.num, b); err != nil {
+		return err
+	}
+	s.noteLies(p.num, chunk.Sum(b))
+	return nil
+}
+
+// noteLies notes which chunk this process has seen at a number of the engine.
+func (s *Shelf) noteLies(num int, d chunk.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lies == nil {
+		s.lies = map[int]chunk.Digest{}
+	}
+	s.lies[num] = d
+}
+
+// mayLie reports whether a chunk may lie at a number, as far as this process knows.
+func (s *Shelf) mayLie(num int, d chunk.Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen, known := s.lies[num]
+	return !known || seen == d
 }
 
 func (s *Shelf) isNewest(p place) bool {
@@ -125,6 +148,7 @@
 	if got := chunk.Sum(b); got != d {
 		return nil, fault.Newf("read chunk", "engine", "digest %s, want %s", got, d)
 	}
+	s.noteLies(places[0].num, d)
 	s.remember(d, b)
 	return b, nil
 }
--- a/io/version/shelf/shelf.go
+++ b/io/version/shelf/shelf.go
@@ -64,7 +64,9 @@
 	mu       sync.Mutex
 	editions []*Edition
 	chunks   map[chunk.Digest][]byte
-	spoilt   int
+	// lies is the chunk that was last seen at each number of the engine.
+	lies   map[int]chunk.Digest
+	spoilt int
 }
 
 // maxEditions bounds the versions remembered: the one served, the one on its
--- a/io/version/shelf/shelf_test.go
+++ b/io/version/shelf/shelf_test.go
@@ -343,3 +343,28 @@
 		})
 	}
 }
+
+// Guards against a new version that begins to come a tenth of a second late: each
+// side read all that lay at its engine first, though it was of the old version.
+func TestOldVersionIsNotReadForANewOne(t *testing.T) {
+	e := &fakeEngine{kept: map[int][]byte{}}
+	for num := range pieces {
+		e.kept[num] = piece(1, num)
+	}
+	s := newShelf(e)
+	one := add(t, s, 1)
+	for _, ref := range one.Manifest.Chunks {
+		if _, err := s.Get(t.Context(), ref.Digest); err != nil {
+			t.Fatal(err)
+		}
+	}
+	two := add(t, s, 2)
+	put(t, s, 2, 0)
+	got, err := s.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]chunk.Digest{two.Manifest.Chunks[0].Digest}, got); diff != "" {
+		t.Errorf("chunks that may lie there (-want +got):\n%s", diff)
+	}
+}
--- a/io/version/swarm/act.go
+++ b/io/version/swarm/act.go
@@ -24,7 +24,9 @@
 	case burst.Greet:
 		n.toPeer(s, a.Peer, func(c *conn) { c.send(&maps{Manifest: a.Manifest, Have: a.Have, Seen: a.Seen}) })
 	case burst.Announce:
-		n.toPeer(s, a.Peer, func(c *conn) { c.tell(a.Manifest, a.Have, a.Seen) })
+		n.toPeer(s, a.Peer, func(c *conn) { c.tell(a) })
+	case burst.Gone:
+		n.toPeer(s, a.Peer, func(c *conn) { c.send(&gone{Sides: a.Sides[:min(len(a.Sides), maxGone)]}) })
 	case burst.Offer:
 		n.toPeer(s, a.Peer, func(c *conn) { c.send(&offer{}) })
 	case burst.Pass:
--- a/io/version/swarm/conn.go
+++ b/io/version/swarm/conn.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/fault"
+	"hawthornferry/core/version/burst"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/conn/frame"
 	"hawthornferry/io/conn/link"
@@ -63,16 +64,17 @@
 }
 
 // tell queues news, joined with what is still queued of the same manifest.
-func (c *conn) tell(id chunk.Digest, have, seen []int) {
+func (c *conn) tell(a burst.Announce) {
 	c.mu.Lock()
-	n, ok := c.news[id]
+	n, ok := c.news[a.Manifest]
 	if !ok {
-		n = &news{Manifest: id}
-		c.news[id] = n
+		n = &news{Manifest: a.Manifest}
+		c.news[a.Manifest] = n
 	}
-	n.Have = append(n.Have, have...)
-	n.Seen = append(n.Seen, seen...)
-	full := len(n.Have) > maxIndexes || len(n.Seen) > maxIndexes
+	n.Have = append(n.Have, a.Have...)
+	n.Seen = append(n.Seen, a.Seen...)
+	n.Tried = append(n.Tried, a.Tried...)
+	full := len(n.Have) > maxIndexes || len(n.Seen) > maxIndexes || len(n.Tried) > maxIndexes
 	c.mu.Unlock()
 	c.signal(full)
 }
@@ -173,7 +175,12 @@
 	case *maps:
 		n.do(func(s *state) { s.add(s.core.Greeted(s.now, c.name(), m.Manifest, m.Have, m.Seen)) })
 	case *news:
-		n.do(func(s *state) { s.add(s.core.Announced(s.now, c.name(), m.Manifest, m.Have, m.Seen)) })
+		n.do(func(s *state) {
+			s.add(s.core.Announced(s.now, c.name(), m.Manifest, m.Have, m.Seen))
+			s.add(s.core.Tried(s.now, c.name(), m.Manifest, m.Tried))
+		})
+	case *gone:
+		n.do(func(s *state) { s.add(s.core.SidesGone(s.now, c.name(), m.Sides)) })
 	case *offer:
 		n.do(func(s *state) { s.add(s.core.Offered(s.now, c.name())) })
 	case *pass:
--- a/io/version/swarm/messages.go
+++ b/io/version/swarm/messages.go
@@ -28,8 +28,18 @@
 	Manifest chunk.Digest `msgpack:"manifest"`
 	Have     []int        `msgpack:"have,omitempty"`
 	Seen     []int        `msgpack:"seen,omitempty"`
+	// Tried are the chunks that some side of the region keeps trying to fetch.
+	Tried []int `msgpack:"tried,omitempty"`
 }
 
+// gone names sides of the region that do not run.
+type gone struct {
+	Sides []string `msgpack:"sides"`
+}
+
+// maxGone bounds the sides in one message.
+const maxGone = 1024
+
 // offer invites the receiver to ask for one chunk, pass declines, and ready
 // says that an offer would be taken now.
 type (
@@ -81,6 +91,7 @@
 
 func (*maps) Kind() frame.Kind  { return "maps" }
 func (*news) Kind() frame.Kind  { return "news" }
+func (*gone) Kind() frame.Kind  { return "gone" }
 func (*offer) Kind() frame.Kind { return "offer" }
 func (*pass) Kind() frame.Kind  { return "pass" }
 func (*ready) Kind() frame.Kind { return "ready" }
@@ -101,7 +112,7 @@
 
 // Check reports the first field that is out of its domain.
 func (m *news) Check() error {
-	for _, list := range [][]int{m.Have, m.Seen} {
+	for _, list := range [][]int{m.Have, m.Seen, m.Tried} {
 		if len(list) > maxIndexes {
 			return errors.Newf("news: more than %d indexes", maxIndexes)
 		}
@@ -114,6 +125,14 @@
 	return m.Manifest.Check()
 }
 
+// Check reports whether too many sides are named.
+func (m *gone) Check() error {
+	if len(m.Sides) > maxGone {
+		return errors.Newf("gone: more than %d sides", maxGone)
+	}
+	return nil
+}
+
 // Check accepts every offer.
 func (*offer) Check() error { return nil }
 
@@ -162,6 +181,7 @@
 	k := frame.Kinds{}
 	k.Register(func() frame.Message { return &maps{} })
 	k.Register(func() frame.Message { return &news{} })
+	k.Register(func() frame.Message { return &gone{} })
 	k.Register(func() frame.Message { return &offer{} })
 	k.Register(func() frame.Message { return &pass{} })
 	k.Register(func() frame.Message { return &ready{} })
--- a/io/version/swarm/peers.go
+++ b/io/version/swarm/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,9 +55,12 @@
 		err = fault.Newf("dial", addr.String(), "answered as %s, want %s", lc.Peer.VM.Name, name)
 	}
 	if err != nil {
-		n.mu.Lock()
-		delete(n.state.dialing, name)
-		n.mu.Unlock()
+		n.do(func(s *state) {
+			delete(s.dialing, name)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				s.add(s.core.Refused(s.now, name))
+			}
+		})
 		close(done)
 		n.reportUnlessStopped("dial", name, err)
 		return
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -171,6 +171,9 @@
 	if n.Burst.Turns == 0 {
 		s.core.SetTurns(n.turns())
 	}
+	if n.Burst.Fanout == 0 {
+		s.core.SetFanout(n.fanout())
+	}
 	s.add(s.core.Update(s.now, sets))
 }
 
@@ -182,6 +185,14 @@
 	return burst.WideTurns
 }
 
+// fanout is to how many regions one hands a chunk on.
+func (n *Node) fanout() int {
+	if n.pacer.RegionBinds() {
+		return burst.DefaultFanout
+	}
+	return burst.WideFanout
+}
+
 // originRegion is what the document says, or the setting where it is silent.
 func (n *Node) originRegion(d *envdoc.Document) string {
 	if d.Origin.Region != "" {
