cmds: a SIGHUP ends no process that starts or stops

Cause: the signal is caught only while the settings are followed. Before, and once the process has drained, its default ends the process. Now the hosted commands hold it from their start until the process is gone; what is left is the time from exec to main. Whether the signal met the old process or the next one is not told by the logs; both are covered.

--- a/io/process/cmds/hosted.go
+++ b/io/process/cmds/hosted.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"hawthornferry/platform"
 )
@@ -26,5 +29,8 @@
 }
 
 func (c *hostedCommand) run(ctx context.Context, out output) error {
+	// Nobody receives here: a SIGHUP that comes before the settings are followed, or
+	// after, would end the process by its default.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	return c.start(ctx, out.stdout)
 }
