--- a/core/version/burst/burst.go
+++ b/core/version/burst/burst.go
@@ -103,6 +103,8 @@
 	// order holds the peers by name, so that decisions do not hang on the
 	// order of a map.
 	order []*peer
+	// dials are the neighbours that this side connects to.
+	dials []string
 	// uploads counts the upload slots in use.
 	uploads int
 	// suspects are sides that missed their turn, with the time until which
--- a/core/version/burst/update.go
+++ b/core/version/burst/update.go
@@ -162,7 +162,8 @@
 		}
 	}
 	s.sortPeers()
-	for _, n := range s.neighbours() {
+	s.dials = s.neighbours()
+	for _, n := range s.dials {
 		s.peer(n, s.cfg.Self.Region)
 	}
 	for _, p := range s.order {
@@ -193,7 +194,7 @@
 	if s.cfg.Direct {
 		return
 	}
-	for _, n := range s.neighbours() {
+	for _, n := range s.dials {
 		p := s.peer(n, s.cfg.Self.Region)
 		if p.connected || now.Before(p.dialAt) {
 			continue
--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -106,8 +106,7 @@
 
 // viewOf puts the facts into the terms of an environment document in which
 // the service's model has the given edition.
-func viewOf(s Settings, f *facts.Facts, service table.Service, e *shelf.Edition) view.View {
-	vms := vmsOf(s, f, service.Name)
+func viewOf(s Settings, f *facts.Facts, service table.Service, e *shelf.Edition, vms []fleet.VM) view.View {
 	d := &envdoc.Document{
 		Revision: f.Revision,
 		Stage:    envdoc.StageProduction,
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"hawthornferry/core/process/facts"
@@ -77,6 +79,22 @@
 	node    *swarm.Node
 	rollout *rollout
 	teller  *pulse.Teller
+	roster  roster
+
+	mu    sync.Mutex
+	taken taken
+}
+
+// taken is what the parts of a side were last given: the facts, the version to load
+// and the versions to fetch.
+type taken struct {
+	facts    *facts.Facts
+	picked   chunk.Digest
+	editions []chunk.Digest
+}
+
+func (t *taken) equal(o *taken) bool {
+	return t.facts == o.facts && t.picked == o.picked && slices.Equal(t.editions, o.editions)
 }
 
 // Run runs the side until ctx ends.
@@ -122,6 +140,7 @@
 		Verified: s.verified, Draining: func() bool { return false }, Deadline: s.loadDeadline,
 	}
 	s.teller = &pulse.Teller{Clock: f.clock, Log: f.log, Engine: s.Engine, Zone: s.Settings.VM.Zone}
+	s.teller.Noticed = orderer.Notice
 	s.shelf.Loading = s.teller.Announce
 	f.served = s.served
 	f.handlers[link.PurposeWeights] = s.node.Handler()
@@ -174,8 +193,25 @@
 	if len(editions) == 0 {
 		return
 	}
+	s.hand(f, editions, wanted)
+}
+
+// hand gives the parts a view unless it is the one that they have: time alone changes
+// it only now and then.
+func (s *Side) hand(f *facts.Facts, editions []*shelf.Edition, wanted []swarm.Wanted) {
+	picked := s.pick(f, editions)
+	now := taken{facts: f, picked: picked.Digest}
+	for _, e := range editions {
+		now.editions = append(now.editions, e.Digest)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.equal(&s.taken) {
+		return
+	}
+	s.taken = now
 	service, _ := f.Table.ServiceByName(s.Settings.VM.Service)
-	v := viewOf(s.Settings, f, service, s.pick(f, editions))
+	v := viewOf(s.Settings, f, service, picked, s.roster.of(s.Settings, f))
 	s.rollout.set(v)
 	s.node.Update(v, wanted)
 }
@@ -208,7 +244,7 @@
 
 // sides are the other sides.
 func (s *Side) sides() []fleet.VM {
-	return vmsOf(s.Settings, s.frame.feed.Current(), s.Settings.VM.Service)[1:]
+	return s.roster.of(s.Settings, s.frame.feed.Current())[1:]
 }
 
 // served is what the engine beside this process serves, once it has answered.
--- a/io/process/pulse/pulse.go
+++ b/io/process/pulse/pulse.go
@@ -22,8 +22,10 @@
 	// readEvery is how often the engine is read. A pass takes about 50 ms; a
 	// report within a pass tells nothing new.
 	readEvery = 50 * time.Millisecond
-	// restEvery is the same while the engine has no requests.
-	restEvery = 200 * time.Millisecond
+	// mostReadEvery is the same where reports are told less often, and restEvery
+	// while the engine has no requests.
+	mostReadEvery = 100 * time.Millisecond
+	restEvery     = 200 * time.Millisecond
 	// repeatEvery is how often an unchanged load is told, so that an entry
 	// can tell a quiet engine from a lost side.
 	repeatEvery = 300 * time.Millisecond
@@ -84,6 +86,9 @@
 	Engine shelf.Engine
 	// Zone is the side's own.
 	Zone string
+	// Noticed, when set, is called when the engine was seen to change in what decides
+	// whether it can be used. It must not block.
+	Noticed func()
 
 	mu      sync.Mutex
 	load    Load
@@ -137,7 +142,14 @@
 	if t.load.Active+t.load.Queued == 0 && t.load.Alive && !t.load.Loading {
 		return restEvery
 	}
-	return readEvery
+	// What is not told need not be read.
+	return min(max(readEvery, t.interval()), mostReadEvery)
+}
+
+// interval is how far apart two reports to the same entry are at the least; it is
+// called with the teller locked.
+func (t *Teller) interval() time.Duration {
+	return min(perEntry*time.Duration(t.near+t.far), repeatEvery)
 }
 
 func (t *Teller) read(ctx context.Context) {
@@ -163,6 +175,9 @@
 	if next.Alive != t.load.Alive || next.Serving != t.load.Serving || !t.told {
 		t.note(next, err)
 	}
+	if t.Noticed != nil && t.load.urgent(&next) {
+		t.Noticed()
+	}
 	t.tell(next)
 }
 
@@ -236,7 +251,10 @@
 // now.
 func (t *Teller) awaitNews(ctx context.Context, l *Load, changed <-chan struct{}) {
 	repeat := t.Clock.After(repeatEvery)
-	rest := t.Clock.After(min(perEntry*time.Duration(l.Near+l.Far), repeatEvery))
+	t.mu.Lock()
+	interval := t.interval()
+	t.mu.Unlock()
+	rest := t.Clock.After(interval)
 	rested, news := false, false
 	for !rested || !news {
 		select {
--- a/io/version/order/orderer.go
+++ b/io/version/order/orderer.go
@@ -16,7 +16,10 @@
 
 // Times of the orderer. The question must end well within roll.PermitLife.
 const (
-	stepEvery  = 200 * time.Millisecond
+	stepEvery = 200 * time.Millisecond
+	// restEvery is the same while the target serves what is wanted, and neither a new
+	// view has come nor a change of the target been noticed.
+	restEvery  = time.Second
 	askTimeout = time.Second
 )
 
@@ -48,6 +51,9 @@
 	// Deadline bounds when the target may begin to load; nil for no bound.
 	Deadline func() roll.Deadline
 
+	prepare sync.Once
+	noticed chan struct{}
+
 	mu      sync.Mutex
 	machine roll.Machine
 	facts   roll.Facts
@@ -58,19 +64,49 @@
 	serving chunk.Digest
 }
 
+func (o *Orderer) init() {
+	o.prepare.Do(func() { o.noticed = make(chan struct{}, 1) })
+}
+
+// Notice tells that the target may have changed by itself.
+func (o *Orderer) Notice() {
+	o.init()
+	select {
+	case o.noticed <- struct{}{}:
+	default:
+	}
+}
+
 // Run steps until ctx ends.
 func (o *Orderer) Run(ctx context.Context) error {
+	o.init()
 	for {
+		changed := o.Source.Changed()
 		o.step(ctx)
+		if !o.rests() {
+			changed = nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-changed:
+		case <-o.noticed:
 		case <-o.Clock.After(o.wait()):
 		}
 	}
 }
 
+// rests reports whether the target served what was wanted at the last step.
+func (o *Orderer) rests() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last == roll.ReasonServed
+}
+
 func (o *Orderer) wait() time.Duration {
+	if o.rests() {
+		return restEvery
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.machine.Wait(o.Clock.Now(), stepEvery)
