place: fairness between sizes by kind, by the prompts that each kind has

Cause: one class of large prompts a service, over 1.6 usual ones, into which a quarter of that kind falls; its chance of a place was taken for that of the largest. Prompts of which an idle engine needs two thirds of the objective wait for one that is nearly idle; when they are left out, only other work was held back, and on engines with requests of five other entries that makes no gap.

Now each kind of request learns the prompts of its largest tenth and of the fifth below it, measures the chance of each, and those that fall under 0.8 of their kind's are let in up to 0.4 of an objective later, as prompts that no engine answers on time.

What the larger ones take, smaller ones lose: the sum is the engines'.

Test, failing before: TestLargestPromptsAreServedUnderOverload.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -81,7 +81,7 @@
 		r.reading, r.passing = t.way+s.reading(now, t, &q.work), s.passing(now, t)
 	}
 	p.running[q.work.ID] = r
-	s.fair.note(s.large(&q.work), true)
+	s.noteChance(&q.work, true)
 	t.own++
 	t.unread += q.work.Prompt
 	t.sent = append(t.sent, sending{at: now, prompt: q.work.Prompt})
--- a/core/request/place/load_test.go
+++ b/core/request/place/load_test.go
@@ -5,6 +5,31 @@
 	"time"
 )
 
+// Guards against callers with the largest prompts who are left out while engines
+// cannot bear all: where an idle engine needs most of an objective for such a prompt,
+// any other request takes the place before it. The load is one and a half to two
+// times what the engines bear on time.
+func TestLargestPromptsAreServedUnderOverload(t *testing.T) {
+	const (
+		engines   = 15
+		entries   = 5
+		length    = 25 * time.Second
+		objective = 600 * time.Millisecond
+		// leastShare is what the largest tenth is served, of what all are.
+		leastShare = 0.5
+	)
+	for _, perSecond := range []float64{90, 120, 150} {
+		o := playOn(slowEngine, objective, engines, entries, perSecond, length, newModelPlacer)
+		all := float64(o.asked-o.refused) / float64(o.asked)
+		top := float64(o.largeServed) / float64(o.largeAsked)
+		t.Logf("%g a second: credit %.3f, on time %.3f, served %.3f, of the largest tenth %.3f (on time %.3f)", perSecond, o.share(),
+			float64(o.onTime)/float64(o.asked), all, top, float64(o.largeOnTime)/float64(o.largeAsked))
+		if top < leastShare*all {
+			t.Errorf("%g a second: %.3f of the largest tenth were served, of all %.3f", perSecond, top, all)
+		}
+	}
+}
+
 // Guards against a new version whose loads leave callers half of the engines. The
 // load is five to six requests a second for each engine, with which the engines of
 // the model write without a pause. Halves that load one after the other leave 0.80 of
--- a/core/request/place/model_test.go
+++ b/core/request/place/model_test.go
@@ -21,9 +21,15 @@
 	modelStride   = 5
 	modelChunk    = 2048
 	modelReadRate = 20700.0
+	// slowSlots and slowReadRate are those of the slower engines of a large
+	// deployment.
+	slowSlots    = 8
+	slowReadRate = 13800.0
 	reportEvery   = 50 * time.Millisecond
 	networkWay    = 3 * time.Millisecond
 	modelDeadline = 6 * time.Second
+	// modelObjective is when a first event is due.
+	modelObjective = 450 * time.Millisecond
 	// modelLoad is how long an empty engine takes to load.
 	modelLoad   = 300 * time.Millisecond
 	modelWindow = 2 * time.Second
@@ -38,6 +44,14 @@
 	ReadRate: modelReadRate, UsualPrompt: 979, UsualAnswer: 92,
 }
 
+// slowEngine is of a large deployment: an idle one needs most of an objective for
+// its largest prompts.
+var slowEngine = &table.Engine{
+	Model: "m", Slots: slowSlots, Stride: modelStride, Step: 13900 * time.Microsecond,
+	PerSequence: 35 * time.Microsecond, PerContext: 48 * time.Microsecond,
+	ReadRate: slowReadRate, UsualPrompt: 979, UsualAnswer: 70,
+}
+
 // job is one request of the model.
 type job struct {
 	id        string
@@ -55,6 +69,8 @@
 // engineSim is one engine: it reads prompts between the passes in which it
 // writes an event for each request whose prompt is read.
 type engineSim struct {
+	*table.Engine
+
 	id      string
 	zone    string
 	active  []*job
@@ -75,7 +91,7 @@
 	if e.busy(now) && len(e.active) == 0 && e.loadEnd == 0 {
 		e.loadEnd = now + modelLoad
 	}
-	for !e.busy(now) && len(e.active) < modelSlots && len(e.queue) > 0 {
+	for !e.busy(now) && len(e.active) < e.Slots && len(e.queue) > 0 {
 		e.active = append(e.active, e.queue[0])
 		e.queue = e.queue[1:]
 	}
@@ -104,13 +120,16 @@
 		j.unread -= n
 		read += n
 	}
-	pass := time.Duration(float64(read) / modelReadRate * float64(time.Second))
+	pass := time.Duration(float64(read) / e.ReadRate * float64(time.Second))
 	if writers > 0 || read > 0 {
-		pass += passTime(modelEngine, max(writers, 1))
+		pass += passTime(e.Engine, max(writers, 1))
 	}
 	e.passEnd = now + max(pass, modelStep)
 }
 
+// topPrompt is the prompt above which a tenth of the model's lie.
+const topPrompt = 2000
+
 // outcomes is what the callers of a run got, weighed by size.
 type outcomes struct {
 	asked, onTime, late, refused int
@@ -163,21 +182,26 @@
 // share, each with a policy of its own. Loads are when the engines, in order, are
 // ordered to load a version.
 func playLoad(engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf, loads ...time.Duration) outcomes {
+	return playOn(modelEngine, modelObjective, engines, entries, perSecond, length, make, loads...)
+}
+
+// playOn is playLoad on engines of the given kind.
+func playOn(engine *table.Engine, objective time.Duration, engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf, loads ...time.Duration) outcomes {
 	rng := rand.New(rand.NewPCG(1, 2))
-	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: modelEngine}}}
+	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: engine}}}
 	t.Index()
 	f := &facts.Facts{Table: t}
 	var sims []*engineSim
 	byID := map[string]*engineSim{}
 	for i := range engines {
-		e := &engineSim{id: "i" + strconv.Itoa(i), zone: modelZones[i%len(modelZones)]}
+		e := &engineSim{Engine: engine, id: "i" + strconv.Itoa(i), zone: modelZones[i%len(modelZones)]}
 		if i < len(loads) {
 			e.loadAt = loads[i]
 		}
 		sims = append(sims, e)
 		byID[e.id] = e
 		f.Targets = append(f.Targets, facts.Target{
-			ID: e.id, Service: "svc", Zone: e.zone, Slots: modelSlots, Serving: map[string]uint64{"m": 1},
+			ID: e.id, Service: "svc", Zone: e.zone, Slots: engine.Slots, Serving: map[string]uint64{"m": 1},
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		})
 	}
@@ -222,7 +246,7 @@
 	next, n := time.Duration(0), 0
 	for now := time.Duration(0); now < length+modelDeadline; now += modelStep {
 		for next <= now && next < length {
-			j := &job{id: strconv.Itoa(n), entry: n % entries, asked: next, objective: 450 * time.Millisecond}
+			j := &job{id: strconv.Itoa(n), entry: n % entries, asked: next, objective: objective}
 			j.prompt = min(int(979*math.Exp(rng.NormFloat64()*0.8-0.32)), 3880)
 			j.answer = max(5, min(int(92*math.Exp(rng.NormFloat64()*0.8-0.32)), 250))
 			j.unread = j.prompt
@@ -231,7 +255,7 @@
 			o.asked++
 			o.window(next).asked++
 			o.owed += size(j)
-			if j.prompt > 2000 {
+			if j.prompt > topPrompt {
 				o.largeAsked++
 			}
 			offer(now, j)
@@ -254,7 +278,7 @@
 				if on {
 					o.onTime++
 					o.window(j.asked).onTime++
-					if j.prompt > 2000 {
+					if j.prompt > topPrompt {
 						o.largeOnTime++
 					}
 					o.credit += size(j)
@@ -262,7 +286,7 @@
 					o.late++
 					o.credit += size(j) / 4
 				}
-				if j.prompt > 2000 {
+				if j.prompt > topPrompt {
 					o.largeServed++
 				}
 				after(now+networkWay, func(now time.Duration) { deliver(now, policies[j.entry].Done(modelStart.Add(now), j.id, ResultDone)) })
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -27,9 +27,11 @@
 type Work struct {
 	ID      string
 	Service string
-	Prompt  int
-	Answer  int
-	Asked   time.Time
+	// Kind names the requests that it is compared with by size, such as its route.
+	Kind   string
+	Prompt int
+	Answer int
+	Asked  time.Time
 	// Objective is zero for work without one.
 	Objective time.Duration
 	Deadline  time.Time
@@ -156,7 +158,7 @@
 	all     []*target
 	waiting []*wait
 	stretch stretch
-	fair    fairness
+	kinds   map[string]*kind
 }
 
 // wait is a request that waits for a target.
@@ -216,6 +218,9 @@
 	p.prepare()
 	s := p.service(w.Service)
 	q := &wait{work: w, since: now}
+	if !w.Begun {
+		s.kindOf(&w).learn(w.Prompt)
+	}
 	if !s.heldBack(&w) {
 		if v, ok := p.try(now, s, q); ok {
 			return []Verdict{v}
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -24,8 +24,12 @@
 	}
 	// What passes were seen to take is left out: it grows with the load, and more
 	// work would be let in late the more there is.
-	if least := s.leastTime(now, w); float64(least) > tightShare*float64(usual) {
-		return least + time.Duration(overTime*float64(w.Objective))
+	least, over := s.leastTime(now, w), time.Duration(overTime*float64(w.Objective))
+	if float64(least) > tightShare*float64(usual) {
+		return least + over
+	}
+	if s.behind(w) {
+		return usual + over
 	}
 	return usual
 }
@@ -50,7 +54,7 @@
 	if ok {
 		return Verdict{}, false
 	}
-	s.fair.note(s.large(w), false)
+	s.noteChance(w, false)
 	v := Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
 		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since), Candidates: s.candidates(now, w),
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -224,7 +224,7 @@
 		answerTokens = q.call.Answer
 	}
 	return place.Work{
-		ID: q.call.ID, Service: q.service.Name, Prompt: q.call.Prompt, Answer: answerTokens,
+		ID: q.call.ID, Service: q.service.Name, Kind: q.route.Name, Prompt: q.call.Prompt, Answer: answerTokens,
 		Asked: q.asked, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
 		Limits: s.versionLimits(q), Newest: s.newest(q), Avoid: q.failed, Begun: q.begun,
 	}
