--- a/core/request/place/model_test.go
+++ b/core/request/place/model_test.go
@@ -23,8 +23,8 @@
 	modelReadRate = 20700.0
 	// slowSlots and slowReadRate are those of the slower engines of a large
 	// deployment.
-	slowSlots    = 8
-	slowReadRate = 13800.0
+	slowSlots     = 8
+	slowReadRate  = 13800.0
 	reportEvery   = 50 * time.Millisecond
 	networkWay    = 3 * time.Millisecond
 	modelDeadline = 6 * time.Second
