feed: sides leave a lost store to the entries that tell them

Now a side whose second call in a row has failed leaves the store alone for 1.2 to 3.6 s and asks its tellers every 0.1 to 0.3 s meanwhile; one that finds its tellers starting waits for them for up to 0.8 s.

Ruled out: the store's lost history (one list for each process); the pause between two watches is bound by what tells a naming live (MostGap).

Tests, failing before: TestFollowersLeaveALostStoreToTheirTellers (11 calls in 5 s, 6 at most), TestStartWaitsForTellersThatStart (1 call).

--- a/io/process/feed/ask.go
+++ b/io/process/feed/ask.go
@@ -198,6 +198,7 @@
 // the store does not answer it.
 var (
 	errOldTeller  = errors.New("the peer's belief is old")
+	errNewTeller  = errors.New("the peer believes nothing yet")
 	errLostTeller = errors.New("the peer has lost the store")
 )
 
@@ -223,7 +224,10 @@
 		if t.Lost {
 			return errLostTeller
 		}
-		if age := f.Awake() - asked + t.Age; !t.Known || age > 2*f.TellWait+tellerLag {
+		if !t.Known {
+			return errNewTeller
+		}
+		if age := f.Awake() - asked + t.Age; age > 2*f.TellWait+tellerLag {
 			return errOldTeller
 		}
 	}
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
@@ -35,6 +37,10 @@
 	// firstRetry and mostRetry part calls that failed.
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = 800 * time.Millisecond
+	// tellersRetry parts the tries at the tellers of a process that leaves the store
+	// to them, and startWait is for how long one does that starts with them.
+	tellersRetry = 200 * time.Millisecond
+	startWait    = 800 * time.Millisecond
 	// returnGrace is how long a target that is missing when the store comes
 	// back is kept: targets that live register anew within two seconds.
 	returnGrace = 1800 * time.Millisecond
@@ -75,6 +81,10 @@
 	// read only while none of them can tell. A few read for all others, since
 	// the store's rate does not grow with the fleet.
 	Tellers func() []Peer
+	// StoreRest is how long a process that has tellers leaves the store to them after
+	// its own calls have failed too; zero for one that goes on calling. A whole fleet
+	// that calls a store which is away has spent its rate when that returns.
+	StoreRest time.Duration
 	// TellWait is how long this process waits for a change at its teller: the
 	// belief is confirmed that often, and a teller that has fallen silent shows
 	// after little more.
@@ -109,8 +119,10 @@
 	current   atomic.Pointer[facts.Facts]
 	changed   chan struct{}
 	prepared  sync.Once
-	// tellersAgain is when the tellers are tried again after none told.
+	// tellersAgain is when the tellers are tried again after none told, and
+	// storeAgain when the store is called again after it failed. Run alone uses both.
 	tellersAgain time.Time
+	storeAgain   time.Time
 	// storeUp and told are what was last written down.
 	storeUp bool
 	told    bool
@@ -162,19 +174,27 @@
 	wg.Go(func() { f.askNamed(ctx) })
 	pause := time.Duration(0)
 	fails := 0
+	started := f.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.Clock.After(pause):
 		}
-		f.beTold(ctx)
+		starting := f.beTold(ctx)
+		if f.leavesStore(starting, started) {
+			pause = tellersRetry/2 + rand.N(tellersRetry)
+			continue
+		}
 		began := f.Clock.Now()
 		err := f.step(ctx)
 		f.noteStore(err)
 		if err != nil {
 			f.callFailed()
 			pause = retryPause(fails)
+			if fails > 0 && f.StoreRest > 0 {
+				f.storeAgain = f.Clock.Now().Add(f.StoreRest/2 + rand.N(f.StoreRest))
+			}
 			fails++
 			continue
 		}
@@ -183,10 +203,25 @@
 	}
 }
 
-// beTold follows one of the tellers until it fails.
-func (f *Feed) beTold(ctx context.Context) {
-	if f.Tellers == nil || f.Clock.Now().Before(f.tellersAgain) {
-		return
+// leavesStore reports whether this process does not call the store now: its calls
+// have failed, and the tellers hear of the return; or it starts together with them,
+// and will be told in a moment.
+func (f *Feed) leavesStore(starting bool, started time.Time) bool {
+	if f.StoreRest <= 0 {
+		return false
+	}
+	if _, known := f.Age(); !known && starting && f.Clock.Since(started) < startWait {
+		return true
+	}
+	return f.Clock.Now().Before(f.storeAgain)
+}
+
+// beTold follows one of the tellers until it fails. It reports whether one of them
+// has only just started.
+func (f *Feed) beTold(ctx context.Context) (starting bool) {
+	resting := f.Clock.Now().Before(f.tellersAgain) && !f.Clock.Now().Before(f.storeAgain)
+	if f.Tellers == nil || resting {
+		return false
 	}
 	began := f.Awake()
 	defer func() { f.passOver(began) }()
@@ -195,8 +230,9 @@
 	for _, p := range tellers {
 		err := f.followPeer(ctx, p)
 		if ctx.Err() != nil {
-			return
+			return false
 		}
+		starting = starting || errors.Is(err, errNewTeller) || errors.Is(err, syscall.ECONNREFUSED)
 		f.Log.Decide(trail.Decision{
 			Area: trail.AreaConfig, Action: "tellerLost", Choice: p.Address.String(), Reason: err.Error(),
 			Revision: f.Self.Revision.Load(),
@@ -205,6 +241,7 @@
 	if _, known := f.Age(); known {
 		f.tellersAgain = f.Clock.Now().Add(tellersRest)
 	}
+	return starting
 }
 
 func retryPause(fails int) time.Duration {
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -121,6 +121,9 @@
 	}
 	if !f.reads() {
 		f.feed.Tellers, f.feed.TellWait = f.seeds, told
+		if s.VM.Role == fleet.RoleSide {
+			f.feed.StoreRest = sideRest
+		}
 	}
 	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
 	return f, nil
--- a/io/process/hosted/waits.go
+++ b/io/process/hosted/waits.go
@@ -13,6 +13,10 @@
 	sideWait  = 4 * time.Second
 	entryTold = 500 * time.Millisecond
 	sideTold  = 2 * time.Second
+	// sideRest is how long a side leaves the store to the entries that tell it when
+	// its own calls fail too: sides are the most processes by far, and vouch for
+	// nothing to callers.
+	sideRest = 2400 * time.Millisecond
 	// toldShare is the part of its wait at the store for which an entry waits at a
 	// teller.
 	toldShare = float64(entryTold) / float64(entryWait)
