feed: one watch that is cut sends no fleet to the store

Cause, by the small twin's log: a watch is cut at all three readers in the same moment; each told its followers that the store was lost until its next call, 0.1 s later. All sides left all three, read the store themselves and watched it for two seconds, with up to ten calls a second each.

Now a reader says that it has lost the store after its second call in a row has failed, and a side that turned to the store tries its tellers again after 0.2 s in place of two seconds. A teller that the store refuses is still left within its second call (TestTellerThatTheStoreRefusesIsLeftAtOnce).

Test, failing before: TestOneCutWatchSendsNobodyToTheStore.

--- a/io/process/feed/fakes_test.go
+++ b/io/process/feed/fakes_test.go
@@ -53,6 +53,8 @@
 	answered time.Time
 	gap      time.Duration
 	changed  chan struct{}
+	// once has the store fail one watch only.
+	once bool
 }
 
 func newFakeStore() *fakeStore {
@@ -81,6 +83,14 @@
 	s.changed = make(chan struct{})
 }
 
+// failOnce has the watch that is under way, or the next one, fail.
+func (s *fakeStore) failOnce(err error) {
+	s.fail(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.once = true
+}
+
 func (s *fakeStore) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,6 +145,9 @@
 			}
 		}
 		err, changed := s.fails, s.changed
+		if s.once {
+			s.fails, s.once = nil, false
+		}
 		if after < s.history {
 			err = ErrHistory
 		}
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -108,7 +108,7 @@
 	answered time.Duration
 	// failed is when, on Awake, a call of this process to the store last failed.
 	failed time.Duration
-	// lost is set while the last call of this process to the store has failed.
+	// lost is set while the last two calls of this process to the store have failed.
 	lost bool
 	// upUntil is the latest moment, on Awake, at which the store is known to have
 	// answered anybody; toldAt is until when a teller told. Both are moved on over
@@ -190,7 +190,7 @@
 		err := f.step(ctx)
 		f.noteStore(err)
 		if err != nil {
-			f.callFailed()
+			f.callFailed(fails)
 			pause = retryPause(fails)
 			if fails > 0 && f.StoreRest > 0 {
 				f.storeAgain = f.Clock.Now().Add(f.StoreRest/2 + rand.N(f.StoreRest))
@@ -216,6 +216,15 @@
 	return f.Clock.Now().Before(f.storeAgain)
 }
 
+// tellersPause is how long this process keeps to the store after none of its tellers
+// told.
+func (f *Feed) tellersPause() time.Duration {
+	if f.StoreRest > 0 {
+		return tellersRetry
+	}
+	return tellersRest
+}
+
 // beTold follows one of the tellers until it fails. It reports whether one of them
 // has only just started.
 func (f *Feed) beTold(ctx context.Context) (starting bool) {
@@ -239,7 +248,7 @@
 		})
 	}
 	if _, known := f.Age(); known {
-		f.tellersAgain = f.Clock.Now().Add(tellersRest)
+		f.tellersAgain = f.Clock.Now().Add(f.tellersPause())
 	}
 	return starting
 }
--- a/io/process/feed/rest_test.go
+++ b/io/process/feed/rest_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// Guards against a fleet that turns to the store since one watch of each reader was
+// cut: each of its processes watched the store for two seconds then.
+func TestOneCutWatchSendsNobodyToTheStore(t *testing.T) {
+	s := newFakeStore()
+	s.set("config", "1", false)
+	_, teller := tellingFeed(t, "teller", s)
+	counted := &countedStore{fakeStore: s}
+	f := follower(counted, teller)
+	runFeed(t, f)
+	eventually(t, "the configuration is known", func() bool { return f.Current().Table != nil })
+	before := counted.count()
+	s.failOnce(errors.New("cut"))
+	time.Sleep(2 * time.Second)
+	if got := counted.count() - before; got > 0 {
+		t.Errorf("%d calls to the store after one of its reader's was cut, want none", got)
+	}
+	s.set("config", "2", false)
+	eventually(t, "the new configuration is known", func() bool { return f.Current().Table.Version == 2 })
+}
+
 // closedPeer is an address at which nothing listens.
 func closedPeer(t *testing.T) Peer {
 	t.Helper()
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -12,12 +12,14 @@
 	return naming.Contact{Known: f.known, Revision: f.revision, Confirmed: f.confirmed, Answered: f.answered, Failed: f.failed}
 }
 
-// callFailed takes in that a call to the store failed.
-func (f *Feed) callFailed() {
+// callFailed takes in that a call to the store failed, and how many before it in a
+// row. After a single one the store is not told to be lost: a watch that is cut ends
+// at all readers in the same moment, and all whom they tell would turn to the store.
+func (f *Feed) callFailed(before int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed = f.Awake()
-	if !f.lost {
+	if !f.lost && before > 0 {
 		f.lost = true
 		close(f.changed)
 		f.changed = make(chan struct{})
