--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -234,36 +234,3 @@
 	}
 	return false
 }
-
-// sort puts the most pressing first: begun answers, then what can still be on
-// time, then by priority, then by the latest time at which the work can be placed
-// and be on time.
-func (s *service) sort(now time.Time) {
-	slices.SortStableFunc(s.waiting, func(a, b *wait) int {
-		if a.work.Begun != b.work.Begun {
-			if a.work.Begun {
-				return -1
-			}
-			return 1
-		}
-		if late := a.work.returned(now); late != b.work.returned(now) {
-			if late {
-				return 1
-			}
-			return -1
-		}
-		if a.work.Priority != b.work.Priority {
-			return a.work.Priority - b.work.Priority
-		}
-		return s.latest(&a.work).Compare(s.latest(&b.work))
-	})
-}
-
-// latest is when a request must be placed to be answered on time.
-func (s *service) latest(w *Work) time.Time {
-	at := w.Asked.Add(w.Objective)
-	if s.engine != nil {
-		at = at.Add(-time.Duration(float64(w.Prompt) / s.engine.ReadRate * float64(time.Second)))
-	}
-	return at
-}
--- a/core/request/place/load_test.go
+++ b/core/request/place/load_test.go
@@ -10,16 +10,12 @@
 // any other request takes the place before it. The load is one and a half to two
 // times what the engines bear on time.
 func TestLargestPromptsAreServedUnderOverload(t *testing.T) {
-	const (
-		engines   = 15
-		entries   = 5
-		length    = 25 * time.Second
-		objective = 600 * time.Millisecond
-		// leastShare is what the largest tenth is served, of what all are.
-		leastShare = 0.5
-	)
+	// leastShare is what the largest tenth is served, of what all are.
+	const leastShare = 0.5
+	l := load{engine: slowEngine, objective: 600 * time.Millisecond, engines: 15, entries: 5, length: 25 * time.Second}
 	for _, perSecond := range []float64{90, 120, 150} {
-		o := playOn(slowEngine, objective, engines, entries, perSecond, length, newModelPlacer)
+		l.perSecond = perSecond
+		o := l.play(newModelPlacer)
 		all := float64(o.asked-o.refused) / float64(o.asked)
 		top := float64(o.largeServed) / float64(o.largeAsked)
 		t.Logf("%g a second: credit %.3f, on time %.3f, served %.3f, of the largest tenth %.3f (on time %.3f)", perSecond, o.share(),
@@ -36,13 +32,10 @@
 // the worst two seconds on time, loads that are spread 0.97.
 func TestSpreadLoadsKeepCallersOnTime(t *testing.T) {
 	const (
-		engines   = 12
-		entries   = 6
-		perSecond = 65
-		length    = 12 * time.Second
-		whole     = 3 * time.Second
-		limit     = 7 * time.Second
-		least     = 0.9
+		engines = 12
+		whole   = 3 * time.Second
+		limit   = 7 * time.Second
+		least   = 0.9
 	)
 	var halves, spread []time.Duration
 	for i := range engines {
@@ -50,7 +43,9 @@
 		spread = append(spread, whole+time.Duration(i)*(limit-whole)/engines)
 	}
 	play := func(loads []time.Duration) outcomes {
-		return playLoad(engines, entries, perSecond, length, newModelPlacer, loads...)
+		l := usualLoad(engines, 6, 65, 12*time.Second)
+		l.loads = loads
+		return l.play(newModelPlacer)
 	}
 	together, apart := play(halves), play(spread)
 	t.Logf("worst two seconds: halves %.3f, spread %.3f; all: %.3f, %.3f", together.worst(), apart.worst(), together.share(), apart.share())
--- a/core/request/place/model_test.go
+++ b/core/request/place/model_test.go
@@ -178,35 +178,49 @@
 // modelZones are the zones of the model; engines and entries lie in them by turns.
 var modelZones = []string{"z0", "z1", "z2"}
 
-// playLoad plays perSecond requests a second for length on engines that entries
-// share, each with a policy of its own. Loads are when the engines, in order, are
-// ordered to load a version.
-func playLoad(engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf, loads ...time.Duration) outcomes {
-	return playOn(modelEngine, modelObjective, engines, entries, perSecond, length, make, loads...)
+// load is what callers ask of engines that entries share: perSecond requests a second
+// for a length of time. Loads are when the engines, in order, are ordered to load a
+// version.
+type load struct {
+	engine    *table.Engine
+	objective time.Duration
+	engines   int
+	entries   int
+	perSecond float64
+	length    time.Duration
+	loads     []time.Duration
+}
+
+// usualLoad is one on the model's usual engines.
+func usualLoad(engines, entries int, perSecond float64, length time.Duration) load {
+	return load{
+		engine: modelEngine, objective: modelObjective, engines: engines, entries: entries,
+		perSecond: perSecond, length: length,
+	}
 }
 
-// playOn is playLoad on engines of the given kind.
-func playOn(engine *table.Engine, objective time.Duration, engines, entries int, perSecond float64, length time.Duration, make func(entry int, f *facts.Facts) policyOf, loads ...time.Duration) outcomes {
+// play plays the load, with a policy of its own at each entry.
+func (l load) play(make func(entry int, f *facts.Facts) policyOf) outcomes {
 	rng := rand.New(rand.NewPCG(1, 2))
-	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: engine}}}
+	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: l.engine}}}
 	t.Index()
 	f := &facts.Facts{Table: t}
 	var sims []*engineSim
 	byID := map[string]*engineSim{}
-	for i := range engines {
-		e := &engineSim{Engine: engine, id: "i" + strconv.Itoa(i), zone: modelZones[i%len(modelZones)]}
-		if i < len(loads) {
-			e.loadAt = loads[i]
+	for i := range l.engines {
+		e := &engineSim{Engine: l.engine, id: "i" + strconv.Itoa(i), zone: modelZones[i%len(modelZones)]}
+		if i < len(l.loads) {
+			e.loadAt = l.loads[i]
 		}
 		sims = append(sims, e)
 		byID[e.id] = e
 		f.Targets = append(f.Targets, facts.Target{
-			ID: e.id, Service: "svc", Zone: e.zone, Slots: engine.Slots, Serving: map[string]uint64{"m": 1},
+			ID: e.id, Service: "svc", Zone: e.zone, Slots: l.engine.Slots, Serving: map[string]uint64{"m": 1},
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		})
 	}
 	var policies []policyOf
-	for i := range entries {
+	for i := range l.entries {
 		policies = append(policies, make(i, f))
 	}
 	var o outcomes
@@ -244,9 +258,9 @@
 		}
 	}
 	next, n := time.Duration(0), 0
-	for now := time.Duration(0); now < length+modelDeadline; now += modelStep {
-		for next <= now && next < length {
-			j := &job{id: strconv.Itoa(n), entry: n % entries, asked: next, objective: objective}
+	for now := time.Duration(0); now < l.length+modelDeadline; now += modelStep {
+		for next <= now && next < l.length {
+			j := &job{id: strconv.Itoa(n), entry: n % l.entries, asked: next, objective: l.objective}
 			j.prompt = min(int(979*math.Exp(rng.NormFloat64()*0.8-0.32)), 3880)
 			j.answer = max(5, min(int(92*math.Exp(rng.NormFloat64()*0.8-0.32)), 250))
 			j.unread = j.prompt
@@ -259,16 +273,16 @@
 				o.largeAsked++
 			}
 			offer(now, j)
-			next += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+			next += time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second))
 		}
 		due := timers
 		timers = nil
-		for _, l := range due {
-			if l.at > now {
-				timers = append(timers, l)
+		for _, d := range due {
+			if d.at > now {
+				timers = append(timers, d)
 				continue
 			}
-			l.do(now)
+			d.do(now)
 		}
 		for _, e := range sims {
 			e.step(now, func(j *job) {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -161,12 +161,6 @@
 	kinds   map[string]*kind
 }
 
-// wait is a request that waits for a target.
-type wait struct {
-	work  Work
-	since time.Time
-}
-
 // Update takes the services and targets that are known now.
 func (p *Placer) Update(now time.Time, f *facts.Facts) []Verdict {
 	p.prepare()
@@ -298,66 +292,6 @@
 	return p.settle(now)
 }
 
-func (p *Placer) settle(now time.Time) []Verdict {
-	var out []Verdict
-	for _, s := range p.services {
-		out = append(out, p.settleService(now, s)...)
-	}
-	return out
-}
-
-// settleService places what waits, the most pressing first, and refuses what
-// has no hope left.
-func (p *Placer) settleService(now time.Time, s *service) []Verdict {
-	if len(s.waiting) == 0 {
-		return nil
-	}
-	s.sort(now)
-	var out []Verdict
-	kept := s.waiting[:0]
-	held := false
-	for _, q := range s.waiting {
-		if !held || q.work.Begun {
-			if v, ok := p.try(now, s, q); ok {
-				out = append(out, v)
-				continue
-			}
-		}
-		if v, ok := p.hopeless(now, s, q); ok {
-			out = append(out, v)
-			continue
-		}
-		held = held || s.holdsBack(&q.work)
-		kept = append(kept, q)
-	}
-	s.waiting = kept
-	return out
-}
-
-// fill places what waits at a target that may have come to have room. The other
-// targets have had none when they changed last; what time alone brings is for Tick.
-func (p *Placer) fill(now time.Time, s *service, t *target) []Verdict {
-	if len(s.waiting) == 0 || t.load(now) >= s.places(t)+plainQueue {
-		return nil
-	}
-	s.sort(now)
-	var out []Verdict
-	kept := s.waiting[:0]
-	held := false
-	for _, q := range s.waiting {
-		if !held || q.work.Begun {
-			if v, ok := p.tryAt(now, s, q, t); ok {
-				out = append(out, v)
-				continue
-			}
-		}
-		held = held || s.holdsBack(&q.work)
-		kept = append(kept, q)
-	}
-	s.waiting = kept
-	return out
-}
-
 func (p *Placer) service(name string) *service {
 	s, ok := p.services[name]
 	if !ok {
--- a/core/request/place/place_test.go
+++ b/core/request/place/place_test.go
@@ -281,12 +281,12 @@
 	for _, perSecond := range []float64{80, 110, 140, 180} {
 		best, limit := outcomes{owed: 1}, 0
 		for _, n := range []int{3, 4, 5, 6} {
-			got := playLoad(12, 3, perSecond, 15*time.Second, func(_ int, f *facts.Facts) policyOf { return newCounting(f, n) })
+			got := usualLoad(12, 3, perSecond, 15*time.Second).play(func(_ int, f *facts.Facts) policyOf { return newCounting(f, n) })
 			if got.share() > best.share() {
 				best, limit = got, n
 			}
 		}
-		got := playLoad(12, 3, perSecond, 15*time.Second, newModelPlacer)
+		got := usualLoad(12, 3, perSecond, 15*time.Second).play(newModelPlacer)
 		t.Logf("%3.0f/s: credit %.3f (on time %d, late %d, refused %d of %d); best count, %d a target: %.3f",
 			perSecond, got.share(), got.onTime, got.late, got.refused, got.asked, limit, best.share())
 		if got.share() < best.share() {
@@ -302,7 +302,7 @@
 func BenchmarkLoad(b *testing.B) {
 	var got outcomes
 	for b.Loop() {
-		got = playLoad(12, 3, 140, 15*time.Second, newModelPlacer)
+		got = usualLoad(12, 3, 140, 15*time.Second).play(newModelPlacer)
 	}
 	b.ReportMetric(got.share(), "credit")
 	b.ReportMetric(float64(got.onTime)/float64(got.asked), "onTime")
@@ -342,7 +342,7 @@
 func TestManyEntriesShareEngines(t *testing.T) {
 	for _, perEngine := range []float64{5, 7, 9} {
 		const engines, entries = 45, 12
-		got := playLoad(engines, entries, perEngine*engines, 10*time.Second, newModelPlacer)
+		got := usualLoad(engines, entries, perEngine*engines, 10*time.Second).play(newModelPlacer)
 		large := float64(got.largeOnTime) / float64(got.largeAsked)
 		t.Logf("%2.0f/s an engine: credit %.3f (on time %d, late %d, refused %d of %d), large on time %.3f",
 			perEngine, got.share(), got.onTime, got.late, got.refused, got.asked, large)
--- a/core/version/burst/bench_test.go
+++ b/core/version/burst/bench_test.go
@@ -6,18 +6,22 @@
 	"time"
 )
 
+// benchSide is one of n sides in five regions, and the version that they want.
+func benchSide(n int) (*State, Set, time.Time) {
+	var members []Member
+	for i := range n {
+		members = append(members, Member{Name: fmt.Sprintf("10.%d.0.%d", i%5, i), Region: fmt.Sprintf("r%d", i%5)})
+	}
+	s := New(Config{Self: members[0], OriginRegion: "r1"})
+	return s, version("1", 0, scaleChunks).of(members), time.Unix(1000, 0)
+}
+
 // BenchmarkUpdate hands a side the same version and members again, as each change of
 // any target does.
 func BenchmarkUpdate(b *testing.B) {
 	for _, n := range []int{30, 100, 300, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var members []Member
-			for i := range n {
-				members = append(members, Member{Name: fmt.Sprintf("10.%d.0.%d", i%5, i), Region: fmt.Sprintf("r%d", i%5)})
-			}
-			s := New(Config{Self: members[0], OriginRegion: "r1"})
-			set := version("1", 0, 48).of(members)
-			now := time.Unix(1000, 0)
+			s, set, now := benchSide(n)
 			for b.Loop() {
 				s.Update(now, []Set{set})
 			}
@@ -29,13 +33,7 @@
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{30, 100, 300, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var members []Member
-			for i := range n {
-				members = append(members, Member{Name: fmt.Sprintf("10.%d.0.%d", i%5, i), Region: fmt.Sprintf("r%d", i%5)})
-			}
-			s := New(Config{Self: members[0], OriginRegion: "r1"})
-			set := version("1", 0, 48).of(members)
-			now := time.Unix(1000, 0)
+			s, set, now := benchSide(n)
 			s.Update(now, []Set{set})
 			for _, ref := range set.Manifest.Chunks {
 				s.Arrived(now, ref.Digest)
--- /dev/null
+++ b/core/version/burst/events_test.go
@@ -0,0 +1,30 @@
+package burst
+
+import (
+	"cmp"
+	"time"
+)
+
+// event is something that happens at a time; seq orders those of one time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+// queue holds what is still to happen, the next one first.
+type queue []event
+
+func (q queue) Len() int      { return len(q) }
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q queue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
--- a/core/version/burst/fakes_test.go
+++ b/core/version/burst/fakes_test.go
@@ -1,7 +1,6 @@
 package burst
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"testing"
@@ -18,30 +17,6 @@
 	giveUpTime   = 5 * time.Minute
 )
 
-// event is something that happens at a time; seq orders those of one time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// queue holds what is still to happen, the next one first.
-type queue []event
-
-func (q queue) Len() int      { return len(q) }
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q queue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
-}
-
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
 // network joins States by messages that take a fixed time. Everything in it
 // is determined by the seeds.
 type network struct {
--- a/core/version/burst/scale_test.go
+++ b/core/version/burst/scale_test.go
@@ -77,10 +77,8 @@
 	return scaleChunks*max(w.origin, w.side) + w.region + w.side
 }
 
-// Guards against a version that reaches a large fleet the later the larger that is,
-// on a calm day and after an outage of the origin: in a fleet of 120 sides the sides
-// that wait passed over those that tried in vain, and drew 98 chunks in place of 48
-// when the origin was back; the first was whole after 5.4 s.
+// Guards against a version that reaches a fleet the later the larger that is, on a calm
+// day and after an outage of the origin, and against chunks that are drawn twice.
 func TestVersionReachesALargeFleetAsSoon(t *testing.T) {
 	const away = 6 * time.Second
 	for _, sides := range [][]int{{20}, {7, 7, 6}, {20, 20, 20}, {24, 24, 24, 24, 24}, {41, 41, 41, 41, 40}} {
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -216,9 +216,9 @@
 	return f.Clock.Now().Before(f.storeAgain)
 }
 
-// tellersPause is how long this process keeps to the store after none of its tellers
+// upstreamPause is how long this process keeps to the store after none of its tellers
 // told.
-func (f *Feed) tellersPause() time.Duration {
+func (f *Feed) upstreamPause() time.Duration {
 	if f.StoreRest > 0 {
 		return tellersRetry
 	}
@@ -248,7 +248,7 @@
 		})
 	}
 	if _, known := f.Age(); known {
-		f.tellersAgain = f.Clock.Now().Add(f.tellersPause())
+		f.tellersAgain = f.Clock.Now().Add(f.upstreamPause())
 	}
 	return starting
 }
--- a/io/process/feed/rest_test.go
+++ b/io/process/feed/rest_test.go
@@ -12,10 +12,10 @@
 )
 
 // follower is a feed as a side has it.
-func follower(s Store, tellers ...Peer) *Feed {
+func follower(s Store, upstreams ...Peer) *Feed {
 	f := newFeed(s)
 	f.Wait, f.TellWait, f.StoreRest = 4*time.Second, 2*time.Second, 2400*time.Millisecond
-	f.Tellers = func() []Peer { return tellers }
+	f.Tellers = func() []Peer { return upstreams }
 	return f
 }
 
@@ -49,9 +49,8 @@
 	s.calls++
 }
 
-// Guards against a fleet that calls a store which is away all the while: 204 sides
-// made some 1,400 calls in 3.5 s, of the 2,300 of a day. Those that tell them find
-// out that it is back.
+// Guards against a fleet that calls a store which is away all the while: those that
+// tell it find out that the store is back.
 func TestFollowersLeaveALostStoreToTheirTellers(t *testing.T) {
 	const away = 5 * time.Second
 	s := newFakeStore()
@@ -102,7 +101,7 @@
 }
 
 // Guards against a fleet that turns to the store since one watch of each reader was
-// cut: each of its processes watched the store for two seconds then.
+// cut.
 func TestOneCutWatchSendsNobodyToTheStore(t *testing.T) {
 	s := newFakeStore()
 	s.set("config", "1", false)
