place: an entry with few engines in its zone keeps to more of the others

Found by reading: 8 engines of each other zone are too few where an entry's own zone has none or few of a service's: entries of four zones would share a service that runs in one by 8 engines each, and on the grown deployments (45 engines in three zones) an entry would know 31 of 45, though 48 cost no more than a large zone does.

Tests: TestSubsetDoesNotGrowWithTheFleet with the new cases (31 and 8 before), TestCensusCountsEntriesThatASideDoesNotHear.

--- a/core/request/place/census.go
+++ b/core/request/place/census.go
@@ -14,10 +14,10 @@
 	most int
 }
 
-// Note takes how many entries of its own zone and of others a side tells of, and
-// how many targets its zone has.
-func (c *Census) Note(side netip.Addr, own, other, targets int) {
-	ownShare, otherShare := Coverage(targets)
+// Note takes how many entries of its own zone and of others a side tells of, how many
+// targets its zone has, and how many zones there are.
+func (c *Census) Note(side netip.Addr, own, other, targets, zones int) {
+	ownShare, otherShare := Coverage(targets, zones)
 	estimate := float64(own)/ownShare + float64(other)/otherShare
 	if c.seen == nil {
 		c.seen = map[netip.Addr]float64{}
--- a/core/request/place/subset_test.go
+++ b/core/request/place/subset_test.go
@@ -48,6 +48,8 @@
 		want        int
 	}{
 		{"small: all", 3, 8, 24},
+		{"three zones, as many as a large zone: all", 3, 15, 45},
+		{"one zone, not the entry's", 1, 200, ownZoneTargets},
 		{"five zones", 5, 41, 41 + 4*otherZoneTargets},
 		{"large zones", 5, 256, ownZoneTargets + 4*otherZoneTargets},
 	}
@@ -81,13 +83,14 @@
 
 // Guards against a leaving target that takes the place of one that serves.
 func TestLeavingTargetTakesNoPlace(t *testing.T) {
-	f := zonedFacts(2, 20)
+	const each = 60
+	f := zonedFacts(2, each)
 	for i := range f.Targets {
-		f.Targets[i].Leaving = i >= 20 && i%2 == 0
+		f.Targets[i].Leaving = i >= each && i%2 == 0
 	}
 	live := 0
 	for i, kept := range Subset("entry", "z0", f.Targets) {
-		if kept && i >= 20 && !f.Targets[i].Leaving {
+		if kept && i >= each && !f.Targets[i].Leaving {
 			live++
 		}
 	}
@@ -99,7 +102,7 @@
 // Guards against callers who are refused while engines are free that their entry
 // does not keep to: it turns to those when its own may serve nobody.
 func TestOtherTargetsServeWhenOwnCannot(t *testing.T) {
-	f := zonedFacts(2, 20)
+	f := zonedFacts(2, 60)
 	p := &Placer{Name: "entry", Zone: "z0", Regions: map[string]string{"z0": "r0", "z1": "r1"}, Rand: rand.New(rand.NewPCG(1, 1))}
 	p.Update(start, f)
 	kept := keptBy("entry", "z0", f)
@@ -140,7 +143,7 @@
 		for i, kept := range Subset("entry0-0", "z0", f.Targets) {
 			if kept {
 				target := f.Targets[i]
-				c.Note(target.Address.Addr(), own[target.ID], other[target.ID], each)
+				c.Note(target.Address.Addr(), own[target.ID], other[target.ID], each, zones)
 			}
 		}
 		if got, want := float64(c.Entries()), float64(zones*entries); math.Abs(got-want) > want/5 {
--- a/io/process/hosted/audience.go
+++ b/io/process/hosted/audience.go
@@ -30,8 +30,10 @@
 // machine is one on which a side is heard.
 type machine struct {
 	targets []string
-	// near is how many machines its zone has of the same service.
-	near int
+	// near is how many machines its zone has of the same service, and zones how many
+	// zones have any.
+	near  int
+	zones int
 }
 
 // follow keeps to the sides of the engines there are.
@@ -66,7 +68,7 @@
 			if !known {
 				sides = append(sides, netip.AddrPortFrom(addr, a.sidePort))
 			}
-			m.near = near[targets[i].Zone]
+			m.near, m.zones = near[targets[i].Zone], len(near)
 			m.targets = append(m.targets, targets[i].ID)
 			heard[addr] = m
 		}
@@ -102,7 +104,7 @@
 	a.mu.Lock()
 	m, known := a.heard[side.Addr()]
 	if known {
-		a.census.Note(side.Addr(), l.Near, l.Far, m.near)
+		a.census.Note(side.Addr(), l.Near, l.Far, m.near, m.zones)
 	}
 	entries := a.census.Entries()
 	a.mu.Unlock()
