place: a target that is gone is not filled

Cause: since a first answer or an end fills only the target that it is of, one that had left was filled by what ended there: it is no longer listed, but its last requests know it.

Now a target is filled only while it is listed and the entry keeps to it.

Test, failing before for engines and plain targets: TestTargetThatIsGoneIsNotFilled.

--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -166,6 +166,9 @@
 	p.prepare()
 	old := p.targets
 	p.targets = make(map[string]*target, len(f.Targets))
+	for _, t := range old {
+		t.kept = false
+	}
 	for _, s := range p.services {
 		s.targets, s.all = nil, nil
 	}
@@ -194,6 +197,9 @@
 func (p *Placer) keepTo(s *service) {
 	if s.engine == nil {
 		s.targets = s.all
+		for _, t := range s.all {
+			t.kept = true
+		}
 		return
 	}
 	listed := make([]facts.Target, 0, len(s.all))
@@ -202,6 +208,7 @@
 	}
 	for i, kept := range Subset(p.Name, p.Zone, listed) {
 		if kept {
+			s.all[i].kept = true
 			s.targets = append(s.targets, s.all[i])
 		}
 	}
--- a/core/request/place/queue.go
+++ b/core/request/place/queue.go
@@ -33,8 +33,9 @@
 
 // fill places what waits at a target that may have come to have room. The other
 // targets have had none when they changed last; what time alone brings is for Tick.
+// A target that is gone still ends what runs there, and gets nothing more.
 func (p *Placer) fill(now time.Time, s *service, t *target) []Verdict {
-	if t.load(now) >= s.places(t)+plainQueue {
+	if !t.kept || t.load(now) >= s.places(t)+plainQueue {
 		return nil
 	}
 	return s.decideWaiting(now, func(q *wait, mayPlace bool) (Verdict, bool) {
--- a/core/request/place/subset_test.go
+++ b/core/request/place/subset_test.go
@@ -171,6 +171,44 @@
 	}
 }
 
+// Guards against requests to a target that has left: what ends there frees a place,
+// which what waits would take.
+func TestTargetThatIsGoneIsNotFilled(t *testing.T) {
+	tests := []struct {
+		name   string
+		engine bool
+	}{{"engine", true}, {"plain", false}}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			engine := modelEngine
+			if !tc.engine {
+				engine = nil
+			}
+			both := testFacts(engine, 1, "a", "b")
+			p := testPlacer(both)
+			placed := 0
+			for i := 0; len(p.Offer(start, testWork(fmt.Sprint(i)))) > 0; i++ {
+				placed++
+			}
+			only := *both
+			only.Targets = both.Targets[1:]
+			p.Update(start, &only)
+			now := start.Add(time.Millisecond)
+			for i := range placed {
+				id := fmt.Sprint(i)
+				if r := p.running[id]; r == nil || r.target.ID != "a" {
+					continue
+				}
+				for _, v := range append(p.Began(now, id), p.Done(now, id, ResultDone)...) {
+					if v.Target.ID == "a" {
+						t.Errorf("request %s was placed at the target that is gone", v.ID)
+					}
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkReport takes a report while twenty requests wait for engines that are
 // full, as on a busy day: 8 us at 30 and at 300 targets. When each report had all
 // targets looked at, 121 us at 30 and 1.26 ms at 300.
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -52,6 +52,8 @@
 type target struct {
 	facts.Target
 	distance int
+	// kept is set while the target is listed and the entry keeps to it.
+	kept bool
 	// way is how much longer than hop its answers are on their way.
 	way time.Duration
 
