--- a/core/request/place/move_test.go
+++ b/core/request/place/move_test.go
@@ -46,3 +46,33 @@
 		t.Errorf("free with all places taken (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a stream that is taken from its target and lost in the middle: the
+// target that it goes on at is full by then, or others wait for it.
+func TestStreamMovesToClearRoomOnly(t *testing.T) {
+	const slots = 8
+	tests := []struct {
+		name    string
+		active  int
+		waiting bool
+		want    bool
+	}{
+		{"half of the places taken", slots / 2, false, true},
+		{"more than half taken", slots/2 + 1, false, false},
+		{"others wait", slots / 2, true, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(modelEngine, slots, "a", "b"))
+			p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
+			p.Report(start, "b", Report{Alive: true, Serving: 1, Active: slots})
+			if tc.waiting && len(p.Offer(start, testWork("1"))) > 0 {
+				t.Fatal("the request does not wait")
+			}
+			p.targets["b"].others = tc.active
+			if diff := cmp.Diff(tc.want, p.Free(start, "svc", "a")); diff != "" {
+				t.Errorf("free (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
