--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -73,7 +73,7 @@
 	return p.send(now, s, q, o), true
 }
 
-// send counts a request at the target that was chosen for it.
+// send counts a request at its target.
 func (p *Placer) send(now time.Time, s *service, q *wait, o option) Verdict {
 	t := o.target
 	r := &run{work: q.work, target: t, since: now}
--- a/io/process/hosted/audience.go
+++ b/io/process/hosted/audience.go
@@ -22,9 +22,9 @@
 	listen func(sides []netip.AddrPort)
 	report func(target string, r place.Report)
 
-	mu     sync.Mutex
-	heard  map[netip.Addr]machine
-	census place.Census
+	mu       sync.Mutex
+	machines map[netip.Addr]machine
+	census   place.Census
 }
 
 // machine is one on which a side is heard.
@@ -52,7 +52,7 @@
 }
 
 func (a *audience) choose(f *facts.Facts) {
-	heard := map[netip.Addr]machine{}
+	machines := map[netip.Addr]machine{}
 	var sides []netip.AddrPort
 	for _, targets := range enginesOf(f) {
 		near := map[string]int{}
@@ -64,28 +64,28 @@
 				continue
 			}
 			addr := targets[i].Address.Addr()
-			m, known := heard[addr]
+			m, known := machines[addr]
 			if !known {
 				sides = append(sides, netip.AddrPortFrom(addr, a.sidePort))
 			}
 			m.near, m.zones = near[targets[i].Zone], len(near)
 			m.targets = append(m.targets, targets[i].ID)
-			heard[addr] = m
+			machines[addr] = m
 		}
 	}
-	a.set(heard)
+	a.set(machines)
 	a.listen(sides)
 }
 
-func (a *audience) set(heard map[netip.Addr]machine) {
+func (a *audience) set(machines map[netip.Addr]machine) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for addr := range a.heard {
-		if _, kept := heard[addr]; !kept {
+	for addr := range a.machines {
+		if _, kept := machines[addr]; !kept {
 			a.census.Forget(addr)
 		}
 	}
-	a.heard = heard
+	a.machines = machines
 }
 
 // enginesOf are the targets of each service whose targets are engines.
@@ -102,7 +102,7 @@
 // take hands on what a side tells of the engine on its machine.
 func (a *audience) take(side netip.AddrPort, l pulse.Load) {
 	a.mu.Lock()
-	m, known := a.heard[side.Addr()]
+	m, known := a.machines[side.Addr()]
 	if known {
 		a.census.Note(side.Addr(), l.Near, l.Far, m.near, m.zones)
 	}
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -59,13 +59,13 @@
 		server.Rules.KeyAge = scaled(b.Revoke, keyShare)
 	}
 	loads := &pulse.Listener{Self: f.self, Clock: f.clock, Log: f.log}
-	heard := &audience{entry: e.Settings.VM, sidePort: e.Settings.SidePort, listen: loads.Want, report: server.Report}
-	loads.Heard = heard.take
+	listener := &audience{entry: e.Settings.VM, sidePort: e.Settings.SidePort, listen: loads.Want, report: server.Report}
+	loads.Heard = listener.take
 	f.parts = append(
 		f.parts,
 		part{"callers", server.Run},
 		part{"load reports", loads.Run},
-		part{"sides to hear", func(ctx context.Context) error { return heard.follow(ctx, f.feed) }},
+		part{"sides to hear", func(ctx context.Context) error { return listener.follow(ctx, f.feed) }},
 	)
 	f.ready, f.drain, f.served = server.Ready, server.Drain, server.Served
 	peers, api, err := e.listeners()
