--- a/io/process/hosted/audience.go
+++ b/io/process/hosted/audience.go
@@ -22,15 +22,15 @@
 	listen func(sides []netip.AddrPort)
 	report func(target string, r place.Report)
 
-	mu       sync.Mutex
-	machines map[netip.Addr]machine
-	census   place.Census
+	mu     sync.Mutex
+	vms    map[netip.Addr]sideVM
+	census place.Census
 }
 
-// machine is one on which a side is heard.
-type machine struct {
+// sideVM is one on which a side is heard.
+type sideVM struct {
 	targets []string
-	// near is how many machines its zone has of the same service, and zones how many
+	// near is how many VMs its zone has of the same service, and zones how many
 	// zones have any.
 	near  int
 	zones int
@@ -52,7 +52,7 @@
 }
 
 func (a *audience) choose(f *facts.Facts) {
-	machines := map[netip.Addr]machine{}
+	vms := map[netip.Addr]sideVM{}
 	var sides []netip.AddrPort
 	for _, targets := range enginesOf(f) {
 		near := map[string]int{}
@@ -64,28 +64,28 @@
 				continue
 			}
 			addr := targets[i].Address.Addr()
-			m, known := machines[addr]
+			m, known := vms[addr]
 			if !known {
 				sides = append(sides, netip.AddrPortFrom(addr, a.sidePort))
 			}
 			m.near, m.zones = near[targets[i].Zone], len(near)
 			m.targets = append(m.targets, targets[i].ID)
-			machines[addr] = m
+			vms[addr] = m
 		}
 	}
-	a.set(machines)
+	a.set(vms)
 	a.listen(sides)
 }
 
-func (a *audience) set(machines map[netip.Addr]machine) {
+func (a *audience) set(vms map[netip.Addr]sideVM) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for addr := range a.machines {
-		if _, kept := machines[addr]; !kept {
+	for addr := range a.vms {
+		if _, kept := vms[addr]; !kept {
 			a.census.Forget(addr)
 		}
 	}
-	a.machines = machines
+	a.vms = vms
 }
 
 // enginesOf are the targets of each service whose targets are engines.
@@ -99,10 +99,10 @@
 	return out
 }
 
-// take hands on what a side tells of the engine on its machine.
+// take hands on what a side tells of the engine on its sideVM.
 func (a *audience) take(side netip.AddrPort, l pulse.Load) {
 	a.mu.Lock()
-	m, known := a.machines[side.Addr()]
+	m, known := a.vms[side.Addr()]
 	if known {
 		a.census.Note(side.Addr(), l.Near, l.Far, m.near, m.zones)
 	}
