--- a/io/process/hosted/audience.go
+++ b/io/process/hosted/audience.go
@@ -27,7 +27,7 @@
 	census place.Census
 }
 
-// sideVM is one on which a side is heard.
+// sideVM is a VM on which a side is heard.
 type sideVM struct {
 	targets []string
 	// near is how many VMs its zone has of the same service, and zones how many
@@ -99,7 +99,7 @@
 	return out
 }
 
-// take hands on what a side tells of the engine on its sideVM.
+// take hands on what a side tells of the engine on its VM.
 func (a *audience) take(side netip.AddrPort, l pulse.Load) {
 	a.mu.Lock()
 	m, known := a.vms[side.Addr()]
