place: a begun answer goes on where no load is due

Cause: before the bound on the old version the engines of a zone load one after the other. A stream moved from one that waits to load, or resumed after a failure, went to any with room, also to one that still serves the old version and turns away what has not begun there when its own order comes.

Test, failing before: TestBegunAnswerGoesWhereNoLoadIsDue.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -32,7 +32,10 @@
 	// lostCost is how much longer a first answer may take elsewhere before a
 	// target is chosen whose side has fallen silent, and lostShare the part of
 	// its slots that it then takes.
-	lostCost  = 150 * time.Millisecond
+	lostCost = 150 * time.Millisecond
+	// loadCost is how much longer a begun answer may wait elsewhere before a target is
+	// chosen that is still to load: it has mostly one attempt left.
+	loadCost  = mostExpected
 	lostShare = 0.5
 	// lateShare is the part of an engine's slots up to which it takes work
 	// whose objective has passed, and lateSoon the part of that objective that the
@@ -123,6 +126,12 @@
 	return s.all
 }
 
+// mayLoad reports whether a target is still to load the newest version; what it has not
+// begun by then it turns away.
+func (s *service) mayLoad(now time.Time, t *target, w *Work) bool {
+	return s.engine != nil && t.serves(now, s.engine.Model) < w.Newest
+}
+
 // open returns what a target offers the work, if it has room for it.
 func (s *service) open(now time.Time, t *target, w *Work) (option, bool) {
 	if !usable(now, s, t, w) {
@@ -136,6 +145,9 @@
 	if t.lost(now) {
 		cost += lostCost
 	}
+	if w.Begun && s.mayLoad(now, t, w) {
+		cost += loadCost
+	}
 	return option{t, expected, cost}, true
 }
 
--- a/core/request/place/move.go
+++ b/core/request/place/move.go
@@ -20,17 +20,18 @@
 // clearShare is the part of a target's slots up to which it has clear room.
 const clearShare = 0.5
 
-// Free reports whether a target of the service other than the given one has clear room,
-// and nothing waits for it. A stream that is moved has mostly one attempt left: at a
-// target that has become full by then, it is lost in the middle.
-func (p *Placer) Free(now time.Time, serviceName, target string) bool {
+// Free reports whether a target of the service other than the given one serves the
+// newest version and has clear room, and nothing waits for it. A stream that is moved
+// has mostly one attempt left: at a target that has become full by then, or turns it
+// away to load, it is lost in the middle.
+func (p *Placer) Free(now time.Time, serviceName, target string, newest uint64) bool {
 	s := p.services[serviceName]
 	if s == nil || len(s.waiting) > 0 {
 		return false
 	}
-	w := &Work{Avoid: []string{target}, Begun: true}
+	w := &Work{Avoid: []string{target}, Begun: true, Newest: newest}
 	for _, t := range s.eligible(now, w) {
-		if usable(now, s, t, w) && float64(t.load(now)) <= clearShare*float64(slotsOf(t.Target)) {
+		if usable(now, s, t, w) && !s.mayLoad(now, t, w) && float64(t.load(now)) <= clearShare*float64(slotsOf(t.Target)) {
 			return true
 		}
 	}
--- a/core/request/place/move_test.go
+++ b/core/request/place/move_test.go
@@ -35,14 +35,14 @@
 	p := testPlacer(testFacts(modelEngine, 2, "a", "b"))
 	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
 	for i := range 2 {
-		if diff := cmp.Diff(true, p.Free(start, "svc", "a")); diff != "" {
+		if diff := cmp.Diff(true, p.Free(start, "svc", "a", 1)); diff != "" {
 			t.Errorf("free with %d requests at the other (-want +got):\n%s", i, diff)
 		}
 		w := testWork(fmt.Sprint(i))
 		w.Prompt = 10
 		p.Offer(start, w)
 	}
-	if diff := cmp.Diff(false, p.Free(start, "svc", "a")); diff != "" {
+	if diff := cmp.Diff(false, p.Free(start, "svc", "a", 1)); diff != "" {
 		t.Errorf("free with all places taken (-want +got):\n%s", diff)
 	}
 }
@@ -70,9 +70,26 @@
 				t.Fatal("the request does not wait")
 			}
 			p.targets["b"].others = tc.active
-			if diff := cmp.Diff(tc.want, p.Free(start, "svc", "a")); diff != "" {
+			if diff := cmp.Diff(tc.want, p.Free(start, "svc", "a", 1)); diff != "" {
 				t.Errorf("free (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
+
+// Guards against a stream that goes on at an engine which is about to load and turns it
+// away: it is neither moved there, nor sent there while another one can take it.
+func TestBegunAnswerGoesWhereNoLoadIsDue(t *testing.T) {
+	p := testPlacer(testFacts(modelEngine, 8, "a", "b", "c"))
+	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
+	p.Report(start, "b", Report{Alive: true, Serving: 1})
+	p.Report(start, "c", Report{Alive: true, Serving: 2, Active: 6})
+	if diff := cmp.Diff(false, p.Free(start, "svc", "a", 2)); diff != "" {
+		t.Errorf("free with only the old version idle (-want +got):\n%s", diff)
+	}
+	w := testWork("1")
+	w.Begun, w.Newest, w.Avoid = true, 2, []string{"a"}
+	if diff := cmp.Diff([]string{"1 placed c"}, decisions(p.Offer(start, w))); diff != "" {
+		t.Errorf("where a begun answer goes on (-want +got):\n%s", diff)
+	}
+}
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -68,10 +68,10 @@
 	return ok
 }
 
-// free reports whether a target but the given one has a place below its slots.
-func (d *desk) free(service, target string) (ok bool) {
+// free reports whether a target but the given one has clear room for what is moved.
+func (d *desk) free(service, target string, newest uint64) (ok bool) {
 	d.Do(func() []place.Verdict {
-		ok = d.placer.Free(d.clock.Now(), service, target)
+		ok = d.placer.Free(d.clock.Now(), service, target, newest)
 		return nil
 	})
 	return ok
