direct: tell why an answer that had begun was broken off

Whether the entry gave that attempt up itself (the target waits to load, is silent, its version is overdue) or the target broke off is what separates the hypotheses.

The answer line tells the cause; config/state, which is written every two seconds, and /metrics count by cause the attempts that the entry ended and the answers closed in the middle. No decision changes.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -32,6 +32,15 @@
 	Targets       []TargetCount  `json:"targets,omitempty"`
 	Named         []NamedVersion `json:"named,omitempty"`
 	Serving       []ServedCount  `json:"serving,omitempty"`
+	Ends          []EndCount     `json:"ends,omitempty"`
+}
+
+// EndCount is how many attempts a process has ended itself since its start for a
+// cause, and how many answers it closed in the middle after an attempt that ended so.
+type EndCount struct {
+	Cause     string `json:"cause"`
+	Abandoned int    `json:"abandoned,omitempty"`
+	BrokenOff int    `json:"brokenOff,omitempty"`
 }
 
 // TargetCount is how many targets of a service are listed.
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -39,8 +39,11 @@
 	Choice   string    `json:"choice,omitempty"`
 	Outcome  string    `json:"outcome,omitempty"`
 	Reason   string    `json:"reason,omitempty"`
-	Revision uint64    `json:"revision,omitempty"`
-	Left     []Left    `json:"left,omitempty"`
+	// Cause is why the attempt ended that had begun an answer which was closed in the
+	// middle: overdue, targetSilent or targetLoading when the entry ended it.
+	Cause    string `json:"cause,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Left     []Left `json:"left,omitempty"`
 	// Status is that of an answer, Load the requests at the choice, Version the
 	// one that it serves and Demanded the least that may answer. WaitedMS,
 	// ExpectedMS, FirstMS and TookMS are of the request: waited for a place,
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -67,7 +67,7 @@
 		part{"load reports", loads.Run},
 		part{"sides to hear", func(ctx context.Context) error { return listener.follow(ctx, f.feed) }},
 	)
-	f.ready, f.drain, f.served = server.Ready, server.Drain, server.Served
+	f.ready, f.drain, f.served, f.ends = server.Ready, server.Drain, server.Served, server.Ends
 	peers, api, err := e.listeners()
 	if err != nil {
 		return err
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -91,6 +91,8 @@
 	drain func(ctx context.Context) error
 	// served is what this process takes the engines to serve.
 	served func() []place.Served
+	// ends are the answers and attempts that this process has ended itself.
+	ends func() []trail.EndCount
 }
 
 func newFrame(s Settings, p Platform, out io.Writer) (*frame, error) {
@@ -98,7 +100,7 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	}
-	f := &frame{settings: s, latest: s, read: p.Settings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.Served { return nil }}
+	f := &frame{settings: s, latest: s, read: p.Settings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.Served { return nil }, ends: func() []trail.EndCount { return nil }}
 	f.started = f.clock.Now()
 	f.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
 	f.metrics, f.expose, f.closer = admin.NewMetrics()
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -30,7 +30,7 @@
 
 func (f *frame) state() trail.Decision {
 	known := f.feed.Current()
-	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(f.served())}
+	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(f.served()), Ends: f.ends()}
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
 	}
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -81,6 +81,7 @@
 	entries  int
 	patience patience
 	moves    moves
+	ends     ends
 	// demandedNow holds the version of each model that was last demanded.
 	demandedNow sync.Map
 }
--- a/io/request/direct/meter.go
+++ b/io/request/direct/meter.go
@@ -97,6 +97,17 @@
 	m.count(counterKey{name: "own_answers_total", reason: reason, status: status})
 }
 
+// abandoned counts an attempt that the entry ended itself.
+func (m meter) abandoned(c cause) {
+	m.count(counterKey{name: "abandoned_total", reason: string(c), status: noStatus})
+}
+
+// brokenOff counts an answer that was closed in the middle, by why the attempt that
+// had begun it ended.
+func (m meter) brokenOff(c cause) {
+	m.count(counterKey{name: "broken_off_total", reason: string(c), status: noStatus})
+}
+
 // attempted counts an attempt by how it ended.
 func (m meter) attempted(o resend.Outcome) {
 	m.count(counterKey{name: "attempts_total", outcome: string(o), status: noStatus})
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -66,7 +66,7 @@
 		}
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, resultOf(o, err))
-		s.noteAttempt(ctx, q, o, err)
+		s.noteAttempt(ctx, q, o, err, out.begun())
 		if o == resend.Relayed {
 			s.finish(q, string(o), q.story.status)
 			return
@@ -177,7 +177,7 @@
 		return
 	}
 	if !q.tries.MayRefuse() {
-		s.answer(w, q, answer{status: http.StatusBadGateway, reason: or(q.reason, "brokenOff")})
+		s.answer(w, q, answer{status: http.StatusBadGateway, reason: or(q.reason, brokenOff)})
 		return
 	}
 	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: or(q.reason, "notRun"), retryAfter: unservedWait})
@@ -186,7 +186,9 @@
 // breakOff ends an answer that its caller has a part of: the connection is
 // closed in the middle of it, so that it cannot be taken for whole.
 func (s *Server) breakOff(q *request) {
-	s.finish(q, "brokenOff", 0)
+	s.meter.brokenOff(q.story.cause)
+	s.ends.brokenOff(q.story.cause)
+	s.finish(q, brokenOff, 0)
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -20,6 +20,9 @@
 	actionAnswer  = "answer"
 )
 
+// brokenOff is the outcome of an answer that was closed in the middle.
+const brokenOff = "brokenOff"
+
 // reasonLate is the reason of an answer that was passed on after its objective.
 const reasonLate = "late"
 
@@ -34,6 +37,9 @@
 	status int
 	// cut is the error that ended the target's answer, nil while there is none.
 	cut error
+	// cause is why the last attempt ended that the caller has a part of an answer
+	// from, empty while there is none.
+	cause cause
 	// first is the time to the first event, zero while there is none.
 	first time.Duration
 }
@@ -96,8 +102,9 @@
 	}
 }
 
-// noteAttempt counts an attempt, and logs one that did not end well.
-func (s *Server) noteAttempt(ctx context.Context, q *request, o resend.Outcome, err error) {
+// noteAttempt counts an attempt, and logs one that did not end well. Begun is set when
+// its caller has a part of the answer.
+func (s *Server) noteAttempt(ctx context.Context, q *request, o resend.Outcome, err error, begun bool) {
 	if err == nil {
 		err = q.story.cut
 	}
@@ -109,6 +116,14 @@
 	if o == resend.Relayed {
 		return
 	}
+	c, own := causeOf(err)
+	if own {
+		s.meter.abandoned(c)
+		s.ends.abandoned(c)
+	}
+	if begun && o != resend.NotRun && o != resend.Unsent {
+		q.story.cause = c
+	}
 	d := q.decision(actionAttempt)
 	d.Outcome, d.Status, d.LastEvent = string(o), q.story.status, q.lastEvent
 	d.TookMS = s.Clock.Since(q.story.tried).Milliseconds()
@@ -124,6 +139,9 @@
 	s.meter.ended(q.route.Name, how, status, took)
 	d := q.decision(actionAnswer)
 	d.Outcome, d.Reason, d.Status = how, q.reason, status
+	if how == brokenOff {
+		d.Cause = string(q.story.cause)
+	}
 	d.TookMS = took.Milliseconds()
 	if age, known := s.Source.Age(); known {
 		d.AgeMS = age.Milliseconds()
