direct: keep a stream's target until another one has taken it over

The entry had cut it, since the engine waited to load, and sent it to another engine; that one turned it away as its own load began. The route allows two attempts, so that nothing was left but to close the connection.

Cause: break before make. The entry gave up a working answer for the promise of room elsewhere, which nobody had reserved and the other engine had not made. The same order was used for streams whose target is silent (guard.silent).

Ruled out: orders that truncate what runs (sides order in mode queue only), a crash of the first engine (the next one is reached 1 to 5 ms after the cut, as only the entry does that ended it).

Now a place is taken at the other target first, and the attempt there begun, while the first exchange stays open. What the first target writes meanwhile is held back, for the route's gap or half a second at the most, so that the other one goes on exactly after what the caller has. Once it has written the next event the first exchange is ended; if it turns the stream away, breaks off, fails, is silent or goes on elsewhere, the stream continues from the first target.

Tests: TestMovedStreamIsWholeWhateverTheOtherTargetDoes (five of six cases failed before), TestStreamOfSilentTargetIsKept and TestEventsAreHeldBriefly (failed before), TestMovedStreamLeavesItsTargetOnceTheOtherOneWritesIt; ten times each with -race. place.Free became Relocate, which takes the place it finds: TestStreamMovesToAFreePlaceOnly now moves three streams to two places, where it asked three times before; the checks of clear room are as they were. TestLastStreamsLeaveATargetThatWaitsToLoad reads the request to move where it read the cut.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -102,14 +102,26 @@
 // choose returns a target with about the earliest first answer, among those that
 // have room for the work.
 func (p *Placer) choose(now time.Time, s *service, w *Work) (option, bool) {
+	return p.cheapest(s.openTo(now, w, func(*target) bool { return true }))
+}
+
+// openTo returns what the targets that suit offer the work.
+func (s *service) openTo(now time.Time, w *Work, suits func(t *target) bool) []option {
 	var open []option
-	least := time.Duration(math.MaxInt64)
 	for _, t := range s.eligible(now, w) {
-		if o, ok := s.open(now, t, w); ok {
+		if o, ok := s.open(now, t, w); ok && suits(t) {
 			open = append(open, o)
-			least = min(least, o.cost)
 		}
 	}
+	return open
+}
+
+// cheapest draws one of the options that cost about the least.
+func (p *Placer) cheapest(open []option) (option, bool) {
+	least := time.Duration(math.MaxInt64)
+	for _, o := range open {
+		least = min(least, o.cost)
+	}
 	open = slices.DeleteFunc(open, func(o option) bool { return o.cost > least+alikeCost })
 	if len(open) == 0 {
 		return option{}, false
--- a/core/request/place/move.go
+++ b/core/request/place/move.go
@@ -20,20 +20,27 @@
 // clearShare is the part of a target's slots up to which it has clear room.
 const clearShare = 0.5
 
-// Free reports whether a target of the service other than the given one serves the
-// newest version and has clear room, and nothing waits for it. A stream that is moved
-// has mostly one attempt left: at a target that has become full by then, or turns it
-// away to load, it is lost in the middle.
-func (p *Placer) Free(now time.Time, serviceName, target string, newest uint64) bool {
-	s := p.services[serviceName]
-	if s == nil || len(s.waiting) > 0 {
-		return false
+// Relocate places an answer under way that could end where it is: at another target
+// that serves the newest version and has clear room, while nothing waits. The place
+// counts at once, so that answers that leave a target together do not meet there.
+func (p *Placer) Relocate(now time.Time, w Work) (Verdict, bool) {
+	p.prepare()
+	s := p.service(w.Service)
+	if len(s.waiting) > 0 {
+		return Verdict{}, false
 	}
-	w := &Work{Avoid: []string{target}, Begun: true, Newest: newest}
-	for _, t := range s.eligible(now, w) {
-		if usable(now, s, t, w) && !s.mayLoad(now, t, w) && float64(t.load(now)) <= clearShare*float64(slotsOf(t.Target)) {
-			return true
-		}
+	o, ok := p.cheapest(s.openTo(now, &w, func(t *target) bool {
+		return !s.mayLoad(now, t, &w) && float64(t.load(now)) <= clearShare*float64(slotsOf(t.Target))
+	}))
+	if !ok {
+		return Verdict{}, false
 	}
-	return false
+	return p.send(now, s, &wait{work: w, since: now}, o), true
+}
+
+// Replace places an answer under way whose target is silent, at any other one that can
+// take it now.
+func (p *Placer) Replace(now time.Time, w Work) (Verdict, bool) {
+	p.prepare()
+	return p.try(now, p.service(w.Service), &wait{work: w, since: now})
 }
--- a/core/request/place/move_test.go
+++ b/core/request/place/move_test.go
@@ -29,21 +29,25 @@
 	}
 }
 
-// Guards against a stream that is taken from its target while every other place is
-// taken: it would wait behind its own prompt.
+// leaving is an answer under way at target a, which goes on elsewhere.
+func leaving(id string, newest uint64) Work {
+	w := testWork(id)
+	w.Prompt, w.Begun, w.Newest, w.Avoid = 10, true, newest, []string{"a"}
+	return w
+}
+
+// Guards against streams that leave a target together for the same place, and against
+// one that leaves while every other place is taken.
 func TestStreamMovesToAFreePlaceOnly(t *testing.T) {
 	p := testPlacer(testFacts(modelEngine, 2, "a", "b"))
 	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
-	for i := range 2 {
-		if diff := cmp.Diff(true, p.Free(start, "svc", "a", 1)); diff != "" {
-			t.Errorf("free with %d requests at the other (-want +got):\n%s", i, diff)
-		}
-		w := testWork(fmt.Sprint(i))
-		w.Prompt = 10
-		p.Offer(start, w)
+	var got []bool
+	for i := range 3 {
+		_, ok := p.Relocate(start, leaving(fmt.Sprint(i), 1))
+		got = append(got, ok)
 	}
-	if diff := cmp.Diff(false, p.Free(start, "svc", "a", 1)); diff != "" {
-		t.Errorf("free with all places taken (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]bool{true, true, false}, got); diff != "" {
+		t.Errorf("moved to two places (-want +got):\n%s", diff)
 	}
 }
 
@@ -70,8 +74,9 @@
 				t.Fatal("the request does not wait")
 			}
 			p.targets["b"].others = tc.active
-			if diff := cmp.Diff(tc.want, p.Free(start, "svc", "a", 1)); diff != "" {
-				t.Errorf("free (-want +got):\n%s", diff)
+			_, ok := p.Relocate(start, leaving("2", 1))
+			if diff := cmp.Diff(tc.want, ok); diff != "" {
+				t.Errorf("moved (-want +got):\n%s", diff)
 			}
 		})
 	}
@@ -84,8 +89,9 @@
 	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
 	p.Report(start, "b", Report{Alive: true, Serving: 1})
 	p.Report(start, "c", Report{Alive: true, Serving: 2, Active: 6})
-	if diff := cmp.Diff(false, p.Free(start, "svc", "a", 2)); diff != "" {
-		t.Errorf("free with only the old version idle (-want +got):\n%s", diff)
+	_, ok := p.Relocate(start, leaving("2", 2))
+	if diff := cmp.Diff(false, ok); diff != "" {
+		t.Errorf("moved with only the old version idle (-want +got):\n%s", diff)
 	}
 	w := testWork("1")
 	w.Begun, w.Newest, w.Avoid = true, 2, []string{"a"}
--- a/core/request/resend/resend.go
+++ b/core/request/resend/resend.go
@@ -8,7 +8,8 @@
 // The outcomes of an attempt. Relayed means that the caller has the whole answer;
 // Broken that the answer ended early or never came, after the request may have
 // run; Failure is a failure that the target itself answered. LateReply is an
-// answer to another request.
+// answer to another request. Moved is an attempt whose answer goes on at another
+// target, Dropped one that the entry has no more use for.
 const (
 	Relayed   Outcome = "relayed"
 	Failure   Outcome = "failureOfTarget"
@@ -17,6 +18,8 @@
 	Broken    Outcome = "broken"
 	Caller    Outcome = "callerGone"
 	LateReply Outcome = "replyOfAnother"
+	Moved     Outcome = "moved"
+	Dropped   Outcome = "dropped"
 )
 
 // maxUnreached bounds the targets tried that were not reached: each costs
@@ -66,9 +69,13 @@
 	return t.reached < t.Most
 }
 
-// Movable reports whether the request may leave the target that it is at for
-// another one.
-func (t *Tries) Movable() bool { return t.Repeatable && t.reached < t.Most }
+// Left is to how many more targets the request may go from one that has it.
+func (t *Tries) Left() int {
+	if !t.Repeatable {
+		return 0
+	}
+	return max(t.Most-t.reached, 0)
+}
 
 // MayRefuse reports whether the caller may be told that its request has not run
 // and never will.
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/facts"
@@ -68,13 +69,18 @@
 	return ok
 }
 
-// free reports whether a target but the given one has clear room for what is moved.
-func (d *desk) free(service, target string, newest uint64) (ok bool) {
+// move places an answer under way at another target: at any when its own is silent,
+// else where there is clear room.
+func (d *desk) move(w place.Work, why error) (v place.Verdict, ok bool) {
 	d.Do(func() []place.Verdict {
-		ok = d.placer.Free(d.clock.Now(), service, target, newest)
+		if errors.Is(why, errSilent) {
+			v, ok = d.placer.Replace(d.clock.Now(), w)
+		} else {
+			v, ok = d.placer.Relocate(d.clock.Now(), w)
+		}
 		return nil
 	})
-	return ok
+	return v, ok
 }
 
 // fewLeft reports whether a target that waits to load has few requests left.
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/request/place"
 )
 
 // How long a target may be silent before its request is moved to another one,
@@ -38,8 +40,10 @@
 	target  string
 	serving uint64
 	timer   clockwork.Timer
-	// movable is set when another target may take the request over.
+	// movable is set when another target may take the request over, and wanted
+	// brings why it should.
 	movable bool
+	wanted  chan error
 
 	mu  sync.Mutex
 	due clockwork.Timer
@@ -57,8 +61,11 @@
 	errLoading = errors.New("target waits to load")
 )
 
-func (s *Server) guard(q *request, x *exchange, serving uint64) *guard {
-	g := &guard{server: s, q: q, x: x, target: q.target, serving: serving, movable: q.tries.Movable()}
+func (s *Server) guard(q *request, x *exchange, v place.Verdict, movable bool) *guard {
+	g := &guard{
+		server: s, q: q, x: x, target: v.Target.ID, serving: v.Serving,
+		movable: movable, wanted: make(chan error, 1),
+	}
 	g.watchDue()
 	s.moves.add(g)
 	if g.movable {
@@ -67,6 +74,14 @@
 	return g
 }
 
+// move asks for an answer that has begun to be moved to another target.
+func (g *guard) move(why error) {
+	select {
+	case g.wanted <- why:
+	default:
+	}
+}
+
 // beginWithin is how long a request may still begin on a version; false if
 // nothing newer bounds that.
 func (s *Server) beginWithin(q *request, serving uint64) (time.Duration, bool) {
@@ -123,7 +138,11 @@
 // sent once more; else its answer may still come, and to end it would cost the
 // caller what it has.
 func (g *guard) silent() {
-	if !g.server.desk.other(g.q.service.Name, g.q.target) || !g.server.retry(g.q.service.Name) {
+	if g.begun.Load() {
+		g.move(errSilent)
+		return
+	}
+	if !g.server.desk.other(g.q.service.Name, g.target) || !g.server.retry(g.q.service.Name) {
 		return
 	}
 	g.q.prepaid.Store(true)
--- a/io/request/direct/guard_test.go
+++ b/io/request/direct/guard_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/table"
 )
 
@@ -46,13 +47,13 @@
 	w := &guarded{t: t, clock: clockwork.NewFakeClock(), belief: &belief{facts: &facts.Facts{}}}
 	w.server = &Server{Clock: w.clock, Source: w.belief, Rules: Rules{Version: 8 * time.Second}}
 	w.q = &request{service: table.Service{Name: "svc", Engine: &table.Engine{Model: "m"}}, deadline: w.clock.Now().Add(time.Hour)}
-	w.x = &exchange{conn: entry, stop: func() bool { return true }}
+	w.x = &exchange{conn: entry, done: make(chan struct{}), stop: func() bool { return true }}
 	t.Cleanup(w.x.close)
 	return w
 }
 
 func (w *guarded) send() {
-	w.guard = w.server.guard(w.q, w.x, 1)
+	w.guard = w.server.guard(w.q, w.x, place.Verdict{Target: facts.Target{ID: w.q.target}, Serving: 1}, w.q.tries.Left() > 0)
 	w.t.Cleanup(w.guard.stop)
 }
 
@@ -124,7 +125,7 @@
 	w.x.resp = &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}
 	rec := httptest.NewRecorder()
 	r := &wholeRelay{q: w.q, out: callerWriter{w: rec, rc: http.NewResponseController(rec)}}
-	r.take(w.x, w.guard)
+	r.read(w.x, w.guard)
 	if diff := cmp.Diff(nil, w.x.reason()); diff != "" {
 		t.Errorf("ended by the entry (-want +got):\n%s", diff)
 	}
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -57,8 +57,11 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	begun     bool
-	target    string
-	reason    string
+	// target is where the request is, and placed the id under which its place there
+	// is counted.
+	target string
+	placed string
+	reason string
 }
 
 // serve is the way of each request.
@@ -277,8 +280,21 @@
 	return v.Version
 }
 
+// expected is the version that the target must serve as the request begins, 0 for any.
+// A target that goes back to older weights, as after a restart, must not answer by
+// them. While others still load the newest version, a target that has it can only go
+// back.
+func (s *Server) expected(q *request, serving uint64) uint64 {
+	q.story.demanded = s.demanded(q)
+	newest := s.newest(q)
+	if q.story.demanded > 0 || newest > 0 && serving >= newest {
+		return serving
+	}
+	return 0
+}
+
 // outgoing makes the request for a target.
-func (s *Server) outgoing(ctx context.Context, q *request, target string, version uint64) *http.Request {
+func (s *Server) outgoing(ctx context.Context, q *request, v place.Verdict) *http.Request {
 	h := q.in.Header.Clone()
 	gate.StripHops(h)
 	if h.Get("User-Agent") == "" {
@@ -286,8 +302,8 @@
 		h.Set("User-Agent", "")
 	}
 	s.Dialect.Forward(h, Forward{
-		Target: target, Left: q.deadline.Sub(s.Clock.Now()), Customer: q.customer,
-		LastEvent: q.lastEvent, Version: version,
+		Target: v.Target.ID, Left: q.deadline.Sub(s.Clock.Now()), Customer: q.customer,
+		LastEvent: q.lastEvent, Version: s.expected(q, v.Serving),
 	})
 	out := (&http.Request{Method: q.in.Method, Host: q.in.Host, Header: h, Close: true}).WithContext(ctx)
 	u := *q.in.URL
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -62,8 +62,12 @@
 	})
 }
 
-// slowEngine writes an event of each stream whenever it is allowed one.
-type slowEngine struct{ next chan struct{} }
+// slowEngine writes an event of a stream whenever it is allowed one. Left is closed
+// when the stream is taken from it.
+type slowEngine struct {
+	next chan struct{}
+	left chan struct{}
+}
 
 func (e *slowEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", eventStream)
@@ -71,6 +75,7 @@
 		select {
 		case <-e.next:
 		case <-r.Context().Done():
+			close(e.left)
 			return
 		}
 		writeEvent(w, n)
@@ -88,7 +93,7 @@
 
 func startMoving(t *testing.T, other http.HandlerFunc) *moving {
 	t.Helper()
-	m := &moving{t: t, engine: &slowEngine{next: make(chan struct{}, streamEvents)}}
+	m := &moving{t: t, engine: &slowEngine{next: make(chan struct{}, streamEvents), left: make(chan struct{})}}
 	a, b := httptest.NewServer(read(m.engine)), httptest.NewServer(read(other))
 	t.Cleanup(a.Close)
 	t.Cleanup(b.Close)
@@ -163,6 +168,32 @@
 	return f
 }
 
+// goOn writes what a caller lacks of a stream.
+func goOn(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.Header.Get(testHeaderAfter))
+	w.Header().Set("Content-Type", eventStream)
+	for n := after + 1; n <= streamEvents; n++ {
+		writeEvent(w, n)
+	}
+}
+
+// rest reads a stream to its end and returns the events.
+func rest(t *testing.T, in *bufio.Reader) []uint64 {
+	t.Helper()
+	var got []uint64
+	for {
+		e, err := readEvent(in)
+		if err == io.EOF {
+			return got
+		}
+		if err != nil {
+			t.Errorf("after events %v: %v", got, err)
+			return got
+		}
+		got = append(got, e.id)
+	}
+}
+
 // Guards against a stream that is given up at a target which writes it, for another
 // one that then does not take it.
 func TestMovedStreamIsWholeWhateverTheOtherTargetDoes(t *testing.T) {
@@ -185,13 +216,7 @@
 		}},
 		{"fails", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }},
 		{"is silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
-		{"takes it", func(w http.ResponseWriter, r *http.Request) {
-			after, _ := strconv.Atoi(r.Header.Get(testHeaderAfter))
-			w.Header().Set("Content-Type", eventStream)
-			for n := after + 1; n <= streamEvents; n++ {
-				writeEvent(w, n)
-			}
-		}},
+		{"takes it", goOn},
 	}
 	want := []uint64{2, 3, 4, 5, 6}
 	for _, tc := range tests {
@@ -205,21 +230,70 @@
 					m.engine.next <- struct{}{}
 				}
 			}()
-			var got []uint64
-			for {
-				e, err := readEvent(in)
-				if err == io.EOF {
-					break
-				}
-				if err != nil {
-					t.Errorf("after event %v: %v", got, err)
-					break
-				}
-				got = append(got, e.id)
-			}
-			if diff := cmp.Diff(want, got); diff != "" {
+			if diff := cmp.Diff(want, rest(t, in)); diff != "" {
 				t.Errorf("events (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
+
+// Guards against an engine that stands empty until its last stream has ended, though
+// another one has taken the stream over.
+func TestMovedStreamLeavesItsTargetOnceTheOtherOneWritesIt(t *testing.T) {
+	m := startMoving(t, goOn)
+	_, in := m.stream()
+	m.load()
+	if diff := cmp.Diff([]uint64{2, 3, 4, 5, 6}, rest(t, in)); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+	select {
+	case <-m.engine.left:
+	case <-time.After(5 * time.Second):
+		t.Error("the first target still has the stream")
+	}
+}
+
+// Guards against events that wait for as long as the other target is silent.
+func TestEventsAreHeldBriefly(t *testing.T) {
+	m := startMoving(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	_, in := m.stream()
+	m.load()
+	began := time.Now()
+	m.engine.next <- struct{}{}
+	if e, err := readEvent(in); err != nil || e.id != 2 {
+		t.Fatalf("event %d: %v", e.id, err)
+	}
+	if took := time.Since(began); took > 2*mostHeld {
+		t.Errorf("the event came after %s, want %s at most", took, mostHeld)
+	}
+	for range streamEvents - 2 {
+		m.engine.next <- struct{}{}
+	}
+	if diff := cmp.Diff([]uint64{3, 4, 5, 6}, rest(t, in)); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a stream that is given up at a target which pauses, for another one
+// that then does not take it.
+func TestStreamOfSilentTargetIsKept(t *testing.T) {
+	asked := make(chan struct{}, 1)
+	m := startMoving(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testHeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		asked <- struct{}{}
+	})
+	_, in := m.stream()
+	m.server.Report("b", place.Report{Alive: true, Serving: 1})
+	select {
+	case <-asked:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the other target was not asked")
+	}
+	for range streamEvents - 1 {
+		m.engine.next <- struct{}{}
+	}
+	if diff := cmp.Diff([]uint64{2, 3, 4, 5, 6}, rest(t, in)); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
--- a/io/request/direct/move.go
+++ b/io/request/direct/move.go
@@ -50,9 +50,8 @@
 		return
 	}
 	for _, g := range s.moves.of(target) {
-		if g.movable && g.begun.Load() && s.desk.free(g.q.service.Name, target, s.newest(g.q)) && s.retry(g.q.service.Name) {
-			g.q.prepaid.Store(true)
-			g.x.abandon(errLoading)
+		if g.movable && g.begun.Load() {
+			g.move(errLoading)
 		}
 	}
 }
--- a/io/request/direct/move_test.go
+++ b/io/request/direct/move_test.go
@@ -47,8 +47,13 @@
 				w.guard.heard()
 			}
 			w.server.Report("a", tc.report)
-			if diff := cmp.Diff(tc.want, errors.Is(w.x.reason(), errLoading)); diff != "" {
-				t.Errorf("moved (-want +got):\n%s", diff)
+			var why error
+			select {
+			case why = <-w.guard.wanted:
+			default:
+			}
+			if diff := cmp.Diff(tc.want, errors.Is(why, errLoading)); diff != "" {
+				t.Errorf("to be moved (-want +got):\n%s", diff)
 			}
 		})
 	}
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -20,13 +20,16 @@
 	resend.Broken:    place.ResultFailed,
 	resend.Caller:    place.ResultLeft,
 	resend.LateReply: place.ResultFailed,
+	resend.Moved:     place.ResultFailed,
+	resend.Dropped:   place.ResultLeft,
 }
 
 // relay hands a target's answers to the caller. A second attempt may follow
 // on one that broke off.
 type relay interface {
-	// take reads the answer of one attempt and tells the guard of each part.
-	take(x *exchange, g *guard) resend.Outcome
+	// take reads the answer of one attempt and tells the guard of each part. The
+	// error is why the entry itself ended it.
+	take(ctx context.Context, x *exchange, g *guard) (resend.Outcome, error)
 	// begun reports whether the caller has a part of an answer.
 	begun() bool
 	// final hands over a failure that a target answered and that was held
@@ -61,11 +64,11 @@
 		if s.overdue(q, v.Serving) {
 			// It waited for its place until the target's version was too old; an
 			// idle engine would begin at once. The next choice knows.
-			s.desk.done(q.call.ID, place.ResultLeft)
+			s.desk.done(v.ID, place.ResultLeft)
 			continue
 		}
 		o, err := s.attempt(ctx, q, v, out)
-		s.desk.done(q.call.ID, resultOf(o, err))
+		s.desk.done(q.placed, resultOf(o, err))
 		s.noteAttempt(ctx, q, o, err, out.begun())
 		if o == resend.Relayed {
 			s.finish(q, string(o), q.story.status)
@@ -79,33 +82,32 @@
 			s.fail(w, q, out)
 			return
 		}
-		q.failed = append(q.failed, v.Target.ID)
+		q.failed = append(q.failed, q.target)
 		q.begun = out.begun()
 	}
 }
 
 // attempt sends the request to one target.
 func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (resend.Outcome, error) {
-	q.target = v.Target.ID
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// A target that goes back to older weights, as after a restart, must not
-	// answer by them: it checks the version as the request begins. While others
-	// still load the newest one, a target that has it can only go back.
-	version := uint64(0)
-	q.story.demanded = s.demanded(q)
-	if newest := s.newest(q); q.story.demanded > 0 || newest > 0 && v.Serving >= newest {
-		version = v.Serving
-	}
-	req := s.outgoing(ctx, q, v.Target.ID, version)
+	q.target, q.placed = v.Target.ID, v.ID
+	req := s.outgoing(ctx, q, v)
 	x, err := s.sender.connect(ctx, v.Target)
 	if err != nil {
 		return resend.Unsent, err
 	}
 	defer x.close()
 	q.tries.Sent()
-	guard := s.guard(q, x, v.Serving)
+	guard := s.guard(q, x, v, q.tries.Left() > 0)
 	defer guard.stop()
+	if o, err := s.ask(q, x, req); o != "" {
+		return o, err
+	}
+	return out.take(ctx, x, guard)
+}
+
+// ask sends the request and reads the head of the answer. It returns how the attempt
+// ended if no answer can be taken from it.
+func (s *Server) ask(q *request, x *exchange, req *http.Request) (resend.Outcome, error) {
 	if err := x.roundTrip(req, q.body); err != nil {
 		return resend.Broken, errors.CombineErrors(err, x.reason())
 	}
@@ -119,7 +121,7 @@
 	if x.resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
 		return resend.Broken, errors.New("the answer is not signed")
 	}
-	return out.take(x, guard), x.reason()
+	return "", nil
 }
 
 // again reports whether another attempt may follow on one that ended so.
--- a/io/request/direct/send.go
+++ b/io/request/direct/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,9 @@
 	conn net.Conn
 	resp *http.Response
 	stop func() bool
+	// done is closed with the exchange.
+	done chan struct{}
+	once sync.Once
 	// left says why the entry itself ended the exchange.
 	left atomic.Pointer[error]
 }
@@ -58,10 +62,37 @@
 
 // close ends the exchange; a target stops its work when its connection ends.
 func (x *exchange) close() {
+	x.once.Do(func() { close(x.done) })
 	x.stop()
 	x.conn.Close()
 }
 
+// message is an event of a stream, or the error with which it ended.
+type message struct {
+	event event
+	err   error
+}
+
+// messages reads the events of the answer until it or the exchange ends.
+func (x *exchange) messages() <-chan message {
+	out := make(chan message)
+	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
+	go func() {
+		for {
+			e, err := readEvent(in)
+			select {
+			case out <- message{e, err}:
+			case <-x.done:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
 // connect opens a connection to a target; after an error the target has not
 // seen the request. The exchange ends when ctx does.
 func (s *sender) connect(ctx context.Context, t facts.Target) (*exchange, error) {
@@ -73,7 +104,7 @@
 		return nil, fault.At("connect to target", t.Address.String(), err)
 	}
 	s.ways.note(t.Zone, s.clock.Since(began))
-	x := &exchange{conn: conn}
+	x := &exchange{conn: conn, done: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
 }
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -133,6 +133,16 @@
 	s.Log.Decide(d)
 }
 
+// noteSuccessor notes an attempt at a target that was to take an answer over and did
+// not. The story goes on with the target that still has it.
+func (s *Server) noteSuccessor(ctx context.Context, q *request, h *handover, n successor) {
+	kept := q.story
+	q.beginAttempt(h.began, h.verdict)
+	s.noteAttempt(ctx, q, n.outcome, n.err, false)
+	kept.attempts = q.story.attempts
+	q.story = kept
+}
+
 // finish counts and logs the end of a request.
 func (s *Server) finish(q *request, how string, status int) {
 	took := s.Clock.Since(q.arrived)
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"hawthornferry/core/process/fault"
 	"hawthornferry/core/request/resend"
 )
 
@@ -81,45 +81,34 @@
 	whole *wholeRelay
 }
 
-func (r *streamRelay) take(x *exchange, g *guard) resend.Outcome {
-	if x.resp.StatusCode != http.StatusOK || !strings.HasPrefix(x.resp.Header.Get("Content-Type"), eventStream) {
-		return r.takeWhole(x, g)
+func (r *streamRelay) take(ctx context.Context, x *exchange, g *guard) (resend.Outcome, error) {
+	if !isStream(x.resp) {
+		return r.takeWhole(ctx, x, g)
 	}
 	r.q.story.status = x.resp.StatusCode
-	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
 	r.fresh = true
-	for {
-		e, err := readEvent(in)
-		if errors.Is(err, io.EOF) {
-			return r.end(x)
-		}
-		if err != nil {
-			r.q.story.cut = fault.At("read stream", "", err)
-			return resend.Broken
-		}
-		g.heard()
-		if !r.follows(e) {
-			r.q.reason, r.q.story.cut = errOrder.Error(), errOrder
-			return resend.Broken
-		}
-		if err := r.pass(x, e); err != nil {
-			return resend.Caller
-		}
-	}
+	f := &flow{streamRelay: r, ctx: ctx, x: x, guard: g, events: x.messages()}
+	return f.run()
+}
+
+// isStream reports whether an answer is a stream of events.
+func isStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 }
 
-// follows reports whether an event is the next one.
-func (r *streamRelay) follows(e event) bool {
+// follows reports whether an event is the next one after those that the caller has and
+// as many more.
+func (r *streamRelay) follows(e event, more int) bool {
 	if !e.hasID || !r.hasLast {
 		return true
 	}
-	return e.id == r.last+1
+	return e.id == r.last+uint64(more)+1
 }
 
 func (r *streamRelay) pass(x *exchange, e event) error {
 	if r.fresh {
 		r.fresh = false
-		r.server.desk.began(r.q.call.ID)
+		r.server.desk.began(r.q.placed)
 	}
 	if !r.started {
 		r.started = true
@@ -147,15 +136,15 @@
 }
 
 // takeWhole takes an answer that is not a stream of events: a failure.
-func (r *streamRelay) takeWhole(x *exchange, g *guard) resend.Outcome {
+func (r *streamRelay) takeWhole(ctx context.Context, x *exchange, g *guard) (resend.Outcome, error) {
 	if r.started {
 		r.q.story.cut = errors.Newf("status %d in place of the rest of a stream", x.resp.StatusCode)
-		return resend.Broken
+		return resend.Broken, x.reason()
 	}
 	if r.whole == nil {
 		r.whole = &wholeRelay{q: r.q, out: r.out}
 	}
-	return r.whole.take(x, g)
+	return r.whole.take(ctx, x, g)
 }
 
 func (r *streamRelay) begun() bool { return r.started || (r.whole != nil && r.whole.passed) }
--- a/io/request/direct/stream_test.go
+++ b/io/request/direct/stream_test.go
@@ -49,7 +49,7 @@
 func TestEventsFollowEachOther(t *testing.T) {
 	r := &streamRelay{last: 4, hasLast: true}
 	for id, want := range map[uint64]bool{4: false, 5: true, 6: false} {
-		if got := r.follows(event{id: id, hasID: true}); got != want {
+		if got := r.follows(event{id: id, hasID: true}, 0); got != want {
 			t.Errorf("event %d after 4 follows: %t, want %t", id, got, want)
 		}
 	}
--- a/io/request/direct/whole.go
+++ b/io/request/direct/whole.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -60,7 +61,11 @@
 	passed   bool
 }
 
-func (r *wholeRelay) take(x *exchange, g *guard) resend.Outcome {
+func (r *wholeRelay) take(_ context.Context, x *exchange, g *guard) (resend.Outcome, error) {
+	return r.read(x, g), x.reason()
+}
+
+func (r *wholeRelay) read(x *exchange, g *guard) resend.Outcome {
 	r.q.story.status = x.resp.StatusCode
 	// The head of a whole answer comes once the request has run.
 	g.settle()
