direct: log the fingerprint of requests that broke off

Callers saw 502 for requests that came again and again, each time under another id. The lines told only the ids, so that repeats could not be counted from a log.

The service is left out, since a route may share its requests between services by their ids. The fingerprint is worked out only once an attempt has broken off.

No decision changes.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -41,6 +41,9 @@
 	Reason   string    `json:"reason,omitempty"`
 	Revision uint64    `json:"revision,omitempty"`
 	Left     []Left    `json:"left,omitempty"`
+	// Fingerprint names a request by what its repeats have in common, in hexadecimal
+	// digits; told where an attempt broke off.
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Status is that of an answer, Load the requests at the choice, Version the
 	// one that it serves and Demanded the least that may answer. WaitedMS,
 	// ExpectedMS, FirstMS and TookMS are of the request: waited for a place,
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -76,6 +76,7 @@
 	add("version", d.Version, d.Version != 0)
 	add("demanded", d.Demanded, d.Demanded != 0)
 	add("attempts", d.Attempts, d.Attempts != 0)
+	add("fingerprint", d.Fingerprint, d.Fingerprint != "")
 	add("lastEvent", d.LastEvent, d.LastEvent != "")
 	add("askedMs", d.AskedMS, d.AskedMS != 0)
 	add("waitedMs", d.WaitedMS, d.WaitedMS != 0)
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -16,6 +16,7 @@
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/poison"
 	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/gate"
@@ -59,6 +60,30 @@
 	begun     bool
 	target    string
 	reason    string
+	// key is the fingerprint once keyed is set.
+	key   poison.Key
+	keyed bool
+}
+
+// fingerprint returns what the repeats of the request have in common. It reads the
+// whole body, and most requests never need it.
+func (q *request) fingerprint() poison.Key {
+	if !q.keyed {
+		q.keyed = true
+		q.key = poison.Request{
+			Method: q.in.Method, Host: hostOf(q.in), URI: q.in.RequestURI, Caller: q.customer, Body: q.body,
+		}.Key()
+	}
+	return q.key
+}
+
+// hostOf is the host that a request is for, without a port.
+func hostOf(r *http.Request) string {
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
 }
 
 // serve is the way of each request.
@@ -112,12 +137,8 @@
 }
 
 func (s *Server) find(q *request) (answer, bool) {
-	host := q.in.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
 	path, _, _ := strings.Cut(q.in.RequestURI, "?")
-	route, ok := q.facts.Table.Match(strings.ToLower(host), path)
+	route, ok := q.facts.Table.Match(hostOf(q.in), path)
 	if !ok {
 		return s.denied(q, http.StatusNotFound, "noRoute"), false
 	}
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -62,6 +62,9 @@
 		Load: v.Load, Version: v.Serving, Demanded: q.story.demanded,
 		WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(),
 	}
+	if q.keyed {
+		d.Fingerprint = q.key.String()
+	}
 	if q.asked.Before(q.arrived) && !q.asked.IsZero() {
 		d.AskedMS = q.arrived.Sub(q.asked).Milliseconds()
 	}
@@ -109,6 +112,9 @@
 	if o == resend.Relayed {
 		return
 	}
+	if o == resend.Broken {
+		q.fingerprint()
+	}
 	d := q.decision(actionAttempt)
 	d.Outcome, d.Status, d.LastEvent = string(o), q.story.status, q.lastEvent
 	d.TookMS = s.Clock.Since(q.story.tried).Milliseconds()
