alert: tell entries of requests that crash targets

Repeats of such a request come at any entry, and each one alone sees only its own part of the crashes; one that has just started has seen none.

Entries keep a connection to each of a few hubs. They tell a hub of all that they know when they connect, and then of what they see themselves, in batches of 50 ms. A hub tells each entry of the requests with two strikes or more, and of what clears them. It does not tell on what it heard from another hub, so that nothing goes round. Single strikes stay with the hub: there are hundreds when targets end, and they say little. A message without news goes each 700 ms either way; a connection that is silent for 2.1 s is opened anew.

Lines: requestSuspected, requestBlocked and requestCleared, with the strikes and who told of them; alertsHeard and alertsLost by hub. Counters: alerts_strikes_total and alerts_requests_total by state.

The set of connections that pulse.Listener kept is link.Keeper now, used by both.

Tests: those in io/process/alert. No process uses it yet.

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -186,13 +186,18 @@
 	return true
 }
 
+// Struck returns the requests that broke off at a start of a target lately.
+func (l *Ledger) Struck(now time.Time, at Start) []Key {
+	l.init()
+	together, _ := l.starts.Get(now, at)
+	return together
+}
+
 // Answered notes that a start of a target has answered a request that was sent to it
 // at began, and returns those whose strikes there it has outlived.
 func (l *Ledger) Answered(now, began time.Time, at Start) []Key {
-	l.init()
-	together, _ := l.starts.Get(now, at)
 	var out []Key
-	for _, k := range together {
+	for _, k := range l.Struck(now, at) {
 		r := l.record(now, k)
 		if r == nil {
 			continue
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -80,11 +80,20 @@
 	for _, s := range n.Strikes {
 		news = l.take(now, n.Key, r, s) || news
 	}
-	if at := now.Add(-n.ClearedAgo); n.Cleared && at.After(r.cleared) {
-		r.cleared = at
-		news = true
+	return l.takeClear(now, r, n) || news
+}
+
+// takeClear takes a good end, which is news only to one that took the request for a
+// suspect: told of by several, it seems a little later each time.
+func (l *Ledger) takeClear(now time.Time, r *record, n Note) bool {
+	at := now.Add(-n.ClearedAgo)
+	if !n.Cleared || !at.After(r.cleared) {
+		return false
 	}
-	return news
+	before, _ := r.standing()
+	r.cleared = at
+	after, _ := r.standing()
+	return before != after
 }
 
 func (l *Ledger) take(now time.Time, k Key, r *record, told Strike) bool {
--- a/io/conn/link/count.go
+++ b/io/conn/link/count.go
@@ -49,7 +49,7 @@
 
 // Purposes lists every purpose of a connection.
 func Purposes() []Purpose {
-	return []Purpose{PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders, PurposeLoad, PurposeEditions}
+	return []Purpose{PurposeCalls, PurposeWeights, PurposeConfig, PurposeOrders, PurposeLoad, PurposeEditions, PurposeAlerts}
 }
 
 // counted counts the bytes of a connection, and adds them to the totals of
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -32,6 +32,8 @@
 	// PurposeEditions the manifests of versions between sides.
 	PurposeLoad     Purpose = "load"
 	PurposeEditions Purpose = "editions"
+	// PurposeAlerts carries which requests crash targets.
+	PurposeAlerts Purpose = "alerts"
 )
 
 // HelloTimeout bounds the wait for the peer's Hello.
--- a/io/process/pulse/listen.go
+++ b/io/process/pulse/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,47 +28,17 @@
 	// Heard is told what the side at addr says. It must not block.
 	Heard func(addr netip.AddrPort, l Load)
 
-	mu    sync.Mutex
-	ctx   context.Context
-	wg    sync.WaitGroup
-	heard map[netip.AddrPort]context.CancelFunc
+	sides link.Keeper
 }
 
 // Run keeps the connections until ctx ends.
 func (l *Listener) Run(ctx context.Context) error {
-	l.mu.Lock()
-	l.ctx = ctx
-	l.heard = map[netip.AddrPort]context.CancelFunc{}
-	l.mu.Unlock()
-	<-ctx.Done()
-	l.wg.Wait()
-	return nil
+	l.sides.Keep = l.hear
+	return l.sides.Run(ctx)
 }
 
 // Want takes the sides to hear from now on.
-func (l *Listener) Want(addrs []netip.AddrPort) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ctx == nil || l.ctx.Err() != nil {
-		return
-	}
-	wanted := make(map[netip.AddrPort]bool, len(addrs))
-	for _, a := range addrs {
-		wanted[a] = true
-		if l.heard[a] != nil {
-			continue
-		}
-		ctx, cancel := context.WithCancel(l.ctx)
-		l.heard[a] = cancel
-		l.wg.Go(func() { l.hear(ctx, a) })
-	}
-	for a, cancel := range l.heard {
-		if !wanted[a] {
-			cancel()
-			delete(l.heard, a)
-		}
-	}
-}
+func (l *Listener) Want(addrs []netip.AddrPort) { l.sides.Want(addrs) }
 
 // hear keeps one connection, and writes down when its side is heard and when it
 // is not any more.
