direct: refuse requests that crash the targets which run them

A request under which each target ended came again under new ids, at any entry, and was sent on each time; each entry even sent it to a second target by itself. Nothing remembered what a request had done beyond its id, and no entry told another.

Before each attempt the entry asks the ledger, and again when it has waited for its place. A blocked request is refused at once, reason crashesTargets: 503 with the time after which it is decided, or until which it is blocked, as long as it has not run under this id; else 502 as before. A strike is an attempt whose connection the target ended after the request was sent. What the entry itself gave up, what was turned away, a failure that a target answered and an answer without a signature are none. Fingerprints are worked out only while any request is suspected.

Hubs are the seeds and the two sides that all entries rank first; all entries are connected to them.

explain shows the line by which a request was blocked.

--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -24,6 +24,7 @@
 	var out []Line
 	processes := map[string]bool{}
 	targets := map[string]bool{}
+	prints := map[string]bool{}
 	var last trail.Decision
 	for _, d := range records {
 		if d.Request != request {
@@ -33,6 +34,9 @@
 		if d.Choice != "" {
 			targets[d.Choice] = true
 		}
+		if d.Fingerprint != "" {
+			prints[d.Fingerprint] = true
+		}
 		last = d
 		out = append(out, Line{Decision: d})
 	}
@@ -42,7 +46,7 @@
 	began := beginOf(out)
 	latest := map[string]trail.Decision{}
 	for _, d := range records {
-		if !processes[d.Process] || d.Request != "" || !isBelief(d, targets) {
+		if !processes[d.Process] || d.Request != "" || !isBelief(d, targets, prints) {
 			continue
 		}
 		switch {
@@ -73,8 +77,8 @@
 }
 
 // isBelief reports whether a record says what a process believes of anything
-// that bears on a request to the targets.
-func isBelief(d trail.Decision, targets map[string]bool) bool {
+// that bears on a request to the targets with one of the fingerprints.
+func isBelief(d trail.Decision, targets, prints map[string]bool) bool {
 	switch d.Area {
 	case trail.AreaConfig:
 		return true
@@ -82,7 +86,7 @@
 		// One without a subject is about the process itself: it stood still.
 		return d.Subject == "" && d.Choice == "" || targets[d.Subject]
 	case trail.AreaRouting:
-		return d.Action == "versionDemanded"
+		return d.Action == "versionDemanded" || prints[d.Fingerprint]
 	default:
 		return false
 	}
@@ -94,5 +98,5 @@
 	case "storeLost", "storeBack", "told":
 		return "/store"
 	}
-	return "/" + string(d.Area) + "/" + d.Subject
+	return "/" + string(d.Area) + "/" + d.Subject + d.Fingerprint
 }
--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -70,3 +70,23 @@
 		t.Errorf("explanation (-want +got):\n%s", diff)
 	}
 }
+
+// A request is refused since it is said to crash targets. Its own lines do not tell of
+// the attempts that say so, which had other ids.
+func TestExplainTellsWhyARequestIsBlocked(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	records := []trail.Decision{
+		{Time: at(1), Process: "e1", Area: trail.AreaRouting, Action: "requestSuspected", Fingerprint: "aa"},
+		{Time: at(2), Process: "e1", Area: trail.AreaRouting, Action: "requestBlocked", Fingerprint: "aa", Reason: "told by e2"},
+		{Time: at(3), Process: "e1", Area: trail.AreaRouting, Action: "requestBlocked", Fingerprint: "bb"},
+		{Time: at(4), Process: "e1", Area: trail.AreaCall, Action: "answer", Request: "r1", Fingerprint: "aa"},
+	}
+	var got []string
+	for _, l := range Explain(records, "r1") {
+		got = append(got, l.Decision.Action+" "+l.Decision.Fingerprint+" "+l.Decision.Reason)
+	}
+	want := []string{"requestBlocked aa told by e2", "answer aa "}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -8,6 +8,7 @@
 
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/spend"
+	"hawthornferry/io/process/alert"
 	"hawthornferry/io/process/pulse"
 	"hawthornferry/io/request/direct"
 )
@@ -58,6 +59,8 @@
 	if b.StrictKeys {
 		server.Rules.KeyAge = scaled(b.Revoke, keyShare)
 	}
+	server.Suspects = f.alerts
+	alerts := &alert.Caller{Self: f.self, Clock: f.clock, Log: f.log, Book: f.alerts}
 	loads := &pulse.Listener{Self: f.self, Clock: f.clock, Log: f.log}
 	listener := &audience{entry: e.Settings.VM, sidePort: e.Settings.SidePort, listen: loads.Want, report: server.Report}
 	loads.Heard = listener.take
@@ -65,6 +68,8 @@
 		f.parts,
 		part{"callers", server.Run},
 		part{"load reports", loads.Run},
+		part{"alerts", alerts.Run},
+		part{"hubs of alerts", func(ctx context.Context) error { return f.followHubs(ctx, alerts.Want) }},
 		part{"sides to hear", func(ctx context.Context) error { return listener.follow(ctx, f.feed) }},
 	)
 	f.ready, f.drain, f.served = server.Ready, server.Drain, server.Served
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -25,6 +25,7 @@
 	"hawthornferry/core/request/place"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/admin"
+	"hawthornferry/io/process/alert"
 	"hawthornferry/io/process/awake"
 	"hawthornferry/io/process/feed"
 	"hawthornferry/io/process/trace"
@@ -75,6 +76,7 @@
 	metrics  tally.Scope
 	feed     *feed.Feed
 	watch    *awake.Watch
+	alerts   *alert.Book
 
 	sink     *trace.Sink
 	closer   io.Closer
@@ -125,7 +127,8 @@
 			f.feed.StoreRest = sideRest
 		}
 	}
-	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler()}
+	f.alerts = &alert.Book{Clock: f.clock, Log: f.log, Metrics: f.metrics}
+	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler(), link.PurposeAlerts: f.alerts.Handler()}
 	return f, nil
 }
 
--- a/io/request/direct/direct.go
+++ b/io/request/direct/direct.go
@@ -65,6 +65,8 @@
 	Dialect Dialect
 	Placer  *place.Placer
 	Rules   Rules
+	// Suspects lets all requests through when it is nil.
+	Suspects Suspects
 
 	setup    sync.Once
 	desk     *desk
@@ -90,6 +92,9 @@
 		if s.Metrics == nil {
 			s.Metrics = tally.NoopScope
 		}
+		if s.Suspects == nil {
+			s.Suspects = noSuspects{}
+		}
 		s.meter = newMeter(s.Metrics)
 		s.desk = newDesk(s.Clock, s.Placer)
 		s.sender = newSender(s.Clock)
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,24 +49,13 @@
 	out := s.newRelay(w, q)
 	q.tries = resend.Tries{Repeatable: q.route.Repeatable(), Most: q.route.Attempts}
 	for {
-		v, ok := s.desk.place(ctx, s.work(q))
+		v, ok := s.choose(ctx, w, q, out)
 		if !ok {
-			s.giveUp(w, q, out)
-			return
-		}
-		q.beginAttempt(s.Clock.Now(), v)
-		if v.Decision == place.Refused {
-			s.turnAway(w, q, out, v)
 			return
 		}
-		if s.overdue(q, v.Serving) {
-			// It waited for its place until the target's version was too old; an
-			// idle engine would begin at once. The next choice knows.
-			s.desk.done(q.call.ID, place.ResultLeft)
-			continue
-		}
 		o, err := s.attempt(ctx, q, v, out)
 		s.desk.done(q.call.ID, resultOf(o, err))
+		s.judge(q, v.Target, o, err)
 		s.noteAttempt(ctx, q, o, err)
 		if o == resend.Relayed {
 			s.finish(q, string(o), q.story.status)
@@ -76,7 +66,7 @@
 			return
 		}
 		if !s.again(q, o) {
-			s.fail(w, q, out)
+			s.fail(w, q, out, unservedWait)
 			return
 		}
 		q.failed = append(q.failed, v.Target.ID)
@@ -84,6 +74,36 @@
 	}
 }
 
+// choose waits for a place at a target. It returns false once it has ended the request,
+// for which there is none.
+func (s *Server) choose(ctx context.Context, w http.ResponseWriter, q *request, out relay) (place.Verdict, bool) {
+	for {
+		if wait, blocked := s.blocked(q); blocked {
+			q.reason = reasonCrashes
+			s.fail(w, q, out, wait)
+			return place.Verdict{}, false
+		}
+		v, ok := s.desk.place(ctx, s.work(q))
+		if !ok {
+			s.giveUp(w, q, out)
+			return v, false
+		}
+		q.beginAttempt(s.Clock.Now(), v)
+		if v.Decision == place.Refused {
+			q.reason = string(v.Reason)
+			s.fail(w, q, out, v.RetryAfter)
+			return v, false
+		}
+		// It may have waited for its place until the target's version was too old, where
+		// an idle engine would begin at once, or until it was known to crash targets. The
+		// next turn knows.
+		if _, blocked := s.blocked(q); !blocked && !s.overdue(q, v.Serving) {
+			return v, true
+		}
+		s.desk.done(q.call.ID, place.ResultLeft)
+	}
+}
+
 // attempt sends the request to one target.
 func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (resend.Outcome, error) {
 	q.target = v.Target.ID
@@ -150,25 +170,9 @@
 	s.answer(w, q, answer{status: http.StatusGatewayTimeout, reason: q.reason})
 }
 
-// turnAway ends a request for which there is no place.
-func (s *Server) turnAway(w http.ResponseWriter, q *request, out relay, v place.Verdict) {
-	q.reason = string(v.Reason)
-	if out.begun() {
-		s.breakOff(q)
-	}
-	if out.final() {
-		s.finish(q, "failureOfTarget", q.story.status)
-		return
-	}
-	if !q.tries.MayRefuse() {
-		s.answer(w, q, answer{status: http.StatusBadGateway, reason: q.reason})
-		return
-	}
-	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: q.reason, retryAfter: v.RetryAfter})
-}
-
-// fail ends a request after its last attempt.
-func (s *Server) fail(w http.ResponseWriter, q *request, out relay) {
+// fail ends a request that is not sent to a target any more. Its caller is told to come
+// back only if it has not run.
+func (s *Server) fail(w http.ResponseWriter, q *request, out relay, retryAfter time.Duration) {
 	if out.begun() {
 		s.breakOff(q)
 	}
@@ -180,7 +184,7 @@
 		s.answer(w, q, answer{status: http.StatusBadGateway, reason: or(q.reason, "brokenOff")})
 		return
 	}
-	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: or(q.reason, "notRun"), retryAfter: unservedWait})
+	s.answer(w, q, answer{status: http.StatusServiceUnavailable, reason: or(q.reason, "notRun"), retryAfter: retryAfter})
 }
 
 // breakOff ends an answer that its caller has a part of: the connection is
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -34,10 +34,20 @@
 	status int
 	// cut is the error that ended the target's answer, nil while there is none.
 	cut error
+	// began is when the target's answer had its first numbered event, zero before.
+	began time.Time
 	// first is the time to the first event, zero while there is none.
 	first time.Duration
 }
 
+// ran is for how long the target's answer has gone on.
+func (s *story) ran(now time.Time) time.Duration {
+	if s.began.IsZero() {
+		return 0
+	}
+	return now.Sub(s.began)
+}
+
 // Routine tells the lines of requests that went well: sent once and on time.
 // Those of any other request are kept before them.
 func Routine(d trail.Decision) bool {
@@ -84,6 +94,7 @@
 // beginAttempt notes the placement that an attempt follows.
 func (q *request) beginAttempt(now time.Time, v place.Verdict) {
 	q.story.verdict, q.story.tried, q.story.status, q.story.cut = v, now, 0, nil
+	q.story.began = time.Time{}
 }
 
 // endOf says why the request ended while its target had it, nil when it did not.
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -128,6 +128,9 @@
 		r.out.head(x.resp, -1)
 	}
 	if e.hasID {
+		if r.q.story.began.IsZero() {
+			r.q.story.began = r.server.Clock.Now()
+		}
 		r.last, r.hasLast = e.id, true
 		r.q.lastEvent = strconv.FormatUint(e.id, 10)
 	}
