alert: let requests through again whose targets are still listed

When all targets reset their connections for seconds, as behind a faulty network, no answer shows within a second that they run on. What many callers ask for would then have stayed blocked for ten minutes.

An entry now compares the strikes with the list once a second. A strike is void where its target is still listed by the same birth 15 s later, or 3 s after the first answer under its name. A target that crashed has missed its heartbeats by then, or is listed as what it is now.

During the outage nobody could be served anyway.

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -28,6 +28,12 @@
 	// restartLeast is less than a target takes to start anew. What begins later may
 	// run at its successor, which may have its name.
 	restartLeast = time.Second
+	// listedAfter is how long after a strike a target that crashed is not listed any more
+	// as it was: it has missed its heartbeats, or has started anew.
+	listedAfter = 15 * time.Second
+	// confirmAfter is how long after an answer a target that had started anew before it
+	// is listed as what it is now.
+	confirmAfter = 3 * time.Second
 	// undecidedFor is how long after a strike its target may still turn out to have run
 	// on. Until then callers are told to come back after it, not after blockFor.
 	undecidedFor = outliveAfter + restartLeast
@@ -79,10 +85,18 @@
 // strike is an attempt that broke off while its target may have run the request.
 type strike struct {
 	at time.Time
+	// answered is when the target, or one started anew in its place, first answered
+	// after that, zero if not.
+	answered time.Time
 	// outlived is set when the target has run on, so that it did not crash.
 	outlived bool
 }
 
+// settled reports whether a target that is still listed as it was has not crashed.
+func (s strike) settled(now time.Time) bool {
+	return now.Sub(s.at) >= listedAfter || !s.answered.IsZero() && now.Sub(s.answered) >= confirmAfter
+}
+
 // record is what is known of one request.
 type record struct {
 	strikes map[Start]strike
@@ -203,16 +217,41 @@
 			continue
 		}
 		s, struck := r.strikes[at]
-		if !struck || s.outlived || now.Sub(s.at) < outliveAfter || began.Sub(s.at) >= restartLeast {
+		if !struck || s.outlived || now.Sub(s.at) < outliveAfter {
 			continue
 		}
-		s.outlived = true
+		if s.answered.IsZero() {
+			s.answered = now
+		}
+		if began.Sub(s.at) < restartLeast {
+			s.outlived = true
+			out = append(out, k)
+		}
 		r.strikes[at] = s
-		out = append(out, k)
 	}
 	return out
 }
 
+// Listed takes which starts of targets are listed by a belief that is not old, and
+// reports whether any of them has outlived a strike of the request. A start whose target
+// does not say when it was born may be a later one.
+func (l *Ledger) Listed(now time.Time, k Key, starts map[Start]bool) bool {
+	r := l.record(now, k)
+	if r == nil {
+		return false
+	}
+	news := false
+	for at, s := range r.strikes {
+		if s.outlived || at.Born == 0 || !starts[at] || !s.settled(now) {
+			continue
+		}
+		s.outlived = true
+		r.strikes[at] = s
+		news = true
+	}
+	return news
+}
+
 // State returns what a request is taken for.
 func (l *Ledger) State(now time.Time, k Key) State {
 	r := l.record(now, k)
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -30,6 +30,8 @@
 	success bool
 	answer  string
 	took    time.Duration
+	// listed is a target that is listed.
+	listed string
 }
 
 // What a request is taken for decides whether its caller is refused: one that
@@ -62,6 +64,17 @@
 		{"what it sent before is read", then(move{at: 2*time.Second + 20*time.Millisecond, answer: "c", took: time.Second}), 3 * time.Second, StateBlocked, undecidedFor - time.Second},
 		{"another answers", then(move{at: 3 * time.Second, answer: "d", took: 3 * time.Second}), 3 * time.Second, StateBlocked, undecidedFor - time.Second},
 		{"crashes where it was outlived", then(move{at: 3 * time.Second, answer: "c", took: 3 * time.Second}, move{at: 4 * time.Second, strike: "c"}), 4 * time.Second, StateBlocked, undecidedFor},
+		{"a target is listed long after", then(move{at: 30 * time.Second, listed: "b"}), 31 * time.Second, StateSuspected, 0},
+		{"a target is still listed", then(move{at: 10 * time.Second, listed: "b"}), 11 * time.Second, StateBlocked, blockFor - 9*time.Second},
+		{
+			"a target has answered and is still listed",
+			then(move{at: 4 * time.Second, answer: "b"}, move{at: 8 * time.Second, listed: "b"}), 9 * time.Second, StateSuspected, 0,
+		},
+		{
+			"a target has answered just now",
+			then(move{at: 4 * time.Second, answer: "b"}, move{at: 6 * time.Second, listed: "b"}), 7 * time.Second, StateBlocked, blockFor - 5*time.Second,
+		},
+		{"another is listed", then(move{at: 30 * time.Second, listed: "d"}), 31 * time.Second, StateBlocked, blockFor - 29*time.Second},
 		{"forgotten", three, remember + 3*time.Second, StateClear, 0},
 	}
 	for _, tc := range tests {
@@ -90,6 +103,8 @@
 	switch {
 	case m.strike != "":
 		l.Strike(now, k, startOf(m.strike), m.ran)
+	case m.listed != "":
+		l.Listed(now, k, map[Start]bool{startOf(m.listed): true})
 	case m.success:
 		l.Succeeded(now, k)
 	default:
@@ -97,6 +112,16 @@
 	}
 }
 
+// A target that does not say when it was born may have crashed and be listed again.
+func TestUnbornTargetIsNotTakenForTheSame(t *testing.T) {
+	var l Ledger
+	at := StartOf("a", time.Time{})
+	l.Strike(epoch, testKey(1), at, 0)
+	if l.Listed(epoch.Add(time.Hour), testKey(1), map[Start]bool{at: true}) {
+		t.Error("its strike is void")
+	}
+}
+
 // A target is back under its old id each time: its starts are different ones.
 func TestStartsOfOneTargetCountEach(t *testing.T) {
 	var l Ledger
--- a/core/request/poison/model_test.go
+++ b/core/request/poison/model_test.go
@@ -85,6 +85,9 @@
 		p.crash(now)
 		p.arrive(now)
 		p.advance(now)
+		if now%time.Second == 0 {
+			p.list(now)
+		}
 	}
 	return p.got
 }
@@ -125,6 +128,19 @@
 	}
 }
 
+// list takes the targets that are up.
+func (p *crowdPlay) list(now time.Duration) {
+	starts := map[Start]bool{}
+	for i, m := range p.targets {
+		if now >= m.up {
+			starts[p.startAt(i, m.born)] = true
+		}
+	}
+	for _, k := range p.ledger.Keys(epoch.Add(now)) {
+		p.ledger.Listed(epoch.Add(now), k, starts)
+	}
+}
+
 // send begins a try of a caller.
 func (p *crowdPlay) send(now time.Duration, x *exchange) {
 	x.round++
@@ -188,8 +204,10 @@
 	}
 }
 
-func (p *crowdPlay) start(x *exchange) Start {
-	return StartOf(string(rune('A'+x.at)), epoch.Add(x.born))
+func (p *crowdPlay) start(x *exchange) Start { return p.startAt(x.at, x.born) }
+
+func (p *crowdPlay) startAt(target int, born time.Duration) Start {
+	return StartOf(string(rune('A'+target)), epoch.Add(born))
 }
 
 func (p *crowdPlay) broken(now time.Duration, x *exchange) {
@@ -203,6 +221,22 @@
 	}
 }
 
+// All targets reset what they get for seconds, so that no answer shows in time that they
+// run on. What many callers ask for is refused then, and must be let through soon after.
+func TestOthersAreLetThroughAfterAnOutage(t *testing.T) {
+	c := crowd{
+		targets: 9, short: 5 * time.Millisecond, long: 30 * time.Millisecond, rate: 120, hot: 0.8,
+		stormAt: 10 * time.Second, stormFor: 4 * time.Second,
+	}
+	for seed := range uint64(10) {
+		r := c.play(seed)
+		t.Logf("seed %d: %d callers, %d refusals, %d callers lost, the last at %s", seed, r.sent, r.refused, r.lost, r.lastLost)
+		if most := c.stormAt + c.stormFor + confirmAfter + 2*time.Second; r.lastLost > most {
+			t.Errorf("seed %d: callers are refused until %s, want at most until %s", seed, r.lastLost, most)
+		}
+	}
+}
+
 // Callers whose requests crash nothing must hardly ever be refused: targets crash
 // under the requests of others, in herds, or reset connections and run on. What many
 // callers ask for must not stay refused once targets answer again.
--- a/io/process/alert/book.go
+++ b/io/process/alert/book.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// listed takes which starts of targets are listed.
+func (b *Book) listed(starts map[poison.Start]bool) {
+	b.mu.Lock()
+	keys := b.ledger.Keys(b.Clock.Now())
+	b.mu.Unlock()
+	for _, k := range keys {
+		b.change(fromHere, "", k, func(now time.Time) bool { return b.ledger.Listed(now, k, starts) })
+	}
+}
+
 // merge takes what a peer tells.
 func (b *Book) merge(s source, peer string, notes []poison.Note) {
 	for _, n := range notes {
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -61,6 +61,7 @@
 	}
 	server.Suspects = f.alerts
 	alerts := &alert.Caller{Self: f.self, Clock: f.clock, Log: f.log, Book: f.alerts}
+	listing := &alert.Listing{Clock: f.clock, Book: f.alerts, Source: f.feed}
 	loads := &pulse.Listener{Self: f.self, Clock: f.clock, Log: f.log}
 	listener := &audience{entry: e.Settings.VM, sidePort: e.Settings.SidePort, listen: loads.Want, report: server.Report}
 	loads.Heard = listener.take
@@ -69,6 +70,7 @@
 		part{"callers", server.Run},
 		part{"load reports", loads.Run},
 		part{"alerts", alerts.Run},
+		part{"listed targets", listing.Run},
 		part{"hubs of alerts", func(ctx context.Context) error { return f.followHubs(ctx, alerts.Want) }},
 		part{"sides to hear", func(ctx context.Context) error { return listener.follow(ctx, f.feed) }},
 	)
