--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -40,10 +40,20 @@
 	// cause is why the last attempt ended that the caller has a part of an answer
 	// from, empty while there is none.
 	cause cause
+	// began is when the target's answer had its first numbered event, zero before.
+	began time.Time
 	// first is the time to the first event, zero while there is none.
 	first time.Duration
 }
 
+// ran is for how long the target's answer has gone on.
+func (s *story) ran(now time.Time) time.Duration {
+	if s.began.IsZero() {
+		return 0
+	}
+	return now.Sub(s.began)
+}
+
 // Routine tells the lines of requests that went well: sent once and on time.
 // Those of any other request are kept before them.
 func Routine(d trail.Decision) bool {
@@ -68,6 +78,9 @@
 		Load: v.Load, Version: v.Serving, Demanded: q.story.demanded,
 		WaitedMS: v.Waited.Milliseconds(), ExpectedMS: v.Expected.Milliseconds(),
 	}
+	if q.keyed {
+		d.Fingerprint = q.key.String()
+	}
 	if q.asked.Before(q.arrived) && !q.asked.IsZero() {
 		d.AskedMS = q.arrived.Sub(q.asked).Milliseconds()
 	}
@@ -87,6 +100,7 @@
 // beginAttempt notes the placement that an attempt follows.
 func (q *request) beginAttempt(now time.Time, v place.Verdict) {
 	q.story.verdict, q.story.tried, q.story.status, q.story.cut = v, now, 0, nil
+	q.story.began = time.Time{}
 }
 
 // endOf says why the request ended while its target had it, nil when it did not.
@@ -124,6 +138,9 @@
 	if begun && o != resend.NotRun && o != resend.Unsent {
 		q.story.cause = c
 	}
+	if o == resend.Broken {
+		q.fingerprint()
+	}
 	d := q.decision(actionAttempt)
 	d.Outcome, d.Status, d.LastEvent = string(o), q.story.status, q.lastEvent
 	d.TookMS = s.Clock.Since(q.story.tried).Milliseconds()
