direct: an attempt that fails while an answer is moved counts as any other

A request that crashes its targets was not blamed for the one that it crashed while its answer was being moved: neither for the other target, whose attempt was dropped, nor for the first one when the other took the answer over. Nor was it checked before the move whether it is refused. Found by reading, as the two matters met.

TestCrashDuringAHandoverCounts, two of three rows failing before (no strike was told).

--- a/io/request/direct/flow.go
+++ b/io/request/direct/flow.go
@@ -122,11 +122,8 @@
 	h := f.move
 	h.stop()
 	f.move = nil
-	f.server.noteAttempt(f.ctx, f.q, resend.Moved, h.why, true)
-	f.close()
-	f.server.desk.done(f.q.placed, resultOf(resend.Moved, h.why))
+	f.leaveTarget(h.why)
 	f.q.tries.Sent()
-	f.q.failed = append(f.q.failed, f.q.target)
 	f.q.target, f.q.placed = h.verdict.Target.ID, h.verdict.ID
 	f.q.beginAttempt(h.began, h.verdict)
 	f.q.story.status = n.x.resp.StatusCode
@@ -136,6 +133,20 @@
 	return true, f.hand(f.x, n.first)
 }
 
+// leaveTarget ends the attempt that the stream goes on without: it is moved, or its
+// target has broken off meanwhile.
+func (f *flow) leaveTarget(why error) {
+	o := resend.Moved
+	if f.q.story.cut != nil {
+		o, why = resend.Broken, nil
+	}
+	f.server.judge(f.q, f.q.story.verdict.Target, o, why)
+	f.server.noteAttempt(f.ctx, f.q, o, why, true)
+	f.close()
+	f.server.desk.done(f.q.placed, resultOf(o, why))
+	f.q.failed = append(f.q.failed, f.q.target)
+}
+
 // stay gives up a handover, if there is one, and goes on with the present target.
 func (f *flow) stay() resend.Outcome {
 	if f.move == nil {
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -69,7 +69,7 @@
 // returns nil when there is no place or the request may not be sent once more.
 func (s *Server) offer(ctx context.Context, q *request, why error) *handover {
 	left := q.tries.Left()
-	if left == 0 {
+	if _, blocked := s.blocked(q); blocked || left == 0 {
 		return nil
 	}
 	w := s.work(q)
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -63,10 +63,11 @@
 }
 
 // slowEngine writes an event of a stream whenever it is allowed one. Left is closed
-// when the stream is taken from it.
+// when the stream is taken from it; it crashes once crash is closed.
 type slowEngine struct {
-	next chan struct{}
-	left chan struct{}
+	next  chan struct{}
+	left  chan struct{}
+	crash chan struct{}
 }
 
 func (e *slowEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -74,6 +75,8 @@
 	for n := 1; n <= streamEvents; n++ {
 		select {
 		case <-e.next:
+		case <-e.crash:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			close(e.left)
 			return
@@ -93,7 +96,7 @@
 
 func startMoving(t *testing.T, other http.HandlerFunc) *moving {
 	t.Helper()
-	m := &moving{t: t, engine: &slowEngine{next: make(chan struct{}, streamEvents), left: make(chan struct{})}}
+	m := &moving{t: t, engine: &slowEngine{next: make(chan struct{}, streamEvents), left: make(chan struct{}), crash: make(chan struct{})}}
 	a, b := httptest.NewServer(read(m.engine)), httptest.NewServer(read(other))
 	t.Cleanup(a.Close)
 	t.Cleanup(b.Close)
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -151,10 +151,11 @@
 }
 
 // noteSuccessor notes an attempt at a target that was to take an answer over and did
-// not. The story goes on with the target that still has it.
+// not, and what its end tells. The story goes on with the target that still has it.
 func (s *Server) noteSuccessor(ctx context.Context, q *request, h *handover, n successor) {
 	kept := q.story
 	q.beginAttempt(h.began, h.verdict)
+	s.judge(q, h.verdict.Target, n.outcome, n.err)
 	s.noteAttempt(ctx, q, n.outcome, n.err, false)
 	kept.attempts = q.story.attempts
 	q.story = kept
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -35,6 +36,56 @@
 	h.told = append(h.told, "answered "+at.Target)
 }
 
+// Guards against a request that crashes targets unseen while its answer is moved.
+func TestCrashDuringAHandoverCounts(t *testing.T) {
+	tests := []struct {
+		name  string
+		other func(m *moving) http.HandlerFunc
+		want  []string
+	}{
+		{"the other target crashes", func(*moving) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", eventStream)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}, []string{"struck b", "answered a", "succeeded"}},
+		{"the first target crashes", func(m *moving) http.HandlerFunc {
+			return func(w http.ResponseWriter, r *http.Request) {
+				close(m.engine.crash)
+				time.Sleep(50 * time.Millisecond)
+				goOn(w, r)
+			}
+		}, []string{"struck a", "answered b", "succeeded"}},
+		{"neither crashes", func(*moving) http.HandlerFunc { return goOn }, []string{"answered b", "succeeded"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var m *moving
+			m = startMoving(t, func(w http.ResponseWriter, r *http.Request) { tc.other(m)(w, r) })
+			heard := &heardSuspects{}
+			m.server.Suspects = heard
+			_, in := m.stream()
+			m.load()
+			go func() {
+				time.Sleep(200 * time.Millisecond)
+				for range streamEvents - 1 {
+					m.engine.next <- struct{}{}
+				}
+			}()
+			rest(t, in)
+			var got []string
+			for _, s := range heard.told {
+				s, _, _ = strings.Cut(s, " after")
+				got = append(got, s)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("told (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A request must be blamed for the end of a target only where its connection was lost
 // after it was sent: one that the entry itself gave up, that was turned away or that
 // got a bad answer has crashed nothing.
