direct: a move makes no pause over the route's gap

While a stream was moved, what its target wrote was held for the gap from the first held event on, and not from the last one that the caller has: with an event 250 ms after the last, the caller saw a pause of 652 ms on a route with a gap of 400 ms. Now the bound runs from the last event sent. A move that is foreseen to take longer is not begun: it cost the other target a prompt, and the stream its last attempt.

TestHandoverMakesNoPauseOverTheGap and TestStreamIsNotMovedWhenTheOtherTargetReadsTooLong failed before, three times of three each.

--- a/core/request/place/move.go
+++ b/core/request/place/move.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fewShare is the part of an engine's slots below which the requests that it still
 // has count as few.
@@ -21,17 +24,19 @@
 const clearShare = 0.5
 
 // Relocate places an answer under way that could end where it is: at another target
-// that serves the newest version and has clear room, while nothing waits. The place
-// counts at once, so that answers that leave a target together do not meet there.
-func (p *Placer) Relocate(now time.Time, w Work) (Verdict, bool) {
+// that serves the newest version, has clear room and is to go on within the given time,
+// while nothing waits. The place counts at once, so that answers that leave a target
+// together do not meet there.
+func (p *Placer) Relocate(now time.Time, w Work, within time.Duration) (Verdict, bool) {
 	p.prepare()
 	s := p.service(w.Service)
 	if len(s.waiting) > 0 {
 		return Verdict{}, false
 	}
-	o, ok := p.cheapest(s.openTo(now, &w, func(t *target) bool {
+	open := s.openTo(now, &w, func(t *target) bool {
 		return !s.mayLoad(now, t, &w) && float64(t.load(now)) <= clearShare*float64(slotsOf(t.Target))
-	}))
+	})
+	o, ok := p.cheapest(slices.DeleteFunc(open, func(o option) bool { return o.expected > within }))
 	if !ok {
 		return Verdict{}, false
 	}
--- a/core/request/place/move_test.go
+++ b/core/request/place/move_test.go
@@ -43,7 +43,7 @@
 	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
 	var got []bool
 	for i := range 3 {
-		_, ok := p.Relocate(start, leaving(fmt.Sprint(i), 1))
+		_, ok := p.Relocate(start, leaving(fmt.Sprint(i), 1), mostExpected)
 		got = append(got, ok)
 	}
 	if diff := cmp.Diff([]bool{true, true, false}, got); diff != "" {
@@ -74,7 +74,7 @@
 				t.Fatal("the request does not wait")
 			}
 			p.targets["b"].others = tc.active
-			_, ok := p.Relocate(start, leaving("2", 1))
+			_, ok := p.Relocate(start, leaving("2", 1), mostExpected)
 			if diff := cmp.Diff(tc.want, ok); diff != "" {
 				t.Errorf("moved (-want +got):\n%s", diff)
 			}
@@ -89,7 +89,7 @@
 	p.Report(start, "a", Report{Alive: true, Busy: true, Active: 1, Serving: 1})
 	p.Report(start, "b", Report{Alive: true, Serving: 1})
 	p.Report(start, "c", Report{Alive: true, Serving: 2, Active: 6})
-	_, ok := p.Relocate(start, leaving("2", 2))
+	_, ok := p.Relocate(start, leaving("2", 2), mostExpected)
 	if diff := cmp.Diff(false, ok); diff != "" {
 		t.Errorf("moved with only the old version idle (-want +got):\n%s", diff)
 	}
--- a/io/request/direct/desk.go
+++ b/io/request/direct/desk.go
@@ -70,13 +70,13 @@
 }
 
 // move places an answer under way at another target: at any when its own is silent,
-// else where there is clear room.
-func (d *desk) move(w place.Work, why error) (v place.Verdict, ok bool) {
+// else where there is clear room and it goes on within the given time.
+func (d *desk) move(w place.Work, why error, within time.Duration) (v place.Verdict, ok bool) {
 	d.Do(func() []place.Verdict {
 		if errors.Is(why, errSilent) {
 			v, ok = d.placer.Replace(d.clock.Now(), w)
 		} else {
-			v, ok = d.placer.Relocate(d.clock.Now(), w)
+			v, ok = d.placer.Relocate(d.clock.Now(), w, within)
 		}
 		return nil
 	})
--- a/io/request/direct/flow.go
+++ b/io/request/direct/flow.go
@@ -82,7 +82,7 @@
 		return f.lose(errOrder)
 	}
 	if f.move != nil {
-		f.move.hold(f.server.Clock, e, f.q.route.Gap)
+		f.move.hold(f.server.Clock, e, f.handed.Add(heldFor(f.q.route.Gap)))
 		return ""
 	}
 	return f.hand(f.x, e)
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -12,9 +12,20 @@
 	"hawthornferry/core/request/resend"
 )
 
-// mostHeld bounds how long events of the first target are held back; a route's own
-// gap bounds it too.
-const mostHeld = 500 * time.Millisecond
+// mostHeld bounds for how long a caller gets no events while an answer is moved, and
+// heldShare is the part of the route's gap that bounds it too.
+const (
+	mostHeld  = 500 * time.Millisecond
+	heldShare = 0.9
+)
+
+// heldFor is for how long after its last event a caller may get none.
+func heldFor(gap time.Duration) time.Duration {
+	if gap <= 0 {
+		return mostHeld
+	}
+	return min(mostHeld, time.Duration(heldShare*float64(gap)))
+}
 
 // errNoRest is returned for an answer that is not the rest of a stream.
 var errNoRest = errors.New("no stream in place of the rest of one")
@@ -75,7 +86,7 @@
 	w := s.work(q)
 	w.ID, w.Begun = q.placed+"+", true
 	w.Avoid = append(w.Avoid[:len(w.Avoid):len(w.Avoid)], q.target)
-	v, ok := s.desk.move(w, why)
+	v, ok := s.desk.move(w, why, heldFor(q.route.Gap))
 	if !ok {
 		return nil
 	}
@@ -117,17 +128,13 @@
 	return n
 }
 
-// hold keeps back an event of the first target.
-func (h *handover) hold(clock clockwork.Clock, e event, gap time.Duration) {
+// hold keeps back an event of the first target until the given time at the most.
+func (h *handover) hold(clock clockwork.Clock, e event, until time.Time) {
 	h.held = append(h.held, e)
 	if h.timer != nil {
 		return
 	}
-	most := mostHeld
-	if gap > 0 {
-		most = min(most, gap)
-	}
-	h.timer = clock.AfterFunc(most, func() { close(h.late) })
+	h.timer = clock.AfterFunc(until.Sub(clock.Now()), func() { close(h.late) })
 }
 
 // stop ends the watch over the time for which events are held.
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -77,6 +78,8 @@
 	fresh   bool
 	last    uint64
 	hasLast bool
+	// handed is when the caller was last sent an event.
+	handed time.Time
 	// whole takes an answer that is not a stream.
 	whole *wholeRelay
 }
@@ -126,6 +129,7 @@
 	if err := r.out.send(e.raw); err != nil {
 		return err
 	}
+	r.handed = r.server.Clock.Now()
 	return r.out.rc.Flush()
 }
 
