direct: a target that turned a moved answer away is not asked again

From the review of the handover: a request with attempts left asked the same target a second time, since only the loop over attempts keeps the targets to avoid; targets that cannot be reached were not bounded there; a handover whose successor was ready in the moment in which its time ran out was dropped; an event out of order, with which the entry ends an attempt, was counted as an end by the target.

Test: TestTargetThatTurnedAStreamAwayIsNotAskedAgain, asked twice before.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -40,7 +40,8 @@
 	Outcome  string    `json:"outcome,omitempty"`
 	Reason   string    `json:"reason,omitempty"`
 	// Cause is why the attempt ended that had begun an answer which was closed in the
-	// middle: overdue, targetSilent or targetLoading when the entry ended it.
+	// middle: overdue, targetSilent, targetLoading or eventOutOfOrder when the entry ended
+	// it.
 	Cause    string `json:"cause,omitempty"`
 	Revision uint64 `json:"revision,omitempty"`
 	Left     []Left `json:"left,omitempty"`
--- a/core/request/resend/resend.go
+++ b/core/request/resend/resend.go
@@ -71,7 +71,7 @@
 
 // Left is to how many more targets the request may go from one that has it.
 func (t *Tries) Left() int {
-	if !t.Repeatable {
+	if !t.Repeatable || t.unreached >= maxUnreached {
 		return 0
 	}
 	return max(t.Most-t.reached, 0)
--- a/io/request/direct/ends.go
+++ b/io/request/direct/ends.go
@@ -17,6 +17,7 @@
 	causeOverdue cause = "overdue"
 	causeSilent  cause = "targetSilent"
 	causeLoading cause = "targetLoading"
+	causeOrder   cause = "eventOutOfOrder"
 	causeTarget  cause = "target"
 )
 
@@ -28,6 +29,7 @@
 	{errOverdue, causeOverdue},
 	{errSilent, causeSilent},
 	{errLoading, causeLoading},
+	{errOrder, causeOrder},
 }
 
 // causeOf returns the cause of an attempt's end; own is set when the entry ended it.
--- a/io/request/direct/flow.go
+++ b/io/request/direct/flow.go
@@ -53,6 +53,17 @@
 		_, o := f.settle(n)
 		return o
 	case <-late:
+		return f.expire()
+	}
+}
+
+// expire ends a handover that has taken too long, unless it ends well right now.
+func (f *flow) expire() resend.Outcome {
+	select {
+	case n := <-f.move.result:
+		_, o := f.settle(n)
+		return o
+	default:
 		return f.stay()
 	}
 }
@@ -171,6 +182,9 @@
 		f.q.tries.Sent()
 	}
 	f.q.tries.After(n.outcome)
+	if n.outcome != resend.Dropped {
+		f.q.failed = append(f.q.failed, h.verdict.Target.ID)
+	}
 	f.server.desk.done(h.verdict.ID, resultOf(n.outcome, n.err))
 	f.server.noteSuccessor(f.ctx, f.q, h, n)
 	for _, e := range h.held {
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -277,6 +278,29 @@
 	}
 }
 
+// Guards against a target that is asked again by a request which it has turned away.
+func TestTargetThatTurnedAStreamAwayIsNotAskedAgain(t *testing.T) {
+	var asked atomic.Int32
+	m := startMoving(t, func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.Header().Set(testHeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	m.server.Source.Current().Table.Routes[0].Attempts = 4
+	_, in := m.stream()
+	for range streamEvents - 1 {
+		m.load()
+		time.Sleep(150 * time.Millisecond)
+		m.engine.next <- struct{}{}
+	}
+	if diff := cmp.Diff([]uint64{2, 3, 4, 5, 6}, rest(t, in)); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int32(1), asked.Load()); diff != "" {
+		t.Errorf("times the other target was asked (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a stream that is given up at a target which pauses, for another one
 // that then does not take it.
 func TestStreamOfSilentTargetIsKept(t *testing.T) {
