--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -22,9 +22,9 @@
 
 // What tells a target that ran on from one that crashed.
 const (
-	// outliveAfter is how long after a strike an answer must end for its target to
+	// surviveAfter is how long after a strike an answer must end for its target to
 	// have run on: what a target sent before it crashed may be read later.
-	outliveAfter = 200 * time.Millisecond
+	surviveAfter = 200 * time.Millisecond
 	// restartLeast is less than a target takes to start anew. What begins later may
 	// run at its successor, which may have its name.
 	restartLeast = time.Second
@@ -36,7 +36,7 @@
 	confirmAfter = 3 * time.Second
 	// undecidedFor is how long after a strike its target may still turn out to have run
 	// on. Until then callers are told to come back after it, not after blockFor.
-	undecidedFor = outliveAfter + restartLeast
+	undecidedFor = surviveAfter + restartLeast
 	// ranOn is how long an answer must have gone on for its request not to have crashed
 	// its target as it began: it broke off under another one's crash.
 	ranOn = time.Second
@@ -88,8 +88,8 @@
 	// answered is when the target, or one started anew in its place, first answered
 	// after that, zero if not.
 	answered time.Time
-	// outlived is set when the target has run on, so that it did not crash.
-	outlived bool
+	// survived is set when the target has run on, so that it did not crash.
+	survived bool
 }
 
 // settled reports whether a target that is still listed as it was has not crashed.
@@ -109,7 +109,7 @@
 // end clears it of what was before.
 func (r *record) standing() (n int, last time.Time) {
 	for _, s := range r.strikes {
-		if s.outlived || !s.at.After(r.cleared) {
+		if s.survived || !s.at.After(r.cleared) {
 			continue
 		}
 		n++
@@ -208,7 +208,7 @@
 }
 
 // Answered notes that a start of a target has answered a request that was sent to it
-// at began, and returns those whose strikes there it has outlived.
+// at began, and returns those whose strikes there it has survived.
 func (l *Ledger) Answered(now, began time.Time, at Start) []Key {
 	var out []Key
 	for _, k := range l.Struck(now, at) {
@@ -217,14 +217,14 @@
 			continue
 		}
 		s, struck := r.strikes[at]
-		if !struck || s.outlived || now.Sub(s.at) < outliveAfter {
+		if !struck || s.survived || now.Sub(s.at) < surviveAfter {
 			continue
 		}
 		if s.answered.IsZero() {
 			s.answered = now
 		}
 		if began.Sub(s.at) < restartLeast {
-			s.outlived = true
+			s.survived = true
 			out = append(out, k)
 		}
 		r.strikes[at] = s
@@ -233,7 +233,7 @@
 }
 
 // Listed takes which starts of targets are listed by a belief that is not old, and
-// reports whether any of them has outlived a strike of the request. A start whose target
+// reports whether any of them has survived a strike of the request. A start whose target
 // does not say when it was born may be a later one.
 func (l *Ledger) Listed(now time.Time, k Key, starts map[Start]bool) bool {
 	r := l.record(now, k)
@@ -242,10 +242,10 @@
 	}
 	news := false
 	for at, s := range r.strikes {
-		if s.outlived || at.Born == 0 || !starts[at] || !s.settled(now) {
+		if s.survived || at.Born == 0 || !starts[at] || !s.settled(now) {
 			continue
 		}
-		s.outlived = true
+		s.survived = true
 		r.strikes[at] = s
 		news = true
 	}
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -63,7 +63,7 @@
 		{"its successor answers", then(move{at: 4 * time.Second, answer: "b", took: 500 * time.Millisecond}), 4 * time.Second, StateBlocked, blockFor - 2*time.Second},
 		{"what it sent before is read", then(move{at: 2*time.Second + 20*time.Millisecond, answer: "c", took: time.Second}), 3 * time.Second, StateBlocked, undecidedFor - time.Second},
 		{"another answers", then(move{at: 3 * time.Second, answer: "d", took: 3 * time.Second}), 3 * time.Second, StateBlocked, undecidedFor - time.Second},
-		{"crashes where it was outlived", then(move{at: 3 * time.Second, answer: "c", took: 3 * time.Second}, move{at: 4 * time.Second, strike: "c"}), 4 * time.Second, StateBlocked, undecidedFor},
+		{"crashes where it was survived", then(move{at: 3 * time.Second, answer: "c", took: 3 * time.Second}, move{at: 4 * time.Second, strike: "c"}), 4 * time.Second, StateBlocked, undecidedFor},
 		{"a target is listed long after", then(move{at: 30 * time.Second, listed: "b"}), 31 * time.Second, StateSuspected, 0},
 		{"a target is still listed", then(move{at: 10 * time.Second, listed: "b"}), 11 * time.Second, StateBlocked, blockFor - 9*time.Second},
 		{
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -18,11 +18,11 @@
 	ClearedAgo time.Duration `msgpack:"clearedAgo"`
 }
 
-// Strike is an attempt that broke off. Outlived is set when its target ran on.
+// Strike is an attempt that broke off. Survived is set when its target ran on.
 type Strike struct {
 	Start    Start         `msgpack:"start"`
 	Ago      time.Duration `msgpack:"ago"`
-	Outlived bool          `msgpack:"outlived"`
+	Survived bool          `msgpack:"survived"`
 }
 
 // Check reports the first field that is out of its domain.
@@ -50,7 +50,7 @@
 	}
 	n := Note{Key: k}
 	for start, s := range r.strikes {
-		n.Strikes = append(n.Strikes, Strike{Start: start, Ago: max(0, now.Sub(s.at)), Outlived: s.outlived})
+		n.Strikes = append(n.Strikes, Strike{Start: start, Ago: max(0, now.Sub(s.at)), Survived: s.survived})
 	}
 	slices.SortFunc(n.Strikes, func(a, b Strike) int { return cmp.Compare(a.Ago, b.Ago) })
 	if !r.cleared.IsZero() {
@@ -96,19 +96,19 @@
 	return before != after
 }
 
-func (l *Ledger) take(now time.Time, k Key, r *record, told Strike) bool {
-	at := now.Add(-told.Ago)
-	known, ok := r.strikes[told.Start]
+func (l *Ledger) take(now time.Time, k Key, r *record, reported Strike) bool {
+	at := now.Add(-reported.Ago)
+	known, ok := r.strikes[reported.Start]
 	switch {
 	case !ok || at.Sub(known.at) > sameStrike:
 		if !ok && len(r.strikes) >= maxStrikes && at.Before(r.strikes[r.oldest()].at) {
 			return false
 		}
-		l.note(now, k, r, told.Start, strike{at: at, outlived: told.Outlived})
+		l.note(now, k, r, reported.Start, strike{at: at, survived: reported.Survived})
 		return true
-	case told.Outlived && !known.outlived && known.at.Sub(at) <= sameStrike:
-		known.outlived = true
-		r.strikes[told.Start] = known
+	case reported.Survived && !known.survived && known.at.Sub(at) <= sameStrike:
+		known.survived = true
+		r.strikes[reported.Start] = known
 		return true
 	default:
 		return false
--- a/io/process/alert/alert_test.go
+++ b/io/process/alert/alert_test.go
@@ -21,8 +21,8 @@
 
 var fatal = poison.Request{URI: "/fatal"}.Key()
 
-func newBook() *Book {
-	return &Book{Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope}
+func newRegistry() *Registry {
+	return &Registry{Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope}
 }
 
 func testSelf(name string) *link.Self {
@@ -43,16 +43,16 @@
 	return netip.MustParseAddrPort(nl.Addr().String()), running(t, l.Run)
 }
 
-// entry connects a book to hubs until the returned function is called.
-func entry(t *testing.T, name string, b *Book, hubs ...netip.AddrPort) func() {
+// entry connects a registry to hubs until the returned function is called.
+func entry(t *testing.T, name string, r *Registry, hubs ...netip.AddrPort) func() {
 	t.Helper()
-	c := &Caller{Self: testSelf(name), Clock: b.Clock, Log: trail.Discard{}, Book: b}
+	c := &Caller{Self: testSelf(name), Clock: r.Clock, Log: trail.Discard{}, Registry: r}
 	stop := running(t, c.Run)
 	eventually(t, name+" runs", func() bool {
 		c.Want(hubs)
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return len(b.pages) > 0
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.subscribers) > 0
 	})
 	return stop
 }
@@ -85,8 +85,8 @@
 	t.Fatalf("not within 10 s: %s", what)
 }
 
-func isBlocked(b *Book) bool {
-	_, blocked := b.Blocked(fatal)
+func isBlocked(r *Registry) bool {
+	_, blocked := r.Blocked(fatal)
 	return blocked
 }
 
@@ -94,9 +94,9 @@
 // all must refuse it, those too that start later; and all must let it through again
 // once it has ended well at one of them.
 func TestEntriesAddUpWhatTheySee(t *testing.T) {
-	hub, _ := serve(t, "127.0.0.1:0", newBook().Handler())
-	books := []*Book{newBook(), newBook(), newBook(), newBook()}
-	for i, b := range books {
+	hub, _ := serve(t, "127.0.0.1:0", newRegistry().Handler())
+	registries := []*Registry{newRegistry(), newRegistry(), newRegistry(), newRegistry()}
+	for i, b := range registries {
 		entry(t, fmt.Sprint("entry-", i), b, hub)
 		if i < 3 {
 			b.Struck(fatal, poison.Start{Target: fmt.Sprint("i-", i)}, 0)
@@ -105,7 +105,7 @@
 	began := time.Now()
 	all := func(want bool) func() bool {
 		return func() bool {
-			for _, b := range books {
+			for _, b := range registries {
 				if isBlocked(b) != want {
 					return false
 				}
@@ -115,15 +115,15 @@
 	}
 	eventually(t, "all refuse it", all(true))
 	t.Logf("all refuse it after %s", time.Since(began))
-	books[1].Succeeded(fatal)
+	registries[1].Succeeded(fatal)
 	eventually(t, "all let it through", all(false))
 }
 
 // A target turns out to have run on: the strike is void for all, not only for the
 // entry that saw it.
-func TestOutlivedStrikeIsToldOn(t *testing.T) {
-	hub, _ := serve(t, "127.0.0.1:0", newBook().Handler())
-	one, two := newBook(), newBook()
+func TestStrikeOfSurvivingTargetIsPublished(t *testing.T) {
+	hub, _ := serve(t, "127.0.0.1:0", newRegistry().Handler())
+	one, two := newRegistry(), newRegistry()
 	entry(t, "one", one, hub)
 	entry(t, "two", two, hub)
 	began := time.Now()
@@ -140,15 +140,15 @@
 // The hub is lost, and with it what it knew. The next one at its address learns it
 // from the entries, and tells an entry that has just started.
 func TestHubThatStartsAnewLearnsAll(t *testing.T) {
-	hub, stop := serve(t, "127.0.0.1:0", newBook().Handler())
-	old := newBook()
+	hub, stop := serve(t, "127.0.0.1:0", newRegistry().Handler())
+	old := newRegistry()
 	entry(t, "old", old, hub)
 	for i := range 3 {
 		old.Struck(fatal, poison.Start{Target: fmt.Sprint("i-", i)}, 0)
 	}
 	stop()
-	serve(t, hub.String(), newBook().Handler())
-	fresh := newBook()
+	serve(t, hub.String(), newRegistry().Handler())
+	fresh := newRegistry()
 	entry(t, "fresh", fresh, hub)
 	began := time.Now()
 	eventually(t, "the new entry refuses it", func() bool { return isBlocked(fresh) })
@@ -158,16 +158,16 @@
 // A target ends under hundreds of requests. None of them is suspected for that, and
 // entries are not told of them all.
 func TestSingleStrikesStayWithTheHub(t *testing.T) {
-	book := newBook()
-	hub, _ := serve(t, "127.0.0.1:0", book.Handler())
-	one, two := newBook(), newBook()
+	registry := newRegistry()
+	hub, _ := serve(t, "127.0.0.1:0", registry.Handler())
+	one, two := newRegistry(), newRegistry()
 	entry(t, "one", one, hub)
 	entry(t, "two", two, hub)
 	const broken = 3 * maxNotes
 	for i := range broken {
 		one.Struck(poison.Request{URI: fmt.Sprint("/", i)}.Key(), poison.Start{Target: "i-0"}, 0)
 	}
-	eventually(t, "the hub knows all", func() bool { return book.known.Load() == broken })
+	eventually(t, "the hub knows all", func() bool { return registry.known.Load() == broken })
 	// Longer than a hub takes to tell.
 	time.Sleep(4 * batchEvery)
 	if diff := cmp.Diff(int64(0), two.known.Load()); diff != "" {
@@ -183,7 +183,7 @@
 		dialled.Add(1)
 		<-ctx.Done()
 	}})
-	entry(t, "one", newBook(), hub)
+	entry(t, "one", newRegistry(), hub)
 	began := time.Now()
 	eventually(t, "it is dialled again", func() bool { return dialled.Load() > 1 })
 	if took := time.Since(began); took > silence+redialAfter+time.Second {
--- a/io/process/alert/listing.go
+++ b/io/process/alert/listing.go
@@ -24,9 +24,9 @@
 // no answer shows it: all reset their connections for a while, as behind a faulty
 // network. Set the exported fields before Run.
 type Listing struct {
-	Clock  clockwork.Clock
-	Book   *Book
-	Source facts.Source
+	Clock    clockwork.Clock
+	Registry *Registry
+	Source   facts.Source
 }
 
 // Run compares until ctx ends.
@@ -42,8 +42,8 @@
 		switch {
 		case age.OlderThan(freshAge):
 			fresh = l.Clock.Now()
-		case l.Book.Any() && l.Clock.Since(fresh) >= freshFor:
-			l.Book.listed(startsOf(f))
+		case l.Registry.Any() && l.Clock.Since(fresh) >= freshFor:
+			l.Registry.listed(startsOf(f))
 		}
 	}
 }
--- a/io/process/alert/listing_test.go
+++ b/io/process/alert/listing_test.go
@@ -28,13 +28,13 @@
 func TestListIsTrustedOnlyWhileItIsFresh(t *testing.T) {
 	born := time.Unix(1000, 0)
 	clock := clockwork.NewFakeClock()
-	book := &Book{Clock: clock, Log: trail.Discard{}, Metrics: tally.NoopScope}
+	registry := &Registry{Clock: clock, Log: trail.Discard{}, Metrics: tally.NoopScope}
 	source := &agedBelief{facts: &facts.Facts{Targets: []facts.Target{{ID: "a", Born: born}, {ID: "b", Born: born}}}}
 	source.age.Store(int64(time.Minute))
 	for _, id := range []string{"a", "b", "c"} {
-		book.Struck(fatal, poison.StartOf(id, born), 0)
+		registry.Struck(fatal, poison.StartOf(id, born), 0)
 	}
-	running(t, (&Listing{Clock: clock, Book: book, Source: source}).Run)
+	running(t, (&Listing{Clock: clock, Registry: registry, Source: source}).Run)
 	pass := func(d time.Duration) {
 		t.Helper()
 		for range int(d / lookEvery) {
@@ -60,7 +60,7 @@
 	for _, s := range steps {
 		source.age.Store(int64(s.age))
 		pass(s.pass)
-		if diff := cmp.Diff(s.want, isBlocked(book)); diff != "" {
+		if diff := cmp.Diff(s.want, isBlocked(registry)); diff != "" {
 			t.Errorf("%s: blocked (-want +got):\n%s", s.name, diff)
 		}
 	}
--- a/io/process/alert/share.go
+++ b/io/process/alert/share.go
@@ -65,19 +65,19 @@
 
 // Handler serves the entries that connect. What comes from a hub is not told on: each
 // entry is connected to all hubs.
-func (b *Book) Handler() link.Handler {
+func (r *Registry) Handler() link.Handler {
 	return link.Handler{Kinds: kinds(), Serve: func(ctx context.Context, c *link.Conn) {
 		// The entry opens the connection anew and writes down why.
-		_ = b.exchange(ctx, c, fromPeer, hubLeast, fromHere, fromPeer)
+		_ = r.exchange(ctx, c, fromPeer, hubLeast, fromLocal, fromPeer)
 	}}
 }
 
 // Caller keeps an entry connected to the hubs. Set the exported fields before Run.
 type Caller struct {
-	Self  *link.Self
-	Clock clockwork.Clock
-	Log   trail.Log
-	Book  *Book
+	Self     *link.Self
+	Clock    clockwork.Clock
+	Log      trail.Log
+	Registry *Registry
 
 	hubs link.Keeper
 }
@@ -136,30 +136,30 @@
 	}
 	defer conn.Close()
 	heard()
-	return c.Book.exchange(ctx, conn, fromHub, 1, fromHere)
+	return c.Registry.exchange(ctx, conn, fromHub, 1, fromLocal)
 }
 
 // exchange takes what a peer tells, and tells it of the changes from the given sources,
 // until the connection ends. It returns why that was.
-func (b *Book) exchange(ctx context.Context, c *link.Conn, from source, least int, wants ...source) error {
+func (r *Registry) exchange(ctx context.Context, c *link.Conn, from source, least int, wants ...source) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
-	p := b.open(least, wants...)
-	defer b.close(p)
+	p := r.subscribe(least, wants...)
+	defer r.unsubscribe(p)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		cancel(b.send(ctx, c, p))
+		cancel(r.send(ctx, c, p))
 	}()
-	err := b.receive(c, from)
+	err := r.receive(c, from)
 	cancel(err)
 	<-done
 	return context.Cause(ctx)
 }
 
-func (b *Book) receive(c *link.Conn, from source) error {
+func (r *Registry) receive(c *link.Conn, from source) error {
 	for {
 		if err := c.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return err
@@ -169,14 +169,14 @@
 			return err
 		}
 		if a, ok := m.(*alerts); ok {
-			b.merge(from, c.Peer.VM.Name, a.Notes)
+			r.merge(from, c.Peer.VM.Name, a.Notes)
 		}
 	}
 }
 
-func (b *Book) send(ctx context.Context, c *link.Conn, p *page) error {
+func (r *Registry) send(ctx context.Context, c *link.Conn, p *subscription) error {
 	for {
-		notes, more := b.take(p)
+		notes, more := r.drain(p)
 		if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 			return err
 		}
@@ -190,12 +190,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.wake:
-		case <-b.Clock.After(repeatEvery):
+		case <-r.Clock.After(repeatEvery):
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-b.Clock.After(batchEvery):
+		case <-r.Clock.After(batchEvery):
 		}
 	}
 }
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -60,8 +60,8 @@
 		server.Rules.KeyAge = scaled(b.Revoke, keyShare)
 	}
 	server.Suspects = f.alerts
-	alerts := &alert.Caller{Self: f.self, Clock: f.clock, Log: f.log, Book: f.alerts}
-	listing := &alert.Listing{Clock: f.clock, Book: f.alerts, Source: f.feed}
+	alerts := &alert.Caller{Self: f.self, Clock: f.clock, Log: f.log, Registry: f.alerts}
+	listing := &alert.Listing{Clock: f.clock, Registry: f.alerts, Source: f.feed}
 	loads := &pulse.Listener{Self: f.self, Clock: f.clock, Log: f.log}
 	listener := &audience{entry: e.Settings.VM, sidePort: e.Settings.SidePort, listen: loads.Want, report: server.Report}
 	loads.Heard = listener.take
--- a/io/process/hosted/frame.go
+++ b/io/process/hosted/frame.go
@@ -76,7 +76,7 @@
 	metrics  tally.Scope
 	feed     *feed.Feed
 	watch    *awake.Watch
-	alerts   *alert.Book
+	alerts   *alert.Registry
 
 	sink     *trace.Sink
 	closer   io.Closer
@@ -129,7 +129,7 @@
 			f.feed.StoreRest = sideRest
 		}
 	}
-	f.alerts = &alert.Book{Clock: f.clock, Log: f.log, Metrics: f.metrics}
+	f.alerts = &alert.Registry{Clock: f.clock, Log: f.log, Metrics: f.metrics}
 	f.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: f.feed.Handler(), link.PurposeAlerts: f.alerts.Handler()}
 	return f, nil
 }
--- a/io/request/direct/guard.go
+++ b/io/request/direct/guard.go
@@ -40,10 +40,10 @@
 	target  string
 	serving uint64
 	timer   clockwork.Timer
-	// movable is set when another target may take the request over, and wanted
+	// movable is set when another target may take the request over, and moves
 	// brings why it should.
 	movable bool
-	wanted  chan error
+	moves   chan error
 
 	mu  sync.Mutex
 	due clockwork.Timer
@@ -64,7 +64,7 @@
 func (s *Server) guard(q *request, x *exchange, v place.Verdict, movable bool) *guard {
 	g := &guard{
 		server: s, q: q, x: x, target: v.Target.ID, serving: v.Serving,
-		movable: movable, wanted: make(chan error, 1),
+		movable: movable, moves: make(chan error, 1),
 	}
 	g.watchDue()
 	s.moves.add(g)
@@ -74,10 +74,10 @@
 	return g
 }
 
-// move asks for an answer that has begun to be moved to another target.
-func (g *guard) move(why error) {
+// requestMove asks for an answer that has begun to be moved to another target.
+func (g *guard) requestMove(why error) {
 	select {
-	case g.wanted <- why:
+	case g.moves <- why:
 	default:
 	}
 }
@@ -139,7 +139,7 @@
 // caller what it has.
 func (g *guard) silent() {
 	if g.begun.Load() {
-		g.move(errSilent)
+		g.requestMove(errSilent)
 		return
 	}
 	if !g.server.desk.other(g.q.service.Name, g.target) || !g.server.retry(g.q.service.Name) {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -58,11 +58,11 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	begun     bool
-	// target is where the request is, and placed the id under which its place there
-	// is counted.
-	target string
-	placed string
-	reason string
+	// target is where the request is, and placementID the id under which its place
+	// there is counted.
+	target      string
+	placementID string
+	reason      string
 	// key is the fingerprint once keyed is set.
 	key   poison.Key
 	keyed bool
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -12,19 +12,19 @@
 	"hawthornferry/core/request/resend"
 )
 
-// mostHeld bounds for how long a caller gets no events while an answer is moved, and
-// heldShare is the part of the route's gap that bounds it too.
+// maxBuffering bounds for how long a caller gets no events while an answer is moved, and
+// bufferingShare is the part of the route's gap that bounds it too.
 const (
-	mostHeld  = 500 * time.Millisecond
-	heldShare = 0.9
+	maxBuffering   = 500 * time.Millisecond
+	bufferingShare = 0.9
 )
 
-// heldFor is for how long after its last event a caller may get none.
-func heldFor(gap time.Duration) time.Duration {
+// bufferingTime is for how long after its last event a caller may get none.
+func bufferingTime(gap time.Duration) time.Duration {
 	if gap <= 0 {
-		return mostHeld
+		return maxBuffering
 	}
-	return min(mostHeld, time.Duration(heldShare*float64(gap)))
+	return min(maxBuffering, time.Duration(bufferingShare*float64(gap)))
 }
 
 // errNoRest is returned for an answer that is not the rest of a stream.
@@ -41,11 +41,11 @@
 	// result brings one successor.
 	result chan successor
 
-	// held is what the first target has written meanwhile, and late is closed once
-	// that may be held no longer.
-	held  []event
-	late  chan struct{}
-	timer clockwork.Timer
+	// buffered is what the first target has written meanwhile, and expired is closed
+	// once that may wait no longer.
+	buffered []event
+	expired  chan struct{}
+	timer    clockwork.Timer
 }
 
 // successor is the attempt at the other target once it has written the next event; if
@@ -76,17 +76,17 @@
 	n.x.close()
 }
 
-// offer places an answer under way at another target and begins an attempt there. It
+// beginHandover places an answer under way at another target and begins an attempt there. It
 // returns nil when there is no place or the request may not be sent once more.
-func (s *Server) offer(ctx context.Context, q *request, why error) *handover {
+func (s *Server) beginHandover(ctx context.Context, q *request, why error) *handover {
 	left := q.tries.Left()
 	if _, blocked := s.blocked(q); blocked || left == 0 {
 		return nil
 	}
 	w := s.work(q)
-	w.ID, w.Begun = q.placed+"+", true
+	w.ID, w.Begun = q.placementID+"+", true
 	w.Avoid = append(w.Avoid[:len(w.Avoid):len(w.Avoid)], q.target)
-	v, ok := s.desk.move(w, why, heldFor(q.route.Gap))
+	v, ok := s.desk.move(w, why, bufferingTime(q.route.Gap))
 	if !ok {
 		return nil
 	}
@@ -97,16 +97,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	h := &handover{
 		why: why, verdict: v, began: s.Clock.Now(), cancel: cancel,
-		result: make(chan successor, 1), late: make(chan struct{}),
+		result: make(chan successor, 1), expired: make(chan struct{}),
 	}
 	req := s.outgoing(ctx, q, v)
-	go func() { h.result <- s.succeed(ctx, q, v, req, left > 1) }()
+	go func() { h.result <- s.attemptSuccessor(ctx, q, v, req, left > 1) }()
 	return h
 }
 
-// succeed makes the attempt at the other target up to its first event. Movable is set
+// attemptSuccessor makes the attempt at the other target up to its first event. Movable is set
 // when the answer may leave that target, too.
-func (s *Server) succeed(ctx context.Context, q *request, v place.Verdict, req *http.Request, movable bool) successor {
+func (s *Server) attemptSuccessor(ctx context.Context, q *request, v place.Verdict, req *http.Request, movable bool) successor {
 	n := successor{}
 	x, err := s.sender.connect(ctx, v.Target)
 	if err != nil {
@@ -128,16 +128,16 @@
 	return n
 }
 
-// hold keeps back an event of the first target until the given time at the most.
-func (h *handover) hold(clock clockwork.Clock, e event, until time.Time) {
-	h.held = append(h.held, e)
+// buffer keeps back an event of the first target until the given time at the most.
+func (h *handover) buffer(clock clockwork.Clock, e event, until time.Time) {
+	h.buffered = append(h.buffered, e)
 	if h.timer != nil {
 		return
 	}
-	h.timer = clock.AfterFunc(until.Sub(clock.Now()), func() { close(h.late) })
+	h.timer = clock.AfterFunc(until.Sub(clock.Now()), func() { close(h.expired) })
 }
 
-// stop ends the watch over the time for which events are held.
+// stop ends the watch over the time for which events are buffered.
 func (h *handover) stop() {
 	if h.timer != nil {
 		h.timer.Stop()
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -267,8 +267,8 @@
 	if e, err := readEvent(in); err != nil || e.id != 2 {
 		t.Fatalf("event %d: %v", e.id, err)
 	}
-	if took := time.Since(began); took > 2*mostHeld {
-		t.Errorf("the event came after %s, want %s at most", took, mostHeld)
+	if took := time.Since(began); took > 2*maxBuffering {
+		t.Errorf("the event came after %s, want %s at most", took, maxBuffering)
 	}
 	for range streamEvents - 2 {
 		m.engine.next <- struct{}{}
--- a/io/request/direct/move.go
+++ b/io/request/direct/move.go
@@ -51,7 +51,7 @@
 	}
 	for _, g := range s.moves.of(target) {
 		if g.movable && g.begun.Load() {
-			g.move(errLoading)
+			g.requestMove(errLoading)
 		}
 	}
 }
--- a/io/request/direct/move_test.go
+++ b/io/request/direct/move_test.go
@@ -49,7 +49,7 @@
 			w.server.Report("a", tc.report)
 			var why error
 			select {
-			case why = <-w.guard.wanted:
+			case why = <-w.guard.moves:
 			default:
 			}
 			if diff := cmp.Diff(tc.want, errors.Is(why, errLoading)); diff != "" {
--- a/io/request/direct/run.go
+++ b/io/request/direct/run.go
@@ -57,8 +57,8 @@
 			return
 		}
 		o, err := s.attempt(ctx, q, v, out)
-		s.desk.done(q.placed, resultOf(o, err))
-		s.judge(q, q.story.verdict.Target, o, err)
+		s.desk.done(q.placementID, resultOf(o, err))
+		s.noteOutcome(q, q.story.verdict.Target, o, err)
 		s.noteAttempt(ctx, q, o, err, out.begun())
 		if o == resend.Relayed {
 			s.finish(q, string(o), q.story.status)
@@ -109,7 +109,7 @@
 
 // attempt sends the request to one target.
 func (s *Server) attempt(ctx context.Context, q *request, v place.Verdict, out relay) (resend.Outcome, error) {
-	q.target, q.placed = v.Target.ID, v.ID
+	q.target, q.placementID = v.Target.ID, v.ID
 	req := s.outgoing(ctx, q, v)
 	x, err := s.sender.connect(ctx, v.Target)
 	if err != nil {
--- a/io/request/direct/story.go
+++ b/io/request/direct/story.go
@@ -155,7 +155,7 @@
 func (s *Server) noteSuccessor(ctx context.Context, q *request, h *handover, n successor) {
 	kept := q.story
 	q.beginAttempt(h.began, h.verdict)
-	s.judge(q, h.verdict.Target, n.outcome, n.err)
+	s.noteOutcome(q, h.verdict.Target, n.outcome, n.err)
 	s.noteAttempt(ctx, q, n.outcome, n.err, false)
 	kept.attempts = q.story.attempts
 	q.story = kept
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -111,7 +111,7 @@
 func (r *streamRelay) pass(x *exchange, e event) error {
 	if r.fresh {
 		r.fresh = false
-		r.server.desk.began(r.q.placed)
+		r.server.desk.began(r.q.placementID)
 	}
 	if !r.started {
 		r.started = true
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -49,8 +49,8 @@
 	return s.Suspects.Blocked(q.fingerprint())
 }
 
-// judge takes what the end of an attempt tells of its request and its target.
-func (s *Server) judge(q *request, t facts.Target, o resend.Outcome, err error) {
+// noteOutcome takes what the end of an attempt tells of its request and its target.
+func (s *Server) noteOutcome(q *request, t facts.Target, o resend.Outcome, err error) {
 	at := poison.StartOf(t.ID, t.Born)
 	switch {
 	case o == resend.Broken && (lostConnection(err) || lostConnection(q.story.cut)):
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -127,7 +127,7 @@
 			if tc.ran > 0 {
 				q.story.began = clock.Now().Add(-tc.ran)
 			}
-			s.judge(q, facts.Target{ID: "i-1"}, tc.outcome, tc.err)
+			s.noteOutcome(q, facts.Target{ID: "i-1"}, tc.outcome, tc.err)
 			if diff := cmp.Diff(tc.want, heard.told); diff != "" {
 				t.Errorf("told (-want +got):\n%s", diff)
 			}
