poison: an answer that was on its way is no sign of life

Found by a review that had not seen the work: an answer that a target sent whole before it crashed, and that a slow entry, a caller that reads slowly or a lossy link brought 200 ms late, voided the strike, at all entries and for good.

An answer that was asked for before the strike vouches for its target two seconds after the strike; one that was asked for after it, 0.2 s after as before. A successor that truly crashed in the moment in which its handover was cancelled counts, too (direct).

Test: TestAnswerOnItsWayIsNoSignOfLife, failing before (cleared in place of blocked).

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -23,8 +23,11 @@
 // What tells a target that ran on from one that crashed.
 const (
 	// surviveAfter is how long after a strike an answer must end for its target to
-	// have run on: what a target sent before it crashed may be read later.
+	// have run on, and readLate the same for one that was asked for before the strike:
+	// what a target sent before it crashed may be read later, by a slow process or over
+	// a link that loses packets.
 	surviveAfter = 200 * time.Millisecond
+	readLate     = 2 * time.Second
 	// restartLeast is less than a target takes to start anew. What begins later may
 	// run at its successor, which may have its name.
 	restartLeast = time.Second
@@ -92,6 +95,15 @@
 	survived bool
 }
 
+// vouchAfter is how long after the strike an answer that was asked for at began must end
+// to show that the target has run on.
+func (s strike) vouchAfter(began time.Time) time.Duration {
+	if began.After(s.at) {
+		return surviveAfter
+	}
+	return readLate
+}
+
 // settled reports whether a target that is still listed as it was has not crashed.
 func (s strike) settled(now time.Time) bool {
 	return now.Sub(s.at) >= listedAfter || !s.answered.IsZero() && now.Sub(s.answered) >= confirmAfter
@@ -217,7 +229,7 @@
 			continue
 		}
 		s, struck := r.strikes[at]
-		if !struck || s.survived || now.Sub(s.at) < surviveAfter {
+		if !struck || s.survived || now.Sub(s.at) < s.vouchAfter(began) {
 			continue
 		}
 		if s.answered.IsZero() {
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// Guards against a request that goes on to crash targets, since each time an answer that a
+// target sent whole before its crash is read a little later.
+func TestAnswerOnItsWayIsNoSignOfLife(t *testing.T) {
+	var l Ledger
+	for i := range blockAt {
+		at := epoch.Add(time.Duration(i) * time.Second)
+		start := startOf(string(rune('a' + i)))
+		l.Strike(at, testKey(1), start, 0)
+		l.Answered(at.Add(readLate-time.Millisecond), at.Add(-time.Second), start)
+	}
+	if diff := cmp.Diff(StateBlocked, l.State(epoch.Add(blockAt*time.Second), testKey(1))); diff != "" {
+		t.Errorf("state after three crashes (-want +got):\n%s", diff)
+	}
+}
+
 // A target is back under its old id each time: its starts are different ones.
 func TestStartsOfOneTargetCountEach(t *testing.T) {
 	var l Ledger
--- a/io/request/direct/flow.go
+++ b/io/request/direct/flow.go
@@ -165,7 +165,7 @@
 	}
 	f.move.cancel()
 	n := <-f.move.result
-	if n.ready() || n.outcome == resend.Broken {
+	if n.ready() || n.outcome == resend.Broken && !lostConnection(n.err) {
 		n.fail(resend.Dropped, nil)
 	}
 	return f.dropSuccessor(n)
