--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -20,19 +20,19 @@
 	"hawthornferry/core/request/resend"
 )
 
-// heardSuspects writes down what it is told.
-type heardSuspects struct {
+// suspectsRecorder writes down what it is told.
+type suspectsRecorder struct {
 	noSuspects
 	told []string
 }
 
-func (h *heardSuspects) Any() bool { return true }
+func (h *suspectsRecorder) Any() bool { return true }
 
-func (h *heardSuspects) Struck(_ poison.Key, at poison.Start, ran time.Duration) {
+func (h *suspectsRecorder) Struck(_ poison.Key, at poison.Start, ran time.Duration) {
 	h.told = append(h.told, "struck "+at.Target+" after "+ran.String())
 }
-func (h *heardSuspects) Succeeded(poison.Key) { h.told = append(h.told, "succeeded") }
-func (h *heardSuspects) Answered(_ time.Time, at poison.Start) {
+func (h *suspectsRecorder) Succeeded(poison.Key) { h.told = append(h.told, "succeeded") }
+func (h *suspectsRecorder) Answered(_ time.Time, at poison.Start) {
 	h.told = append(h.told, "answered "+at.Target)
 }
 
@@ -63,7 +63,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var m *moving
 			m = startMoving(t, func(w http.ResponseWriter, r *http.Request) { tc.other(m)(w, r) })
-			heard := &heardSuspects{}
+			heard := &suspectsRecorder{}
 			m.server.Suspects = heard
 			_, in := m.stream()
 			m.load()
@@ -119,7 +119,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			heard := &heardSuspects{}
+			heard := &suspectsRecorder{}
 			clock := clockwork.NewFakeClock()
 			s := &Server{Clock: clock, Suspects: heard}
 			q := &request{in: httptest.NewRequest(http.MethodPost, "/x", nil)}
