feed: leave upstreams that the store does not answer within the bound

Cause: an entry that follows another one left it once that one's state was 2.5 s old and two waits, whatever the operator's bound on configurations. If the store stops answering all readers, entries that it would serve kept the replaced configuration for longer than a bound of 2 s.

Change: a reply says how late the store's answer to the sender's call is. An entry leaves an upstream whose answer is later than what the bound leaves, and the first request to the next upstream doesn't wait for a change.

Kept: the lateness of the present call.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -108,6 +108,10 @@
 	// state is confirmed that often, and an upstream that has stopped
 	// responding is detected after little more.
 	UpstreamWait time.Duration
+	// MaxStoreLateness is how late the store's answer to an upstream may be before
+	// the upstream is left. Zero means that it is left only once its state is old
+	// or it reports that it has lost the store.
+	MaxStoreLateness time.Duration
 
 	mu            sync.Mutex
 	items         map[string]Item
@@ -127,6 +131,10 @@
 	// answeredUntil is the time on the Uptime clock up to which the store's last
 	// answer to this process accounts for all changes.
 	answeredUntil time.Duration
+	// answerDue is when, on the Uptime clock, the store's answer to the present
+	// call of this process is due, or the first of several calls that were not
+	// answered. Zero if none is awaited.
+	answerDue time.Duration
 	// lastFailure is when, on the Uptime clock, a call of this process to the
 	// store last failed.
 	lastFailure time.Duration
--- a/io/process/feed/outage.go
+++ b/io/process/feed/outage.go
@@ -14,6 +14,24 @@
 	}
 	f.storeUpUntil = now
 	f.storeLost = false
+	f.answerDue = 0
+}
+
+// expectAnswer records that the store's answer to a call is due at the given time,
+// unless an earlier call was not answered either. f.mu must be held.
+func (f *Feed) expectAnswer(due time.Duration) {
+	if f.answerDue == 0 {
+		f.answerDue = due
+	}
+}
+
+// storeLateness is how late the store's answer to the present call is; negative if
+// it is not due yet, zero if none is awaited. f.mu must be held.
+func (f *Feed) storeLateness() time.Duration {
+	if f.answerDue == 0 {
+		return 0
+	}
+	return f.Uptime() - f.answerDue
 }
 
 // recordPeerReply records the reply of a peer whose state has the given age. A
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -200,6 +200,7 @@
 // Reasons to stop following an upstream.
 var (
 	errUpstreamStale     = errors.New("the peer's state is too old")
+	errUpstreamWaits     = errors.New("the store does not answer the peer")
 	errUpstreamEmpty     = errors.New("the peer has no state yet")
 	errUpstreamLostStore = errors.New("the peer has lost the store")
 )
@@ -209,18 +210,22 @@
 // process's state: other peers also refresh that now and then, so a
 // disconnected upstream would be kept for good, and changes would arrive only
 // with the queries to other peers.
+//
+// The first request doesn't wait for a change: an upstream that the store doesn't
+// answer has none to report, and after it others must be tried in time.
 func (f *Feed) followUpstream(ctx context.Context, p Peer) error {
 	c, end, err := f.dial(ctx, p, upstreamDialTimeout)
 	if err != nil {
 		return err
 	}
 	defer end()
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if err := c.SetReadDeadline(time.Now().Add(f.UpstreamWait + f.replyTimeout())); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(wait + f.replyTimeout())); err != nil {
 			return err
 		}
 		asked := f.Uptime()
-		reply, err := f.exchange(c, f.UpstreamWait)
+		reply, err := f.exchange(c, wait)
 		if err != nil {
 			return err
 		}
@@ -233,10 +238,23 @@
 		if age := f.Uptime() - asked + reply.Age; age > 2*f.UpstreamWait+upstreamAgeMargin {
 			return errUpstreamStale
 		}
+		if f.MaxStoreLateness > 0 && reply.StoreLateness > f.MaxStoreLateness {
+			return errUpstreamWaits
+		}
+		wait = f.upstreamWait(reply)
 	}
 	return nil
 }
 
+// upstreamWait is how long the next request to an upstream waits for a change. If the
+// store's answer to the upstream is late by then, the reply must come in time.
+func (f *Feed) upstreamWait(reply *factsReply) time.Duration {
+	if f.MaxStoreLateness <= 0 {
+		return f.UpstreamWait
+	}
+	return min(f.UpstreamWait, max(f.MaxStoreLateness-reply.StoreLateness, minUpstreamWait))
+}
+
 // adoptReply applies a peer's reply to a request sent at asked. waited is set
 // if the request waited for a change.
 func (f *Feed) adoptReply(asked time.Duration, waited bool, peer string, reply *factsReply) {
--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -41,6 +41,9 @@
 	// with the store may have, including one failed watch. followUpstream
 	// allows two waits of a request in addition.
 	upstreamAgeMargin = 2500 * time.Millisecond
+	// minUpstreamWait keeps requests to an upstream that awaits a late answer from
+	// following each other without a pause.
+	minUpstreamWait = 50 * time.Millisecond
 	// replyPartBytes is the size of the item values in one part of a reply,
 	// well below the limit of a frame.
 	replyPartBytes = 256 << 10
@@ -93,7 +96,10 @@
 	StoreUnreachable bool `msgpack:"away"`
 	// StoreLost is set if the last two calls of the sender to the store failed.
 	StoreLost bool `msgpack:"lost"`
-	Last      bool `msgpack:"last"`
+	// StoreLateness is how late the store's answer to the sender's present call is;
+	// negative if it is not due yet, zero if none is awaited.
+	StoreLateness time.Duration `msgpack:"late"`
+	Last          bool          `msgpack:"last"`
 }
 
 // Kind returns the message's name on the wire.
@@ -186,7 +192,7 @@
 func (f *Feed) buildReply(req *factsRequest) []*factsReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := &factsReply{Known: f.known, AtRevision: f.revision, Age: max(0, f.Uptime()-f.confirmed), Announced: f.announcements.VersionReports(f.Uptime()), StoreUnreachable: f.contact().StoreUnreachable(f.ranSince), StoreLost: f.storeLost}
+	t := &factsReply{Known: f.known, AtRevision: f.revision, Age: max(0, f.Uptime()-f.confirmed), Announced: f.announcements.VersionReports(f.Uptime()), StoreUnreachable: f.contact().StoreUnreachable(f.ranSince), StoreLost: f.storeLost, StoreLateness: f.storeLateness()}
 	if !f.known || f.revision <= req.After {
 		t.Last = true
 		return []*factsReply{t}
--- a/io/process/feed/silent_test.go
+++ b/io/process/feed/silent_test.go
@@ -32,7 +32,7 @@
 
 // Guards against an entry that uses a replaced configuration for longer than
 // the bound, because the store doesn't answer the entry's upstreams.
-func TestTellersThatTheStoreIsSilentToAreLeftInTime(t *testing.T) {
+func TestUpstreamsThatTheStoreDoesNotAnswerAreLeftInTime(t *testing.T) {
 	const bound = 2 * time.Second
 	s := newFakeStore()
 	s.set("config", "1", false)
--- a/io/process/feed/upstream_test.go
+++ b/io/process/feed/upstream_test.go
@@ -16,6 +16,7 @@
 func setEntryWaits(f *Feed) {
 	f.WatchWait = 800 * time.Millisecond
 	f.UpstreamWait = 500 * time.Millisecond
+	f.MaxStoreLateness = 700 * time.Millisecond
 }
 
 // newUpstream starts a feed that reads s with the wait of an entry and serves
--- a/io/process/feed/watch.go
+++ b/io/process/feed/watch.go
@@ -23,6 +23,9 @@
 	}
 	asked := f.Uptime()
 	wait = contact.WatchWait(asked, wait)
+	f.mu.Lock()
+	f.expectAnswer(asked + wait)
+	f.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	c, err := f.Store.Watch(callCtx, contact.Revision, wait)
@@ -40,6 +43,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// A peer may have sent a newer revision in the meantime.
+	f.answerDue = 0
 	if c.AtRevision >= f.revision {
 		call := verlog.StoreCall{Asked: asked, Got: got, Wait: wait}
 		live := f.contact().ChangesMadeAt(call, f.ranSince)
@@ -54,6 +58,9 @@
 // list reads all pages and replaces the state with them.
 func (f *Feed) list(ctx context.Context) error {
 	asked := f.Uptime()
+	f.mu.Lock()
+	f.expectAnswer(asked + watchSlack)
+	f.mu.Unlock()
 	var items []Item
 	var first uint64
 	after := ""
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -132,6 +132,8 @@
 		p.feed.Upstreams, p.feed.UpstreamWait = p.seeds, peerWait
 		if s.VM.Role == fleet.RoleSide {
 			p.feed.StoreBackoff = sideStoreBackoff
+		} else {
+			p.feed.MaxStoreLateness = maxStoreLateness(s.Bounds, wait)
 		}
 	}
 	p.alerts = &alert.Registry{Clock: p.clock, Log: p.log, Metrics: p.metrics}
--- a/io/process/hosted/waits.go
+++ b/io/process/hosted/waits.go
@@ -27,6 +27,14 @@
 	// watchOverhead is the time taken by the calls themselves, to the store and between
 	// peers.
 	watchOverhead = 200 * time.Millisecond
+	// storeLateness is how late the store's answers to an entry that reads it may be
+	// before the entries that follow that one leave it. minStoreLateness applies if the
+	// bounds leave less.
+	storeLateness    = 1400 * time.Millisecond
+	minStoreLateness = 100 * time.Millisecond
+	// changeUpstreamTime is the time that an entry needs to leave its upstreams, one
+	// after the other, and to read the store itself.
+	changeUpstreamTime = 500 * time.Millisecond
 )
 
 // entryWaits returns the duration of an entry's watches at the store and at a peer. The
@@ -45,3 +53,14 @@
 	store = max(store, minWait)
 	return store, scaleDuration(store, peerWaitShare)
 }
+
+// maxStoreLateness returns how late the store's answer to an upstream may be before an
+// entry leaves the upstream. storeWait is the duration of the upstream's watches. If the
+// store stops answering the upstream, the entry still gets a new configuration within the
+// bound.
+func maxStoreLateness(b Bounds, storeWait time.Duration) time.Duration {
+	if b.ConfigDelay <= 0 {
+		return storeLateness
+	}
+	return max(min(storeLateness, b.ConfigDelay-storeWait-changeUpstreamTime), minStoreLateness)
+}
--- a/io/process/hosted/waits_test.go
+++ b/io/process/hosted/waits_test.go
@@ -38,3 +38,15 @@
 		})
 	}
 }
+
+// Guards against entries that follow an upstream which the store no longer answers for so
+// long that a new configuration takes effect too late.
+func TestSilentReaderIsLeftWithinTheBound(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		b := Bounds{ConfigDelay: bound}
+		store, _ := entryWaits(b)
+		if took := store + maxStoreLateness(b, store) + changeUpstreamTime; took > bound {
+			t.Errorf("a new configuration takes effect after up to %s, want %s at most", took, bound)
+		}
+	}
+}
