poison: count failures apart only one after the other

Cause: when all targets of a service crash together, attempts of one request at three of them broke off in the same moment and counted as three crashes, so that a request which crashes nothing was refused for ten minutes.

Change: a failure counts only if its attempt was sent after the failure that counted before it. Notes to other entries carry how long the attempt had been under way; notes without it count as before.

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -10,7 +10,7 @@
 // Thresholds at which a request is suspected and blocked.
 const (
 	// suspectThreshold and blockThreshold are the numbers of target starts at which
-	// attempts must have broken off. A crash breaks off all attempts at its target,
+	// attempts, sent one after the other's failure, must have broken off. A crash breaks off all attempts at its target,
 	// so harmless requests fail as well; but that this happens to the same harmless
 	// request three times, without a success in between, is rare.
 	suspectThreshold = 2
@@ -102,7 +102,9 @@
 // failure is an attempt that broke off while its target may have been running the
 // request.
 type failure struct {
-	at time.Time
+	// sentAt is when the attempt was sent, and at when it broke off.
+	sentAt time.Time
+	at     time.Time
 	// firstAnswer is when the target, or a successor with its name, first answered
 	// after the failure, or zero if it has not.
 	firstAnswer time.Time
@@ -132,23 +134,35 @@
 	lastSuccess time.Time
 }
 
-// suspectedCrashes returns how many target starts the request may have crashed, and
-// the time of the last failure among them. Failures before the last success don't
-// count: a poison request crashes every target, so a success shows that the earlier
-// failures had another cause.
+// suspectedCrashes returns how many target starts the request may have crashed one
+// after the other, and the time of the last failure among them. An attempt that was
+// under way when another one broke off doesn't count beside it: when targets crash
+// together for another reason, all attempts at them break off at the same time.
 func (r *record) suspectedCrashes() (n int, last time.Time) {
-	for _, f := range r.failures {
-		if f.survived || !f.at.After(r.lastSuccess) {
+	for _, f := range r.unexplainedFailures() {
+		if n > 0 && f.sentAt.Before(last) {
 			continue
 		}
 		n++
-		if f.at.After(last) {
-			last = f.at
-		}
+		last = f.at
 	}
 	return n, last
 }
 
+// unexplainedFailures returns the failures that the request may have caused, sorted by
+// time. Failures before the last success are not among them: a poison request crashes
+// every target, so a success shows that the earlier failures had another cause.
+func (r *record) unexplainedFailures() []failure {
+	var out []failure
+	for _, f := range r.failures {
+		if !f.survived && f.at.After(r.lastSuccess) {
+			out = append(out, f)
+		}
+	}
+	slices.SortFunc(out, func(a, b failure) int { return a.at.Compare(b.at) })
+	return out
+}
+
 // setFailure sets the failure at a target start. If the record is full, it drops the
 // oldest failure.
 func (r *record) setFailure(at Incarnation, f failure) {
@@ -193,9 +207,9 @@
 	return r
 }
 
-// RecordFailure records that an attempt broke off at a target start after its answer
-// had been going on for ran. It reports whether the failure counts.
-func (l *Ledger) RecordFailure(now time.Time, k Fingerprint, at Incarnation, ran time.Duration) bool {
+// RecordFailure records that an attempt sent at sentAt broke off at a target start after
+// its answer had been going on for ran. It reports whether the failure counts.
+func (l *Ledger) RecordFailure(now, sentAt time.Time, k Fingerprint, at Incarnation, ran time.Duration) bool {
 	if ran >= minInnocentRun {
 		return false
 	}
@@ -203,7 +217,11 @@
 	if r == nil {
 		r = &record{failures: map[Incarnation]failure{}}
 	}
-	l.addFailure(now, k, r, at, failure{at: now})
+	if known, ok := r.failures[at]; ok && now.Sub(known.at) <= sameFailureWindow && known.sentAt.After(sentAt) {
+		// Of several attempts at a target that crashed, any may be the cause.
+		sentAt = known.sentAt
+	}
+	l.addFailure(now, k, r, at, failure{sentAt: sentAt, at: now})
 	return true
 }
 
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -24,11 +24,12 @@
 	at  time.Duration
 	key int
 	// Exactly one of failure, success, answerFrom and listing is set: a failure at a
-	// target whose answer had been going on for ran, a successful completion, an
+	// target whose answer had been going on for ran, by an attempt sent sentBefore it, a successful completion, an
 	// answer by a target to a request sent answerTime before, or a listing that has
 	// the target.
 	failure    string
 	ran        time.Duration
+	sentBefore time.Duration
 	success    bool
 	answerFrom string
 	answerTime time.Duration
@@ -53,6 +54,12 @@
 		{"three times", three, 4 * time.Second, StateBlocked, blockDuration - 2*time.Second},
 		{"three times, just now", three, 2*time.Second + undecidedDuration/2, StateBlocked, undecidedDuration / 2},
 		{"third answer had been going on", []event{{failure: "a"}, {failure: "b"}, {failure: "c", ran: minInnocentRun}}, 0, StateSuspected, 0},
+		{"three times at once", []event{{failure: "a"}, {failure: "b", sentBefore: 1}, {failure: "c", sentBefore: time.Second}}, time.Second, StateClear, 0},
+		{
+			"at once, then twice",
+			[]event{{failure: "a", sentBefore: 9}, {failure: "b", sentBefore: 9}, {at: 4, failure: "c", sentBefore: 4}, {at: 9, failure: "d", sentBefore: 5}},
+			time.Second, StateBlocked, undecidedDuration - time.Second + 9,
+		},
 		{"three times at one start", []event{{failure: "a"}, {at: 1, failure: "a"}, {at: 2, failure: "a"}}, time.Second, StateClear, 0},
 		{"other request", []event{{failure: "a", key: 2}, {failure: "b", key: 2}, {failure: "c", key: 2}}, time.Second, StateClear, 0},
 		{"success after two", []event{{failure: "a"}, {at: 1, failure: "b"}, {at: 2, success: true}, {at: 3, failure: "c"}}, time.Second, StateClear, 0},
@@ -103,7 +110,7 @@
 	now, k := epoch.Add(e.at), testKey(max(e.key, 1))
 	switch {
 	case e.failure != "":
-		l.RecordFailure(now, k, newStart(e.failure), e.ran)
+		l.RecordFailure(now, now.Add(-e.sentBefore), k, newStart(e.failure), e.ran)
 	case e.listing != "":
 		l.RecordListing(now, k, map[Incarnation]bool{newStart(e.listing): true})
 	case e.success:
@@ -118,7 +125,7 @@
 func TestListingWithoutBirthTimeProvesNothing(t *testing.T) {
 	var l Ledger
 	at := NewIncarnation("a", time.Time{})
-	l.RecordFailure(epoch, testKey(1), at, 0)
+	l.RecordFailure(epoch, epoch, testKey(1), at, 0)
 	if l.RecordListing(epoch.Add(time.Hour), testKey(1), map[Incarnation]bool{at: true}) {
 		t.Error("the listing voids the failure")
 	}
@@ -132,7 +139,7 @@
 	for i := range blockThreshold {
 		at := epoch.Add(time.Duration(i) * time.Second)
 		start := newStart(string(rune('a' + i)))
-		l.RecordFailure(at, testKey(1), start, 0)
+		l.RecordFailure(at, at, testKey(1), start, 0)
 		l.RecordAnswer(at.Add(lateReadDelay-time.Millisecond), at.Add(-time.Second), start)
 	}
 	if diff := cmp.Diff(StateBlocked, l.State(epoch.Add(blockThreshold*time.Second), testKey(1))); diff != "" {
@@ -145,7 +152,7 @@
 func TestEachStartOfOneTargetCounts(t *testing.T) {
 	var l Ledger
 	for i := range blockThreshold {
-		l.RecordFailure(epoch, testKey(1), NewIncarnation("a", epoch.Add(time.Duration(i)*time.Second)), 0)
+		l.RecordFailure(epoch, epoch, testKey(1), NewIncarnation("a", epoch.Add(time.Duration(i)*time.Second)), 0)
 	}
 	if diff := cmp.Diff(StateBlocked, l.State(epoch, testKey(1))); diff != "" {
 		t.Errorf("state (-want +got):\n%s", diff)
@@ -158,7 +165,7 @@
 func TestLedgersAgreeAfterMerge(t *testing.T) {
 	var entries [3]Ledger
 	for i := range entries {
-		entries[i].RecordFailure(epoch.Add(time.Duration(i)*time.Second), testKey(1), newStart(string(rune('a'+i))), 0)
+		entries[i].RecordFailure(epoch.Add(time.Duration(i)*time.Second), epoch.Add(time.Duration(i)*time.Second), testKey(1), newStart(string(rune('a'+i))), 0)
 	}
 	now := epoch.Add(3 * time.Second)
 	var notes []Note
@@ -236,11 +243,11 @@
 func TestLedgerIsBounded(t *testing.T) {
 	var l Ledger
 	for i := range blockThreshold {
-		l.RecordFailure(epoch, testKey(0), newStart(string(rune('a'+i))), 0)
+		l.RecordFailure(epoch, epoch, testKey(0), newStart(string(rune('a'+i))), 0)
 	}
 	for i := range 3 * maxRequests {
 		now := epoch.Add(time.Duration(i) * time.Millisecond)
-		l.RecordFailure(now, testKey(i+1), newStart(string(rune('a'+i%700))), 0)
+		l.RecordFailure(now, now, testKey(i+1), newStart(string(rune('a'+i%700))), 0)
 		if i%1000 == 0 {
 			if _, blocked := l.Blocked(now, testKey(0)); !blocked {
 				t.Fatalf("the request is accepted after %d others", i)
@@ -251,7 +258,7 @@
 		t.Errorf("requests and starts (-want +got):\n%s", diff)
 	}
 	for i := range 3 * maxFailures {
-		l.RecordFailure(epoch.Add(time.Duration(i)*time.Second), testKey(0), NewIncarnation("t", epoch.Add(time.Duration(i)*time.Second)), 0)
+		l.RecordFailure(epoch.Add(time.Duration(i)*time.Second), epoch.Add(time.Duration(i)*time.Second), testKey(0), NewIncarnation("t", epoch.Add(time.Duration(i)*time.Second)), 0)
 	}
 	n, _ := l.Note(epoch, testKey(0), 1)
 	if diff := cmp.Diff(maxFailures, len(n.Failures)); diff != "" {
--- a/core/request/poison/model_test.go
+++ b/core/request/poison/model_test.go
@@ -220,7 +220,7 @@
 }
 
 func (p *simulation) breakOff(now time.Duration, x *clientRequest) {
-	p.ledger.RecordFailure(epoch.Add(now), x.key, p.startOf(x), now-x.began-p.short)
+	p.ledger.RecordFailure(epoch.Add(now), epoch.Add(x.began), x.key, p.startOf(x), now-x.began-p.short)
 	switch {
 	case x.tries.Ended(resend.Broken):
 		p.attempt(now, x, x.target)
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -23,7 +23,9 @@
 type Failure struct {
 	Incarnation Incarnation   `msgpack:"start"`
 	Age         time.Duration `msgpack:"ago"`
-	Survived    bool          `msgpack:"survived"`
+	// Duration is how long the attempt had been under way.
+	Duration time.Duration `msgpack:"took"`
+	Survived bool          `msgpack:"survived"`
 }
 
 // Check returns an error for the first invalid field.
@@ -35,6 +37,9 @@
 		return errors.Newf("note: cleared %s ago: want none below 0", n.SuccessAge)
 	}
 	for _, s := range n.Failures {
+		if s.Duration < 0 {
+			return errors.Newf("note: strike at %q by an attempt of %s: want no time below 0", s.Incarnation.Target, s.Duration)
+		}
 		if s.Incarnation.Target == "" || s.Age < 0 {
 			return errors.Newf("note: strike at %q %s ago: want a target and no time below 0", s.Incarnation.Target, s.Age)
 		}
@@ -51,7 +56,7 @@
 	}
 	n := Note{Fingerprint: k}
 	for start, s := range r.failures {
-		n.Failures = append(n.Failures, Failure{Incarnation: start, Age: max(0, now.Sub(s.at)), Survived: s.survived})
+		n.Failures = append(n.Failures, Failure{Incarnation: start, Age: max(0, now.Sub(s.at)), Duration: max(0, s.at.Sub(s.sentAt)), Survived: s.survived})
 	}
 	slices.SortFunc(n.Failures, func(a, b Failure) int { return cmp.Compare(a.Age, b.Age) })
 	if !r.lastSuccess.IsZero() {
@@ -109,7 +114,7 @@
 		if !ok && len(r.failures) >= maxFailures && at.Before(r.failures[r.oldest()].at) {
 			return false
 		}
-		l.addFailure(now, k, r, reported.Incarnation, failure{at: at, survived: reported.Survived})
+		l.addFailure(now, k, r, reported.Incarnation, failure{sentAt: at.Add(-reported.Duration), at: at, survived: reported.Survived})
 		return true
 	case reported.Survived && !known.survived && known.at.Sub(at) <= sameFailureWindow:
 		known.survived = true
--- a/io/process/alert/alert_test.go
+++ b/io/process/alert/alert_test.go
@@ -99,7 +99,7 @@
 	for i, r := range registries {
 		connectEntry(t, fmt.Sprint("entry-", i), r, hub)
 		if i < 3 {
-			r.RecordFailure(crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+			r.RecordFailure(r.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 		}
 	}
 	began := time.Now()
@@ -128,7 +128,7 @@
 	connectEntry(t, "two", two, hub)
 	began := time.Now()
 	for i := range 3 {
-		one.RecordFailure(crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+		one.RecordFailure(one.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 	}
 	eventually(t, "the other one refuses it", func() bool { return isBlocked(two) })
 	eventually(t, "both let it through", func() bool {
@@ -144,7 +144,7 @@
 	old := newRegistry()
 	connectEntry(t, "old", old, hub)
 	for i := range 3 {
-		old.RecordFailure(crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+		old.RecordFailure(old.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 	}
 	stop()
 	serveHub(t, hub.String(), newRegistry().Handler())
@@ -165,7 +165,7 @@
 	connectEntry(t, "two", two, hub)
 	const broken = 3 * maxNotes
 	for i := range broken {
-		one.RecordFailure(poison.Request{URI: fmt.Sprint("/", i)}.Fingerprint(), poison.Incarnation{Target: "i-0"}, 0)
+		one.RecordFailure(one.Clock.Now(), poison.Request{URI: fmt.Sprint("/", i)}.Fingerprint(), poison.Incarnation{Target: "i-0"}, 0)
 	}
 	eventually(t, "the hub knows all", func() bool { return registry.size.Load() == broken })
 	// Longer than a hub takes to send its news.
--- a/io/process/alert/registry.go
+++ b/io/process/alert/registry.go
@@ -65,11 +65,11 @@
 	return r.ledger.Blocked(r.Clock.Now(), k)
 }
 
-// RecordFailure records that an attempt of a request broke off at a target start, after its
-// answer had been going on for ran.
-func (r *Registry) RecordFailure(k poison.Fingerprint, at poison.Incarnation, ran time.Duration) {
+// RecordFailure records that an attempt of a request, sent at began, broke off at a target
+// start, after its answer had been going on for ran.
+func (r *Registry) RecordFailure(began time.Time, k poison.Fingerprint, at poison.Incarnation, ran time.Duration) {
 	r.change(fromLocal, "", k, func(now time.Time) bool {
-		counts := r.ledger.RecordFailure(now, k, at, ran)
+		counts := r.ledger.RecordFailure(now, began, k, at, ran)
 		if counts {
 			r.count("strikes_total", "")
 		}
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -22,10 +22,10 @@
 	// Blocked reports whether a request must be refused, and after what time its caller
 	// may retry.
 	Blocked(k poison.Fingerprint) (time.Duration, bool)
-	// RecordFailure records that a target dropped the connection during an attempt. at
-	// identifies the start of that target, and ran is how long the response had been
-	// under way.
-	RecordFailure(k poison.Fingerprint, at poison.Incarnation, ran time.Duration)
+	// RecordFailure records that a target dropped the connection during an attempt sent at
+	// began. at identifies the start of that target, and ran is how long the response had
+	// been under way.
+	RecordFailure(began time.Time, k poison.Fingerprint, at poison.Incarnation, ran time.Duration)
 	// RecordSuccess records that a request completed without crashing its target.
 	RecordSuccess(k poison.Fingerprint)
 	// RecordAnswer records that a target has answered a request that was sent at began. at
@@ -38,8 +38,10 @@
 
 func (noSuspects) HasRecords() bool { return false }
 
-func (noSuspects) Blocked(poison.Fingerprint) (time.Duration, bool)                    { return 0, false }
-func (noSuspects) RecordFailure(poison.Fingerprint, poison.Incarnation, time.Duration) {}
+func (noSuspects) Blocked(poison.Fingerprint) (time.Duration, bool) { return 0, false }
+
+func (noSuspects) RecordFailure(time.Time, poison.Fingerprint, poison.Incarnation, time.Duration) {}
+
 func (noSuspects) RecordSuccess(poison.Fingerprint)                                    {}
 func (noSuspects) RecordAnswer(time.Time, poison.Incarnation)                          {}
 
@@ -62,7 +64,7 @@
 	at := poison.NewIncarnation(t.ID, t.StartedAt)
 	switch {
 	case o == resend.Broken && (lostConnection(err) || lostConnection(q.progress.responseErr)):
-		s.Suspects.RecordFailure(q.fingerprint(), at, q.progress.responseDuration(s.Clock.Now()))
+		s.Suspects.RecordFailure(q.progress.attemptStart, q.fingerprint(), at, q.progress.responseDuration(s.Clock.Now()))
 	case !s.Suspects.HasRecords():
 	case o == resend.Relayed || o == resend.TargetFailure:
 		s.Suspects.RecordAnswer(q.progress.attemptStart, at)
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -28,7 +28,7 @@
 
 func (r *suspectsRecorder) HasRecords() bool { return true }
 
-func (r *suspectsRecorder) RecordFailure(_ poison.Fingerprint, at poison.Incarnation, ran time.Duration) {
+func (r *suspectsRecorder) RecordFailure(_ time.Time, _ poison.Fingerprint, at poison.Incarnation, ran time.Duration) {
 	r.calls = append(r.calls, "struck "+at.Target+" after "+ran.String())
 }
 
