poison: order failures of one moment by when they were sent

Cause: failures with the same time were counted in the order of a map, and the new row of TestStateOfRequests, whose first attempt took no time at all, failed in some runs. Change: a fixed order, and an attempt that took time in the row.

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -159,7 +160,7 @@
 			out = append(out, f)
 		}
 	}
-	slices.SortFunc(out, func(a, b failure) int { return a.at.Compare(b.at) })
+	slices.SortFunc(out, func(a, b failure) int { return cmp.Or(a.at.Compare(b.at), a.sentAt.Compare(b.sentAt)) })
 	return out
 }
 
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -54,7 +54,7 @@
 		{"three times", three, 4 * time.Second, StateBlocked, blockDuration - 2*time.Second},
 		{"three times, just now", three, 2*time.Second + undecidedDuration/2, StateBlocked, undecidedDuration / 2},
 		{"third answer had been going on", []event{{failure: "a"}, {failure: "b"}, {failure: "c", ran: minInnocentRun}}, 0, StateSuspected, 0},
-		{"three times at once", []event{{failure: "a"}, {failure: "b", sentBefore: 1}, {failure: "c", sentBefore: time.Second}}, time.Second, StateClear, 0},
+		{"three times at once", []event{{failure: "a", sentBefore: 1}, {failure: "b", sentBefore: 1}, {failure: "c", sentBefore: time.Second}}, time.Second, StateClear, 0},
 		{
 			"at once, then twice",
 			[]event{{failure: "a", sentBefore: 9}, {failure: "b", sentBefore: 9}, {at: 4, failure: "c", sentBefore: 4}, {at: 9, failure: "d", sentBefore: 5}},
