order: end a load question when replies stop coming

Cause: before a load a side asks all replicas of its zone and waited up to 1 s for those that do not answer.

An order still needs the floor from replies that came, so no safeguard is weakened.

--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -42,8 +42,8 @@
 
 func (noSuspects) RecordFailure(time.Time, poison.Fingerprint, poison.Incarnation, time.Duration) {}
 
-func (noSuspects) RecordSuccess(poison.Fingerprint)                                    {}
-func (noSuspects) RecordAnswer(time.Time, poison.Incarnation)                          {}
+func (noSuspects) RecordSuccess(poison.Fingerprint)           {}
+func (noSuspects) RecordAnswer(time.Time, poison.Incarnation) {}
 
 // reasonCrashesTargets is the reason given when a request is refused because it crashes
 // targets.
--- a/io/version/order/peers.go
+++ b/io/version/order/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,9 +13,14 @@
 	"hawthornferry/io/conn/link"
 )
 
-// maxConnections bounds the connections that one request to all peers holds open at a
-// time.
-const maxConnections = 16
+const (
+	// maxConnections bounds the connections that one request to all peers holds open at
+	// a time.
+	maxConnections = 16
+	// replyGap is how long the next reply to a request to all peers may take. Replicas of
+	// a zone reply within milliseconds.
+	replyGap = 100 * time.Millisecond
+)
 
 // statusRequest asks another replica of the service for its status, before a load.
 type statusRequest struct {
@@ -80,27 +86,54 @@
 	_ = conn.Send(&replicaStatus{Status: s})
 }
 
-// requestStatuses asks all peers and returns the replies that arrived before ctx ended.
+// requestStatuses asks all peers and returns the replies. It stops waiting when ctx ends,
+// or when no further reply has come for replyGap: a replica asks again only after its
+// question has ended and counts as not serving until then, so that a single peer behind a
+// slow link would hold up the loads of the whole zone.
 func (c *Controller) requestStatuses(ctx context.Context, service string, peers []fleet.VM) []roll.Status {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	replies := c.startRequests(ctx, service, peers)
+	defer func() {
+		cancel()
+		for range replies {
+		}
+	}()
 	var answers []roll.Status
+	var gapOver <-chan time.Time
+	for {
+		select {
+		case s, more := <-replies:
+			if !more {
+				return answers
+			}
+			answers = append(answers, s)
+			gapOver = c.Clock.After(replyGap)
+		case <-gapOver:
+			return answers
+		}
+	}
+}
+
+// startRequests asks all peers. The channel returns their replies, and is closed when each
+// peer has replied or failed to.
+func (c *Controller) startRequests(ctx context.Context, service string, peers []fleet.VM) <-chan roll.Status {
+	replies := make(chan roll.Status)
+	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxConnections)
 	for _, peer := range peers {
-		slots <- struct{}{}
 		wg.Go(func() {
+			slots <- struct{}{}
 			defer func() { <-slots }()
-			s, err := c.requestStatus(ctx, service, peer)
-			if err != nil {
-				return
+			if s, err := c.requestStatus(ctx, service, peer); err == nil {
+				replies <- s
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, s)
 		})
 	}
-	wg.Wait()
-	return answers
+	go func() {
+		wg.Wait()
+		close(replies)
+	}()
+	return replies
 }
 
 // requestStatus asks one peer for its status.
