spread: send fewer chunks at a time while peers give up

Cause: a side with a slow link that holds a chunk alone offered it to four peers at a time. Each of these transfers made no progress for longer than a peer waits, all were given up, and it began anew: in the model of twenty sides of which two are slow, a chunk reached its second holder after up to 3.2 s.

Change: a side halves its upload slots when a peer gives up an offered chunk, and adds one for each that was sent. The model of links can share them block by block, and the network of the tests carries out the actions of BytesReceived, which it dropped.

--- a/core/version/spread/network_test.go
+++ b/core/version/spread/network_test.go
@@ -40,6 +40,8 @@
 	sharedLinks *sharedLinks
 	// onArrival, when set, is called for each chunk that a side receives.
 	onArrival func(s *fakeSide, d chunk.Digest)
+	// trace, when set, is called for each action.
+	trace func(s *fakeSide, a Action)
 }
 
 type fakeSide struct {
@@ -177,6 +179,9 @@
 }
 
 func (n *network) carryOut(s *fakeSide, a Action) {
+	if n.trace != nil {
+		n.trace(s, a)
+	}
 	switch a := a.(type) {
 	case Connect:
 		n.after(messageTime, func() { n.dial(s, n.sides[a.Peer]) })
@@ -205,12 +210,38 @@
 		s.discarded = append(s.discarded, a.Chunk)
 	case StopTransfer:
 		s.transferIDs[a.Chunk]++
-		n.deliver(s, a.Peer, func(p *State) []Action { return p.UploadEnded(n.time(), s.Name) })
+		n.deliver(s, a.Peer, func(p *State) []Action { return p.UploadEnded(n.time(), s.Name, false) })
 	case Fetch:
 		s.transferIDs[a.Chunk.Digest]++
 		s.state.RequestSent(n.time(), a.Chunk.Digest)
-		n.scheduleTransfer(s, a, s.transferIDs[a.Chunk.Digest], n.transferDuration(s, a))
+		n.startTransfer(s, a, s.transferIDs[a.Chunk.Digest])
+	}
+}
+
+// startTransfer starts a transfer, in one piece or, over links that are shared by blocks,
+// block by block.
+func (n *network) startTransfer(s *fakeSide, f Fetch, id int) {
+	if n.sharedLinks != nil && n.sharedLinks.byBlocks && (f.Peer == "" || n.sides[f.Peer].state.Held(f.Chunk.Digest)) {
+		n.transferBlock(s, f, id, 1)
+		return
 	}
+	n.scheduleTransfer(s, f, id, n.transferDuration(s, f))
+}
+
+// transferBlock transfers a block of a chunk, and the next ones after it. A transfer that
+// was stopped uses the links no longer.
+func (n *network) transferBlock(s *fakeSide, f Fetch, id, block int) {
+	n.after(n.sharedLinks.blockTime(n, s, f), func() {
+		switch {
+		case s.transferIDs[f.Chunk.Digest] != id || s.dead:
+		case block == blocksPerChunk:
+			n.finishTransfer(s, f, id)
+		default:
+			n.carryOutAll(s, s.state.BytesReceived(n.time(), f.Chunk.Digest))
+			n.carryOutAll(s, s.state.FullyRequested(n.time(), f.Chunk.Digest))
+			n.transferBlock(s, f, id, block+1)
+		}
+	})
 }
 
 // scheduleTransfer schedules the end of a transfer and, at half its duration, its progress.
@@ -235,7 +266,7 @@
 func (n *network) receiveHalf(s *fakeSide, f Fetch) {
 	d := f.Chunk.Digest
 	if f.Peer == "" || n.sides[f.Peer].state.Held(d) {
-		s.state.BytesReceived(n.time(), d)
+		n.carryOutAll(s, s.state.BytesReceived(n.time(), d))
 		n.carryOutAll(s, s.state.FullyRequested(n.time(), d))
 	}
 }
@@ -266,10 +297,10 @@
 	case n.stalled(p.Name, s.Name):
 	case p.state.Held(d) && n.corrupt(p.Name, s.Name):
 		n.carryOutAll(s, s.state.TransferFailed(n.time(), d, f.Peer, FailCorrupt, 0))
-		n.carryOutAll(p, p.state.UploadEnded(n.time(), s.Name))
+		n.carryOutAll(p, p.state.UploadEnded(n.time(), s.Name, true))
 	case p.state.Held(d):
 		n.receiveChunk(s, d)
-		n.carryOutAll(p, p.state.UploadEnded(n.time(), s.Name))
+		n.carryOutAll(p, p.state.UploadEnded(n.time(), s.Name, true))
 	default:
 		n.finishDeferred(s, p, f, id)
 	}
@@ -290,7 +321,7 @@
 		switch {
 		case s.dead || s.transferIDs[f.Chunk.Digest] != id:
 		case p.state.Held(f.Chunk.Digest):
-			n.scheduleTransfer(s, f, id, n.transferDuration(s, f))
+			n.startTransfer(s, f, id)
 		default:
 			n.sendWhenHeld(s, p, f, id)
 		}
--- a/core/version/spread/scale_test.go
+++ b/core/version/spread/scale_test.go
@@ -25,12 +25,18 @@
 // newRollout publishes a version to sides in several regions. The origin is unavailable
 // for the time away from the start.
 func newRollout(t *testing.T, away time.Duration, sides ...int) *rollout {
+	return newRolloutOver(t, newSharedLinks(), away, sides...)
+}
+
+// newRolloutOver is newRollout over the given links.
+func newRolloutOver(t *testing.T, links *sharedLinks, away time.Duration, sides ...int) *rollout {
 	n := newNetwork(t, regionNames(sides...)...)
-	n.sharedLinks = newSharedLinks()
+	n.sharedLinks = links
 	for _, s := range n.sides {
 		cfg := &s.state.cfg
 		cfg.MinTimeout, cfg.MaxBackoff = 300*time.Millisecond, 500*time.Millisecond
 		cfg.OriginSlots, cfg.UploadSlots, cfg.DownloadSlots, cfg.ImportSlots, cfg.Fanout = 8, 4, 6, FastLinkImportSlots, FastLinkFanout
+		s.state.uploadSlots = cfg.UploadSlots
 	}
 	w := &rollout{network: n, startedAt: n.now, completedAt: map[string]time.Duration{}}
 	n.origin = func(string, chunk.Digest, int) (bool, time.Duration) {
--- a/core/version/spread/state.go
+++ b/core/version/spread/state.go
@@ -110,8 +110,9 @@
 	sortedPeers []*peer
 	// dialNames are the neighbours that this side connects to (sidesToDial).
 	dialNames []string
-	// uploads counts the upload slots in use.
-	uploads int
+	// uploads counts the upload slots in use, and uploadSlots is how many may be.
+	uploads     int
+	uploadSlots int
 	// suspects are sides that did not fetch a chunk in time, with the time until
 	// which they are skipped in the ranking.
 	suspects map[string]time.Time
@@ -251,6 +252,7 @@
 	}
 	return &State{
 		cfg:          cfg,
+		uploadSlots:  cfg.UploadSlots,
 		rng:          rand.New(rand.NewPCG(cfg.Seed, 0)),
 		chunks:       map[chunk.Digest]*chunkState{},
 		peers:        map[string]*peer{},
--- a/core/version/spread/trade.go
+++ b/core/version/spread/trade.go
@@ -17,7 +17,7 @@
 	if s.cfg.OriginOnly {
 		return
 	}
-	if s.uploads >= s.cfg.UploadSlots {
+	if s.uploads >= s.uploadSlots {
 		return
 	}
 	var open []*peer
@@ -26,7 +26,7 @@
 			open = append(open, p)
 		}
 	}
-	for s.uploads < s.cfg.UploadSlots && len(open) > 0 {
+	for s.uploads < s.uploadSlots && len(open) > 0 {
 		k := s.pickPeer(open)
 		p := open[k]
 		if p.uploads+1 >= s.slotsPerPeer() {
@@ -48,7 +48,7 @@
 			near++
 		}
 	}
-	return max(1, (s.cfg.UploadSlots+near-1)/max(near, 1))
+	return max(1, (s.uploadSlots+near-1)/max(near, 1))
 }
 
 // releaseSlot frees one upload slot of a peer, if it has any.
@@ -192,13 +192,24 @@
 	}
 }
 
-// UploadEnded is called when the chunk that a peer requested on an offer has been sent,
-// or will not be.
-func (s *State) UploadEnded(now time.Time, name string) []Action {
+// UploadEnded is called when the chunk that a peer requested on an offer has been sent, or
+// will not be.
+//
+// A peer gives up a transfer that makes no progress. If this side's link is slow, chunks
+// that it sends to several peers at a time all come to nothing, so it then sends fewer.
+func (s *State) UploadEnded(now time.Time, name string, sent bool) []Action {
 	p, ok := s.peers[name]
 	if !ok {
 		return nil
 	}
+	switch {
+	case p.uploads == 0:
+		// The chunk was not requested on an offer.
+	case sent:
+		s.uploadSlots = min(s.uploadSlots+1, s.cfg.UploadSlots)
+	default:
+		s.uploadSlots = max(s.uploadSlots/2, 1)
+	}
 	s.releaseSlot(p)
 	return s.decide(now)
 }
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -124,9 +124,10 @@
 	}
 }
 
-// uploadEnded tells the distribution that an upload to a peer has ended.
-func (n *Node) uploadEnded(peer string) {
-	n.withState(func(s *state) { s.addActions(s.distribution.UploadEnded(s.now, peer)) })
+// uploadEnded tells the distribution that an upload to a peer has ended, and whether
+// all of the chunk was sent.
+func (n *Node) uploadEnded(peer string, sent bool) {
+	n.withState(func(s *state) { s.addActions(s.distribution.UploadEnded(s.now, peer, sent)) })
 }
 
 // blockSent tells the distribution that a block was queued for a peer.
--- a/io/version/swarm/upload.go
+++ b/io/version/swarm/upload.go
@@ -67,7 +67,7 @@
 // refuse answers that the chunk will not be sent.
 func (u *uploads) refuse(c *conn, id transferID) {
 	c.queueControl(&refuseRequest{transferID: id})
-	u.node.uploadEnded(c.peerName())
+	u.node.uploadEnded(c.peerName(), false)
 }
 
 // add queues a request and reports false if the peer has too many.
@@ -97,10 +97,13 @@
 	return true
 }
 
-// cancel removes the requests of one transfer.
-func (u *uploads) cancel(c *conn, id transferID) {
+// cancel removes the requests of one transfer whose chunk was not sent.
+func (u *uploads) cancel(c *conn, id transferID) { u.end(c, id, false) }
+
+// end removes the requests of one transfer. sent is set if all of its chunk was sent.
+func (u *uploads) end(c *conn, id transferID, sent bool) {
 	u.remove(func(o *outgoing) bool { return o.conn == c && o.id == id })
-	u.node.uploadEnded(c.peerName())
+	u.node.uploadEnded(c.peerName(), sent)
 }
 
 // removeConn removes all requests of a connection.
@@ -192,7 +195,7 @@
 	u.node.blockSent(o.conn.peerName())
 	u.node.counters.sent.Inc(req.Length)
 	if end == o.ref.Size {
-		u.cancel(o.conn, o.id)
+		u.end(o.conn, o.id, true)
 	}
 	return nil
 }
