swarm: log dropped chunks in one line

Cause: a side logged a line for each chunk of a version that was no longer wanted, 64 within a millisecond. Change: one line with their number.

--- a/io/version/swarm/actions.go
+++ b/io/version/swarm/actions.go
@@ -1,6 +1,8 @@
 package swarm
 
 import (
+	"strconv"
+
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/spread"
@@ -15,7 +17,7 @@
 	case spread.StopTransfer:
 		n.stopTransfer(s, a)
 	case spread.DiscardChunk:
-		n.logDecision("discard", a.Chunk, "", "", "no longer wanted")
+		s.discarded++
 		n.discardChunk(s, a.Chunk)
 	case spread.Connect:
 		n.dial(s, a.Peer)
@@ -38,6 +40,16 @@
 	}
 }
 
+// logDiscarded writes one entry for the chunks discarded since the last one: a version
+// that is no longer wanted has many. The caller holds n.mu.
+func (n *Node) logDiscarded(s *state) {
+	if s.discarded == 0 {
+		return
+	}
+	n.logDecision("discard", "", "", "", strconv.Itoa(s.discarded)+" chunks no longer wanted")
+	s.discarded = 0
+}
+
 // withConn calls f with the connection to a peer, if there is one. The caller
 // holds n.mu.
 func (n *Node) withConn(s *state, name string, f func(c *conn)) {
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -142,6 +142,7 @@
 	dialing           map[string]chan struct{}
 	incoming          map[chunk.Digest]*incoming
 	transfersStarted  uint64 // number of the last transfer
+	discarded         int    // chunks discarded and not logged yet
 	pendingManifests  map[chunk.Digest]*pendingManifest
 	earlyRequests     map[chunk.Digest][]*conn
 	earlyRequestCount int
@@ -243,6 +244,7 @@
 		s.pendingActions = s.pendingActions[1:]
 		n.perform(s, a)
 	}
+	n.logDiscarded(s)
 }
 
 // ProgressChanged returns a channel that is closed when a manifest has been read or a
