spread: announce imports early only at the usual pace

Cause: an importer tells its region of a chunk as soon as it has requested all of it and bytes arrive, so that the next chunk can start. If the importer's link is slow, the whole region then waits for that chunk: no other side fetches what is said to be held.

Measured: TestSlowImportIsNotAnnouncedEarly fails without the change.

--- a/core/version/spread/events.go
+++ b/core/version/spread/events.go
@@ -156,6 +156,7 @@
 			continue
 		}
 		v.heldInRegion.Set(i)
+		s.recordSupply(now, v.chunks[i], v.upstream[i])
 		s.markAvailable(now, v.upstream[i])
 		news = append(news, i)
 	}
@@ -193,6 +194,9 @@
 	}
 	c.held = true
 	for _, pl := range c.positions {
+		if !pl.version.heldInRegion.Has(pl.index) {
+			s.recordSupply(now, c, pl.upstream())
+		}
 		pl.version.heldHere.Set(pl.index)
 		pl.version.heldInRegion.Set(pl.index)
 		s.markAvailable(now, pl.upstream())
--- a/core/version/spread/slow_test.go
+++ b/core/version/spread/slow_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hawthornferry/core/version/chunk"
 )
 
@@ -70,3 +72,32 @@
 		}
 	}
 }
+
+// Guards against a region that waits for a chunk which an importer with a slow link is
+// receiving: it must not be announced before it is complete.
+func TestSlowImportIsNotAnnouncedEarly(t *testing.T) {
+	const usual = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		took time.Duration
+		want []int
+	}{
+		{"in the usual time", usual, []int{0}},
+		{"slow", 2 * usual, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNetwork(t, regionNames(1, 2)...)
+			v := testVersion("1", 0, 1).withMembers(n.members())
+			d := v.Manifest.Chunks[0].Digest
+			importer, neighbour := splitImporter(n, v)
+			importer.state.PeerConnected(n.time(), neighbour.Member)
+			importer.state.supply["r1"] = &supplyTime{usual: usual, n: minSupplySamples}
+			importer.state.RequestSent(n.time(), d)
+			n.now += tc.took
+			importer.state.FullyRequested(n.time(), d)
+			if diff := cmp.Diff(tc.want, announcedInRegion(importer.state.BytesReceived(n.time(), d))); diff != "" {
+				t.Errorf("announced while bytes arrive (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/version/spread/state.go
+++ b/core/version/spread/state.go
@@ -124,6 +124,8 @@
 	// unavailable holds the upstreams (regions, or "" for the origin) from which
 	// this side's own attempts failed.
 	unavailable map[string]bool
+	// supply is how long chunks from each upstream usually take.
+	supply map[string]*supplyTime
 	// lastReceived is when a chunk last came from an upstream.
 	lastReceived map[string]time.Time
 	// originUpSince is since when the origin has answered this side, zero if its
@@ -261,6 +263,7 @@
 		down:         map[string]time.Time{},
 		unavailable:  map[string]bool{},
 		lastReceived: map[string]time.Time{},
+		supply:       map[string]*supplyTime{},
 	}
 }
 
--- a/core/version/spread/transfer.go
+++ b/core/version/spread/transfer.go
@@ -96,9 +96,11 @@
 // been requested and its bytes arrive. The link share is then used up while the last bytes
 // come in, and the next chunk can start. If the import fails after all, this side restarts
 // it at once. While the exporter still lacks the chunk nothing is announced, since it uses
-// none of the link and may never get the chunk.
+// none of the link and may never get the chunk. Nor is a transfer announced that takes
+// longer than usual, as over a slow link of this side: no other side would then fetch the
+// chunk.
 func (s *State) announceEarly(now time.Time, c *chunkState) {
-	if !c.fullyRequested || !c.receiving || c.announcedEarly {
+	if !c.fullyRequested || !c.receiving || c.announcedEarly || s.slowerThanUsual(now, c) {
 		return
 	}
 	c.announcedEarly = true
