hosted: six downloads from the origin at a time, three chunks each way between sides

Cause: chunks that share a link all arrive late: with eight downloads at a time each chunk takes as long as eight, and with four uploads and six downloads a side holds many chunks half and can pass on none.

--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -37,9 +37,9 @@
 	// transfers, and blockTime is the time that one block of them takes on the link. A
 	// chunk of some tens of KiB takes tens of milliseconds, so that the wait between
 	// two chunks costs more than running many transfers at once.
-	originDownloads = 8
-	peerUploads     = 4
-	peerDownloads   = 6
+	originDownloads = 6
+	peerUploads     = 3
+	peerDownloads   = 3
 	blockTime       = 8 * time.Millisecond
 	// weightLinkShare is the part of the VM's link that transfers of weights may use. The
 	// engine's answers need the rest.
