--- a/core/version/spread/scale_test.go
+++ b/core/version/spread/scale_test.go
@@ -35,7 +35,7 @@
 	for _, s := range n.sides {
 		cfg := &s.state.cfg
 		cfg.MinTimeout, cfg.MaxBackoff = 300*time.Millisecond, 500*time.Millisecond
-		cfg.OriginSlots, cfg.UploadSlots, cfg.DownloadSlots, cfg.ImportSlots, cfg.Fanout = 8, 4, 6, FastLinkImportSlots, FastLinkFanout
+		cfg.OriginSlots, cfg.UploadSlots, cfg.DownloadSlots, cfg.ImportSlots, cfg.Fanout = 6, 3, 3, FastLinkImportSlots, FastLinkFanout
 		s.state.uploadSlots = cfg.UploadSlots
 	}
 	w := &rollout{network: n, startedAt: n.now, completedAt: map[string]time.Duration{}}
