--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -11,9 +11,10 @@
 // Thresholds at which a request is suspected and blocked.
 const (
 	// suspectThreshold and blockThreshold are the numbers of target starts at which
-	// attempts, sent one after the other's failure, must have broken off. A crash breaks off all attempts at its target,
-	// so harmless requests fail as well; but that this happens to the same harmless
-	// request three times, without a success in between, is rare.
+	// attempts must have broken off, each sent after the failure before it. A crash
+	// breaks off all attempts at its target, so harmless requests fail as well; but that
+	// this happens to the same harmless request three times, without a success in
+	// between, is rare.
 	suspectThreshold = 2
 	blockThreshold   = 3
 	// blockDuration is how long after its last failure a request is refused. Then it
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -190,6 +191,7 @@
 			part.Announced = reply.Announced
 		}
 		part.StoreUnreachable, part.StoreLost = part.StoreUnreachable || reply.StoreUnreachable, part.StoreLost || reply.StoreLost
+		part.StoreLateness = cmp.Or(part.StoreLateness, reply.StoreLateness)
 		part.Items = append(reply.Items, part.Items...)
 		part.Keys = append(reply.Keys, part.Keys...)
 		reply = part
