link: count the traffic of every purpose, and drop what has no effect

Cause: the status of the commands entry and side reads the traffic of each purpose; that of load reports, manifests and alerts was a nil pointer, so that a status request ended the process. Found by reading. Change: all purposes are counted. Constants and fields that nothing read go: maxRetryDelay and maxDialDelay (spread), Request.AtMostOnce (picker), Target.WeightsComplete (facts), MaxHeader (sessn).

--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -34,9 +34,6 @@
 	// Serving is the version of each model that the target last reported; 0
 	// means none.
 	Serving map[string]uint64
-	// WeightsComplete is false while an engine lacks some of the layers of its
-	// weights.
-	WeightsComplete bool
 }
 
 // ModelVersion is a version of a model that the operator announced. Since is
--- a/core/request/picker/types.go
+++ b/core/request/picker/types.go
@@ -39,7 +39,6 @@
 	PrefixHashes  []uint64
 	Priority      Priority
 	Deadline      time.Time
-	AtMostOnce    bool
 	Version       chunk.Digest
 	FailedTargets []string
 }
--- a/core/version/spread/timeout.go
+++ b/core/version/spread/timeout.go
@@ -44,11 +44,9 @@
 	maxFailedTrades = 2
 	// minRetryDelay is the delay before the first retry of a chunk, minDialDelay the one
 	// before the second attempt to connect to a peer. Each further failure doubles it, up
-	// to Config.MaxBackoff; maxRetryDelay and maxDialDelay are not used.
+	// to Config.MaxBackoff.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 5 * time.Second
 	minDialDelay  = 200 * time.Millisecond
-	maxDialDelay  = 5 * time.Second
 )
 
 // movingMean is an exponentially weighted mean of durations.
--- a/io/conn/link/traffic.go
+++ b/io/conn/link/traffic.go
@@ -20,13 +20,16 @@
 // Sent returns the number of bytes sent.
 func (t *Traffic) Sent() uint64 { return t.sent.Load() }
 
-// Totals holds the traffic of a process for each purpose that is counted, and for
-// calls across regions.
+// Totals holds the traffic of a process for each purpose, and for calls across
+// regions.
 type Totals struct {
 	calls       Traffic
 	weights     Traffic
 	config      Traffic
 	orders      Traffic
+	load        Traffic
+	manifests   Traffic
+	alerts      Traffic
 	crossRegion Traffic
 }
 
@@ -34,9 +37,7 @@
 // contained in that of PurposeCalls too.
 func (t *Totals) CrossRegion() *Traffic { return &t.crossRegion }
 
-// ByPurpose returns the traffic of purpose p. It returns nil for PurposeLoad,
-// PurposeManifests and PurposeAlerts, whose traffic is not counted, and for an
-// unknown purpose.
+// ByPurpose returns the traffic of purpose p, or nil for an unknown one.
 func (t *Totals) ByPurpose(p Purpose) *Traffic {
 	switch p {
 	case PurposeCalls:
@@ -47,6 +48,12 @@
 		return &t.config
 	case PurposeOrders:
 		return &t.orders
+	case PurposeLoad:
+		return &t.load
+	case PurposeManifests:
+		return &t.manifests
+	case PurposeAlerts:
+		return &t.alerts
 	}
 	return nil
 }
--- a/io/conn/sessn/message.go
+++ b/io/conn/sessn/message.go
@@ -17,14 +17,12 @@
 )
 
 // Limits in bytes. MaxBlockSize limits the data of one message, MaxBody a request
-// body, MaxAnswer an answer that is buffered whole; MaxHeader is not used.
-// CreditWindow is how much of an answer the side may send before the entry gives it
-// further credit.
+// body, MaxAnswer an answer that is buffered whole. CreditWindow is how much of an
+// answer the side may send before the entry gives it further credit.
 const (
 	MaxBlockSize = 64 << 10
 	MaxBody      = 8 << 20
 	MaxAnswer    = 1 << 20
-	MaxHeader    = 64 << 10
 	CreditWindow = 64 << 10
 )
 
