table, place, feed: keep requests in their regions and out of evacuated zones

Cause: nothing knew that a route or a customer may limit the regions in which requests are served, nor that the operator may evacuate a zone.

Change: a route and a customer carry AllowedRegions; both bind. Every way to a target asks exclusionOf or mayServe, and the entry asks once more before it sends, by the configuration of that moment. Targets of an evacuated zone are marked in the facts. The subset of an entry makes up for its own zone while that is evacuated, and requests for other regions use targets beyond the subset.

Both matters are in one commit because they share the two functions that decide who may run a request.

--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -25,6 +25,9 @@
 	Zone    string
 	Slots   int
 	Leaving bool
+	// Evacuated is set while the operator wants nothing more to be sent to the
+	// target's zone.
+	Evacuated bool
 	// StartedAt is when this run of the target started, by its own clock; zero
 	// if it does not report that.
 	StartedAt time.Time
--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -15,8 +15,12 @@
 	Requests   int `json:"requests,omitempty"`
 	Waiting    int `json:"waiting,omitempty"`
 
-	// Leaving counts targets that are about to be removed.
-	Leaving int `json:"leaving,omitempty"`
+	// OtherRegion counts targets in regions in which the request may not be served,
+	// Evacuated those in zones that are being evacuated, and Leaving those that are
+	// about to be removed.
+	OtherRegion int `json:"otherRegion,omitempty"`
+	Evacuated   int `json:"evacuated,omitempty"`
+	Leaving     int `json:"leaving,omitempty"`
 	// Paused counts targets that get no requests for a while because they failed
 	// recently, FailedThisRequest those that already failed this request.
 	Paused            int `json:"paused,omitempty"`
--- a/core/request/place/candidates.go
+++ b/core/request/place/candidates.go
@@ -14,6 +14,8 @@
 // The exclusions, in the order in which they are checked.
 const (
 	notExcluded         exclusion = ""
+	excludedRegion      exclusion = "otherRegion"
+	excludedEvacuated   exclusion = "evacuated"
 	excludedLeaving     exclusion = "leaving"
 	excludedPaused      exclusion = "paused"
 	excludedFailed      exclusion = "tried"
@@ -26,6 +28,10 @@
 // exclusionOf returns why a target may not get the request, regardless of its load.
 func exclusionOf(now time.Time, s *service, t *target, w *Request) exclusion {
 	switch {
+	case !w.Regions.Allows(t.region):
+		return excludedRegion
+	case t.Evacuated:
+		return excludedEvacuated
 	case t.Leaving:
 		return excludedLeaving
 	case now.Before(t.pausedUntil):
@@ -64,6 +70,10 @@
 			c.Usable++
 			c.Requests += load
 			c.FreePlaces += max(0, s.maxRequests(t)-load)
+		case excludedRegion:
+			c.OtherRegion++
+		case excludedEvacuated:
+			c.Evacuated++
 		case excludedLeaving:
 			c.Leaving++
 		case excludedPaused:
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -110,8 +110,17 @@
 
 // openTo returns an option for each target that has room and satisfies suits.
 func (s *service) openTo(now time.Time, w *Request, suits func(t *target) bool) []option {
+	open := s.optionsAmong(now, s.searchedTargets(now, w), w, suits)
+	if len(open) == 0 && w.Regions.Limited() {
+		// The subset may have only few targets in the allowed regions.
+		return s.optionsAmong(now, s.all, w, suits)
+	}
+	return open
+}
+
+func (s *service) optionsAmong(now time.Time, targets []*target, w *Request, suits func(t *target) bool) []option {
 	var open []option
-	for _, t := range s.searchedTargets(now, w) {
+	for _, t := range targets {
 		if o, ok := s.optionAt(now, t, w); ok && suits(t) {
 			open = append(open, o)
 		}
@@ -251,12 +260,12 @@
 	return load < slots && !s.isLate(now, w, expected)
 }
 
-// HasRoomElsewhere reports whether a target of the service other than the given one has
-// room.
-func (p *Placer) HasRoomElsewhere(now time.Time, serviceName, target string) bool {
+// HasRoomElsewhere reports whether a target of the service in one of the given regions,
+// other than the given one, has room.
+func (p *Placer) HasRoomElsewhere(now time.Time, serviceName, target string, regions table.AllowedRegions) bool {
 	p.initMaps()
 	s := p.service(serviceName)
-	w := &Request{FailedTargets: []string{target}, Resumed: true}
+	w := &Request{FailedTargets: []string{target}, Resumed: true, Regions: regions}
 	for _, t := range s.searchedTargets(now, w) {
 		if usable(now, s, t, w) && s.hasRoom(now, t, w, 0) {
 			return true
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -56,6 +56,8 @@
 	// Resumed is set if the caller already has a part of the answer. Such a request
 	// goes before all others, and waits until its deadline rather than being refused.
 	Resumed bool
+	// Regions are those in which the request may be served.
+	Regions table.AllowedRegions
 }
 
 // VersionLimit is the time until which a request may begin at a target that serves an
@@ -91,6 +93,11 @@
 // The reasons of refusal.
 const (
 	ReasonNoTarget Reason = "noTarget"
+	// ReasonNoAllowedTarget means that the service has targets, but none in a region in
+	// which the request may be served, and ReasonEvacuated that all targets there are in
+	// zones that are being evacuated.
+	ReasonNoAllowedTarget Reason = "noTargetInAllowedRegions"
+	ReasonEvacuated       Reason = "zoneEvacuated"
 	ReasonLate     Reason = "objectiveCannotBeMet"
 	ReasonFull     Reason = "full"
 	// ReasonNoRoomForLate is for a caller that came back after its objective had
@@ -194,6 +201,7 @@
 			state = &target{distance: p.distance(t.Zone)}
 		}
 		state.update(now, t)
+		state.region = p.Regions[t.Zone]
 		state.extraRoundTrip = p.extraRoundTripTo(t.Zone)
 		p.targets[t.ID] = state
 		s.all = append(s.all, state)
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -76,7 +76,7 @@
 		return ReasonFull, now.Before(w.Deadline)
 	}
 	if !anyMayServe(now, s, w) {
-		return ReasonNoTarget, false
+		return s.noTargetReason(w), false
 	}
 	if s.engine == nil {
 		// A request at a plain service waits for at most half of its objective, and
@@ -101,6 +101,28 @@
 	return baseRoundTrip + s.minExtraRoundTrip(now, w) + pass + pass/2 + read
 }
 
+// noTargetReason returns why no target may run the request.
+func (s *service) noTargetReason(w *Request) Reason {
+	allowed, evacuated := 0, 0
+	for _, t := range s.all {
+		if !w.Regions.Allows(t.region) {
+			continue
+		}
+		allowed++
+		if t.Evacuated {
+			evacuated++
+		}
+	}
+	switch {
+	case allowed == 0 && len(s.all) > 0:
+		return ReasonNoAllowedTarget
+	case evacuated > 0 && evacuated == allowed:
+		return ReasonEvacuated
+	default:
+		return ReasonNoTarget
+	}
+}
+
 // anyMayServe reports whether some target may run the request now or once it has room.
 func anyMayServe(now time.Time, s *service, w *Request) bool {
 	return slices.ContainsFunc(s.all, func(t *target) bool {
@@ -110,7 +132,7 @@
 
 // mayServe reports whether a target may run the request now or once it has room.
 func (s *service) mayServe(now time.Time, t *target, w *Request) bool {
-	if t.Leaving || slices.Contains(w.FailedTargets, t.ID) {
+	if !w.Regions.Allows(t.region) || t.Evacuated || t.Leaving || slices.Contains(w.FailedTargets, t.ID) {
 		return false
 	}
 	if s.engine == nil {
--- a/core/request/place/subset.go
+++ b/core/request/place/subset.go
@@ -35,8 +35,8 @@
 	for i, t := range targets {
 		zones[t.Zone] = append(zones[t.Zone], i)
 	}
-	own := len(zones[zone])
-	q := quotaOf(own, len(zones)-min(own, 1))
+	own := countUsable(targets, zones[zone])
+	q := quotaOf(own, otherUsableZones(targets, zones, zone))
 	kept := make([]bool, len(targets))
 	for z, members := range zones {
 		most := q.other
@@ -51,6 +51,30 @@
 	return kept
 }
 
+// countUsable counts the targets, given by index, that are not being evacuated. While
+// its own zone is, an entry has to use as many targets of the others as if its zone had
+// none.
+func countUsable(targets []facts.Target, members []int) int {
+	n := 0
+	for _, i := range members {
+		if !targets[i].Evacuated {
+			n++
+		}
+	}
+	return n
+}
+
+// otherUsableZones counts the zones other than the given one that have usable targets.
+func otherUsableZones(targets []facts.Target, zones map[string][]int, zone string) int {
+	n := 0
+	for z, members := range zones {
+		if z != zone && countUsable(targets, members) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // markKept marks members in order until most of them are marked that are not leaving.
 // Leaving members on the way are marked as well.
 func markKept(kept []bool, targets []facts.Target, members []int, most int) {
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -54,6 +54,8 @@
 type target struct {
 	facts.Target
 	distance int
+	// region is empty if the target's zone is unknown.
+	region string
 	// inSubset is set while the target is listed and in the entry's subset.
 	inSubset bool
 	// extraRoundTrip is how much longer than baseRoundTrip its answers take on the
--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -30,7 +30,8 @@
 // Timeout bounds the whole answer. Objective is the promised time to the answer, or
 // to the first event of a stream, and MaxEventGap the longest promised pause between
 // two events of a stream. MaxAttempts is the most targets to which a request is sent.
-// AllowAnonymous routes need no API key.
+// AllowAnonymous routes need no API key. Regions are those in which requests may be
+// served.
 type Route struct {
 	Name           string
 	Host           string
@@ -44,6 +45,7 @@
 	MaxAttempts    int
 	AllowAnonymous bool
 	AllowResume    bool
+	Regions        AllowedRegions
 }
 
 // WeightedService is a service that gets part of a route's requests, in proportion to
@@ -95,11 +97,13 @@
 }
 
 // Customer is a tenant of the system, identified by any of its API keys. A nil
-// Priority means that of the route.
+// Priority means that of the route. Regions are those in which its requests may be served,
+// besides what the route allows.
 type Customer struct {
 	Name     string
 	APIKeys  []string
 	Priority *int
+	Regions  AllowedRegions
 }
 
 // Limits bound what a caller may send. Zero means no limit.
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -64,6 +64,7 @@
 	}
 	delete(f.decoded, it.Key)
 	f.logTarget("lost", fact, it.Revision)
+	f.logEvacuation("evacuationEnded", fact, it.Revision)
 }
 
 // graceEnd returns until when a target that is found missing now may be used.
@@ -109,7 +110,9 @@
 	}
 	if c := fact.Config; c != nil {
 		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "apply", Subject: "routes", Choice: versionText(c.Table.Version), Revision: it.Revision})
+		f.logProblems(it, c.Problems)
 	}
+	f.logEvacuation("evacuate", fact, it.Revision)
 	if fact.Target != nil && (!had || old.Target == nil || old.Target.Leaving != fact.Target.Leaving) {
 		action := "gained"
 		if fact.Target.Leaving {
--- a/io/process/feed/fakes_test.go
+++ b/io/process/feed/fakes_test.go
@@ -20,9 +20,9 @@
 	"hawthornferry/io/conn/link"
 )
 
-// fakeDecoder decodes items by their keys: target/ID is a target, version/MODEL
-// and any other key (config) a version and a configuration with a number as
-// value. The value "bad" is an error.
+// fakeDecoder decodes items by their keys: target/ID is a target in zone-ID,
+// evacuate/ZONE an evacuation, version/MODEL and any other key (config) a version
+// and a configuration with a number as value. The value "bad" is an error.
 type fakeDecoder struct{}
 
 func (fakeDecoder) Decode(it Item) (DecodedItem, error) {
@@ -32,7 +32,10 @@
 	}
 	n, _ := strconv.ParseUint(v, 10, 64)
 	if id, ok := strings.CutPrefix(it.Key, "target/"); ok {
-		return DecodedItem{Target: &facts.Target{ID: id, Service: "svc"}}, nil
+		return DecodedItem{Target: &facts.Target{ID: id, Service: "svc", Zone: "zone-" + id}}, nil
+	}
+	if zone, ok := strings.CutPrefix(it.Key, "evacuate/"); ok {
+		return DecodedItem{EvacuatedZone: zone}, nil
 	}
 	if model, ok := strings.CutPrefix(it.Key, "version/"); ok {
 		return DecodedItem{Version: &facts.ModelVersion{Model: model, Version: n}}, nil
--- a/io/process/feed/log.go
+++ b/io/process/feed/log.go
@@ -36,6 +36,22 @@
 	})
 }
 
+// logProblems logs the faults of a configuration that is used nevertheless.
+func (f *Feed) logProblems(it Item, problems []error) {
+	for _, err := range problems {
+		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "limitItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
+		f.Metrics.Counter("items_limited_total").Inc(1)
+	}
+}
+
+// logEvacuation logs that the evacuation of a zone has begun or ended.
+func (f *Feed) logEvacuation(action string, fact DecodedItem, revision uint64) {
+	if fact.EvacuatedZone == "" {
+		return
+	}
+	f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: action, Subject: fact.EvacuatedZone, Revision: revision})
+}
+
 // logAnnouncementTimes logs the announcement times that peers have changed;
 // before holds the entries before the change.
 func (f *Feed) logAnnouncementTimes(before []verlog.Entry) {
--- a/io/process/feed/publish.go
+++ b/io/process/feed/publish.go
@@ -49,6 +49,7 @@
 		}
 	}
 	now.Targets = facts.DropReplaced(now.Targets)
+	f.markEvacuated(now.Targets)
 	f.current.Store(now)
 	f.Self.Revision.Store(f.revision)
 	if old.Revision != now.Revision || old.Table != now.Table || len(old.Targets) != len(now.Targets) {
@@ -57,6 +58,19 @@
 	}
 }
 
+// markEvacuated marks the targets of zones that are being evacuated. f.mu must be held.
+func (f *Feed) markEvacuated(targets []facts.Target) {
+	zones := map[string]bool{}
+	for _, fact := range f.decoded {
+		if fact.EvacuatedZone != "" {
+			zones[fact.EvacuatedZone] = true
+		}
+	}
+	for i, t := range targets {
+		targets[i].Evacuated = zones[t.Zone]
+	}
+}
+
 func sortedKeys(m map[string]DecodedItem) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/io/process/feed/store.go
+++ b/io/process/feed/store.go
@@ -45,17 +45,21 @@
 }
 
 // DecodedItem is the decoded value of one item. At most one field is set; none is for
-// an item that this system doesn't use.
+// an item that this system doesn't use. EvacuatedZone is a zone to which nothing may be
+// sent while the item exists.
 type DecodedItem struct {
-	Config  *Config
-	Target  *facts.Target
-	Version *facts.ModelVersion
+	Config        *Config
+	Target        *facts.Target
+	Version       *facts.ModelVersion
+	EvacuatedZone string
 }
 
-// Config is the operator's configuration and the origin that it names.
+// Config is the operator's configuration and the origin that it names. Problems lists
+// faults that do not prevent its use.
 type Config struct {
-	Table  *table.Table
-	Origin facts.Origin
+	Table    *table.Table
+	Origin   facts.Origin
+	Problems []error
 }
 
 // Decoder decodes items. An error means that the item is not usable.
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -101,9 +101,10 @@
 		}
 		// While the request waited, the target's version may have become too old. Then
 		// it must not be sent, because an idle engine would begin it at once. Or the
-		// request may have been found to crash targets. The next iteration offers it
-		// again or refuses it.
-		if _, blocked := s.blocked(q); !blocked && !s.versionTooOld(q, v.ServedVersion) {
+		// request may have been found to crash targets, or a new configuration may not
+		// allow it in the target's region. The next iteration offers it again or refuses
+		// it.
+		if _, blocked := s.blocked(q); !blocked && !s.versionTooOld(q, v.ServedVersion) && s.mayBeServedAt(q, v.Target) {
 			return v, true
 		}
 		s.dispatcher.done(v.ID, place.ResultCallerGone)
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/await"
 )
 
@@ -65,11 +66,11 @@
 	d.Do(func() []place.Verdict { return d.placer.RequestEnded(d.clock.Now(), id, r) })
 }
 
-// otherHasRoom reports whether any target of the service except the given one can take
-// a request now.
-func (d *dispatcher) otherHasRoom(service, target string) (ok bool) {
+// otherHasRoom reports whether any target of the service in the given regions, except the
+// given one, can take a request now.
+func (d *dispatcher) otherHasRoom(service, target string, regions table.AllowedRegions) (ok bool) {
 	d.Do(func() []place.Verdict {
-		ok = d.placer.HasRoomElsewhere(d.clock.Now(), service, target)
+		ok = d.placer.HasRoomElsewhere(d.clock.Now(), service, target, regions)
 		return nil
 	})
 	return ok
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -36,16 +36,18 @@
 
 // request is the state of one caller's request.
 type request struct {
-	incoming  *http.Request
-	call      CallerHeaders
-	body      []byte
-	facts     *facts.Facts
-	factsAge  facts.Age
-	route     table.Route
-	service   table.Service
-	customer  string
-	progress  progress
-	arrivedAt time.Time
+	incoming *http.Request
+	call     CallerHeaders
+	body     []byte
+	facts    *facts.Facts
+	factsAge facts.Age
+	route    table.Route
+	service  table.Service
+	customer string
+	// customerRegions are the regions that the customer allows.
+	customerRegions table.AllowedRegions
+	progress        progress
+	arrivedAt       time.Time
 	// firstAskedAt is when the caller sent its first request, estimated from its
 	// deadline; earlier than arrivedAt for a retry after a refusal.
 	firstAskedAt time.Time
@@ -145,8 +147,7 @@
 
 // matchRoute finds the route of the request and picks its service.
 func (s *Server) matchRoute(q *request) (errorResponse, bool) {
-	path, _, _ := strings.Cut(q.incoming.RequestURI, "?")
-	route, ok := q.facts.Table.Match(hostOf(q.incoming), path)
+	route, ok := matchTable(q.facts.Table, q)
 	if !ok {
 		return s.notFoundError(q, http.StatusNotFound, "noRoute"), false
 	}
@@ -205,7 +206,7 @@
 	if !ok {
 		return s.notFoundError(q, http.StatusUnauthorized, "unknownKey"), false
 	}
-	q.customer = c.Name
+	q.customer, q.customerRegions = c.Name, c.Regions
 	if c.Priority != nil {
 		q.route.Priority = *c.Priority
 	}
@@ -258,6 +259,7 @@
 		ID: q.call.ID, Service: q.service.Name, Kind: q.route.Name, PromptTokens: q.call.PromptTokens, AnswerTokens: answerTokens,
 		FirstRequestedAt: q.firstAskedAt, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
 		Limits: s.versionLimits(q), NewestVersion: s.newestVersion(q), FailedTargets: q.failedTargets, Resumed: q.responseBegun,
+		Regions: s.allowedRegions(q),
 	}
 }
 
