lease, place, loads: limit the requests to cold targets by permits of their sides

Cause: a target that has just started tolerates a number of requests a second from all entries together, and no entry knows the others.

A side that starts grants nothing until an earlier run's permits have expired. Plain targets have no side: each entry keeps to an equal share there.

--- a/core/process/facts/facts.go
+++ b/core/process/facts/facts.go
@@ -31,9 +31,10 @@
 	// StartedAt is when this run of the target started, by its own clock; zero
 	// if it does not report that.
 	StartedAt time.Time
-	// WarmupLeft is for how much longer the target is expected to be slow after
-	// its start.
+	// WarmupLeft is for how much longer the target said that it is cold, and
+	// ColdUntil when that ends, counted from when this process read it.
 	WarmupLeft time.Duration
+	ColdUntil  time.Time
 	// Serving is the version of each model that the target last reported; 0
 	// means none.
 	Serving map[string]uint64
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -74,7 +74,7 @@
 // tryPlaceAt places a request at the given target if that has room for it.
 func (p *Placer) tryPlaceAt(now time.Time, s *service, q *waitingRequest, t *target) (Verdict, bool) {
 	o, ok := s.optionAt(now, t, &q.request)
-	if !ok {
+	if !ok || p.lacksPermit(now, s, t) {
 		return Verdict{}, false
 	}
 	return p.assign(now, s, q, o), true
@@ -83,6 +83,7 @@
 // assign records a request as active at its target and returns the verdict.
 func (p *Placer) assign(now time.Time, s *service, q *waitingRequest, o option) Verdict {
 	t := o.target
+	sendBy := p.usePermit(now, s, t)
 	r := &activeRequest{request: q.request, target: t, since: now}
 	if s.engine != nil {
 		r.readTime, r.passDelay = t.extraRoundTrip+s.readTime(now, t, &q.request), s.passDelay(now, t)
@@ -97,15 +98,21 @@
 		serving = t.servedVersion(now, s.engine.Model)
 	}
 	return Verdict{
-		ServedVersion: serving,
-		ID:            q.request.ID, Decision: Placed, Target: t.Target,
+		ServedVersion: serving, SendBy: sendBy,
+		ID: q.request.ID, Decision: Placed, Target: t.Target,
 		Waited: now.Sub(q.since), ExpectedFirstAnswer: o.expected, Load: t.load(now),
 	}
 }
 
-// chooseTarget picks one of the targets with room whose cost is about the lowest.
+// chooseTarget picks one of the targets with room whose cost is about the lowest. If only
+// cold targets have room, it asks for permits to use one of them.
 func (p *Placer) chooseTarget(now time.Time, s *service, w *Request) (option, bool) {
-	return p.drawCheapest(s.openTo(now, w, func(*target) bool { return true }))
+	open := s.openTo(now, w, func(*target) bool { return true })
+	o, ok := p.drawCheapest(p.permitted(now, s, open))
+	if !ok && len(open) > 0 {
+		p.askForPermits(now, s, open)
+	}
+	return o, ok
 }
 
 // openTo returns an option for each target that has room and satisfies suits.
@@ -267,7 +274,7 @@
 	s := p.service(serviceName)
 	w := &Request{FailedTargets: []string{target}, Resumed: true, Regions: regions}
 	for _, t := range s.searchedTargets(now, w) {
-		if usable(now, s, t, w) && s.hasRoom(now, t, w, 0) {
+		if usable(now, s, t, w) && s.hasRoom(now, t, w, 0) && !p.lacksPermit(now, s, t) {
 			return true
 		}
 	}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -25,6 +25,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/core/request/table"
 )
 
@@ -98,8 +99,8 @@
 	// zones that are being evacuated.
 	ReasonNoAllowedTarget Reason = "noTargetInAllowedRegions"
 	ReasonEvacuated       Reason = "zoneEvacuated"
-	ReasonLate     Reason = "objectiveCannotBeMet"
-	ReasonFull     Reason = "full"
+	ReasonLate            Reason = "objectiveCannotBeMet"
+	ReasonFull            Reason = "full"
 	// ReasonNoRoomForLate is for a caller that came back after its objective had
 	// passed. Such requests may use only part of the slots.
 	ReasonNoRoomForLate Reason = "noRoomForLate"
@@ -121,6 +122,8 @@
 	ServedVersion uint64
 	// Load is the number of requests at the target, this one included.
 	Load int
+	// SendBy is when the permit for a cold target expires; zero for other targets.
+	SendBy time.Time
 	// Candidates counts the targets that were considered for a refused request.
 	Candidates trail.CandidateCounts
 }
@@ -148,12 +151,18 @@
 	Zone    string
 	Regions map[string]string
 	Rand    *rand.Rand
+	// ColdRate limits the requests to cold targets. RequestLease asks the side of one for
+	// permits to send it requests; it must not block.
+	ColdRate     lease.Bound
+	RequestLease func(target string, want int)
 
 	services map[string]*service
 	targets  map[string]*target
 	active   map[string]*activeRequest
 	// roundTrips holds the measured round trip to the targets of each zone.
 	roundTrips map[string]time.Duration
+	// entries is the highest estimate of the number of entries that a report has had.
+	entries int
 }
 
 // activeRequest is a request that was placed and has not ended.
@@ -171,6 +180,10 @@
 type service struct {
 	name   string
 	engine *table.Engine
+	// warmup is that of a target of the service, and coldLimit how many requests a cold
+	// one may get in a second from all entries, 0 for any number.
+	warmup    time.Duration
+	coldLimit int
 	// subset holds the targets that this entry uses by default, all holds every target
 	// of the service.
 	subset     []*target
@@ -195,12 +208,13 @@
 		s := p.service(t.Service)
 		if sv, ok := f.Table.ServiceByName(t.Service); ok {
 			s.engine = sv.Engine
+			s.warmup, s.coldLimit = sv.Warmup.Duration, p.ColdRate.PerSecond(sv.Warmup.MaxRate)
 		}
 		state := old[t.ID]
 		if state == nil {
 			state = &target{distance: p.distance(t.Zone)}
 		}
-		state.update(now, t)
+		state.update(now, t, s.warmup)
 		state.region = p.Regions[t.Zone]
 		state.extraRoundTrip = p.extraRoundTripTo(t.Zone)
 		p.targets[t.ID] = state
@@ -309,8 +323,10 @@
 	if !ok {
 		return nil
 	}
-	t.applyReport(now, r)
-	return p.placeAt(now, p.service(t.Service), t)
+	s := p.service(t.Service)
+	p.entries = max(p.entries, r.TotalEntries)
+	t.applyReport(now, r, s.warmup)
+	return p.placeAt(now, s, t)
 }
 
 // Tick places waiting requests that now fit and refuses those for which waiting has
--- a/core/request/place/relocate.go
+++ b/core/request/place/relocate.go
@@ -38,7 +38,8 @@
 	open := s.openTo(now, &w, func(t *target) bool {
 		return !s.outdated(now, t, &w) && float64(t.load(now)) <= relocateLoadShare*float64(slotsOf(t.Target))
 	})
-	o, ok := p.drawCheapest(slices.DeleteFunc(open, func(o option) bool { return o.expected > within }))
+	open = slices.DeleteFunc(p.permitted(now, s, open), func(o option) bool { return o.expected > within })
+	o, ok := p.drawCheapest(open)
 	if !ok {
 		return Verdict{}, false
 	}
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -25,6 +25,8 @@
 	TotalEntries int
 	// StartedAt is when the engine started, zero if unknown.
 	StartedAt time.Time
+	// Cold is set if the engine has started so recently that it tolerates few requests.
+	Cold bool
 }
 
 // Parameters of a target's health and load.
@@ -83,6 +85,9 @@
 	reportedVersion  uint64
 	versionReported  bool
 
+	// cold is what limits the requests to the target while it is cold.
+	cold coldState
+
 	failures    int
 	pausedUntil time.Time
 	lastFailure failureSnapshot
@@ -90,7 +95,16 @@
 	answerTime time.Duration
 }
 
-func (t *target) update(_ time.Time, f facts.Target) { t.Target = f }
+// update sets what the platform lists of the target. warmup is how long targets of its
+// service are cold.
+func (t *target) update(now time.Time, f facts.Target, warmup time.Duration) {
+	t.cold.extend(f.ColdUntil)
+	if t.Evacuated && !f.Evacuated {
+		// It may have turned cold since it was last listed.
+		t.cold.extend(now.Add(warmup))
+	}
+	t.Target = f
+}
 
 // sentRequest is a request that was sent to a target recently.
 type sentRequest struct {
@@ -98,7 +112,7 @@
 	prompt int
 }
 
-func (t *target) applyReport(now time.Time, r LoadReport) {
+func (t *target) applyReport(now time.Time, r LoadReport, warmup time.Duration) {
 	if !t.StartedAt.IsZero() && !r.StartedAt.IsZero() && !r.StartedAt.Equal(t.StartedAt) {
 		if r.StartedAt.Before(t.StartedAt) {
 			return
@@ -108,6 +122,7 @@
 		r = LoadReport{Listeners: r.Listeners}
 	}
 	t.reportedAt = now
+	t.cold.report(now, r.Cold, warmup)
 	t.unreported = slices.DeleteFunc(t.unreported, func(s sentRequest) bool { return now.Sub(s.at) > reportLag+t.extraRoundTrip })
 	t.entries = r.Listeners
 	t.alive = r.Alive
--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -68,6 +68,15 @@
 	Name              string
 	MaxConnsPerTarget int
 	Engine            *Engine
+	Warmup            Warmup
+}
+
+// Warmup describes targets that have just started. They are cold for Duration, and
+// tolerate about MaxRate requests a second from all entries meanwhile; 0 means that they
+// need no limit.
+type Warmup struct {
+	Duration time.Duration
+	MaxRate  float64
 }
 
 // Engine describes the capacity and speed of a service's model engines, as configured
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -120,5 +120,8 @@
 		}
 		f.logTarget(action, fact, it.Revision)
 	}
+	if t := fact.Target; t != nil && t.WarmupLeft > 0 {
+		t.ColdUntil = f.Clock.Now().Add(t.WarmupLeft)
+	}
 	f.decoded[it.Key] = fact
 }
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -10,6 +10,7 @@
 	"hawthornferry/core/request/place"
 	"hawthornferry/io/process/alert"
 	"hawthornferry/io/process/loads"
+	"hawthornferry/io/process/uptime"
 	"hawthornferry/io/request/direct"
 )
 
@@ -48,7 +49,8 @@
 		Listener: callers, Clock: p.clock, Log: p.log, Metrics: p.metrics, Source: p.feed, HeaderCodec: e.HeaderCodec,
 		Placer: &place.Placer{
 			Name: e.Settings.VM.Name, Zone: e.Settings.VM.Zone, Regions: e.Settings.Regions,
-			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			ColdRate: bounds.ColdRate,
 		},
 		Rules: direct.Rules{
 			MaxTableAge:      scaleDuration(bounds.ConfigDelay, tableShare),
@@ -63,9 +65,13 @@
 	server.Suspects = p.alerts
 	hubClient := &alert.HubClient{Self: p.self, Clock: p.clock, Log: p.log, Registry: p.alerts}
 	listChecker := &alert.ListChecker{Clock: p.clock, Registry: p.alerts, Source: p.feed}
-	loadListener := &loads.Listener{Self: p.self, Clock: p.clock, Log: p.log}
-	reports := &loadReports{entry: e.Settings.VM, sidePort: e.Settings.SidePort, setSides: loadListener.SetSides, report: server.Report}
-	loadListener.OnLoad = reports.receive
+	loadListener := &loads.Listener{Self: p.self, Clock: p.clock, Log: p.log, Uptime: uptime.Now}
+	reports := &loadReports{
+		entry: e.Settings.VM, sidePort: e.Settings.SidePort, setSides: loadListener.SetSides, report: server.Report,
+		requestLease: loadListener.RequestLease, addPermits: server.AddPermits,
+	}
+	loadListener.OnLoad, loadListener.OnGrant = reports.receive, reports.receivePermits
+	server.Placer.RequestLease = reports.askForPermits
 	p.components = append(
 		p.components,
 		component{"callers", server.Run},
--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
@@ -21,9 +22,14 @@
 	// report of one target.
 	setSides func(sides []netip.AddrPort)
 	report   func(target string, r place.LoadReport)
+	// requestLease asks a side for permits, and addPermits passes on those for one target.
+	requestLease func(side netip.AddrPort, want int)
+	addPermits   func(target string, n int, expires time.Time)
 
-	mu     sync.Mutex
-	vms    map[netip.Addr]sideVM
+	mu  sync.Mutex
+	vms map[netip.Addr]sideVM
+	// sideOf holds the address of each target's VM.
+	sideOf map[string]netip.Addr
 	census place.EntryEstimator
 }
 
@@ -87,6 +93,12 @@
 		}
 	}
 	r.vms = vms
+	r.sideOf = map[string]netip.Addr{}
+	for addr, vm := range vms {
+		for _, id := range vm.targets {
+			r.sideOf[id] = addr
+		}
+	}
 }
 
 // engineTargets returns the targets of each service that has engines, by service name.
@@ -112,7 +124,29 @@
 	for _, id := range vm.targets {
 		r.report(id, place.LoadReport{
 			Alive: l.Alive, Active: l.Active, Queued: l.Queued, Slowness: l.Slowness, ServedVersion: l.ServedVersion, Loading: l.Loading,
-			Listeners: l.OwnZone + l.OtherZones, TotalEntries: entries, StartedAt: l.StartedAt,
+			Listeners: l.OwnZone + l.OtherZones, TotalEntries: entries, StartedAt: l.StartedAt, Cold: l.Cold,
 		})
 	}
 }
+
+// askForPermits asks the side next to a target for permits to send it requests while it is
+// cold.
+func (r *loadReports) askForPermits(target string, want int) {
+	r.mu.Lock()
+	addr, known := r.sideOf[target]
+	r.mu.Unlock()
+	if known {
+		r.requestLease(netip.AddrPortFrom(addr, r.sidePort), want)
+	}
+}
+
+// receivePermits passes on the permits that a side has granted for the engine on its VM. If
+// several targets are listed there, the one that was listed last runs.
+func (r *loadReports) receivePermits(side netip.AddrPort, n int, expires time.Time) {
+	r.mu.Lock()
+	vm := r.vms[side.Addr()]
+	r.mu.Unlock()
+	if len(vm.targets) > 0 {
+		r.addPermits(vm.targets[len(vm.targets)-1], n, expires)
+	}
+}
--- a/io/process/hosted/settings.go
+++ b/io/process/hosted/settings.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/request/lease"
 )
 
 // Settings are the settings of one process, read at its start. Of changes to them, only
@@ -67,6 +68,8 @@
 	// OldVersionPeriod is the maximum time after the announcement of a version during which
 	// requests may still start on an older one.
 	OldVersionPeriod time.Duration
+	// ColdRate says how far above its declared rate a cold target tolerates requests.
+	ColdRate lease.Bound
 	// Fencing is set if targets reject an order with an outdated number.
 	Fencing bool
 }
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -12,6 +12,7 @@
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/roll"
 	"hawthornferry/core/version/spread"
@@ -144,7 +145,11 @@
 		Self: p.self, Clock: p.clock, Uptime: uptime.Now, Log: p.log, Source: s.rollout, Engine: s.adapter,
 		VerifiedManifest: s.verified, Draining: func() bool { return false }, Deadline: s.loadDeadline,
 	}
-	s.loadPublisher = &loads.Publisher{Clock: p.clock, Log: p.log, Engine: s.Engine, Zone: s.Settings.VM.Zone}
+	s.loadPublisher = &loads.Publisher{
+		Clock: p.clock, Log: p.log, Engine: s.Engine, Zone: s.Settings.VM.Zone, Uptime: uptime.Now,
+		Warmup:    func() time.Duration { return s.warmup().Duration },
+		ColdLimit: s.coldLimit,
+	}
 	s.loadPublisher.OnUrgentChange = controller.Recheck
 	s.adapter.OnLoading = s.loadPublisher.Announce
 	p.served = s.served
@@ -226,6 +231,24 @@
 	return wantedVersions(f, s.Settings.VM.Service, s.process.clock.Now(), s.Settings.Bounds.OldVersionPeriod)
 }
 
+// warmup returns how the side's engine behaves after its start; zero before the
+// configuration is known.
+func (s *Side) warmup() table.Warmup {
+	f := s.process.feed.Current()
+	if f.Table == nil {
+		return table.Warmup{}
+	}
+	service, _ := f.Table.ServiceByName(s.Settings.VM.Service)
+	return service.Warmup
+}
+
+// coldLimit returns how many requests a second the side's engine may get while it is cold;
+// false before the configuration is known.
+func (s *Side) coldLimit() (perSecond int, known bool) {
+	known = s.process.feed.Current().Table != nil
+	return s.Settings.Bounds.ColdRate.PerSecond(s.warmup().MaxRate), known
+}
+
 // selectVersion returns the version to load: the newest, unless its weights are
 // incomplete while those of the version before it are complete and that one's time limit
 // is about to expire. Loading the older one then keeps requests served from that limit
--- a/io/process/loads/listen.go
+++ b/io/process/loads/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -28,8 +29,14 @@
 	Log   trail.Log
 	// OnLoad is called with each report of the side at addr. It must not block.
 	OnLoad func(addr netip.AddrPort, l Load)
+	// OnGrant is called with permits that the side at addr has granted. It must not block.
+	OnGrant func(addr netip.AddrPort, n int, expires time.Time)
+	// Uptime is a clock that keeps counting while the machine is suspended.
+	Uptime func() time.Duration
 
 	sides link.PeerRunner
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*link.Conn
 }
 
 // Run maintains the connections until ctx ends.
@@ -89,6 +96,8 @@
 		return err
 	}
 	defer c.Close()
+	l.setConn(addr, c)
+	defer l.removeConn(addr, c)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	for {
@@ -99,9 +108,12 @@
 		if err != nil {
 			return err
 		}
-		if load, ok := m.(*Load); ok {
+		switch m := m.(type) {
+		case *Load:
 			received()
-			l.OnLoad(addr, *load)
+			l.OnLoad(addr, *m)
+		case *leaseGrant:
+			l.receiveGrant(addr, m)
 		}
 	}
 }
--- a/io/process/loads/publisher.go
+++ b/io/process/loads/publisher.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/io/conn/frame"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/version/adapt"
@@ -55,6 +56,8 @@
 	Loading       bool    `msgpack:"loading"`
 	// StartedAt is when the engine started, zero if it does not report that.
 	StartedAt time.Time `msgpack:"born"`
+	// Cold is set if the engine has started so recently that it tolerates few requests.
+	Cold bool `msgpack:"cold"`
 	// OwnZone and OtherZones are the numbers of entries that are connected to the side, from
 	// the side's own zone and from others.
 	OwnZone    int `msgpack:"near"`
@@ -76,12 +79,14 @@
 // decides whether the engine is usable. The other fields only affect how an entry weighs
 // targets against each other.
 func (l *Load) urgent(next *Load) bool {
-	return l.Alive != next.Alive || l.ServedVersion != next.ServedVersion || l.Loading != next.Loading || !l.StartedAt.Equal(next.StartedAt)
+	return l.Alive != next.Alive || l.ServedVersion != next.ServedVersion || l.Loading != next.Loading || l.Cold != next.Cold || !l.StartedAt.Equal(next.StartedAt)
 }
 
 func kinds() frame.Kinds {
 	k := frame.Kinds{}
 	k.Register(func() frame.Message { return &Load{} })
+	k.Register(func() frame.Message { return &leaseRequest{} })
+	k.Register(func() frame.Message { return &leaseGrant{} })
 	return k
 }
 
@@ -96,8 +101,16 @@
 	// OnUrgentChange, when set, is called when a poll finds a change that decides whether
 	// the engine is usable. It must not block.
 	OnUrgentChange func()
+	// Uptime is a clock that keeps counting while the machine is suspended. Warmup returns
+	// how long an engine is cold after its start, and ColdLimit how many requests a second
+	// it tolerates meanwhile, 0 for any number; false if that is not known yet.
+	Uptime    func() time.Duration
+	Warmup    func() time.Duration
+	ColdLimit func() (perSecond int, known bool)
 
 	mu          sync.Mutex
+	ledger      lease.Ledger
+	cold        coldEngine
 	load        Load
 	published   bool
 	failures    int
@@ -133,6 +146,9 @@
 
 // Run polls the engine until ctx ends.
 func (p *Publisher) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ledger.AssumeGranted(p.Uptime())
+	p.mu.Unlock()
 	for {
 		p.poll(ctx)
 		select {
@@ -173,6 +189,8 @@
 		}
 		next = Load{}
 	} else {
+		p.cold.observe(p.Uptime(), p.Clock.Now(), r.StartedAt, p.failures >= maxFailedPolls, p.Warmup())
+		next.Cold = p.cold.isCold(p.Uptime())
 		p.failures = 0
 	}
 	next.Loading = next.Loading || p.aboutToLoad
@@ -236,9 +254,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		// An entry sends nothing; Receive returns when the connection ends.
-		_, _ = c.Receive()
-		cancel()
+		// Receive returns an error when the connection ends.
+		defer cancel()
+		for {
+			m, err := c.Receive()
+			if err != nil {
+				return
+			}
+			if r, ok := m.(*leaseRequest); ok && p.grant(c, r) != nil {
+				return
+			}
+		}
 	}()
 	for ctx.Err() == nil {
 		l, published, changed := p.current()
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -120,6 +120,9 @@
 		return resend.Unreached, err
 	}
 	defer x.close()
+	if err := s.checkPermit(v); err != nil {
+		return resend.Unreached, err
+	}
 	q.tries.Sent()
 	wd := s.startWatchdog(q, x, v, q.tries.Remaining() > 0)
 	defer wd.stop()
@@ -129,6 +132,17 @@
 	return out.readResponse(ctx, x, wd)
 }
 
+// errPermitExpired is why a request is not sent to a cold target to which it was assigned.
+var errPermitExpired = errors.New("permit for the cold target expired before the request was sent")
+
+// checkPermit returns an error if the request may no longer be sent to its target.
+func (s *Server) checkPermit(v place.Verdict) error {
+	if !v.SendBy.IsZero() && s.Clock.Now().After(v.SendBy) {
+		return errPermitExpired
+	}
+	return nil
+}
+
 // sendAndCheck sends the request and reads and checks the head of the response. It
 // returns the outcome of the attempt if the response cannot be used, otherwise "".
 func (s *Server) sendAndCheck(q *request, x *exchange, req *http.Request) (resend.Outcome, error) {
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -129,6 +129,11 @@
 	d.Do(func() []place.Verdict { return d.placer.Report(d.clock.Now(), target, r) })
 }
 
+// addPermits hands permits for a cold target to the placer.
+func (d *dispatcher) addPermits(target string, n int, expires time.Time) {
+	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, n, expires) })
+}
+
 // minFirstShare is the fraction of a route's longest deadline from which on a deadline
 // is taken for that of a first request. It allows for callers that wait for different
 // times. A caller that was told to retry after a second has less left: of a deadline of
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return succ.fail(resend.Unreached, err)
 	}
+	if err := s.checkPermit(v); err != nil {
+		x.close()
+		return succ.fail(resend.Unreached, err)
+	}
 	succ.x, succ.sent, succ.watchdog = x, true, s.startWatchdog(q, x, v, movable)
 	if o, err := s.sendAndCheck(q, x, req); o != "" {
 		return succ.fail(o, err)
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -73,7 +73,6 @@
 	// Suspects tells which requests may crash targets. If it is nil, no request is
 	// blocked.
 	Suspects Suspects
-
 	initOnce   sync.Once
 	dispatcher *dispatcher
 	connector  *connector
@@ -160,6 +159,12 @@
 	s.moveLastStreams(target, r)
 }
 
+// AddPermits handles permits to send requests to a cold target.
+func (s *Server) AddPermits(target string, n int, expires time.Time) {
+	s.init()
+	s.dispatcher.addPermits(target, n, expires)
+}
+
 // noteEntryCount updates the highest number of entries heard of, by which the slack of
 // the retry budgets is divided. The number never goes down, because targets that have
 // lost contact with some entries report too few.
