space, direct: bound the memory held for callers

Cause: bodies of up to 4 MB and answers of up to 8 MB were held for each request, without a bound on their sum; callers that read slowly could bring an entry over its memory limit. One write of a whole answer had 10 s, so that callers who read slowly, but did, were cut off.

Change: a budget of three tenths of the memory limit. A body that does not fit is refused before it is read; an answer that does not fit is passed on as it arrives, and never looks whole if it is cut. Each 64 KiB have 10 s to be read.

--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -8,6 +8,7 @@
 
 	"hawthornferry/core/request/budget"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/space"
 	"hawthornferry/io/process/alert"
 	"hawthornferry/io/process/loads"
 	"hawthornferry/io/process/uptime"
@@ -25,6 +26,11 @@
 	tableShare = 0.9
 )
 
+// bodyMemoryShare is the part of the memory limit that bodies of requests and responses may
+// take. Garbage that is not collected yet may take as much again, and connections, state
+// and code the rest.
+const bodyMemoryShare = 0.3
+
 // Entry is the process that accepts callers' requests and forwards each to a target. Set
 // the exported fields before Run.
 type Entry struct {
@@ -63,6 +69,9 @@
 		server.Rules.MaxKeyAge = scaleDuration(bounds.RevocationDelay, keyShare)
 	}
 	server.Suspects = p.alerts
+	if limit := e.Settings.MemoryLimit; limit > 0 {
+		server.Memory = &space.Budget{Limit: int64(float64(limit) * bodyMemoryShare)}
+	}
 	hubClient := &alert.HubClient{Self: p.self, Clock: p.clock, Log: p.log, Registry: p.alerts}
 	listChecker := &alert.ListChecker{Clock: p.clock, Registry: p.alerts, Source: p.feed}
 	loadListener := &loads.Listener{Self: p.self, Clock: p.clock, Log: p.log, Uptime: uptime.Now}
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -34,6 +34,8 @@
 	readResponse(ctx context.Context, x *exchange, g *watchdog) (resend.Outcome, error)
 	// responseBegun reports whether the caller has a part of a response.
 	responseBegun() bool
+	// canContinue reports whether another attempt may send the response, or its rest.
+	canContinue() bool
 	// sendHeldFailure sends a failure response of a target that was held back because
 	// another attempt might succeed. It returns false if there is none.
 	sendHeldFailure() bool
@@ -70,7 +72,7 @@
 			s.endUnanswered(w, q, out)
 			return
 		}
-		if !s.mayRetry(q, o) {
+		if !out.canContinue() || !s.mayRetry(q, o) {
 			s.fail(w, q, out, failedTargetsRetryAfter)
 			return
 		}
@@ -178,14 +180,17 @@
 	return true
 }
 
-// endUnanswered ends a request whose deadline has passed or whose caller has
-// disconnected.
+// endUnanswered ends a request whose deadline has passed, or whose caller has
+// disconnected or has stopped reading.
 func (s *Server) endUnanswered(w http.ResponseWriter, q *request, out responseRelay) {
 	if q.incoming.Context().Err() != nil {
 		s.finishRequest(q, "callerGone", 0)
 		panic(http.ErrAbortHandler)
 	}
 	q.reason = "deadline"
+	if s.Clock.Now().Before(q.deadline) {
+		q.reason = "callerNotReading"
+	}
 	if out.responseBegun() {
 		s.abortResponse(q)
 	}
--- a/io/request/direct/buffered.go
+++ b/io/request/direct/buffered.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,21 +13,25 @@
 	"hawthornferry/io/request/gate"
 )
 
-// maxBufferedResponse is the maximum size of a buffered response, in bytes.
-const maxBufferedResponse = 8 << 20
-
 // callerWriter writes the response to the caller, with a deadline for each write.
 type callerWriter struct {
 	w  http.ResponseWriter
 	rc *http.ResponseController
 }
 
+// write writes b in parts. A caller that reads slowly, but does, is not cut off.
 func (c callerWriter) write(b []byte) error {
-	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for first := true; first || len(b) > 0; first = false {
+		if err := c.rc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		n, err := c.w.Write(b[:min(len(b), writeChunk)])
+		if err != nil {
+			return err
+		}
+		b = b[n:]
 	}
-	_, err := c.w.Write(b)
-	return err
+	return nil
 }
 
 // writeHead writes the head of a target's response. A negative length sets no
@@ -71,9 +74,9 @@
 	r.q.progress.status = x.resp.StatusCode
 	// A target sends the head of such a response only after it has run the request.
 	g.stopVersionCheck()
-	b, err := io.ReadAll(io.LimitReader(x.resp.Body, maxBufferedResponse+1))
-	if err == nil && len(b) > maxBufferedResponse {
-		err = errors.Newf("response is over %d bytes", maxBufferedResponse)
+	b, err := readHeld(x.resp.Body, x.resp.ContentLength, &r.q.hold, int64(len(r.q.body)+len(r.heldBody)))
+	if errors.Is(err, errNoMemory) {
+		return r.passOn(x.resp, b)
 	}
 	if err != nil {
 		r.q.progress.responseErr = operr.Wrap("read answer", "", err)
@@ -86,6 +89,26 @@
 	return r.send(x.resp, b)
 }
 
+// passOn sends a response for which there is no memory as it arrives, after the part that
+// was buffered. The target is slowed down to what the caller reads. If either ends early,
+// the caller's connection is closed, so that the response does not look complete.
+func (r *bufferedRelay) passOn(resp *http.Response, begin []byte) resend.Outcome {
+	r.sent = true
+	r.caller.writeHead(resp, int(resp.ContentLength))
+	if err := r.caller.write(begin); err != nil {
+		return resend.CallerGone
+	}
+	readErr, writeErr := r.caller.copyFrom(resp.Body)
+	switch {
+	case writeErr != nil:
+		return resend.CallerGone
+	case readErr != nil:
+		r.q.progress.responseErr = operr.Wrap("read answer", "", readErr)
+		return resend.Broken
+	}
+	return resend.Relayed
+}
+
 func (r *bufferedRelay) send(resp *http.Response, b []byte) resend.Outcome {
 	r.sent = true
 	r.q.progress.status = resp.StatusCode
@@ -102,6 +125,8 @@
 
 func (r *bufferedRelay) responseBegun() bool { return r.sent }
 
+func (r *bufferedRelay) canContinue() bool { return !r.sent }
+
 func (r *bufferedRelay) sendHeldFailure() bool {
 	if r.heldFailure == nil {
 		return false
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -18,6 +18,7 @@
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/poison"
 	"hawthornferry/core/request/resend"
+	"hawthornferry/core/request/space"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/gate"
 )
@@ -39,6 +40,8 @@
 	incoming *http.Request
 	call     CallerHeaders
 	body     []byte
+	// hold is the memory reserved for the bodies of the request and its response.
+	hold     space.Hold
 	facts    *facts.Facts
 	factsAge facts.Age
 	route    table.Route
@@ -101,6 +104,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{incoming: r, arrivedAt: s.Clock.Now()}
+	q.hold.Budget = s.Memory
+	defer q.hold.Release()
 	if e, ok := s.prepare(w, q); !ok {
 		s.sendError(w, q, e)
 		return
@@ -222,12 +227,14 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, q.incoming.Body, limit)
 	}
-	b, err := io.ReadAll(body)
+	b, err := readHeld(body, q.incoming.ContentLength, &q.hold, 0)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}, false
+	case errors.Is(err, errNoMemory):
+		return errorResponse{status: http.StatusServiceUnavailable, reason: "noMemory", retryAfter: memoryRetryAfter, closeConn: true}, false
 	case err != nil:
 		return errorResponse{status: http.StatusBadRequest, reason: "bodyUnreadable", closeConn: true}, false
 	}
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -17,6 +17,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/budget"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/space"
 )
 
 // Source provides the facts that requests are served by: the process's view of the
@@ -73,6 +74,9 @@
 	// Suspects tells which requests may crash targets. If it is nil, no request is
 	// blocked.
 	Suspects Suspects
+	// Memory limits what is held for callers; nil for no limit.
+	Memory *space.Budget
+
 	initOnce   sync.Once
 	dispatcher *dispatcher
 	connector  *connector
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -161,6 +161,8 @@
 	return r.headSent || (r.nonStream != nil && r.nonStream.sent)
 }
 
+func (r *streamRelay) canContinue() bool { return r.nonStream == nil || r.nonStream.canContinue() }
+
 func (r *streamRelay) sendHeldFailure() bool {
 	return r.nonStream != nil && !r.headSent && r.nonStream.sendHeldFailure()
 }
