feed: let entries await upstreams that start

Cause: when all machines start, the readers of the store refuse connections for some ms; each other entry then listed the whole store itself.

Change: entries wait for upstreams that are only just starting, as sides do.

Ruled out: outages.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -242,13 +242,10 @@
 // starts at the same time as its upstreams and will get the state from them
 // shortly.
 func (f *Feed) skipsStore(starting bool, started time.Time) bool {
-	if f.StoreBackoff <= 0 {
-		return false
-	}
 	if _, known := f.Age(); !known && starting && f.Clock.Since(started) < startupUpstreamWait {
 		return true
 	}
-	return f.Clock.Now().Before(f.nextStoreCall)
+	return f.StoreBackoff > 0 && f.Clock.Now().Before(f.nextStoreCall)
 }
 
 // upstreamPause is how long this process leaves the upstreams alone after none
--- a/io/process/feed/start_test.go
+++ b/io/process/feed/start_test.go
@@ -55,3 +55,36 @@
 		t.Errorf("a change came after %s although the upstream had stopped responding", took)
 	}
 }
+
+// Guards against a fleet that starts all at once and has each of its entries list the whole
+// store, because their upstreams do not listen yet or have no state: the calls grow with
+// the square of the fleet.
+func TestEntryAwaitsUpstreamsThatStart(t *testing.T) {
+	s := newFakeStore()
+	s.set("target/a", "", false)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := Peer{Address: netip.MustParseAddrPort(nl.Addr().String())}
+	nl.Close()
+	reader := newFeed(&slowListStore{fakeStore: s, takes: startupUpstreamWait / 4})
+	reader.Self = newSelf("reader")
+	peer, stop := servePeer(t, reader)
+	defer stop()
+	own := newFakeStore()
+	f := newFeed(own)
+	f.Upstreams = func() []Peer { return []Peer{refusing, peer} }
+	runFeed(t, f)
+	time.Sleep(startupUpstreamWait / 4)
+	runFeed(t, reader)
+	took := eventually(t, "the state of the upstream", func() bool { return targetIDs(f) == "a" })
+	if most := 2 * startupUpstreamWait; took > most {
+		t.Errorf("the first state came after %s, want %s at most", took, most)
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if own.calls > 0 {
+		t.Errorf("the entry called the store %d times", own.calls)
+	}
+}
