relay, feed, hosted: pass the platform's state on by relays in large zones

Cause: three entries read the store and told all other processes. What each of them sends grows with the fleet, four fifths of it over links between regions; and when the store turns all three away, every process that it still serves reads the store itself.

Change: one side in 32 of a zone, at least two, passes the state on to the processes of its zone; all rank the listed sides alike. Relays follow the readers, and read the store themselves while no reader can; the others follow a relay, and a reader only while no relay reports. Zones with fewer than 64 sides, and deployments whose bounds leave no time for another hop (a configuration in force within 4 s), stay as they were. A relay has at most about 64 followers at any size of the fleet.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -12,10 +12,8 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
@@ -112,6 +110,14 @@
 	// the upstream is left. Zero means that it is left only once its state is old
 	// or it reports that it has lost the store.
 	MaxStoreLateness time.Duration
+	// Relays, when set, returns the relays: processes that follow the upstreams and pass
+	// the state on to others nearby. This process follows one of them, and an upstream
+	// only while none of them can report.
+	Relays func() []Peer
+	// IsRelay, when set, reports whether other processes follow this one as a relay.
+	// RelayWaits then replace WatchWait and UpstreamWait.
+	IsRelay    func() bool
+	RelayWaits Waits
 
 	mu            sync.Mutex
 	items         map[string]Item
@@ -156,12 +162,29 @@
 	// failed. Only Run's goroutine uses them.
 	nextUpstreamTry time.Time
 	nextStoreCall   time.Time
+	// nextRelayTry is when the relays are tried again after none of them reported.
+	nextRelayTry time.Time
 	// loggedStoreUp is whether the store was up when that was last logged, and
 	// storeLogged whether it has been logged at all.
 	loggedStoreUp bool
 	storeLogged   bool
 }
 
+// Waits are how long one watch of the store and one request to an upstream wait for a
+// change.
+type Waits struct {
+	Store    time.Duration
+	Upstream time.Duration
+}
+
+// waits returns the waits of this process.
+func (f *Feed) waits() Waits {
+	if f.IsRelay != nil && f.IsRelay() {
+		return f.RelayWaits
+	}
+	return Waits{Store: f.WatchWait, Upstream: f.UpstreamWait}
+}
+
 func (f *Feed) init() {
 	f.initOnce.Do(func() {
 		f.items = map[string]Item{}
@@ -257,8 +280,8 @@
 	return upstreamPauseDefault
 }
 
-// followUpstreams follows the upstreams one after the other, each until it
-// fails. It reports whether one of them has only just started.
+// followUpstreams follows the relays and then the upstreams one after the other,
+// each until it fails. It reports whether an upstream has only just started.
 func (f *Feed) followUpstreams(ctx context.Context) (starting bool) {
 	// The upstreams are left alone for a while after none of them reported,
 	// unless the store must not be called either.
@@ -268,18 +291,12 @@
 	}
 	began := f.Uptime()
 	defer func() { f.discountSilence(began) }()
-	upstreams := f.Upstreams()
-	rand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
-	for _, p := range upstreams {
-		err := f.followUpstream(ctx, p)
-		if ctx.Err() != nil {
-			return false
-		}
-		starting = starting || errors.Is(err, errUpstreamEmpty) || errors.Is(err, syscall.ECONNREFUSED)
-		f.Log.Record(trail.Decision{
-			Area: trail.AreaConfig, Action: "tellerLost", Choice: p.Address.String(), Reason: err.Error(),
-			Revision: f.Self.Revision.Load(),
-		})
+	for again := true; again && ctx.Err() == nil; {
+		f.followRelays(ctx)
+		starting, again = f.followReaders(ctx)
+	}
+	if ctx.Err() != nil {
+		return false
 	}
 	if _, known := f.Age(); known {
 		f.nextUpstreamTry = f.Clock.Now().Add(f.upstreamPause())
--- a/io/process/feed/log.go
+++ b/io/process/feed/log.go
@@ -25,6 +25,14 @@
 	f.Log.Record(d)
 }
 
+// logUpstreamLost logs that this process has left an upstream or a relay, and why.
+func (f *Feed) logUpstreamLost(p Peer, err error) {
+	f.Log.Record(trail.Decision{
+		Area: trail.AreaConfig, Action: "tellerLost", Choice: p.Address.String(), Reason: err.Error(),
+		Revision: f.Self.Revision.Load(),
+	})
+}
+
 func (f *Feed) logTarget(action string, fact DecodedItem, revision uint64) {
 	t := fact.Target
 	if t == nil {
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -25,7 +25,7 @@
 		case <-f.Clock.After(peerPollInterval):
 		}
 		age, known := f.Age()
-		if known && age <= f.WatchWait+f.UpstreamWait+peerPollInterval {
+		if known && age <= f.staleAfter() {
 			continue
 		}
 		f.queryPeers(ctx)
@@ -41,6 +41,12 @@
 	announcementQueryMax  = 1600 * time.Millisecond
 )
 
+// staleAfter is the age from which on the state is older than it should be.
+func (f *Feed) staleAfter() time.Duration {
+	w := f.waits()
+	return w.Store + w.Upstream + peerPollInterval
+}
+
 // queryAnnouncements asks peers when the versions that this process has read
 // were announced: until that is known or verlog.MaxQuestions is reached, and
 // verlog.MinQuestions times in any case.
@@ -205,6 +211,7 @@
 	errUpstreamWaits     = errors.New("the store does not answer the peer")
 	errUpstreamEmpty     = errors.New("the peer has no state yet")
 	errUpstreamLostStore = errors.New("the peer has lost the store")
+	errRelayKnown        = errors.New("another process is to be followed")
 )
 
 // followUpstream requests changes from one upstream for as long as its state is
@@ -214,47 +221,54 @@
 // with the queries to other peers.
 //
 // The first request doesn't wait for a change: an upstream that the store doesn't
-// answer has none to report, and after it others must be tried in time.
-func (f *Feed) followUpstream(ctx context.Context, p Peer) error {
+// answer has none to report, and after it others must be tried in time. It ends with
+// errRelayKnown once leave reports true. It also returns whether the upstream has reported
+// a state that is recent.
+func (f *Feed) followUpstream(ctx context.Context, p Peer, leave func() bool) (reported bool, err error) {
 	c, end, err := f.dial(ctx, p, upstreamDialTimeout)
 	if err != nil {
-		return err
+		return reported, err
 	}
 	defer end()
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if err := c.SetReadDeadline(time.Now().Add(wait + f.replyTimeout())); err != nil {
-			return err
+			return reported, err
 		}
 		asked := f.Uptime()
 		reply, err := f.exchange(c, wait)
 		if err != nil {
-			return err
+			return reported, err
 		}
 		if reply.StoreLost {
-			return errUpstreamLostStore
+			return reported, errUpstreamLostStore
 		}
 		if !reply.Known {
-			return errUpstreamEmpty
+			return reported, errUpstreamEmpty
 		}
-		if age := f.Uptime() - asked + reply.Age; age > 2*f.UpstreamWait+upstreamAgeMargin {
-			return errUpstreamStale
+		if age := f.Uptime() - asked + reply.Age; age > 2*f.waits().Upstream+upstreamAgeMargin {
+			return reported, errUpstreamStale
 		}
 		if f.MaxStoreLateness > 0 && reply.StoreLateness > f.MaxStoreLateness {
-			return errUpstreamWaits
+			return reported, errUpstreamWaits
+		}
+		reported = true
+		if leave() {
+			return true, errRelayKnown
 		}
 		wait = f.upstreamWait(reply)
 	}
-	return nil
+	return reported, nil
 }
 
 // upstreamWait is how long the next request to an upstream waits for a change. If the
 // store's answer to the upstream is late by then, the reply must come in time.
 func (f *Feed) upstreamWait(reply *factsReply) time.Duration {
+	longest := f.waits().Upstream
 	if f.MaxStoreLateness <= 0 {
-		return f.UpstreamWait
+		return longest
 	}
-	return min(f.UpstreamWait, max(f.MaxStoreLateness-reply.StoreLateness, minUpstreamWait))
+	return min(longest, max(f.MaxStoreLateness-reply.StoreLateness, minUpstreamWait))
 }
 
 // adoptReply applies a peer's reply to a request sent at asked. waited is set
@@ -275,7 +289,7 @@
 	if reply.AtRevision > f.revision {
 		f.applyReply(reply)
 	}
-	if age := f.Uptime() - f.confirmed; !f.known || age > f.WatchWait+watchSlack {
+	if age := f.Uptime() - f.confirmed; !f.known || age > f.waits().Store+watchSlack {
 		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "told", Choice: peer, Reason: "age " + reply.Age.String(), Revision: reply.AtRevision})
 	}
 	f.confirm(since, reply.AtRevision)
--- a/io/process/feed/watch.go
+++ b/io/process/feed/watch.go
@@ -13,7 +13,7 @@
 // set of changes.
 func (f *Feed) syncOnce(ctx context.Context) error {
 	f.mu.Lock()
-	contact, wait := f.contact(), f.WatchWait
+	contact, wait := f.contact(), f.waits().Store
 	if len(f.graceEnds) > 0 {
 		wait = min(wait, graceCheckInterval)
 	}
@@ -32,7 +32,7 @@
 	got := f.Uptime()
 	if errors.Is(err, ErrHistoryLost) {
 		f.mu.Lock()
-		f.recordStoreAnswer(f.WatchWait)
+		f.recordStoreAnswer(f.waits().Store)
 		f.mu.Unlock()
 		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "listAnew", Reason: err.Error(), Revision: contact.Revision})
 		return f.list(ctx)
@@ -47,7 +47,7 @@
 	if c.AtRevision >= f.revision {
 		call := verlog.StoreCall{Asked: asked, Got: got, Wait: wait}
 		live := f.contact().ChangesMadeAt(call, f.ranSince)
-		f.recordStoreAnswer(f.WatchWait)
+		f.recordStoreAnswer(f.waits().Store)
 		f.recordAnswerTime(call)
 		f.apply(c.Items, live)
 		f.confirm(asked, c.AtRevision)
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -135,12 +135,27 @@
 		} else {
 			p.feed.MaxStoreLateness = maxStoreLateness(s.Bounds, wait)
 		}
+		if allowsRelays(s.Bounds) {
+			p.useRelays()
+		}
 	}
 	p.alerts = &alert.Registry{Clock: p.clock, Log: p.log, Metrics: p.metrics}
 	p.handlers = map[link.Purpose]link.Handler{link.PurposeConfig: p.feed.Handler(), link.PurposeAlerts: p.alerts.Handler()}
 	return p, nil
 }
 
+// useRelays makes this process follow the relays of its zone, and be one if it ranks among
+// them. A relay confirms its copy of the state as often as an entry, since entries follow
+// it.
+func (p *process) useRelays() {
+	r := &relays{vm: p.settings.VM, sidePort: p.settings.SidePort, current: p.feed.Current}
+	store, peer := entryWaits(p.settings.Bounds)
+	p.feed.Relays = r.upstreams
+	p.feed.RelayWaits = feed.Waits{Store: store, Upstream: peer}
+	p.feed.IsRelay = r.includesSelf
+	p.feed.MaxStoreLateness = maxStoreLateness(p.settings.Bounds, store)
+}
+
 // readsStore reports whether this process watches the store itself and passes changes
 // on to the others. All processes that the settings list as seeds do, and every process
 // if there are no seeds. The store's rate limit does not grow with the number of
@@ -174,17 +189,11 @@
 
 // sides returns the addresses of the sides of all engines.
 func (p *process) sides() []netip.AddrPort {
-	var out []netip.AddrPort
 	snapshot := p.feed.Current()
 	if snapshot.Table == nil {
 		return nil
 	}
-	for _, t := range snapshot.Targets {
-		if s, ok := snapshot.Table.ServiceByName(t.Service); ok && s.Engine != nil {
-			out = append(out, netip.AddrPortFrom(t.Address.Addr(), p.settings.SidePort))
-		}
-	}
-	return out
+	return engineSides(snapshot, p.settings.SidePort, "")
 }
 
 // listen opens a TCP listener. The error says what it is for and on which address.
