feed: ask peers only when the state is older than it usually gets

Cause: the state of an entry that follows a reader is up to 2.1 s old while everything works, but peers were asked from 1.6 s on: two at random each 300 ms, also in other regions, about half of the time.

Change: where the bounds allow relays, peers are asked only once the state is older than it usually gets (2.6 s). With shorter bounds nothing changes.

--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -110,6 +110,10 @@
 	// the upstream is left. Zero means that it is left only once its state is old
 	// or it reports that it has lost the store.
 	MaxStoreLateness time.Duration
+	// UsualAge is how old the state gets while the store and the processes above this one
+	// answer; zero stands for one watch and one request to an upstream. Peers are asked
+	// once the state is older.
+	UsualAge time.Duration
 	// Relays, when set, returns the relays: processes that follow the upstreams and pass
 	// the state on to others nearby. This process follows one of them, and an upstream
 	// only while none of them can report.
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -44,7 +44,7 @@
 // staleAfter is the age from which on the state is older than it should be.
 func (f *Feed) staleAfter() time.Duration {
 	w := f.waits()
-	return w.Store + w.Upstream + peerPollInterval
+	return max(f.UsualAge, w.Store+w.Upstream) + peerPollInterval
 }
 
 // queryAnnouncements asks peers when the versions that this process has read
@@ -289,7 +289,7 @@
 	if reply.AtRevision > f.revision {
 		f.applyReply(reply)
 	}
-	if age := f.Uptime() - f.confirmed; !f.known || age > f.waits().Store+watchSlack {
+	if age := f.Uptime() - f.confirmed; !f.known || age > max(f.staleAfter(), f.waits().Store+watchSlack) {
 		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "told", Choice: peer, Reason: "age " + reply.Age.String(), Revision: reply.AtRevision})
 	}
 	f.confirm(since, reply.AtRevision)
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -154,6 +154,8 @@
 	p.feed.RelayWaits = feed.Waits{Store: store, Upstream: peer}
 	p.feed.IsRelay = r.includesSelf
 	p.feed.MaxStoreLateness = maxStoreLateness(p.settings.Bounds, store)
+	// A state is confirmed as of the start of a watch or request that has ended.
+	p.feed.UsualAge = 2*store + 2*peer
 }
 
 // readsStore reports whether this process watches the store itself and passes changes
