feed: log the first state in one line

Cause: each process logged each target that it found at its start.

Change: one line with their number.

It saves a line for each target at a restart only: when the whole fleet starts, targets register one by one, and each process still logs each of them. That part of the cause is open.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -60,8 +60,9 @@
 	Fingerprint string `json:"fingerprint,omitempty"`
 	// Status is the HTTP status of the response.
 	Status int `json:"status,omitempty"`
-	// Load is the number of requests at the chosen target, and Version the model
-	// version that the target serves.
+	// Load is the number of requests at the chosen target, or of targets in the first
+	// state that a process has got, and Version the model version that the target
+	// serves.
 	Load    int    `json:"load,omitempty"`
 	Version uint64 `json:"version,omitempty"`
 	// MinVersion is the lowest version that may answer the request.
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -118,7 +118,9 @@
 		if fact.Target.Leaving {
 			action = "leaving"
 		}
-		f.logTarget(action, fact, it.Revision)
+		if f.known {
+			f.logTarget(action, fact, it.Revision)
+		}
 	}
 	if t := fact.Target; t != nil && t.WarmupLeft > 0 {
 		t.ColdUntil = f.Clock.Now().Add(t.WarmupLeft)
--- a/io/process/feed/log.go
+++ b/io/process/feed/log.go
@@ -33,6 +33,18 @@
 	})
 }
 
+// logFirstState logs that this process has got its first state. A line for each target in
+// it would make the logs of a start grow with the square of the fleet.
+func (f *Feed) logFirstState(revision uint64) {
+	targets := 0
+	for _, fact := range f.decoded {
+		if fact.Target != nil {
+			targets++
+		}
+	}
+	f.Log.Record(trail.Decision{Area: trail.AreaMember, Action: "listed", Load: targets, Revision: revision})
+}
+
 func (f *Feed) logTarget(action string, fact DecodedItem, revision uint64) {
 	t := fact.Target
 	if t == nil {
--- a/io/process/feed/publish.go
+++ b/io/process/feed/publish.go
@@ -15,6 +15,9 @@
 		f.removed.completeAfter = at
 	}
 	c.Confirm(since, at)
+	if !f.known {
+		f.logFirstState(at)
+	}
 	f.known, f.revision, f.confirmed = c.Known, c.Revision, c.Confirmed
 	f.dropExpired()
 	f.publish()
