--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -92,3 +92,24 @@
 		t.Errorf("explanation (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an explanation of a refusal that leaves out why no target might have the
+// request: the evacuation of a zone, or a faulty list of allowed regions.
+func TestExplainTellsWhyTargetsWereExcluded(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	records := []trail.Decision{
+		{Time: at(1), Process: "e1", Area: trail.AreaConfig, Action: "limitItem", Subject: "op/config", Reason: "unknown region"},
+		{Time: at(2), Process: "e1", Area: trail.AreaConfig, Action: "evacuate", Subject: "z1"},
+		{Time: at(3), Process: "e1", Area: trail.AreaConfig, Action: "evacuate", Subject: "z2"},
+		{Time: at(4), Process: "e1", Area: trail.AreaConfig, Action: "evacuationEnded", Subject: "z2"},
+		{Time: at(5), Process: "e1", Area: trail.AreaCall, Action: "answer", Request: "r1", Reason: "zoneEvacuated"},
+	}
+	var got []string
+	for _, l := range Explain(records, "r1") {
+		got = append(got, l.Decision.Action+" "+l.Decision.Subject)
+	}
+	want := []string{"limitItem op/config", "evacuate z1", "evacuationEnded z2", "answer "}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -125,7 +125,7 @@
 }
 
 func (f *Feed) queryPeer(ctx context.Context, p Peer) error {
-	c, end, err := f.dial(ctx, p, peerTimeout)
+	c, end, err := f.dial(ctx, p, PeerTimeout)
 	if err != nil {
 		return err
 	}
@@ -156,7 +156,7 @@
 // process without any state, which gets all of it.
 func (f *Feed) replyTimeout() time.Duration {
 	if _, known := f.Age(); known {
-		return peerTimeout
+		return PeerTimeout
 	}
 	return fullReplyTimeout
 }
--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -17,10 +17,10 @@
 	// peerPollInterval is how often peers are asked while the state is not
 	// being confirmed.
 	peerPollInterval = 300 * time.Millisecond
-	// peerTimeout bounds the wait for a connection and for a short reply; peers
+	// PeerTimeout bounds the wait for a connection and for a short reply; peers
 	// are milliseconds apart. fullReplyTimeout bounds a reply that contains the
 	// whole state, over a link that is shared.
-	peerTimeout      = 600 * time.Millisecond
+	PeerTimeout      = 600 * time.Millisecond
 	fullReplyTimeout = 3 * time.Second
 	// peersPerRound is how many peers are asked at a time: one of them may be
 	// disconnected itself.
@@ -133,7 +133,7 @@
 func (f *Feed) serve(ctx context.Context, c *link.Conn) {
 	f.init()
 	for {
-		if err := c.SetReadDeadline(time.Now().Add(maxPollWait + peerTimeout)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(maxPollWait + PeerTimeout)); err != nil {
 			return
 		}
 		m, err := c.Receive()
--- a/io/process/feed/start_test.go
+++ b/io/process/feed/start_test.go
@@ -47,7 +47,7 @@
 	f.Upstreams = func() []Peer { return []Peer{frozen} }
 	runFeed(t, f)
 	took := eventually(t, "the store is read", func() bool { return targetIDs(f) == "a" })
-	if most := f.UpstreamWait + peerTimeout + 500*time.Millisecond; took > most {
+	if most := f.UpstreamWait + PeerTimeout + 500*time.Millisecond; took > most {
 		t.Errorf("the change came after %s, want %s at most", took, most)
 	}
 	s.set("target/b", "", false)
--- a/io/process/feed/upstream_test.go
+++ b/io/process/feed/upstream_test.go
@@ -108,7 +108,7 @@
 			close(done)
 		}()
 		took := eventually(t, "the responsive peer has replied", func() bool { return targetIDs(f) == "a" })
-		if most := peerTimeout / 2; took > most {
+		if most := PeerTimeout / 2; took > most {
 			t.Errorf("the responsive peer's reply came after %s, want %s at most", took, most)
 		}
 		<-done
--- a/io/process/hosted/relays.go
+++ b/io/process/hosted/relays.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"time"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
@@ -69,9 +68,8 @@
 }
 
 // silentUpstreamTime is how long a process takes to leave an upstream that has stopped
-// responding, after a wait for a change: the time-out of a reply, and the change to
-// another upstream.
-const silentUpstreamTime = 600*time.Millisecond + changeUpstreamTime
+// responding, after a wait for a change.
+const silentUpstreamTime = feed.PeerTimeout + changeUpstreamTime
 
 // allowsRelays reports whether the bounds leave the time for relays between the readers of
 // the store and the other processes. A new configuration must be in force within its bound
