direct: flush each part of an answer that is passed on as it arrives

First thought: the target of the test does not flush before it cuts its answer. It now does, and the test failed still.

Cause: the entry's own HTTP server holds up to 4 KiB back, and drops them when the answer is cut; with a slow target they also came late. Change: the entry flushes after each part.

--- a/io/request/direct/memory.go
+++ b/io/request/direct/memory.go
@@ -80,7 +80,7 @@
 	for {
 		n, err := r.Read(buf)
 		if n > 0 {
-			if werr := c.write(buf[:n]); werr != nil {
+			if werr := errors.CombineErrors(c.write(buf[:n]), c.rc.Flush()); werr != nil {
 				return nil, werr
 			}
 		}
--- a/io/request/direct/memory_test.go
+++ b/io/request/direct/memory_test.go
@@ -77,6 +77,7 @@
 		w.Header().Set("Content-Length", fmt.Sprint(answerSize))
 		if strings.HasPrefix(r.URL.Path, "/cut") {
 			_, _ = w.Write(answer[:answerSize/2])
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		if strings.HasPrefix(r.URL.Path, "/small") {
