direct: test readers of three speeds beside sound ones

200 callers that read nothing, 1 KiB or 1 MiB a second, answers of 1 MiB, a budget of 4 MiB: what is held stays within it, and 20 sound callers get whole answers, none ten times as slow as alone and half a second more.

--- a/io/request/direct/memory_test.go
+++ b/io/request/direct/memory_test.go
@@ -145,8 +145,9 @@
 	return len(b), time.Since(began), err
 }
 
-// stall sends a request and does not read the answer.
-func stall(t *testing.T, address, path string) {
+// readSlowly sends a request and reads the answer at the given rate, in bytes per second,
+// until the test ends.
+func readSlowly(t *testing.T, address, path string, rate int) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -157,37 +158,55 @@
 		t.Fatal(err)
 	}
 	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", path, testHeaderID, path)
+	if rate == 0 {
+		return
+	}
+	const interval = 10 * time.Millisecond
+	go func() {
+		part := make([]byte, max(1, rate*int(interval)/int(time.Second)))
+		for {
+			if _, err := conn.Read(part); err != nil {
+				return
+			}
+			time.Sleep(interval)
+		}
+	}()
 }
 
-// Guards against callers that read nothing and fill the memory of the entry, and against
-// callers that read but suffer from them.
+// Guards against callers that read nothing, or slowly, and fill the memory of the entry, and
+// against callers that read but suffer from them.
 func TestSlowReadersDoNotFillMemory(t *testing.T) {
-	s, address := newSlowEntry(t)
-	sound := func(name string) []time.Duration {
-		var took []time.Duration
-		for i := range 20 {
-			n, d, err := fetch(t, address, fmt.Sprintf("/%s%d", name, i))
-			if n != answerSize || err != nil {
-				t.Errorf("%s: %d of %d bytes, error %v", name, n, answerSize, err)
+	const slowReaders, soundReaders = 200, 20
+	for _, rate := range []int{0, 1 << 10, 1 << 20} {
+		t.Run(fmt.Sprint(rate, " bytes a second"), func(t *testing.T) {
+			s, address := newSlowEntry(t)
+			sound := func(name string) []time.Duration {
+				var took []time.Duration
+				for i := range soundReaders {
+					n, d, err := fetch(t, address, fmt.Sprintf("/%s%d", name, i))
+					if n != answerSize || err != nil {
+						t.Errorf("%s: %d of %d bytes, error %v", name, n, answerSize, err)
+					}
+					took = append(took, d)
+				}
+				slices.Sort(took)
+				return took
 			}
-			took = append(took, d)
-		}
-		slices.Sort(took)
-		return took
-	}
-	alone := sound("alone")
-	for i := range 100 {
-		stall(t, address, fmt.Sprintf("/stalled%d", i))
-	}
-	for end := time.Now().Add(5 * time.Second); s.Memory.Used() < memoryBudget/2 && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-	}
-	beside := sound("beside")
-	if s.Memory.Peak() > memoryBudget {
-		t.Errorf("%d bytes held at the peak, want at most %d", s.Memory.Peak(), memoryBudget)
-	}
-	if longest := beside[len(beside)-1]; longest > 10*alone[len(alone)-1]+500*time.Millisecond {
-		t.Errorf("the slowest sound caller took %s beside stalled ones, %s without", longest, alone[len(alone)-1])
+			alone := sound("alone")
+			for i := range slowReaders {
+				readSlowly(t, address, fmt.Sprintf("/slow%d", i), rate)
+			}
+			for end := time.Now().Add(5 * time.Second); s.Memory.Used() < memoryBudget/2 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			beside := sound("beside")
+			if s.Memory.Peak() > memoryBudget {
+				t.Errorf("%d bytes held at the peak, want at most %d", s.Memory.Peak(), memoryBudget)
+			}
+			if longest := beside[len(beside)-1]; longest > 10*alone[len(alone)-1]+500*time.Millisecond {
+				t.Errorf("the slowest sound caller took %s beside slow ones, %s without", longest, alone[len(alone)-1])
+			}
+		})
 	}
 }
 
