--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -141,7 +141,8 @@
 }
 
 // receivePermits passes on the permits that a side has granted for the engine on its VM. If
-// several targets are listed there, the one that was listed last runs.
+// several targets are listed there, only one of them gets the permits, which hold for them
+// together.
 func (r *loadReports) receivePermits(side netip.AddrPort, n int, expires time.Time) {
 	r.mu.Lock()
 	vm := r.vms[side.Addr()]
