feed: follow relays again after an outage of the store

Cause, found by reading: a process that has failed twice at the store says so until the store answers it, but a relay that follows a reader again never calls the store. All others passed such relays over for good, and tried them again every four seconds.

Change: the mark goes when an upstream reports. Only relays and readers are followed, and readers have no upstreams, so that nothing changes where there are no relays.

TestRelayIsFollowedAfterAnOutage fails before.

--- a/io/process/feed/follow_test.go
+++ b/io/process/feed/follow_test.go
@@ -97,3 +97,31 @@
 		t.Errorf("the follower called the store %d times", own.calls)
 	}
 }
+
+// Guards against relays that all others pass over for good, because they could not reach the
+// store while their upstreams could not either.
+func TestRelayIsFollowedAfterAnOutage(t *testing.T) {
+	s, refusing := newFakeStore(), newFakeStore()
+	for _, store := range []*fakeStore{s, refusing} {
+		store.set("target/a", "", false)
+	}
+	_, reader := newUpstream(t, "reader", s)
+	relay := newRelay(t, refusing, reader)
+	eventually(t, "the relay knows the state", func() bool { return targetIDs(relay.feed) == "a" })
+	s.fail(errors.New("down"))
+	refusing.fail(errors.New("down"))
+	eventually(t, "the relay has lost the store", relay.feed.isStoreLost)
+	s.fail(nil)
+	eventually(t, "the relay reports again", func() bool { return !relay.feed.isStoreLost() })
+	own := newFakeStore()
+	f := newFeed(own)
+	setEntryWaits(f)
+	f.Upstreams = func() []Peer { return []Peer{reader} }
+	f.Relays = func() []Peer { return []Peer{relay.peer} }
+	runFeed(t, f)
+	eventually(t, "the relay is followed", func() bool { return relay.followers.Load() == 1 && targetIDs(f) == "a" })
+	time.Sleep(500 * time.Millisecond)
+	if n := relay.followers.Load(); n != 1 {
+		t.Errorf("the relay was left and tried again %d times", n-1)
+	}
+}
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -252,6 +252,9 @@
 		if f.MaxStoreLateness > 0 && reply.StoreLateness > f.MaxStoreLateness {
 			return reported, errUpstreamWaits
 		}
+		if !reported {
+			f.clearStoreLost()
+		}
 		reported = true
 		if leave() {
 			return true, errRelayKnown
--- a/io/process/feed/versions.go
+++ b/io/process/feed/versions.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// clearStoreLost records that an upstream reports again, so that processes which follow
+// this one need not leave it because of its own calls to the store.
+func (f *Feed) clearStoreLost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeLost = false
+}
+
 // isStoreLost reports whether the last two calls to the store failed.
 func (f *Feed) isStoreLost() bool {
 	f.mu.Lock()
