direct, place: record the rate limits that targets name

Change: Server-Limit is decoded in the adapter; the placer holds the limit of each target, lines rateLimitNamed and rateLimitLifted tell each change, config/state and a gauge how many are in force. No decision uses it yet.

Tested: TestReadRateLimit, TestRateLimitIsLiftedByLaterRequestsOnly; packages place, lease, direct, hosted and platform pass.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -45,6 +45,8 @@
 	NewestVersions []NewestVersion   `json:"named,omitempty"`
 	Serving        []ServedCount     `json:"serving,omitempty"`
 	AttemptEnds    []AttemptEndCount `json:"ends,omitempty"`
+	// RateLimited counts the targets that have named a limit on their requests.
+	RateLimited int `json:"rateLimited,omitempty"`
 }
 
 // AttemptEndCount counts, for one cause and since the process started, the
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -67,6 +67,8 @@
 	Version uint64 `json:"version,omitempty"`
 	// MinVersion is the lowest version that may answer the request.
 	MinVersion uint64 `json:"demanded,omitempty"`
+	// RateLimit is the limit that a target names, in requests a second.
+	RateLimit float64 `json:"rateLimit,omitempty"`
 	// Attempts is how often the request was sent. It is omitted for 1.
 	Attempts int `json:"attempts,omitempty"`
 	// LastEvent is the last event of the stream that the caller had received when
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -87,6 +87,8 @@
 
 	// cold is what limits the requests to the target while it is cold.
 	cold coldState
+	// rate is the limit that the target names.
+	rate rateState
 
 	failures    int
 	pausedUntil time.Time
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -76,6 +76,7 @@
 	add("load", d.Load, d.Load != 0)
 	add("version", d.Version, d.Version != 0)
 	add("demanded", d.MinVersion, d.MinVersion != 0)
+	add("rateLimit", d.RateLimit, d.RateLimit != 0)
 	add("attempts", d.Attempts, d.Attempts != 0)
 	add("fingerprint", d.Fingerprint, d.Fingerprint != "")
 	add("lastEvent", d.LastEvent, d.LastEvent != "")
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -100,6 +100,8 @@
 	served func() []place.TargetVersion
 	// ends counts the attempts and answers that this process ended itself.
 	ends func() []trail.AttemptEndCount
+	// rateLimited counts the targets that have named a limit on their requests.
+	rateLimited func() int
 }
 
 func newProcess(s Settings, platform Platform, out io.Writer) (*process, error) {
@@ -107,7 +109,7 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryLimitShare))
 	}
-	p := &process{settings: s, latest: s, readSettings: platform.ReloadSettings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.TargetVersion { return nil }, ends: func() []trail.AttemptEndCount { return nil }}
+	p := &process{settings: s, latest: s, readSettings: platform.ReloadSettings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.TargetVersion { return nil }, ends: func() []trail.AttemptEndCount { return nil }, rateLimited: func() int { return 0 }}
 	p.started = p.clock.Now()
 	p.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
 	p.metrics, p.metricsHandler, p.metricsCloser = admin.NewMetrics()
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -30,7 +30,7 @@
 
 func (p *process) stateDecision() trail.Decision {
 	known := p.feed.Current()
-	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends()}
+	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends(), RateLimited: p.rateLimited()}
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
 	}
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -152,6 +152,7 @@
 		return resend.Broken, errors.CombineErrors(err, x.abortReason())
 	}
 	reply := s.HeaderCodec.ReadReply(x.resp.StatusCode, x.resp.Header)
+	s.recordRateLimit(x, reply)
 	if reply.NotRun {
 		return resend.NotRun, errors.Newf("status %d", x.resp.StatusCode)
 	}
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/await"
@@ -110,6 +111,15 @@
 	return out
 }
 
+// rateLimited counts the targets that have named a limit.
+func (d *dispatcher) rateLimited() (n int) {
+	d.Do(func() []place.Verdict {
+		n = d.placer.RateLimited()
+		return nil
+	})
+	return n
+}
+
 // update hands new facts to the placer.
 func (d *dispatcher) update(f *facts.Facts) {
 	d.Do(func() []place.Verdict { return d.placer.Update(d.clock.Now(), f) })
@@ -129,6 +139,16 @@
 	d.Do(func() []place.Verdict { return d.placer.Report(d.clock.Now(), target, r) })
 }
 
+// recordRateLimit tells the placer which limit a target names in the response to a request
+// that was sent at the given time, and reports whether that is a change.
+func (d *dispatcher) recordRateLimit(target string, limit lease.RateLimit, sentAt time.Time) (changed bool) {
+	d.Do(func() []place.Verdict {
+		changed = d.placer.RecordRateLimit(d.clock.Now(), target, limit, sentAt)
+		return nil
+	})
+	return changed
+}
+
 // addPermits hands permits for a cold target to the placer.
 func (d *dispatcher) addPermits(target string, n int, expires time.Time) {
 	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, n, expires) })
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -38,6 +39,10 @@
 type exchange struct {
 	conn net.Conn
 	resp *http.Response
+	// targetID is the ID of the target, and openedAt when the connection was open, before
+	// the request was sent.
+	targetID string
+	openedAt time.Time
 	// stopAfterFunc stops the function that closes conn when the context ends.
 	stopAfterFunc func() bool
 	// closed is closed by close.
@@ -105,8 +110,9 @@
 	if err != nil {
 		return nil, operr.Wrap("connect to target", t.Address.String(), err)
 	}
-	c.dialTimes.record(t.Zone, c.clock.Since(began))
-	x := &exchange{conn: conn, closed: make(chan struct{})}
+	opened := c.clock.Now()
+	c.dialTimes.record(t.Zone, opened.Sub(began))
+	x := &exchange{conn: conn, targetID: t.ID, openedAt: opened, closed: make(chan struct{})}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
 }
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -11,6 +11,8 @@
 import (
 	"net/http"
 	"time"
+
+	"hawthornferry/core/request/lease"
 )
 
 // CallerHeaders holds what the headers of a caller's request say.
@@ -55,6 +57,8 @@
 	// RequestID is the ID of the request that was answered, empty if the headers do not
 	// say.
 	RequestID string
+	// RateLimit is the limit that the target names.
+	RateLimit lease.RateLimit
 }
 
 // HeaderCodec reads and writes the headers that callers and targets use.
--- a/io/request/direct/metrics.go
+++ b/io/request/direct/metrics.go
@@ -111,6 +111,12 @@
 	m.count(counterKey{name: "broken_off_total", reason: string(c), status: noStatus})
 }
 
+// countRateLimitChange counts the changes of the limits that targets name, by the action of
+// their log lines.
+func (m requestMetrics) countRateLimitChange(action string) {
+	m.count(counterKey{name: "rate_limit_changes_total", reason: action, status: noStatus})
+}
+
 func (m requestMetrics) countAttempt(o resend.Outcome) {
 	m.count(counterKey{name: "attempts_total", outcome: string(o), status: noStatus})
 }
--- /dev/null
+++ b/io/request/direct/ratelimit.go
@@ -0,0 +1,35 @@
+package direct
+
+import (
+	"hawthornferry/core/process/trail"
+)
+
+// The actions of log lines about the limits that targets name.
+const (
+	actionRateLimitNamed  = "rateLimitNamed"
+	actionRateLimitLifted = "rateLimitLifted"
+)
+
+// RateLimited counts the targets that have named a limit on their requests.
+func (s *Server) RateLimited() int {
+	s.init()
+	return s.dispatcher.rateLimited()
+}
+
+// recordRateLimit tells the placer which limit the head of a response names, and logs a
+// change. Only a signed response lifts a limit: others may come from something in between.
+func (s *Server) recordRateLimit(x *exchange, reply ReplyHeaders) {
+	limit := reply.RateLimit
+	if !limit.Limited && !reply.Signed {
+		return
+	}
+	if !s.dispatcher.recordRateLimit(x.targetID, limit, x.openedAt) {
+		return
+	}
+	d := trail.Decision{Area: trail.AreaAdmission, Action: actionRateLimitNamed, Choice: x.targetID, RateLimit: limit.PerSecond}
+	if !limit.Limited {
+		d.Action = actionRateLimitLifted
+	}
+	s.metrics.countRateLimitChange(d.Action)
+	s.Log.Record(d)
+}
