lease, place, loads: keep to the rate limits that targets name

Cause: nothing read the header, and the choice of a target knew slots, prompts and failures but no rate. The class: a limit that holds for all entries together and that none of them counts.

Change: the permits that sides grant for cold engines are granted for limited ones too, from a token bucket. An entry tells the side which limit it has read, and the side tells all entries in its load reports, also that it is over. While another engine has room an entry asks ahead and sends the request there. Plain targets have no side: entries space their requests by their share. Why it holds: what is granted in any 4 s is at most 5.3 times the limit and one, the target allows 6 times and five.

--- a/core/request/lease/lease_test.go
+++ b/core/request/lease/lease_test.go
@@ -76,8 +76,13 @@
 	events []event
 	sent   []time.Duration
 	asked  int
+	// bucket is the present one of the side, for targets that name a limit.
+	bucket Bucket
 }
 
+// modelEpoch is the time of day at which a model starts.
+var modelEpoch = time.Unix(0, 0)
+
 func (m *model) schedule(at time.Duration, do func(now time.Duration)) {
 	if at > modelTime {
 		return
@@ -103,17 +108,7 @@
 }
 
 // most returns the highest number of requests in any second.
-func (m *model) most() int {
-	slices.Sort(m.sent)
-	most, first := 0, 0
-	for i, at := range m.sent {
-		for at-m.sent[first] >= time.Second {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
+func (m *model) most() int { return m.mostWithin(time.Second) }
 
 // runLeases plays entries that use permits of one side, which starts again now and then.
 func runLeases(seed uint64, entries int, demand float64) *model {
@@ -125,13 +120,12 @@
 			ledger.AssumeGranted(now)
 		})
 	}
-	epoch := time.Unix(0, 0)
 	for range entries {
 		var held Permits
 		waiting := 0
 		send := func(now time.Duration) {
 			for waiting > 0 {
-				if _, ok := held.Take(epoch.Add(now)); !ok {
+				if _, ok := held.Take(modelEpoch.Add(now)); !ok {
 					return
 				}
 				waiting--
@@ -146,7 +140,7 @@
 			m.schedule(now+m.delay()/2, func(at time.Duration) {
 				n := ledger.Grant(at, want, modelLimit)
 				m.schedule(at+m.delay()/2, func(got time.Duration) {
-					held.Add(n, epoch.Add(now+Lifetime))
+					held.Add(n, modelEpoch.Add(now+Lifetime))
 					send(got)
 				})
 			})
--- a/core/request/lease/ledger.go
+++ b/core/request/lease/ledger.go
@@ -1,8 +1,10 @@
-// Package lease limits the rate of requests to a cold target over all entries together. A
-// cold target has just started, and crashes if it gets more than a certain number of
-// requests in a second. No entry knows how many others there are, so the side next to the
-// target counts: it keeps a Ledger and grants permits, each for one request and for a short
-// time. An entry sends a cold target only requests for which it holds a permit.
+// Package lease limits the rate of requests to a target over all entries together. A cold
+// target has just started, and crashes if it gets more than a certain number of requests in a
+// second; other targets name a limit in their responses while they need one. No entry knows
+// how many others there are, so the side next to the target counts: it grants permits, each
+// for one request and for a short time, from a Ledger while the target is cold and from a
+// Bucket by the limit that it names. An entry sends such a target only requests for which it
+// holds a permit. Targets without a side get a share of the limit from each entry.
 //
 // Packages place and loads use it; package hosted connects them.
 package lease
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -104,15 +104,9 @@
 	}
 }
 
-// chooseTarget picks one of the targets with room whose cost is about the lowest. If only
-// cold targets have room, it asks for permits to use one of them.
+// chooseTarget picks one of the targets with room whose cost is about the lowest.
 func (p *Placer) chooseTarget(now time.Time, s *service, w *Request) (option, bool) {
-	open := s.openTo(now, w, func(*target) bool { return true })
-	o, ok := p.drawCheapest(p.permitted(now, s, open))
-	if !ok && len(open) > 0 {
-		p.askForPermits(now, s, open)
-	}
-	return o, ok
+	return p.choosePermitted(now, s, s.openTo(now, w, func(*target) bool { return true }))
 }
 
 // openTo returns an option for each target that has room and satisfies suits.
--- a/core/request/place/cold_test.go
+++ b/core/request/place/cold_test.go
@@ -21,7 +21,7 @@
 	asked = map[string]int{}
 	p = testPlacer(testFacts(engine, 8))
 	p.ColdRate = lease.Bound{Overshoot: 1.5, Slack: 5}
-	p.RequestLease = func(target string, want int) { asked[target] += want }
+	p.RequestLease = func(target string, want int, _ lease.RateLimit) { asked[target] += want }
 	p.Update(start, f)
 	return f, p, asked
 }
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -122,7 +122,7 @@
 	ServedVersion uint64
 	// Load is the number of requests at the target, this one included.
 	Load int
-	// SendBy is when the permit for a cold target expires; zero for other targets.
+	// SendBy is when the permit for the target expires; zero if it needs none.
 	SendBy time.Time
 	// Candidates counts the targets that were considered for a refused request.
 	Candidates trail.CandidateCounts
@@ -151,10 +151,11 @@
 	Zone    string
 	Regions map[string]string
 	Rand    *rand.Rand
-	// ColdRate limits the requests to cold targets. RequestLease asks the side of one for
-	// permits to send it requests; it must not block.
+	// ColdRate limits the requests to cold targets. RequestLease asks the side of a target
+	// for permits to send it requests, and tells it the limit that the target names; with a
+	// want of 0 it only tells. It must not block.
 	ColdRate     lease.Bound
-	RequestLease func(target string, want int)
+	RequestLease func(target string, want int, limit lease.RateLimit)
 
 	services map[string]*service
 	targets  map[string]*target
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -11,6 +11,17 @@
 	limit lease.RateLimit
 	// confirmedAt is when the limit was last named.
 	confirmedAt time.Time
+	// reported is what the target's side last said of the limit.
+	reported RateReport
+	// pacer spaces the requests to a target without a side.
+	pacer lease.Pacer
+}
+
+// RateReport is what a side says of the limit that its engine names. Known is false while
+// no entry has told the side.
+type RateReport struct {
+	Known bool
+	Limit lease.RateLimit
 }
 
 // record takes the limit from a response to a request that was sent at the given time, and
@@ -20,19 +31,44 @@
 	if !limit.Limited && sentAt.Before(r.confirmedAt) {
 		return false
 	}
-	changed := limit != r.limit
+	return r.set(now, limit)
+}
+
+// applyReport takes the limit from a side's report if that differs from its last one. An
+// unchanged report may be older than what this entry knows.
+func (r *rateState) applyReport(now time.Time, report RateReport) {
+	if report == r.reported {
+		return
+	}
+	r.reported = report
+	if report.Known {
+		r.set(now, report.Limit)
+	}
+}
+
+func (r *rateState) set(now time.Time, limit lease.RateLimit) (changed bool) {
+	changed = limit != r.limit
 	r.limit = limit
 	if limit.Limited {
 		r.confirmedAt = now
+	} else {
+		r.pacer = lease.Pacer{}
 	}
 	return changed
 }
 
 // RecordRateLimit records which limit a target names in the response to a request that was
-// sent at the given time, and reports whether that is a change.
+// sent at the given time, and reports whether that is a change. It tells the side of an
+// engine, from which the other entries learn it.
 func (p *Placer) RecordRateLimit(now time.Time, id string, limit lease.RateLimit, sentAt time.Time) bool {
 	t, ok := p.targets[id]
-	return ok && t.rate.record(now, limit, sentAt)
+	if !ok || !t.rate.record(now, limit, sentAt) {
+		return false
+	}
+	if p.service(t.Service).engine != nil && p.RequestLease != nil {
+		p.RequestLease(t.ID, 0, limit)
+	}
+	return true
 }
 
 // RateLimited counts the targets that have named a limit.
@@ -45,3 +81,9 @@
 	}
 	return n
 }
+
+// pacedInterval is the time between two requests of this entry to a limited target that has
+// no side.
+func (p *Placer) pacedInterval(t *target) time.Duration {
+	return t.rate.limit.Interval(p.entries)
+}
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -41,3 +41,108 @@
 		t.Errorf("limited targets (-want +got):\n%s", diff)
 	}
 }
+
+// limitedPlacer returns a placer of an engine or plain service with the targets "a" and
+// "limited", of which the second has named a limit, and the questions for permits.
+func limitedPlacer(engine bool, perSecond float64) (p *Placer, asked *[]int) {
+	e := usualEngine
+	if !engine {
+		e = nil
+	}
+	p = testPlacer(testFacts(e, 8, "a", "limited"))
+	asked = &[]int{}
+	p.RequestLease = func(target string, want int, l lease.RateLimit) {
+		if target == "limited" && l.Limited {
+			*asked = append(*asked, want)
+		}
+	}
+	p.RecordRateLimit(start, "limited", lease.RateLimit{Limited: true, PerSecond: perSecond}, start)
+	return p, asked
+}
+
+// Guards against an engine that gets requests beyond its limit, against one that gets none
+// within it, and against a side that is not told of it.
+func TestLimitedEngineGetsRequestsByPermitOnly(t *testing.T) {
+	p, asked := limitedPlacer(true, 2)
+	if diff := cmp.Diff(map[string]int{"a": 8}, offerMany(p, start, 12)); diff != "" {
+		t.Fatalf("placed without permits (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{0, 1}, *asked); diff != "" {
+		t.Errorf("permits asked for (-want +got):\n%s", diff)
+	}
+	var got []string
+	for _, v := range p.AddPermits(start, "limited", 2, start.Add(lease.Lifetime)) {
+		got = append(got, v.Target.ID)
+	}
+	if diff := cmp.Diff([]string{"limited", "limited"}, got); diff != "" {
+		t.Errorf("placed by two permits (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against requests that wait for a limited engine while another one has room, and
+// against a limited engine that would cost no more but is never asked for permits.
+func TestPermitsAreAskedForAhead(t *testing.T) {
+	p, asked := limitedPlacer(true, 2)
+	if diff := cmp.Diff(map[string]int{"a": 1}, offerMany(p, start, 1)); diff != "" {
+		t.Errorf("placed (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{0, 1}, *asked); diff != "" {
+		t.Errorf("permits asked for (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a limit that outlasts its target's need, and against one that is forgotten
+// when a side starts again or reports what it knew before.
+func TestRateLimitFollowsItsSources(t *testing.T) {
+	limit := lease.RateLimit{Limited: true, PerSecond: 2}
+	report := func(r RateReport) func(p *Placer) {
+		return func(p *Placer) {
+			p.Report(start, "a", LoadReport{Alive: true, ServedVersion: 1, Rate: r})
+		}
+	}
+	answer := func(l lease.RateLimit, sentAt time.Duration) func(p *Placer) {
+		return func(p *Placer) { p.RecordRateLimit(start.Add(time.Second), "a", l, start.Add(sentAt)) }
+	}
+	tests := []struct {
+		name  string
+		steps []func(p *Placer)
+		want  int
+	}{
+		{"named in a response", []func(p *Placer){answer(limit, 0)}, 1},
+		{"lifted in a response", []func(p *Placer){answer(limit, 0), answer(lease.RateLimit{}, time.Second)}, 0},
+		{"reported by its side", []func(p *Placer){report(RateReport{true, limit})}, 1},
+		{"lifted by its side", []func(p *Placer){report(RateReport{true, limit}), report(RateReport{true, lease.RateLimit{}})}, 0},
+		{"its side starts again", []func(p *Placer){report(RateReport{true, limit}), report(RateReport{})}, 1},
+		{"its side has not heard of the lifting", []func(p *Placer){
+			report(RateReport{true, limit}), answer(lease.RateLimit{}, time.Second), report(RateReport{true, limit}),
+		}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(usualEngine, 8, "a"))
+			for _, step := range tc.steps {
+				step(p)
+			}
+			if diff := cmp.Diff(tc.want, p.RateLimited()); diff != "" {
+				t.Errorf("limited targets (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against entries that together exceed the limit of a plain target.
+func TestLimitedPlainTargetGetsPacedRequests(t *testing.T) {
+	for _, entries := range []int{1, 4, 12} {
+		sum := 0
+		for range entries {
+			p, _ := limitedPlacer(false, 2)
+			p.entries = entries
+			for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+				sum += offerMany(p, start.Add(at), 2)["limited"]
+			}
+		}
+		if sum < 10 || sum > 30 {
+			t.Errorf("%d entries: %d requests in 10 s at a limit of 2 a second, want 10 to 30", entries, sum)
+		}
+	}
+}
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -27,6 +27,8 @@
 	StartedAt time.Time
 	// Cold is set if the engine has started so recently that it tolerates few requests.
 	Cold bool
+	// Rate is the limit that the engine names.
+	Rate RateReport
 }
 
 // Parameters of a target's health and load.
@@ -85,10 +87,11 @@
 	reportedVersion  uint64
 	versionReported  bool
 
-	// cold is what limits the requests to the target while it is cold.
-	cold coldState
-	// rate is the limit that the target names.
-	rate rateState
+	// cold and rate say whether the target takes only a limited number of requests: since
+	// it has just started, or as it says itself. permits are for such a target.
+	cold    coldState
+	rate    rateState
+	permits permitState
 
 	failures    int
 	pausedUntil time.Time
@@ -125,6 +128,7 @@
 	}
 	t.reportedAt = now
 	t.cold.report(now, r.Cold, warmup)
+	t.rate.applyReport(now, r.Rate)
 	t.unreported = slices.DeleteFunc(t.unreported, func(s sentRequest) bool { return now.Sub(s.at) > reportLag+t.extraRoundTrip })
 	t.entries = r.Listeners
 	t.alive = r.Alive
--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -8,6 +8,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/core/request/place"
 	"hawthornferry/io/process/feed"
 	"hawthornferry/io/process/loads"
@@ -23,7 +24,7 @@
 	setSides func(sides []netip.AddrPort)
 	report   func(target string, r place.LoadReport)
 	// requestLease asks a side for permits, and addPermits passes on those for one target.
-	requestLease func(side netip.AddrPort, want int)
+	requestLease func(side netip.AddrPort, want int, limit lease.RateLimit)
 	addPermits   func(target string, n int, expires time.Time)
 
 	mu  sync.Mutex
@@ -125,18 +126,19 @@
 		r.report(id, place.LoadReport{
 			Alive: l.Alive, Active: l.Active, Queued: l.Queued, Slowness: l.Slowness, ServedVersion: l.ServedVersion, Loading: l.Loading,
 			Listeners: l.OwnZone + l.OtherZones, TotalEntries: entries, StartedAt: l.StartedAt, Cold: l.Cold,
+			Rate: place.RateReport{Known: l.Rate.Known, Limit: l.Rate.Limit},
 		})
 	}
 }
 
-// askForPermits asks the side next to a target for permits to send it requests while it is
-// cold.
-func (r *loadReports) askForPermits(target string, want int) {
+// askForPermits asks the side next to a target for permits to send it requests, and tells it
+// the limit that the target names.
+func (r *loadReports) askForPermits(target string, want int, limit lease.RateLimit) {
 	r.mu.Lock()
 	addr, known := r.sideOf[target]
 	r.mu.Unlock()
 	if known {
-		r.requestLease(netip.AddrPortFrom(addr, r.sidePort), want)
+		r.requestLease(netip.AddrPortFrom(addr, r.sidePort), want, limit)
 	}
 }
 
--- a/io/process/loads/lease.go
+++ b/io/process/loads/lease.go
@@ -15,22 +15,25 @@
 // maxWant bounds how many permits one request may ask for.
 const maxWant = 100
 
-// leaseRequest asks a side for permits to send requests to its cold engine. AskedAt is on
-// the entry's own clock; the reply returns it, so that the entry can tell how old that is.
+// leaseRequest asks a side for permits to send requests to its engine, which is cold or has
+// named a limit. AskedAt is on the entry's own clock; the reply returns it, so that the entry
+// can tell how old that is. RateLimit is the limit that the engine has named to the entry. With
+// a Want of 0, the entry tells that it has changed, and gets no reply.
 type leaseRequest struct {
-	AskedAt time.Duration `msgpack:"askedAt"`
-	Want    int           `msgpack:"want"`
+	AskedAt   time.Duration   `msgpack:"askedAt"`
+	Want      int             `msgpack:"want"`
+	RateLimit lease.RateLimit `msgpack:"rateLimit"`
 }
 
 // Kind returns the message's name in the protocol.
 func (*leaseRequest) Kind() frame.Kind { return "leaseRequest" }
 
-// Check returns an error if the number of permits is out of range.
+// Check returns an error if a number is out of range.
 func (r *leaseRequest) Check() error {
-	if r.Want < 1 || r.Want > maxWant {
-		return errors.Newf("leaseRequest: %d permits, want 1 to %d", r.Want, maxWant)
+	if r.Want < 0 || r.Want > maxWant {
+		return errors.Newf("leaseRequest: %d permits, want 0 to %d", r.Want, maxWant)
 	}
-	return nil
+	return errors.Wrap(r.RateLimit.Check(), "leaseRequest")
 }
 
 // leaseGrant is the reply to a leaseRequest.
@@ -52,28 +55,48 @@
 
 // grant answers an entry's request for permits.
 func (p *Publisher) grant(c *link.Conn, r *leaseRequest) error {
+	p.recordRateLimit(r)
+	if r.Want == 0 {
+		return nil
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return err
 	}
-	return c.Send(&leaseGrant{AskedAt: r.AskedAt, Granted: p.takeFromLedger(r.Want)})
+	return c.Send(&leaseGrant{AskedAt: r.AskedAt, Granted: p.takePermits(r)})
 }
 
-func (p *Publisher) takeFromLedger(want int) int {
-	limit, known := p.ColdLimit()
-	switch {
-	case !known:
+// recordRateLimit records the limit that the engine has named to an entry, and reports a
+// change to all entries. What comes with a question for permits counts only if the side knows
+// nothing: that entry may not have heard yet that the limit has changed.
+func (p *Publisher) recordRateLimit(r *leaseRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := rateReport{Known: true, Limit: r.RateLimit}
+	if r.Want > 0 && p.rate.Known || r.Want > 0 && !r.RateLimit.Limited || next == p.rate {
+		return
+	}
+	p.rate = next
+	p.publish(p.load)
+}
+
+// takePermits returns how many permits the limits on the engine's requests leave for r.
+func (p *Publisher) takePermits(r *leaseRequest) int {
+	coldLimit, known := p.ColdLimit()
+	if !known {
 		return 0
-	case limit == 0:
-		return want
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ledger.Grant(p.Uptime(), want, limit)
+	n := r.Want
+	if coldLimit > 0 {
+		n = p.ledger.Grant(p.Uptime(), n, coldLimit)
+	}
+	return p.bucket.Take(p.Uptime(), n, r.RateLimit.Lower(p.rate.Limit))
 }
 
-// RequestLease asks a side for permits, without waiting for them. OnGrant is called with
-// those that it grants.
-func (l *Listener) RequestLease(side netip.AddrPort, want int) {
+// RequestLease asks a side for permits, without waiting for them, and tells it the limit that
+// its engine has named. OnGrant is called with the permits that it grants.
+func (l *Listener) RequestLease(side netip.AddrPort, want int, limit lease.RateLimit) {
 	c := l.conn(side)
 	if c == nil {
 		return
@@ -81,7 +104,7 @@
 	go func() {
 		err := c.SetWriteDeadline(time.Now().Add(sendTimeout))
 		if err == nil {
-			err = c.Send(&leaseRequest{AskedAt: l.Uptime(), Want: want})
+			err = c.Send(&leaseRequest{AskedAt: l.Uptime(), Want: want, RateLimit: limit})
 		}
 		if err != nil {
 			l.Log.Record(trail.Decision{Area: trail.AreaAdmission, Action: "leaseRequestFailed", Choice: side.String(), Reason: err.Error()})
--- a/io/process/loads/lease_test.go
+++ b/io/process/loads/lease_test.go
@@ -42,13 +42,13 @@
 		{"the first are over", time.Second + lease.Lifetime, true, 5, 4},
 		{"no limit", 0, true, 0, 4},
 	}
-	if n := p.takeFromLedger(4); n != 0 {
+	if n := p.takePermits(&leaseRequest{Want: 4}); n != 0 {
 		t.Errorf("%d permits right after the start", n)
 	}
 	for _, tc := range tests {
 		now += tc.later
 		limit, known = tc.limit, tc.known
-		if diff := cmp.Diff(tc.want, p.takeFromLedger(4)); diff != "" {
+		if diff := cmp.Diff(tc.want, p.takePermits(&leaseRequest{Want: 4})); diff != "" {
 			t.Errorf("%s: permits (-want +got):\n%s", tc.name, diff)
 		}
 	}
@@ -96,7 +96,7 @@
 	}
 	var got []int
 	for range 2 {
-		entry.RequestLease(addr, 2)
+		entry.RequestLease(addr, 2, lease.RateLimit{})
 		got = append(got, <-grants)
 	}
 	if diff := cmp.Diff([]int{2, 1}, got); diff != "" {
@@ -142,3 +142,46 @@
 		})
 	}
 }
+
+// Guards against a side that grants what the limit of its engine does not allow, that does
+// not tell other entries of a limit, or that lets an entry which has not heard of a change
+// undo it.
+func TestSideKeepsTheLimitOfItsEngine(t *testing.T) {
+	now := time.Hour
+	p := &Publisher{
+		Clock: clockwork.NewRealClock(), Log: trail.Discard{},
+		Uptime: func() time.Duration { return now }, ColdLimit: func() (int, bool) { return 0, true },
+	}
+	four, two := lease.RateLimit{Limited: true, PerSecond: 4}, lease.RateLimit{Limited: true, PerSecond: 2}
+	tests := []struct {
+		name    string
+		later   time.Duration
+		request leaseRequest
+		granted int
+		report  rateReport
+	}{
+		{"no limit", 0, leaseRequest{Want: 10}, 10, rateReport{}},
+		{"a question with one", time.Second, leaseRequest{Want: 10, RateLimit: four}, 0, rateReport{true, four}},
+		{"a second later", time.Second, leaseRequest{Want: 10, RateLimit: four}, 4, rateReport{true, four}},
+		{"an entry that does not know it", time.Second, leaseRequest{Want: 10}, 4, rateReport{true, four}},
+		{"it changes", time.Second, leaseRequest{RateLimit: two}, 0, rateReport{true, two}},
+		{"an entry that has not heard of that", 0, leaseRequest{Want: 10, RateLimit: four}, 2, rateReport{true, two}},
+		{"it is lifted", 0, leaseRequest{}, 0, rateReport{Known: true}},
+		{"an entry that has not heard of that either", 0, leaseRequest{Want: 10, RateLimit: two}, 0, rateReport{Known: true}},
+	}
+	for _, tc := range tests {
+		now += tc.later
+		p.recordRateLimit(&tc.request)
+		granted := 0
+		if tc.request.Want > 0 {
+			granted = p.takePermits(&tc.request)
+		}
+		if diff := cmp.Diff(tc.granted, granted); diff != "" {
+			t.Errorf("%s: permits (-want +got):\n%s", tc.name, diff)
+		}
+		l, _, _ := p.current()
+		if diff := cmp.Diff(tc.report, l.Rate); diff != "" {
+			t.Errorf("%s: report (-want +got):\n%s", tc.name, diff)
+		}
+	}
+}
--- a/io/process/loads/publisher.go
+++ b/io/process/loads/publisher.go
@@ -62,6 +62,14 @@
 	// the side's own zone and from others.
 	OwnZone    int `msgpack:"near"`
 	OtherZones int `msgpack:"far"`
+	// Rate is the limit that the engine names.
+	Rate rateReport `msgpack:"rate"`
+}
+
+// rateReport is the limit that the engine names. Known is false while no entry has told it.
+type rateReport struct {
+	Known bool            `msgpack:"known"`
+	Limit lease.RateLimit `msgpack:"limit"`
 }
 
 // Kind returns the message's name in the protocol.
@@ -72,14 +80,14 @@
 	if l.Active < 0 || l.Queued < 0 || l.Slowness < 0 || l.OwnZone < 0 || l.OtherZones < 0 {
 		return errors.Newf("load: %d active, %d queued, pace %g, %d and %d entries: want none below 0", l.Active, l.Queued, l.Slowness, l.OwnZone, l.OtherZones)
 	}
-	return nil
+	return errors.Wrap(l.Rate.Limit.Check(), "load")
 }
 
 // urgent reports whether a change from l to next must be reported at once, because it
 // decides whether the engine is usable. The other fields only affect how an entry weighs
 // targets against each other.
 func (l *Load) urgent(next *Load) bool {
-	return l.Alive != next.Alive || l.ServedVersion != next.ServedVersion || l.Loading != next.Loading || l.Cold != next.Cold || !l.StartedAt.Equal(next.StartedAt)
+	return l.Alive != next.Alive || l.ServedVersion != next.ServedVersion || l.Loading != next.Loading || l.Cold != next.Cold || l.Rate != next.Rate || !l.StartedAt.Equal(next.StartedAt)
 }
 
 func kinds() frame.Kinds {
@@ -110,6 +118,8 @@
 
 	mu          sync.Mutex
 	ledger      lease.Ledger
+	bucket      lease.Bucket
+	rate        rateReport
 	cold        coldEngine
 	load        Load
 	published   bool
@@ -192,6 +202,10 @@
 		p.cold.observe(p.Uptime(), p.Clock.Now(), r.StartedAt, p.failures >= maxFailedPolls, p.Warmup())
 		next.Cold = p.cold.isCold(p.Uptime())
 		p.failures = 0
+		if !r.StartedAt.Equal(p.load.StartedAt) {
+			// What limited the engine before its start no longer counts.
+			p.rate = rateReport{}
+		}
 	}
 	next.Loading = next.Loading || p.aboutToLoad
 	if next == p.load && p.published {
@@ -233,7 +247,7 @@
 		p.changed = make(chan struct{})
 	}
 	l := p.load
-	l.OwnZone, l.OtherZones = p.ownZone, p.otherZones
+	l.OwnZone, l.OtherZones, l.Rate = p.ownZone, p.otherZones, p.rate
 	return l, p.published, p.changed
 }
 
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -134,8 +134,8 @@
 	return out.readResponse(ctx, x, wd)
 }
 
-// errPermitExpired is why a request is not sent to a cold target to which it was assigned.
-var errPermitExpired = errors.New("permit for the cold target expired before the request was sent")
+// errPermitExpired is why a request is not sent to the target to which it was assigned.
+var errPermitExpired = errors.New("permit for the target expired before the request was sent")
 
 // checkPermit returns an error if the request may no longer be sent to its target.
 func (s *Server) checkPermit(v place.Verdict) error {
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -149,7 +149,7 @@
 	return changed
 }
 
-// addPermits hands permits for a cold target to the placer.
+// addPermits hands permits for a target to the placer.
 func (d *dispatcher) addPermits(target string, n int, expires time.Time) {
 	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, n, expires) })
 }
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -163,7 +163,7 @@
 	s.moveLastStreams(target, r)
 }
 
-// AddPermits handles permits to send requests to a cold target.
+// AddPermits handles permits to send requests to a target.
 func (s *Server) AddPermits(target string, n int, expires time.Time) {
 	s.init()
 	s.dispatcher.addPermits(target, n, expires)
