place: refuse at once what the limits of all targets leave no room for

Cause: with every target of a service limited, requests waited for permits until their objective could not be met, though the ones ahead already took what the limits leave; the refusal came late and named another reason. Refusals did not tell that targets lacked a permit.

Change: a new request whose predecessors use up its time is refused with the reason rateLimited; candidates counts the targets without a permit (noPermit).

Tested: TestRequestsBeyondAllLimitsAreRefusedAtOnce, plain targets and engines; it needs the reason, so that it could not be run on the code before.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -14,6 +14,9 @@
 	FreePlaces int `json:"freePlaces"`
 	Requests   int `json:"requests,omitempty"`
 	Waiting    int `json:"waiting,omitempty"`
+	// NoPermit counts the usable targets that take only a limited number of requests
+	// and may not get one from this entry now.
+	NoPermit int `json:"noPermit,omitempty"`
 
 	// OtherRegion counts targets in regions in which the request may not be served,
 	// Evacuated those in zones that are being evacuated, and Leaving those that are
--- a/core/request/place/candidates.go
+++ b/core/request/place/candidates.go
@@ -60,7 +60,7 @@
 // candidates counts the targets of the service by what kept each from getting a refused
 // request. Without the counts, the log says only that a service was full, and not
 // whether its targets were busy, had failed or were about to leave.
-func (s *service) candidates(now time.Time, w *Request) trail.CandidateCounts {
+func (p *Placer) candidates(now time.Time, s *service, w *Request) trail.CandidateCounts {
 	searchedTargets := s.searchedTargets(now, w)
 	c := trail.CandidateCounts{Targets: len(searchedTargets), Waiting: len(s.waiting)}
 	for _, t := range searchedTargets {
@@ -70,6 +70,9 @@
 			c.Usable++
 			c.Requests += load
 			c.FreePlaces += max(0, s.maxRequests(t)-load)
+			if p.lacksPermit(now, s, t) {
+				c.NoPermit++
+			}
 		case excludedRegion:
 			c.OtherRegion++
 		case excludedEvacuated:
--- a/core/request/place/networkcut_test.go
+++ b/core/request/place/networkcut_test.go
@@ -40,7 +40,7 @@
 				p.RequestEnded(now, fmt.Sprint(i), ResultFailed)
 			}
 			w := testRequest("next")
-			if diff := cmp.Diff(tc.paused, p.service("svc").candidates(now, &w).Paused); diff != "" {
+			if diff := cmp.Diff(tc.paused, p.candidates(now, p.service("svc"), &w).Paused); diff != "" {
 				t.Errorf("paused targets (-want +got):\n%s", diff)
 			}
 		})
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -101,6 +101,9 @@
 	ReasonEvacuated       Reason = "zoneEvacuated"
 	ReasonLate            Reason = "objectiveCannotBeMet"
 	ReasonFull            Reason = "full"
+	// ReasonRateLimited means that all targets have named a limit, and that the requests
+	// which wait already take what it leaves.
+	ReasonRateLimited Reason = "rateLimited"
 	// ReasonNoRoomForLate is for a caller that came back after its objective had
 	// passed. Such requests may use only part of the slots.
 	ReasonNoRoomForLate Reason = "noRoomForLate"
@@ -265,6 +268,9 @@
 	if v, ok := p.refuseHopeless(now, s, q); ok {
 		return []Verdict{v}
 	}
+	if p.permitsComeTooLate(now, s, q) {
+		return []Verdict{p.refuse(now, s, q, ReasonRateLimited)}
+	}
 	s.waiting = append(s.waiting, q)
 	return nil
 }
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -82,8 +82,33 @@
 	return n
 }
 
-// pacedInterval is the time between two requests of this entry to a limited target that has
-// no side.
+// permitsComeTooLate reports whether a new request cannot be served in time since all targets
+// that may run it have named a limit: what this entry may send them goes to the requests that
+// wait already.
+func (p *Placer) permitsComeTooLate(now time.Time, s *service, q *waitingRequest) bool {
+	w := &q.request
+	if w.Resumed {
+		return false
+	}
+	perSecond := 0.0
+	for _, t := range s.all {
+		if !s.mayServe(now, t, w) {
+			continue
+		}
+		if !t.rate.limit.Limited {
+			return false
+		}
+		perSecond += float64(time.Second) / float64(p.pacedInterval(t))
+	}
+	wait := time.Duration(float64(len(s.waiting)) / perSecond * float64(time.Second))
+	if s.engine == nil {
+		return wait > plainPatience(w)
+	}
+	return s.isLate(now, w, wait+s.minFirstAnswer(now, w))
+}
+
+// pacedInterval is the time between two requests of this entry to a limited target, if each
+// entry sends it as many.
 func (p *Placer) pacedInterval(t *target) time.Duration {
 	return t.rate.limit.Interval(p.entries)
 }
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hawthornferry/core/request/lease"
+	"hawthornferry/core/request/table"
 )
 
 // Guards against a limit that is lifted by a response which began before the target set it.
@@ -146,3 +147,24 @@
 		}
 	}
 }
+
+// Guards against callers that wait in vain for targets which have all named a limit.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	limit := lease.RateLimit{Limited: true, PerSecond: 2}
+	for _, engine := range []*table.Engine{nil, usualEngine} {
+		p := testPlacer(testFacts(engine, 8, "a", "b"))
+		for _, id := range []string{"a", "b"} {
+			p.RecordRateLimit(start, id, limit, start)
+		}
+		var got []string
+		for _, id := range []string{"1", "2", "3"} {
+			w := testRequest(id)
+			w.PromptTokens = 100
+			got = append(got, decisions(p.Offer(start, w))...)
+		}
+		want := []string{"2 refused rateLimited", "3 refused rateLimited"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("with the first one waiting (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -50,20 +50,25 @@
 
 // refuseHopeless refuses a request that cannot be served by waiting.
 func (p *Placer) refuseHopeless(now time.Time, s *service, q *waitingRequest) (Verdict, bool) {
-	w := &q.request
 	reason, ok := p.worthWaiting(now, s, q)
 	if ok {
 		return Verdict{}, false
 	}
+	return p.refuse(now, s, q, reason), true
+}
+
+// refuse refuses a request.
+func (p *Placer) refuse(now time.Time, s *service, q *waitingRequest, reason Reason) Verdict {
+	w := &q.request
 	s.recordPlacement(w, false)
 	v := Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
-		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since), Candidates: s.candidates(now, w),
+		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since), Candidates: p.candidates(now, s, w),
 	}
 	if reason == ReasonLate {
 		v.ExpectedFirstAnswer = s.minFirstAnswer(now, w)
 	}
-	return v, true
+	return v
 }
 
 // worthWaiting reports whether waiting may still get the request served. If not, the
@@ -81,7 +86,7 @@
 	if s.engine == nil {
 		// A request at a plain service waits for at most half of its objective, and
 		// one without an objective does not wait.
-		return ReasonFull, now.Sub(q.since) < w.Objective/2
+		return ReasonFull, now.Sub(q.since) < plainPatience(w)
 	}
 	if w.objectivePassed(now) {
 		return ReasonNoRoomForLate, false
@@ -93,6 +98,9 @@
 	return "", true
 }
 
+// plainPatience is how long a request waits for a plain target.
+func plainPatience(w *Request) time.Duration { return w.Objective / 2 }
+
 // minFirstAnswer is the estimated time to the first answer at an engine with a single
 // slot left.
 func (s *service) minFirstAnswer(now time.Time, w *Request) time.Duration {
