lease, place, loads: tell entries when the next permit can be granted

Cause: an entry asked the side of a limited engine ten times a second, however low the limit, and mostly got none: questions at a side grow with the entries that listen, and requests waited for permits that could not come in time.

Change: the reply to a question tells when the next permit can be granted. Until then the entry does not ask, and a request that only limited targets may run is refused at once if none of them can have a permit in time. A change of the limit ends the wait.

Tested: TestSideIsAskedOnceItHasPermits, with the reply's field new; it fails if mayAsk ignores the time.

--- a/core/request/lease/permits.go
+++ b/core/request/lease/permits.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+// Grant is a side's answer to an entry's question: N permits that expire at Expires. It
+// cannot grant others before NextAt.
+type Grant struct {
+	N       int
+	Expires time.Time
+	NextAt  time.Time
+}
+
 // Permits are the permits that an entry holds for one target. The zero value holds none.
 type Permits struct {
 	expiries []time.Time
--- a/core/request/lease/ratelimit.go
+++ b/core/request/lease/ratelimit.go
@@ -72,6 +72,15 @@
 	return n
 }
 
+// NextIn returns how long after the last call of Take the bucket has a permit, 0 if it has
+// one already.
+func (b *Bucket) NextIn(l RateLimit) time.Duration {
+	if !l.Limited || b.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - b.tokens) / l.rate() * float64(time.Second))
+}
+
 // Pacer spaces the requests of one entry to a target that has no side to grant permits. The
 // zero value is ready.
 type Pacer struct {
--- a/core/request/place/cold_test.go
+++ b/core/request/place/cold_test.go
@@ -53,7 +53,7 @@
 	}
 	var got []string
 	var sendBy []time.Duration
-	for _, v := range p.AddPermits(start, "cold", 2, start.Add(lease.Lifetime)) {
+	for _, v := range p.AddPermits(start, "cold", lease.Grant{N: 2, Expires: start.Add(lease.Lifetime)}) {
 		got = append(got, v.Target.ID)
 		sendBy = append(sendBy, v.SendBy.Sub(start))
 	}
@@ -85,7 +85,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			_, p, _ := coldFacts(usualEngine, tc.rate)
-			p.AddPermits(start, "cold", 1, start.Add(lease.Lifetime))
+			p.AddPermits(start, "cold", lease.Grant{N: 1, Expires: start.Add(lease.Lifetime)})
 			if got := offerMany(p, start.Add(tc.at), 16)["cold"] > 0; got != tc.want {
 				t.Errorf("placed at the target: %t, want %t", got, tc.want)
 			}
--- a/core/request/place/permits.go
+++ b/core/request/place/permits.go
@@ -10,17 +10,27 @@
 // Parameters of the questions for permits.
 const (
 	// leaseInterval is the shortest time between two questions for permits for the same
-	// target: the first may be lost, or the target may have none left.
+	// target that are not answered: the first may be lost.
 	leaseInterval = 100 * time.Millisecond
 	// maxPermitsAsked bounds how many permits are asked for at a time. Those that are not
 	// used before they expire are lost to the other entries.
 	maxPermitsAsked = 4
 )
 
-// permitState holds the permits for a target.
+// permitState holds the permits for a target, when its side was last asked for others, and
+// from when on it can grant some, as far as it has said.
 type permitState struct {
 	held    lease.Permits
 	askedAt time.Time
+	nextAt  time.Time
+}
+
+// reset forgets what the side has said of permits that a former limit left.
+func (s *permitState) reset() { s.askedAt, s.nextAt = time.Time{}, time.Time{} }
+
+// mayAsk reports whether the side may be asked now.
+func (s *permitState) mayAsk(now time.Time) bool {
+	return now.Sub(s.askedAt) >= leaseInterval && !now.Before(s.nextAt)
 }
 
 // needsPermit reports whether a target takes only a limited number of requests now.
@@ -104,7 +114,7 @@
 		return
 	}
 	o, ok := p.drawCheapest(slices.DeleteFunc(lacking, func(o option) bool {
-		return now.Sub(o.target.permits.askedAt) < leaseInterval
+		return !o.target.permits.mayAsk(now)
 	}))
 	if !ok {
 		return
@@ -115,14 +125,15 @@
 
 // AddPermits records permits that the side of a target has granted, and places waiting
 // requests there.
-func (p *Placer) AddPermits(now time.Time, id string, n int, expires time.Time) []Verdict {
+func (p *Placer) AddPermits(now time.Time, id string, g lease.Grant) []Verdict {
 	t, ok := p.targets[id]
 	if !ok {
 		return nil
 	}
-	t.permits.held.Add(n, expires)
-	if n > 0 {
+	t.permits.held.Add(g.N, g.Expires)
+	if g.N > 0 {
 		t.permits.askedAt = time.Time{}
 	}
+	t.permits.nextAt = g.NextAt
 	return p.placeAt(now, p.service(t.Service), t)
 }
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"hawthornferry/core/request/lease"
@@ -34,16 +35,14 @@
 	return r.set(now, limit)
 }
 
-// applyReport takes the limit from a side's report if that differs from its last one. An
-// unchanged report may be older than what this entry knows.
-func (r *rateState) applyReport(now time.Time, report RateReport) {
+// applyReport takes the limit from a side's report if that differs from its last one, and
+// reports whether it has changed. An unchanged report may be older than what this entry knows.
+func (r *rateState) applyReport(now time.Time, report RateReport) bool {
 	if report == r.reported {
-		return
+		return false
 	}
 	r.reported = report
-	if report.Known {
-		r.set(now, report.Limit)
-	}
+	return report.Known && r.set(now, report.Limit)
 }
 
 func (r *rateState) set(now time.Time, limit lease.RateLimit) (changed bool) {
@@ -65,6 +64,7 @@
 	if !ok || !t.rate.record(now, limit, sentAt) {
 		return false
 	}
+	t.permits.reset()
 	if p.service(t.Service).engine != nil && p.RequestLease != nil {
 		p.RequestLease(t.ID, 0, limit)
 	}
@@ -83,14 +83,14 @@
 }
 
 // permitsComeTooLate reports whether a new request cannot be served in time since all targets
-// that may run it have named a limit: what this entry may send them goes to the requests that
-// wait already.
+// that may run it have named a limit: none of them has a permit soon enough, or what this
+// entry may send them goes to the requests that wait already.
 func (p *Placer) permitsComeTooLate(now time.Time, s *service, q *waitingRequest) bool {
 	w := &q.request
 	if w.Resumed {
 		return false
 	}
-	perSecond := 0.0
+	perSecond, untilNext := 0.0, time.Duration(math.MaxInt64)
 	for _, t := range s.all {
 		if !s.mayServe(now, t, w) {
 			continue
@@ -99,8 +99,9 @@
 			return false
 		}
 		perSecond += float64(time.Second) / float64(p.pacedInterval(t))
+		untilNext = min(untilNext, t.permits.nextAt.Sub(now))
 	}
-	wait := time.Duration(float64(len(s.waiting)) / perSecond * float64(time.Second))
+	wait := max(untilNext, time.Duration(float64(len(s.waiting))/perSecond*float64(time.Second)))
 	if s.engine == nil {
 		return wait > plainPatience(w)
 	}
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -72,7 +72,7 @@
 		t.Errorf("permits asked for (-want +got):\n%s", diff)
 	}
 	var got []string
-	for _, v := range p.AddPermits(start, "limited", 2, start.Add(lease.Lifetime)) {
+	for _, v := range p.AddPermits(start, "limited", lease.Grant{N: 2, Expires: start.Add(lease.Lifetime)}) {
 		got = append(got, v.Target.ID)
 	}
 	if diff := cmp.Diff([]string{"limited", "limited"}, got); diff != "" {
@@ -168,3 +168,36 @@
 		}
 	}
 }
+
+// Guards against questions that a side can only answer with no, ten times a second from each
+// entry, and against callers that wait for a permit which comes too late.
+func TestSideIsAskedOnceItHasPermits(t *testing.T) {
+	p, asked := limitedPlacer(true, 0.5)
+	p.RecordRateLimit(start, "a", lease.RateLimit{Limited: true, PerSecond: 0.5}, start)
+	*asked = nil
+	offer := func(at time.Duration, id string) []string {
+		w := testRequest(id)
+		w.PromptTokens, w.FirstRequestedAt = 100, start.Add(at)
+		return decisions(p.Offer(start.Add(at), w))
+	}
+	offer(0, "1")
+	for _, id := range []string{"a", "limited"} {
+		p.AddPermits(start, id, lease.Grant{NextAt: start.Add(2 * time.Second)})
+	}
+	p.Withdraw("1", "svc")
+	if diff := cmp.Diff([]string{"2 refused rateLimited"}, offer(time.Second, "2")); diff != "" {
+		t.Errorf("a second before the next permits (-want +got):\n%s", diff)
+	}
+	before := len(*asked)
+	if diff := cmp.Diff([]string(nil), offer(1900*time.Millisecond, "3")); diff != "" {
+		t.Errorf("shortly before the next permits (-want +got):\n%s", diff)
+	}
+	if n := len(*asked) - before; n != 0 {
+		t.Errorf("%d questions before the next permits", n)
+	}
+	p.Tick(start.Add(2 * time.Second))
+	p.Tick(start.Add(2*time.Second + TickEvery))
+	if n := len(*asked) - before; n != 1 {
+		t.Errorf("%d questions once there are permits, want 1", n)
+	}
+}
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -128,7 +128,9 @@
 	}
 	t.reportedAt = now
 	t.cold.report(now, r.Cold, warmup)
-	t.rate.applyReport(now, r.Rate)
+	if t.rate.applyReport(now, r.Rate) {
+		t.permits.reset()
+	}
 	t.unreported = slices.DeleteFunc(t.unreported, func(s sentRequest) bool { return now.Sub(s.at) > reportLag+t.extraRoundTrip })
 	t.entries = r.Listeners
 	t.alive = r.Alive
--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"time"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/fleet"
@@ -25,7 +24,7 @@
 	report   func(target string, r place.LoadReport)
 	// requestLease asks a side for permits, and addPermits passes on those for one target.
 	requestLease func(side netip.AddrPort, want int, limit lease.RateLimit)
-	addPermits   func(target string, n int, expires time.Time)
+	addPermits   func(target string, g lease.Grant)
 
 	mu  sync.Mutex
 	vms map[netip.Addr]sideVM
@@ -145,11 +144,11 @@
 // receivePermits passes on the permits that a side has granted for the engine on its VM. If
 // several targets are listed there, only one of them gets the permits, which hold for them
 // together.
-func (r *loadReports) receivePermits(side netip.AddrPort, n int, expires time.Time) {
+func (r *loadReports) receivePermits(side netip.AddrPort, g lease.Grant) {
 	r.mu.Lock()
 	vm := r.vms[side.Addr()]
 	r.mu.Unlock()
 	if len(vm.targets) > 0 {
-		r.addPermits(vm.targets[len(vm.targets)-1], n, expires)
+		r.addPermits(vm.targets[len(vm.targets)-1], g)
 	}
 }
--- a/io/process/loads/lease.go
+++ b/io/process/loads/lease.go
@@ -36,19 +36,21 @@
 	return errors.Wrap(r.RateLimit.Check(), "leaseRequest")
 }
 
-// leaseGrant is the reply to a leaseRequest.
+// leaseGrant is the reply to a leaseRequest. NextIn is how long it takes until another permit
+// can be granted, 0 if that is not known.
 type leaseGrant struct {
 	AskedAt time.Duration `msgpack:"askedAt"`
 	Granted int           `msgpack:"granted"`
+	NextIn time.Duration `msgpack:"nextIn"`
 }
 
 // Kind returns the message's name in the protocol.
 func (*leaseGrant) Kind() frame.Kind { return "leaseGrant" }
 
-// Check returns an error if the number of permits is out of range.
+// Check returns an error if a number is out of range.
 func (g *leaseGrant) Check() error {
-	if g.Granted < 0 || g.Granted > maxWant {
-		return errors.Newf("leaseGrant: %d permits, want 0 to %d", g.Granted, maxWant)
+	if g.Granted < 0 || g.Granted > maxWant || g.NextIn < 0 {
+		return errors.Newf("leaseGrant: %d permits, others in %s: want 0 to %d, in no less than 0 s", g.Granted, g.NextIn, maxWant)
 	}
 	return nil
 }
@@ -62,7 +64,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return err
 	}
-	return c.Send(&leaseGrant{AskedAt: r.AskedAt, Granted: p.takePermits(r)})
+	return c.Send(p.takePermits(r))
 }
 
 // recordRateLimit records the limit that the engine has named to an entry, and reports a
@@ -79,11 +81,12 @@
 	p.publish(p.load)
 }
 
-// takePermits returns how many permits the limits on the engine's requests leave for r.
-func (p *Publisher) takePermits(r *leaseRequest) int {
+// takePermits grants the permits that the limits on the engine's requests leave for r.
+func (p *Publisher) takePermits(r *leaseRequest) *leaseGrant {
+	g := &leaseGrant{AskedAt: r.AskedAt}
 	coldLimit, known := p.ColdLimit()
 	if !known {
-		return 0
+		return g
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,7 +94,10 @@
 	if coldLimit > 0 {
 		n = p.ledger.Grant(p.Uptime(), n, coldLimit)
 	}
-	return p.bucket.Take(p.Uptime(), n, r.RateLimit.Lower(p.rate.Limit))
+	limit := r.RateLimit.Lower(p.rate.Limit)
+	g.Granted = p.bucket.Take(p.Uptime(), n, limit)
+	g.NextIn = p.bucket.NextIn(limit)
+	return g
 }
 
 // RequestLease asks a side for permits, without waiting for them, and tells it the limit that
@@ -115,7 +121,8 @@
 // receiveGrant passes on the permits of a grant that has not expired on its way.
 func (l *Listener) receiveGrant(side netip.AddrPort, g *leaseGrant) {
 	if left := lease.Lifetime - (l.Uptime() - g.AskedAt); left > 0 {
-		l.OnGrant(side, g.Granted, l.Clock.Now().Add(left))
+		now := l.Clock.Now()
+		l.OnGrant(side, lease.Grant{N: g.Granted, Expires: now.Add(left), NextAt: now.Add(g.NextIn)})
 	}
 }
 
--- a/io/process/loads/lease_test.go
+++ b/io/process/loads/lease_test.go
@@ -42,13 +42,13 @@
 		{"the first are over", time.Second + lease.Lifetime, true, 5, 4},
 		{"no limit", 0, true, 0, 4},
 	}
-	if n := p.takePermits(&leaseRequest{Want: 4}); n != 0 {
+	if n := p.takePermits(&leaseRequest{Want: 4}).Granted; n != 0 {
 		t.Errorf("%d permits right after the start", n)
 	}
 	for _, tc := range tests {
 		now += tc.later
 		limit, known = tc.limit, tc.known
-		if diff := cmp.Diff(tc.want, p.takePermits(&leaseRequest{Want: 4})); diff != "" {
+		if diff := cmp.Diff(tc.want, p.takePermits(&leaseRequest{Want: 4}).Granted); diff != "" {
 			t.Errorf("%s: permits (-want +got):\n%s", tc.name, diff)
 		}
 	}
@@ -75,7 +75,7 @@
 	entry := &Listener{
 		Self: testSelf(fleet.RoleEntry), Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Uptime: uptime.Now,
 		OnLoad:  func(_ netip.AddrPort, l Load) { cold <- l.Cold },
-		OnGrant: func(_ netip.AddrPort, n int, _ time.Time) { grants <- n },
+		OnGrant: func(_ netip.AddrPort, g lease.Grant) { grants <- g.N },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
@@ -174,7 +174,7 @@
 		p.recordRateLimit(&tc.request)
 		granted := 0
 		if tc.request.Want > 0 {
-			granted = p.takePermits(&tc.request)
+			granted = p.takePermits(&tc.request).Granted
 		}
 		if diff := cmp.Diff(tc.granted, granted); diff != "" {
 			t.Errorf("%s: permits (-want +got):\n%s", tc.name, diff)
--- a/io/process/loads/listen.go
+++ b/io/process/loads/listen.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/io/conn/link"
 )
 
@@ -30,7 +31,7 @@
 	// OnLoad is called with each report of the side at addr. It must not block.
 	OnLoad func(addr netip.AddrPort, l Load)
 	// OnGrant is called with permits that the side at addr has granted. It must not block.
-	OnGrant func(addr netip.AddrPort, n int, expires time.Time)
+	OnGrant func(addr netip.AddrPort, g lease.Grant)
 	// Uptime is a clock that keeps counting while the machine is suspended.
 	Uptime func() time.Duration
 
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -150,8 +150,8 @@
 }
 
 // addPermits hands permits for a target to the placer.
-func (d *dispatcher) addPermits(target string, n int, expires time.Time) {
-	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, n, expires) })
+func (d *dispatcher) addPermits(target string, g lease.Grant) {
+	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, g) })
 }
 
 // minFirstShare is the fraction of a route's longest deadline from which on a deadline
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -16,6 +16,7 @@
 	"hawthornferry/core/process/operr"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/budget"
+	"hawthornferry/core/request/lease"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/space"
 )
@@ -164,9 +165,9 @@
 }
 
 // AddPermits handles permits to send requests to a target.
-func (s *Server) AddPermits(target string, n int, expires time.Time) {
+func (s *Server) AddPermits(target string, g lease.Grant) {
 	s.init()
-	s.dispatcher.addPermits(target, n, expires)
+	s.dispatcher.addPermits(target, g)
 }
 
 // noteEntryCount updates the highest number of entries heard of, by which the slack of
