lease, place, loads: one type for what sides report of limits, names and log lines

place and loads had the same pair of a limit and whether it is known; it is lease's now. A side logs when it is told of a limit or that it is over, since entries that hear it from the side write no line. Lower is Stricter, pacedInterval is shareInterval; a rate that is not a number is checked by name. No decision changes.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -20,6 +20,13 @@
 	AreaMember    Area = "member"
 )
 
+// The actions of the records of an entry, or of the side that it has told, about the limits
+// that targets name on their requests.
+const (
+	ActionRateLimitNamed  = "rateLimitNamed"
+	ActionRateLimitLifted = "rateLimitLifted"
+)
+
 // Exclusion is a candidate that was not chosen, and the reason.
 type Exclusion struct {
 	Name   string `json:"name"`
--- a/core/request/lease/ratelimit.go
+++ b/core/request/lease/ratelimit.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,16 +22,23 @@
 	PerSecond float64 `msgpack:"perSecond"`
 }
 
+// RateReport is what a side knows of the limit that its engine names. Known is false while no
+// entry has told the side.
+type RateReport struct {
+	Known bool      `msgpack:"known"`
+	Limit RateLimit `msgpack:"limit"`
+}
+
 // Check returns an error if the rate is out of range.
 func (l RateLimit) Check() error {
-	if !(l.PerSecond >= 0) {
+	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 {
 		return errors.Newf("rate limit of %g requests a second: want none below 0", l.PerSecond)
 	}
 	return nil
 }
 
-// Lower returns the stricter of two limits.
-func (l RateLimit) Lower(other RateLimit) RateLimit {
+// Stricter returns the stricter of two limits.
+func (l RateLimit) Stricter(other RateLimit) RateLimit {
 	if !other.Limited || l.Limited && l.PerSecond <= other.PerSecond {
 		return l
 	}
@@ -50,7 +58,7 @@
 // The zero value is ready and empty: entries may just have sent requests without permits,
 // or have used those of an earlier run of the side. It is not safe for concurrent use.
 type Bucket struct {
-	filled  bool
+	started bool
 	tokens  float64
 	takenAt time.Duration
 }
@@ -61,8 +69,8 @@
 	if !l.Limited {
 		return want
 	}
-	if !b.filled {
-		b.filled, b.takenAt = true, now
+	if !b.started {
+		b.started, b.takenAt = true, now
 	}
 	size := max(1, l.rate()*burstTime.Seconds())
 	b.tokens = min(size, b.tokens+l.rate()*(now-b.takenAt).Seconds())
--- a/core/request/lease/ratelimit_test.go
+++ b/core/request/lease/ratelimit_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,7 +11,7 @@
 )
 
 func TestRateLimitCheck(t *testing.T) {
-	for _, perSecond := range []float64{-1, nan()} {
+	for _, perSecond := range []float64{-1, math.NaN()} {
 		if (RateLimit{Limited: true, PerSecond: perSecond}).Check() == nil {
 			t.Errorf("%g requests a second pass the check", perSecond)
 		}
@@ -20,11 +21,6 @@
 	}
 }
 
-func nan() float64 {
-	zero := 0.0
-	return zero / zero
-}
-
 // Guards against a side that grants permits at once after its start, or more than the limit
 // allows over time, or none where the limit is below one in a second.
 func TestBucketFollowsTheLimit(t *testing.T) {
--- a/core/request/place/permits.go
+++ b/core/request/place/permits.go
@@ -10,7 +10,7 @@
 // Parameters of the questions for permits.
 const (
 	// leaseInterval is the shortest time between two questions for permits for the same
-	// target that are not answered: the first may be lost.
+	// target; the first may be lost.
 	leaseInterval = 100 * time.Millisecond
 	// maxPermitsAsked bounds how many permits are asked for at a time. Those that are not
 	// used before they expire are lost to the other entries.
@@ -51,7 +51,7 @@
 	if s.isCold(now, t) && !p.withinColdShare(now, s, t) {
 		return true
 	}
-	return t.rate.limit.Limited && !t.rate.pacer.Allows(now, p.pacedInterval(t), p.Rand.Float64)
+	return t.rate.limit.Limited && !t.rate.pacer.Allows(now, p.shareInterval(t), p.Rand.Float64)
 }
 
 // usePermit counts a request that is placed at a target, and returns by when it must be
@@ -68,7 +68,7 @@
 		t.cold.sentAt = append(t.cold.sentAt, now)
 	}
 	if t.rate.limit.Limited {
-		t.rate.pacer.Use(now, p.pacedInterval(t))
+		t.rate.pacer.Use(now, p.shareInterval(t))
 	}
 	return time.Time{}
 }
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -13,18 +13,11 @@
 	// confirmedAt is when the limit was last named.
 	confirmedAt time.Time
 	// reported is what the target's side last said of the limit.
-	reported RateReport
+	reported lease.RateReport
 	// pacer spaces the requests to a target without a side.
 	pacer lease.Pacer
 }
 
-// RateReport is what a side says of the limit that its engine names. Known is false while
-// no entry has told the side.
-type RateReport struct {
-	Known bool
-	Limit lease.RateLimit
-}
-
 // record takes the limit from a response to a request that was sent at the given time, and
 // reports whether it has changed. A response to a request that was sent before the limit
 // was last named does not lift it: it may have begun before the target set it.
@@ -37,7 +30,7 @@
 
 // applyReport takes the limit from a side's report if that differs from its last one, and
 // reports whether it has changed. An unchanged report may be older than what this entry knows.
-func (r *rateState) applyReport(now time.Time, report RateReport) bool {
+func (r *rateState) applyReport(now time.Time, report lease.RateReport) bool {
 	if report == r.reported {
 		return false
 	}
@@ -98,7 +91,7 @@
 		if !t.rate.limit.Limited {
 			return false
 		}
-		perSecond += float64(time.Second) / float64(p.pacedInterval(t))
+		perSecond += float64(time.Second) / float64(p.shareInterval(t))
 		untilNext = min(untilNext, t.permits.nextAt.Sub(now))
 	}
 	wait := max(untilNext, time.Duration(float64(len(s.waiting))/perSecond*float64(time.Second)))
@@ -108,8 +101,8 @@
 	return s.isLate(now, w, wait+s.minFirstAnswer(now, w))
 }
 
-// pacedInterval is the time between two requests of this entry to a limited target, if each
-// entry sends it as many.
-func (p *Placer) pacedInterval(t *target) time.Duration {
+// shareInterval is the time between two requests of this entry to a limited target if all
+// entries share its limit equally.
+func (p *Placer) shareInterval(t *target) time.Duration {
 	return t.rate.limit.Interval(p.entries)
 }
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -96,7 +96,8 @@
 // when a side starts again or reports what it knew before.
 func TestRateLimitFollowsItsSources(t *testing.T) {
 	limit := lease.RateLimit{Limited: true, PerSecond: 2}
-	report := func(r RateReport) func(p *Placer) {
+	known := func(l lease.RateLimit) lease.RateReport { return lease.RateReport{Known: true, Limit: l} }
+	report := func(r lease.RateReport) func(p *Placer) {
 		return func(p *Placer) {
 			p.Report(start, "a", LoadReport{Alive: true, ServedVersion: 1, Rate: r})
 		}
@@ -111,11 +112,11 @@
 	}{
 		{"named in a response", []func(p *Placer){answer(limit, 0)}, 1},
 		{"lifted in a response", []func(p *Placer){answer(limit, 0), answer(lease.RateLimit{}, time.Second)}, 0},
-		{"reported by its side", []func(p *Placer){report(RateReport{true, limit})}, 1},
-		{"lifted by its side", []func(p *Placer){report(RateReport{true, limit}), report(RateReport{true, lease.RateLimit{}})}, 0},
-		{"its side starts again", []func(p *Placer){report(RateReport{true, limit}), report(RateReport{})}, 1},
+		{"reported by its side", []func(p *Placer){report(known(limit))}, 1},
+		{"lifted by its side", []func(p *Placer){report(known(limit)), report(known(lease.RateLimit{}))}, 0},
+		{"its side starts again", []func(p *Placer){report(known(limit)), report(lease.RateReport{})}, 1},
 		{"its side has not heard of the lifting", []func(p *Placer){
-			report(RateReport{true, limit}), answer(lease.RateLimit{}, time.Second), report(RateReport{true, limit}),
+			report(known(limit)), answer(lease.RateLimit{}, time.Second), report(known(limit)),
 		}, 0},
 	}
 	for _, tc := range tests {
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/lease"
 )
 
 // LoadReport is what the side, the process beside an engine, reports of it. Active and
@@ -28,7 +29,7 @@
 	// Cold is set if the engine has started so recently that it tolerates few requests.
 	Cold bool
 	// Rate is the limit that the engine names.
-	Rate RateReport
+	Rate lease.RateReport
 }
 
 // Parameters of a target's health and load.
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -109,7 +109,13 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryLimitShare))
 	}
-	p := &process{settings: s, latest: s, readSettings: platform.ReloadSettings, clock: clockwork.NewRealClock(), ready: func() error { return nil }, served: func() []place.TargetVersion { return nil }, ends: func() []trail.AttemptEndCount { return nil }, rateLimited: func() int { return 0 }}
+	p := &process{
+		settings: s, latest: s, readSettings: platform.ReloadSettings, clock: clockwork.NewRealClock(),
+		ready:       func() error { return nil },
+		served:      func() []place.TargetVersion { return nil },
+		ends:        func() []trail.AttemptEndCount { return nil },
+		rateLimited: func() int { return 0 },
+	}
 	p.started = p.clock.Now()
 	p.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
 	p.metrics, p.metricsHandler, p.metricsCloser = admin.NewMetrics()
--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -125,7 +125,7 @@
 		r.report(id, place.LoadReport{
 			Alive: l.Alive, Active: l.Active, Queued: l.Queued, Slowness: l.Slowness, ServedVersion: l.ServedVersion, Loading: l.Loading,
 			Listeners: l.OwnZone + l.OtherZones, TotalEntries: entries, StartedAt: l.StartedAt, Cold: l.Cold,
-			Rate: place.RateReport{Known: l.Rate.Known, Limit: l.Rate.Limit},
+			Rate: l.Rate,
 		})
 	}
 }
--- a/io/process/loads/lease.go
+++ b/io/process/loads/lease.go
@@ -73,12 +73,17 @@
 func (p *Publisher) recordRateLimit(r *leaseRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := rateReport{Known: true, Limit: r.RateLimit}
+	next := lease.RateReport{Known: true, Limit: r.RateLimit}
 	if r.Want > 0 && p.rate.Known || r.Want > 0 && !r.RateLimit.Limited || next == p.rate {
 		return
 	}
 	p.rate = next
 	p.publish(p.load)
+	d := trail.Decision{Area: trail.AreaAdmission, Action: trail.ActionRateLimitNamed, RateLimit: next.Limit.PerSecond}
+	if !next.Limit.Limited {
+		d.Action = trail.ActionRateLimitLifted
+	}
+	p.Log.Record(d)
 }
 
 // takePermits grants the permits that the limits on the engine's requests leave for r.
@@ -94,7 +99,7 @@
 	if coldLimit > 0 {
 		n = p.ledger.Grant(p.Uptime(), n, coldLimit)
 	}
-	limit := r.RateLimit.Lower(p.rate.Limit)
+	limit := r.RateLimit.Stricter(p.rate.Limit)
 	g.Granted = p.bucket.Take(p.Uptime(), n, limit)
 	g.NextIn = p.bucket.NextIn(limit)
 	return g
--- a/io/process/loads/lease_test.go
+++ b/io/process/loads/lease_test.go
@@ -152,22 +152,23 @@
 		Clock: clockwork.NewRealClock(), Log: trail.Discard{},
 		Uptime: func() time.Duration { return now }, ColdLimit: func() (int, bool) { return 0, true },
 	}
+	known := func(l lease.RateLimit) lease.RateReport { return lease.RateReport{Known: true, Limit: l} }
 	four, two := lease.RateLimit{Limited: true, PerSecond: 4}, lease.RateLimit{Limited: true, PerSecond: 2}
 	tests := []struct {
 		name    string
 		later   time.Duration
 		request leaseRequest
 		granted int
-		report  rateReport
+		report  lease.RateReport
 	}{
-		{"no limit", 0, leaseRequest{Want: 10}, 10, rateReport{}},
-		{"a question with one", time.Second, leaseRequest{Want: 10, RateLimit: four}, 0, rateReport{true, four}},
-		{"a second later", time.Second, leaseRequest{Want: 10, RateLimit: four}, 4, rateReport{true, four}},
-		{"an entry that does not know it", time.Second, leaseRequest{Want: 10}, 4, rateReport{true, four}},
-		{"it changes", time.Second, leaseRequest{RateLimit: two}, 0, rateReport{true, two}},
-		{"an entry that has not heard of that", 0, leaseRequest{Want: 10, RateLimit: four}, 2, rateReport{true, two}},
-		{"it is lifted", 0, leaseRequest{}, 0, rateReport{Known: true}},
-		{"an entry that has not heard of that either", 0, leaseRequest{Want: 10, RateLimit: two}, 0, rateReport{Known: true}},
+		{"no limit", 0, leaseRequest{Want: 10}, 10, lease.RateReport{}},
+		{"a question with one", time.Second, leaseRequest{Want: 10, RateLimit: four}, 0, known(four)},
+		{"a second later", time.Second, leaseRequest{Want: 10, RateLimit: four}, 4, known(four)},
+		{"an entry that does not know it", time.Second, leaseRequest{Want: 10}, 4, known(four)},
+		{"it changes", time.Second, leaseRequest{RateLimit: two}, 0, known(two)},
+		{"an entry that has not heard of that", 0, leaseRequest{Want: 10, RateLimit: four}, 2, known(two)},
+		{"it is lifted", 0, leaseRequest{}, 0, lease.RateReport{Known: true}},
+		{"an entry that has not heard of that either", 0, leaseRequest{Want: 10, RateLimit: two}, 0, lease.RateReport{Known: true}},
 	}
 	for _, tc := range tests {
 		now += tc.later
--- a/io/process/loads/publisher.go
+++ b/io/process/loads/publisher.go
@@ -63,13 +63,7 @@
 	OwnZone    int `msgpack:"near"`
 	OtherZones int `msgpack:"far"`
 	// Rate is the limit that the engine names.
-	Rate rateReport `msgpack:"rate"`
-}
-
-// rateReport is the limit that the engine names. Known is false while no entry has told it.
-type rateReport struct {
-	Known bool            `msgpack:"known"`
-	Limit lease.RateLimit `msgpack:"limit"`
+	Rate lease.RateReport `msgpack:"rate"`
 }
 
 // Kind returns the message's name in the protocol.
@@ -119,7 +113,7 @@
 	mu          sync.Mutex
 	ledger      lease.Ledger
 	bucket      lease.Bucket
-	rate        rateReport
+	rate        lease.RateReport
 	cold        coldEngine
 	load        Load
 	published   bool
@@ -204,7 +198,7 @@
 		p.failures = 0
 		if !r.StartedAt.Equal(p.load.StartedAt) {
 			// What limited the engine before its start no longer counts.
-			p.rate = rateReport{}
+			p.rate = lease.RateReport{}
 		}
 	}
 	next.Loading = next.Loading || p.aboutToLoad
--- a/io/request/direct/ratelimit.go
+++ b/io/request/direct/ratelimit.go
@@ -1,14 +1,6 @@
 package direct
 
-import (
-	"hawthornferry/core/process/trail"
-)
-
-// The actions of log lines about the limits that targets name.
-const (
-	actionRateLimitNamed  = "rateLimitNamed"
-	actionRateLimitLifted = "rateLimitLifted"
-)
+import "hawthornferry/core/process/trail"
 
 // RateLimited counts the targets that have named a limit on their requests.
 func (s *Server) RateLimited() int {
@@ -26,9 +18,9 @@
 	if !s.dispatcher.recordRateLimit(x.targetID, limit, x.openedAt) {
 		return
 	}
-	d := trail.Decision{Area: trail.AreaAdmission, Action: actionRateLimitNamed, Choice: x.targetID, RateLimit: limit.PerSecond}
+	d := trail.Decision{Area: trail.AreaAdmission, Action: trail.ActionRateLimitNamed, Choice: x.targetID, RateLimit: limit.PerSecond}
 	if !limit.Limited {
-		d.Action = actionRateLimitLifted
+		d.Action = trail.ActionRateLimitLifted
 	}
 	s.metrics.countRateLimitChange(d.Action)
 	s.Log.Record(d)
