--- a/core/request/lease/ratelimit_test.go
+++ b/core/request/lease/ratelimit_test.go
@@ -21,8 +21,7 @@
 	}
 }
 
-// Guards against a side that grants permits at once after its start, or more than the limit
-// allows over time, or none where the limit is below one in a second.
+// Guards against a side that grants more than the limit, or nothing at low limits.
 func TestBucketFollowsTheLimit(t *testing.T) {
 	const first = time.Hour
 	tests := []struct {
@@ -145,8 +144,7 @@
 	return m
 }
 
-// Guards against entries that together exceed the limit that a target names, while messages
-// go astray and sides start again.
+// Guards against entries that together exceed the limit that a target names.
 func TestEntriesTogetherKeepTheNamedLimit(t *testing.T) {
 	policies := []struct {
 		name   string
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -61,8 +61,7 @@
 	return p, asked
 }
 
-// Guards against an engine that gets requests beyond its limit, against one that gets none
-// within it, and against a side that is not told of it.
+// Guards against a limited engine that gets requests without permits, or none with them.
 func TestLimitedEngineGetsRequestsByPermitOnly(t *testing.T) {
 	p, asked := limitedPlacer(true, 2)
 	if diff := cmp.Diff(map[string]int{"a": 8}, offerMany(p, start, 12)); diff != "" {
@@ -80,8 +79,7 @@
 	}
 }
 
-// Guards against requests that wait for a limited engine while another one has room, and
-// against a limited engine that would cost no more but is never asked for permits.
+// Guards against requests that wait for a permit while another engine has room.
 func TestPermitsAreAskedForAhead(t *testing.T) {
 	p, asked := limitedPlacer(true, 2)
 	if diff := cmp.Diff(map[string]int{"a": 1}, offerMany(p, start, 1)); diff != "" {
@@ -92,8 +90,7 @@
 	}
 }
 
-// Guards against a limit that outlasts its target's need, and against one that is forgotten
-// when a side starts again or reports what it knew before.
+// Guards against a limit that outlasts its target's need, or is forgotten before that ends.
 func TestRateLimitFollowsItsSources(t *testing.T) {
 	limit := lease.RateLimit{Limited: true, PerSecond: 2}
 	known := func(l lease.RateLimit) lease.RateReport { return lease.RateReport{Known: true, Limit: l} }
@@ -170,8 +167,7 @@
 	}
 }
 
-// Guards against questions that a side can only answer with no, ten times a second from each
-// entry, and against callers that wait for a permit which comes too late.
+// Guards against questions and waiting callers while a side cannot grant any permits.
 func TestSideIsAskedOnceItHasPermits(t *testing.T) {
 	p, _ := limitedPlacer(true, 0.5)
 	p.RecordRateLimit(start, "a", lease.RateLimit{Limited: true, PerSecond: 0.5}, start)
--- a/io/process/loads/lease_test.go
+++ b/io/process/loads/lease_test.go
@@ -143,9 +143,7 @@
 	}
 }
 
-// Guards against a side that grants what the limit of its engine does not allow, that does
-// not tell other entries of a limit, or that lets an entry which has not heard of a change
-// undo it.
+// Guards against a side that exceeds its engine's limit, or keeps it from other entries.
 func TestSideKeepsTheLimitOfItsEngine(t *testing.T) {
 	now := time.Hour
 	p := &Publisher{
