--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -65,6 +65,10 @@
 	// in hexadecimal digits. It is computed only when needed: after an attempt has
 	// broken off, or while any request is suspected of crashing targets.
 	Fingerprint string `json:"fingerprint,omitempty"`
+	// PromptParts holds the IDs of the parts of the prompt that other requests may have,
+	// too. It is set for an attempt that broke off and for a request that is refused
+	// because it crashes targets.
+	PromptParts []string `json:"promptParts,omitempty"`
 	// Status is the HTTP status of the response.
 	Status int `json:"status,omitempty"`
 	// Load is the number of requests at the chosen target, or of targets in the first
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -29,6 +29,9 @@
 	MaxAnswerTokens int
 	// ExpectedAnswerTokens is the length of the answer that the caller expects, in tokens.
 	ExpectedAnswerTokens int
+	// SharedParts holds the IDs of the parts of the prompt that other requests may have, too,
+	// without duplicates and in the order of the prompt.
+	SharedParts []string
 	// LastEventID is the ID of the last event that the caller has of a stream that it
 	// resumes.
 	LastEventID string
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -151,6 +151,9 @@
 		q.fingerprint()
 	}
 	d := q.newDecision(actionAttempt)
+	if o == resend.Broken {
+		d.PromptParts = q.call.SharedParts
+	}
 	d.Outcome, d.Status, d.LastEvent = string(o), q.progress.status, q.lastEventID
 	d.TookMS = s.Clock.Since(q.progress.attemptStart).Milliseconds()
 	if err != nil {
@@ -176,6 +179,9 @@
 	s.metrics.countRequest(q.route.Name, outcome, status, took)
 	d := q.newDecision(actionAnswer)
 	d.Outcome, d.Reason, d.Status = outcome, q.reason, status
+	if q.reason == reasonCrashesTargets {
+		d.PromptParts = q.call.SharedParts
+	}
 	if outcome == outcomeBrokenOff {
 		d.Cause = string(q.progress.endCause)
 	}
