poison, alert, direct: refuse requests with a part of the prompt that crashes targets

Cause: a request is known by a fingerprint of all of it, and no two of these are alike, so that each was the first of its kind at every entry. Change: PartLedger counts the target starts at which attempts with a part broke off, as the ledger of requests does; both share their records, which are generic now, and the exchange of entries. Three crashes one after the other, or at five distinct moments, block a part. It isn't blamed for what it only witnesses: a request that completes, or whose answer goes on for a second, clears its parts; a part that ever ran takes eight crashes without that; and a request is let through if one or two other parts that it lacks may have caused the same crashes, which shows which it is. Why it works: the fatal part alone is in each crash and never runs. A full record drops failures that say nothing, as eight of one moment did.

--- a/core/request/poison/fingerprint.go
+++ b/core/request/poison/fingerprint.go
@@ -1,11 +1,13 @@
 // Package poison detects requests that crash the targets that run them (poison
 // requests), so that an entry can refuse them. Clients repeat such a request under a
-// new ID each time, so requests are identified by a fingerprint of the parts that do
-// not change.
+// new ID each time, so requests are identified by a fingerprint of what does not
+// change. Or requests that are otherwise different crash targets because of a part of
+// the prompt that all of them have.
 //
-// Ledger counts the target starts at which attempts of a request broke off. Package
-// alert holds a ledger in each process and exchanges its contents with the other
-// processes as notes; entries ask it before they send a request to a target.
+// Ledger counts the target starts at which attempts of a request broke off, and
+// PartLedger those at which attempts with a part of the prompt did. Package alert holds
+// both in each process and exchanges their contents with the other processes as notes;
+// entries ask them before they send a request to a target.
 package poison
 
 import (
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -53,7 +53,7 @@
 		{"twice", three[:2], time.Second, StateSuspected, 0},
 		{"three times", three, 4 * time.Second, StateBlocked, blockDuration - 2*time.Second},
 		{"three times, just now", three, 2*time.Second + undecidedDuration/2, StateBlocked, undecidedDuration / 2},
-		{"third answer had been going on", []event{{failure: "a"}, {failure: "b"}, {failure: "c", ran: minInnocentRun}}, 0, StateSuspected, 0},
+		{"third answer had been going on", []event{{failure: "a"}, {failure: "b"}, {failure: "c", ran: MinInnocentRun}}, 0, StateSuspected, 0},
 		{"three times at once", []event{{failure: "a", sentBefore: 1}, {failure: "b", sentBefore: 1}, {failure: "c", sentBefore: time.Second}}, time.Second, StateClear, 0},
 		{
 			"at once, then twice",
@@ -168,7 +168,7 @@
 		entries[i].RecordFailure(epoch.Add(time.Duration(i)*time.Second), epoch.Add(time.Duration(i)*time.Second), testKey(1), newStart(string(rune('a'+i))), 0)
 	}
 	now := epoch.Add(3 * time.Second)
-	var notes []Note
+	var notes []Note[Fingerprint]
 	for i := range entries {
 		n, ok := entries[i].Note(now, testKey(1), 1)
 		if !ok {
@@ -178,7 +178,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var back Note
+		var back Note[Fingerprint]
 		if err := msgpack.Unmarshal(b, &back); err != nil {
 			t.Fatal(err)
 		}
@@ -205,7 +205,7 @@
 	}
 	entries[0].RecordSuccess(now, testKey(1))
 	cleared, _ := entries[0].Note(now, testKey(1), 1)
-	for _, n := range []Note{cleared, notes[0], notes[1], notes[2]} {
+	for _, n := range []Note[Fingerprint]{cleared, notes[0], notes[1], notes[2]} {
 		entries[1].Merge(now.Add(50*time.Millisecond), n)
 	}
 	if diff := cmp.Diff(StateClear, entries[1].State(now, testKey(1))); diff != "" {
@@ -219,15 +219,15 @@
 	good := Failure{Incarnation: newStart("a")}
 	tests := []struct {
 		name string
-		note Note
+		note Note[Fingerprint]
 		ok   bool
 	}{
-		{"good", Note{Failures: []Failure{good}, Succeeded: true, SuccessAge: time.Second}, true},
-		{"no failure", Note{}, false},
-		{"too many", Note{Failures: make([]Failure, maxFailures+1)}, false},
-		{"no target", Note{Failures: []Failure{{}}}, false},
-		{"failure in the future", Note{Failures: []Failure{{Incarnation: newStart("a"), Age: -1}}}, false},
-		{"success in the future", Note{Failures: []Failure{good}, SuccessAge: -1}, false},
+		{"good", Note[Fingerprint]{Failures: []Failure{good}, Succeeded: true, SuccessAge: time.Second}, true},
+		{"no failure", Note[Fingerprint]{}, false},
+		{"too many", Note[Fingerprint]{Failures: make([]Failure, maxFailures+1)}, false},
+		{"no target", Note[Fingerprint]{Failures: []Failure{{}}}, false},
+		{"failure in the future", Note[Fingerprint]{Failures: []Failure{{Incarnation: newStart("a"), Age: -1}}}, false},
+		{"success in the future", Note[Fingerprint]{Failures: []Failure{good}, SuccessAge: -1}, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -245,7 +245,7 @@
 	for i := range blockThreshold {
 		l.RecordFailure(epoch, epoch, testKey(0), newStart(string(rune('a'+i))), 0)
 	}
-	for i := range 3 * maxRequests {
+	for i := range 3 * maxRecords {
 		now := epoch.Add(time.Duration(i) * time.Millisecond)
 		l.RecordFailure(now, now, testKey(i+1), newStart(string(rune('a'+i%700))), 0)
 		if i%1000 == 0 {
@@ -254,7 +254,7 @@
 			}
 		}
 	}
-	if diff := cmp.Diff([]int{maxRequests, maxStarts}, []int{l.Len(), l.fingerprintsByStart.Len()}); diff != "" {
+	if diff := cmp.Diff([]int{maxRecords, maxStarts}, []int{l.Len(), l.byStart.Len()}); diff != "" {
 		t.Errorf("requests and starts (-want +got):\n%s", diff)
 	}
 	for i := range 3 * maxFailures {
--- a/core/request/poison/model_test.go
+++ b/core/request/poison/model_test.go
@@ -143,7 +143,7 @@
 			starts[p.startAt(i, m.born)] = true
 		}
 	}
-	for _, k := range p.ledger.Fingerprints(epoch.Add(now)) {
+	for _, k := range p.ledger.Subjects(epoch.Add(now)) {
 		p.ledger.RecordListing(epoch.Add(now), k, starts)
 	}
 }
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -8,13 +8,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Note is what one process reports to another about a request. Times are given as
-// ages, because the clocks of the processes differ.
-type Note struct {
-	Fingerprint Fingerprint `msgpack:"key"`
-	Failures    []Failure   `msgpack:"strikes"`
-	// Succeeded is set if the request has completed successfully, and SuccessAge is
-	// how long ago.
+// Note is what one process reports to another about a request or a part of prompts. Times
+// are given as ages, because the clocks of the processes differ.
+type Note[K comparable] struct {
+	Subject  K         `msgpack:"key"`
+	Failures []Failure `msgpack:"strikes"`
+	// Succeeded is set if a request with the subject has completed successfully, and
+	// SuccessAge is how long ago.
 	Succeeded  bool          `msgpack:"cleared"`
 	SuccessAge time.Duration `msgpack:"clearedAgo"`
 }
@@ -29,7 +29,7 @@
 }
 
 // Check returns an error for the first invalid field.
-func (n *Note) Check() error {
+func (n *Note[K]) Check() error {
 	if len(n.Failures) == 0 || len(n.Failures) > maxFailures {
 		return errors.Newf("note: %d strikes: want 1 to %d", len(n.Failures), maxFailures)
 	}
@@ -47,14 +47,14 @@
 	return nil
 }
 
-// Note returns what is known of a request, or false if that is fewer than least
+// Note returns what is known of a subject, or false if that is fewer than least
 // failures.
-func (l *Ledger) Note(now time.Time, k Fingerprint, least int) (Note, bool) {
+func (l *records[K]) Note(now time.Time, k K, least int) (Note[K], bool) {
 	r := l.record(now, k)
 	if r == nil || len(r.failures) < least {
-		return Note{}, false
+		return Note[K]{}, false
 	}
-	n := Note{Fingerprint: k}
+	n := Note[K]{Subject: k}
 	for start, s := range r.failures {
 		n.Failures = append(n.Failures, Failure{Incarnation: start, Age: max(0, now.Sub(s.at)), Duration: max(0, s.at.Sub(s.sentAt)), Survived: s.survived})
 	}
@@ -65,57 +65,46 @@
 	return n, true
 }
 
-// Fingerprints returns the known requests, the most recent first.
-func (l *Ledger) Fingerprints(now time.Time) []Fingerprint {
-	l.init()
-	var out []Fingerprint
-	for k := range l.requests.All(now) {
-		out = append(out, k)
-	}
-	return out
-}
-
 // Merge adds another process's note to the ledger, and reports whether it changed
 // anything. Notes may arrive late, repeatedly and in any order.
-func (l *Ledger) Merge(now time.Time, n Note) bool {
-	r := l.record(now, n.Fingerprint)
+func (l *records[K]) Merge(now time.Time, n Note[K]) bool {
+	r := l.record(now, n.Subject)
 	if r == nil {
 		r = &record{failures: map[Incarnation]failure{}}
 	}
 	changed := false
 	for _, s := range n.Failures {
-		changed = l.mergeFailure(now, n.Fingerprint, r, s) || changed
+		changed = l.mergeFailure(now, n.Subject, r, s) || changed
 	}
-	return l.mergeSuccess(now, r, n) || changed
+	return r.mergeSuccess(now, n.Succeeded, n.SuccessAge) || changed
 }
 
 // mergeSuccess adds a successful completion, and reports whether it clears the
-// request of failures. It does not report a mere change of the time: when several
-// processes report the same completion, each seems a little later than the one
-// before.
-func (l *Ledger) mergeSuccess(now time.Time, r *record, n Note) bool {
-	at := now.Add(-n.SuccessAge)
-	if !n.Succeeded || !at.After(r.lastSuccess) {
+// subject of failures or is the first one. It does not report a mere change of the
+// time: when several processes report the same completion, each seems a little later
+// than the one before.
+func (r *record) mergeSuccess(now time.Time, succeeded bool, age time.Duration) bool {
+	at := now.Add(-age)
+	if !succeeded || !at.After(r.lastSuccess) {
 		return false
 	}
+	first := r.lastSuccess.IsZero()
 	before, _ := r.suspectedCrashes()
 	r.lastSuccess = at
 	after, _ := r.suspectedCrashes()
-	return before != after
+	return first || before != after
 }
 
 // mergeFailure adds a failure, or the news that the target of a known failure
 // survived, and reports whether it changed anything.
-func (l *Ledger) mergeFailure(now time.Time, k Fingerprint, r *record, reported Failure) bool {
+func (l *records[K]) mergeFailure(now time.Time, k K, r *record, reported Failure) bool {
 	at := now.Add(-reported.Age)
 	known, ok := r.failures[reported.Incarnation]
 	switch {
 	case !ok || at.Sub(known.at) > sameFailureWindow:
-		if !ok && len(r.failures) >= maxFailures && at.Before(r.failures[r.oldest()].at) {
-			return false
-		}
-		l.addFailure(now, k, r, reported.Incarnation, failure{sentAt: at.Add(-reported.Duration), at: at, survived: reported.Survived})
-		return true
+		return l.addFailure(now, k, r, reported.Incarnation, failure{
+			start: reported.Incarnation, sentAt: at.Add(-reported.Duration), at: at, survived: reported.Survived,
+		})
 	case reported.Survived && !known.survived && known.at.Sub(at) <= sameFailureWindow:
 		known.survived = true
 		r.failures[reported.Incarnation] = known
--- a/io/process/alert/alert_test.go
+++ b/io/process/alert/alert_test.go
@@ -19,7 +19,10 @@
 	"hawthornferry/io/conn/link"
 )
 
-var crashKey = poison.Request{URI: "/fatal"}.Fingerprint()
+var (
+	crashKey     = poison.Request{URI: "/fatal"}.Fingerprint()
+	crashRequest = poison.Identity{Request: crashKey}
+)
 
 func newRegistry() *Registry {
 	return &Registry{Clock: clockwork.NewRealClock(), Log: trail.Discard{}, Metrics: tally.NoopScope}
@@ -86,7 +89,7 @@
 }
 
 func isBlocked(r *Registry) bool {
-	_, blocked := r.Blocked(crashKey)
+	_, blocked := r.Blocked(crashRequest)
 	return blocked
 }
 
@@ -99,7 +102,7 @@
 	for i, r := range registries {
 		connectEntry(t, fmt.Sprint("entry-", i), r, hub)
 		if i < 3 {
-			r.RecordFailure(r.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+			r.RecordFailure(r.Clock.Now(), crashRequest, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 		}
 	}
 	began := time.Now()
@@ -128,7 +131,7 @@
 	connectEntry(t, "two", two, hub)
 	began := time.Now()
 	for i := range 3 {
-		one.RecordFailure(one.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+		one.RecordFailure(one.Clock.Now(), crashRequest, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 	}
 	eventually(t, "the other one refuses it", func() bool { return isBlocked(two) })
 	eventually(t, "both let it through", func() bool {
@@ -144,7 +147,7 @@
 	old := newRegistry()
 	connectEntry(t, "old", old, hub)
 	for i := range 3 {
-		old.RecordFailure(old.Clock.Now(), crashKey, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+		old.RecordFailure(old.Clock.Now(), crashRequest, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
 	}
 	stop()
 	serveHub(t, hub.String(), newRegistry().Handler())
@@ -165,7 +168,7 @@
 	connectEntry(t, "two", two, hub)
 	const broken = 3 * maxNotes
 	for i := range broken {
-		one.RecordFailure(one.Clock.Now(), poison.Request{URI: fmt.Sprint("/", i)}.Fingerprint(), poison.Incarnation{Target: "i-0"}, 0)
+		one.RecordFailure(one.Clock.Now(), poison.Identity{Request: poison.Request{URI: fmt.Sprint("/", i)}.Fingerprint()}, poison.Incarnation{Target: "i-0"}, 0)
 	}
 	eventually(t, "the hub knows all", func() bool { return registry.size.Load() == broken })
 	// Longer than a hub takes to send its news.
@@ -190,3 +193,28 @@
 		t.Errorf("dialled again after %s, want about %s", took, readTimeout+redialDelay)
 	}
 }
+
+// A part of prompts crashes one target through each of three entries. All entries must then
+// refuse requests with it, also one that starts later, and none with other parts only.
+func TestEntriesShareParts(t *testing.T) {
+	hub, _ := serveHub(t, "127.0.0.1:0", newRegistry().Handler())
+	registries := []*Registry{newRegistry(), newRegistry(), newRegistry()}
+	refused := func(r *Registry, parts ...poison.PartID) bool {
+		_, blocked := r.Blocked(poison.Identity{Parts: parts})
+		return blocked
+	}
+	for i, r := range registries {
+		connectEntry(t, fmt.Sprint("entry-", i), r, hub)
+		r.RecordSound([]poison.PartID{"common"})
+		id := poison.Identity{Request: poison.Request{URI: fmt.Sprint("/", i)}.Fingerprint(), Parts: []poison.PartID{"common", "fatal"}}
+		r.RecordFailure(r.Clock.Now(), id, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+	}
+	late := newRegistry()
+	connectEntry(t, "late", late, hub)
+	for _, r := range append(registries, late) {
+		eventually(t, "the part is refused", func() bool { return refused(r, "common", "fatal") })
+		if refused(r, "common") {
+			t.Error("the other part is refused, too")
+		}
+	}
+}
--- a/io/process/alert/exchange.go
+++ b/io/process/alert/exchange.go
@@ -28,16 +28,17 @@
 	sendTimeout       = time.Second
 	dialTimeout       = 500 * time.Millisecond
 	redialDelay       = 300 * time.Millisecond
-	// maxNotes limits the notes in one message.
+	// maxNotes limits the notes in one message, of requests and of parts each.
 	maxNotes = 256
-	// hubMinFailures is the number of failures from which on a hub reports a request. A
-	// single failure says little, and there are many when targets end.
+	// hubMinFailures is the number of failures from which on a hub reports a request or a
+	// part. A single failure says little, and there are many when targets end.
 	hubMinFailures = 2
 )
 
 // alertMessage is the message of the exchange. Without notes it is a heartbeat.
 type alertMessage struct {
-	Notes []poison.Note `msgpack:"notes"`
+	Notes     []poison.Note[poison.Fingerprint] `msgpack:"notes"`
+	PartNotes []poison.Note[poison.PartID]      `msgpack:"partNotes,omitempty"`
 }
 
 // Kind returns the message's name in the protocol.
@@ -45,11 +46,23 @@
 
 // Check returns an error for the first invalid field.
 func (a *alertMessage) Check() error {
-	if len(a.Notes) > maxNotes {
-		return errors.Newf("alerts: %d notes: want at most %d", len(a.Notes), maxNotes)
+	if err := checkNotes(a.Notes); err != nil {
+		return err
+	}
+	for _, n := range a.PartNotes {
+		if err := n.Subject.Check(); err != nil {
+			return err
+		}
+	}
+	return checkNotes(a.PartNotes)
+}
+
+func checkNotes[K comparable](notes []poison.Note[K]) error {
+	if len(notes) > maxNotes {
+		return errors.Newf("alerts: %d notes: want at most %d", len(notes), maxNotes)
 	}
-	for i := range a.Notes {
-		if err := a.Notes[i].Check(); err != nil {
+	for i := range notes {
+		if err := notes[i].Check(); err != nil {
 			return err
 		}
 	}
@@ -169,18 +182,18 @@
 			return err
 		}
 		if a, ok := m.(*alertMessage); ok {
-			r.merge(from, c.Peer.VM.Name, a.Notes)
+			r.merge(from, c.Peer.VM.Name, a)
 		}
 	}
 }
 
 func (r *Registry) send(ctx context.Context, c *link.Conn, sub *subscription) error {
 	for {
-		notes, more := r.takeNotes(sub)
+		message, more := r.takeNotes(sub)
 		if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 			return err
 		}
-		if err := c.Send(&alertMessage{Notes: notes}); err != nil {
+		if err := c.Send(message); err != nil {
 			return err
 		}
 		if more {
--- a/io/process/alert/listchecker_test.go
+++ b/io/process/alert/listchecker_test.go
@@ -32,7 +32,7 @@
 	source := &fakeSource{facts: &facts.Facts{Targets: []facts.Target{{ID: "a", StartedAt: born}, {ID: "b", StartedAt: born}}}}
 	source.age.Store(int64(time.Minute))
 	for _, id := range []string{"a", "b", "c"} {
-		registry.RecordFailure(registry.Clock.Now(), crashKey, poison.NewIncarnation(id, born), 0)
+		registry.RecordFailure(registry.Clock.Now(), crashRequest, poison.NewIncarnation(id, born), 0)
 	}
 	start(t, (&ListChecker{Clock: clock, Registry: registry, Source: source}).Run)
 	pass := func(d time.Duration) {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -75,6 +75,8 @@
 	// key caches the fingerprint; it is valid if hasKey is set.
 	key    poison.Fingerprint
 	hasKey bool
+	// partIDs caches the parts of the prompt.
+	partIDs []poison.PartID
 }
 
 // fingerprint returns what all repeats of the request have in common. It is computed on
@@ -89,6 +91,21 @@
 	return q.key
 }
 
+// identity returns what identifies the request if it crashes targets.
+func (q *request) identity() poison.Identity {
+	return poison.Identity{Request: q.fingerprint(), Parts: q.parts()}
+}
+
+// parts returns the parts of the prompt that other requests may have, too.
+func (q *request) parts() []poison.PartID {
+	if q.partIDs == nil {
+		for _, id := range q.call.SharedParts {
+			q.partIDs = append(q.partIDs, poison.NewPartID(id))
+		}
+	}
+	return q.partIDs
+}
+
 // hostOf returns the host that a request is for, in lower case and without a port.
 func hostOf(r *http.Request) string {
 	host := r.Host
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/request/poison"
 	"hawthornferry/core/request/resend"
 )
 
@@ -124,6 +125,7 @@
 		if r.q.progress.firstEventAt.IsZero() {
 			r.q.progress.firstEventAt = r.server.Clock.Now()
 		}
+		r.reportRunning()
 		r.lastID, r.hasLastID = e.id, true
 		r.q.lastEventID = strconv.FormatUint(e.id, 10)
 	}
@@ -134,6 +136,17 @@
 	return r.caller.rc.Flush()
 }
 
+// reportRunning reports once for each attempt that its target runs the request and has not
+// crashed. The response may go on for long, and others are refused meanwhile.
+func (r *streamRelay) reportRunning() {
+	p := &r.q.progress
+	if p.reportedSound || p.responseDuration(r.server.Clock.Now()) < poison.MinInnocentRun {
+		return
+	}
+	p.reportedSound = true
+	r.server.reportSound(r.q)
+}
+
 // finishStream handles a stream that its target has ended properly. It sends the
 // response head of a stream without events.
 func (r *streamRelay) finishStream(x *exchange) resend.Outcome {
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -21,13 +21,15 @@
 	HasRecords() bool
 	// Blocked reports whether a request must be refused, and after what time its caller
 	// may retry.
-	Blocked(k poison.Fingerprint) (time.Duration, bool)
+	Blocked(id poison.Identity) (time.Duration, bool)
 	// RecordFailure records that a target dropped the connection during an attempt sent at
 	// began. at identifies the start of that target, and ran is how long the response had
 	// been under way.
-	RecordFailure(began time.Time, k poison.Fingerprint, at poison.Incarnation, ran time.Duration)
+	RecordFailure(began time.Time, id poison.Identity, at poison.Incarnation, ran time.Duration)
 	// RecordSuccess records that a request completed without crashing its target.
 	RecordSuccess(k poison.Fingerprint)
+	// RecordSound records that a target ran a request with the given parts without crashing.
+	RecordSound(parts []poison.PartID)
 	// RecordAnswer records that a target has answered a request that was sent at began. at
 	// identifies the start of that target.
 	RecordAnswer(began time.Time, at poison.Incarnation)
@@ -38,11 +40,12 @@
 
 func (noSuspects) HasRecords() bool { return false }
 
-func (noSuspects) Blocked(poison.Fingerprint) (time.Duration, bool) { return 0, false }
+func (noSuspects) Blocked(poison.Identity) (time.Duration, bool) { return 0, false }
 
-func (noSuspects) RecordFailure(time.Time, poison.Fingerprint, poison.Incarnation, time.Duration) {}
+func (noSuspects) RecordFailure(time.Time, poison.Identity, poison.Incarnation, time.Duration) {}
 
 func (noSuspects) RecordSuccess(poison.Fingerprint)           {}
+func (noSuspects) RecordSound([]poison.PartID)                {}
 func (noSuspects) RecordAnswer(time.Time, poison.Incarnation) {}
 
 // reasonCrashesTargets is the reason given when a request is refused because it crashes
@@ -55,7 +58,7 @@
 	if !s.Suspects.HasRecords() {
 		return 0, false
 	}
-	return s.Suspects.Blocked(q.fingerprint())
+	return s.Suspects.Blocked(q.identity())
 }
 
 // reportOutcome tells Suspects what the end of an attempt says about the request and
@@ -64,14 +67,32 @@
 	at := poison.NewIncarnation(t.ID, t.StartedAt)
 	switch {
 	case o == resend.Broken && (lostConnection(err) || lostConnection(q.progress.responseErr)):
-		s.Suspects.RecordFailure(q.progress.attemptStart, q.fingerprint(), at, q.progress.responseDuration(s.Clock.Now()))
-	case !s.Suspects.HasRecords():
+		s.Suspects.RecordFailure(q.progress.attemptStart, q.identity(), at, q.progress.responseDuration(s.Clock.Now()))
 	case o == resend.Relayed || o == resend.TargetFailure:
+		s.reportResponse(q, at)
+	}
+}
+
+// reportResponse tells Suspects what a response says that has not broken off.
+func (s *Server) reportResponse(q *request, at poison.Incarnation) {
+	recorded := s.Suspects.HasRecords()
+	if recorded {
 		s.Suspects.RecordAnswer(q.progress.attemptStart, at)
-		// With an error status, the request may not have run.
-		if q.progress.status < http.StatusBadRequest {
-			s.Suspects.RecordSuccess(q.fingerprint())
-		}
+	}
+	// With an error status, the request may not have run.
+	if q.progress.status >= http.StatusBadRequest {
+		return
+	}
+	s.reportSound(q)
+	if recorded {
+		s.Suspects.RecordSuccess(q.fingerprint())
+	}
+}
+
+// reportSound tells Suspects that a target has run the request without crashing.
+func (s *Server) reportSound(q *request) {
+	if parts := q.parts(); len(parts) > 0 {
+		s.Suspects.RecordSound(parts)
 	}
 }
 
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,12 +29,16 @@
 
 func (r *suspectsRecorder) HasRecords() bool { return true }
 
-func (r *suspectsRecorder) RecordFailure(_ time.Time, _ poison.Fingerprint, at poison.Incarnation, ran time.Duration) {
+func (r *suspectsRecorder) RecordFailure(_ time.Time, _ poison.Identity, at poison.Incarnation, ran time.Duration) {
 	r.calls = append(r.calls, "struck "+at.Target+" after "+ran.String())
 }
 
 func (r *suspectsRecorder) RecordSuccess(poison.Fingerprint) { r.calls = append(r.calls, "succeeded") }
 
+func (r *suspectsRecorder) RecordSound(parts []poison.PartID) {
+	r.calls = append(r.calls, fmt.Sprint("sound ", parts))
+}
+
 func (r *suspectsRecorder) RecordAnswer(_ time.Time, at poison.Incarnation) {
 	r.calls = append(r.calls, "answered "+at.Target)
 }
@@ -115,7 +120,7 @@
 		{"rejected by the target", resend.NotRun, errors.New("status 503"), nil, 0, 0, nil},
 		{"response to another request", resend.MismatchedReply, errors.New("another"), nil, 0, 0, nil},
 		{"caller disconnected", resend.CallerGone, nil, nil, 200, 0, nil},
-		{"success", resend.Relayed, nil, nil, 200, 0, []string{"answered i-1", "succeeded"}},
+		{"success", resend.Relayed, nil, nil, 200, 0, []string{"answered i-1", "sound [a b]", "succeeded"}},
 		{"client error", resend.Relayed, nil, nil, 404, 0, []string{"answered i-1"}},
 		{"server error", resend.TargetFailure, nil, nil, 500, 0, []string{"answered i-1"}},
 	}
@@ -124,7 +129,7 @@
 			recorder := &suspectsRecorder{}
 			clock := clockwork.NewFakeClock()
 			s := &Server{Clock: clock, Suspects: recorder}
-			q := &request{incoming: httptest.NewRequest(http.MethodPost, "/x", nil)}
+			q := &request{incoming: httptest.NewRequest(http.MethodPost, "/x", nil), call: CallerHeaders{SharedParts: []string{"a", "b"}}}
 			q.progress.status, q.progress.responseErr = tc.status, tc.responseErr
 			if tc.duration > 0 {
 				q.progress.firstEventAt = clock.Now().Add(-tc.duration)
