direct: don't take a stream without events for a complete one

Callers saw, in a test: an empty answer with status 200, complete by all signs. Cause: an answer may have neither a length nor chunks and end with its connection; if its target crashes before the first event and closes the connection in order, nothing tells it from one that is complete. Change: such a stream has broken off if the caller has no event.

--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -73,6 +73,12 @@
 	x.conn.Close()
 }
 
+// endsWithConnection reports whether only the end of the connection ends the response, so that
+// one that a crash cuts off may look complete.
+func (x *exchange) endsWithConnection() bool {
+	return x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0
+}
+
 // streamItem is an event of a stream, or the error with which the stream ended.
 type streamItem struct {
 	event event
--- a/io/request/direct/forwarder.go
+++ b/io/request/direct/forwarder.go
@@ -79,6 +79,9 @@
 		f.watchdog.received()
 		return f.handleEvent(item.event)
 	case errors.Is(item.err, io.EOF):
+		if f.endedBeforeFirstEvent(f.x) {
+			return f.handleSourceEnd(operr.Wrap("read stream", "", io.ErrUnexpectedEOF))
+		}
 		if o := f.cancelHandover(); o != "" {
 			return o
 		}
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -147,9 +147,16 @@
 	r.server.reportSound(r.q)
 }
 
+// endedBeforeFirstEvent reports whether a stream that only its connection ends has no events,
+// although the caller has none either. Then the target has crashed before it had written any.
+func (r *streamRelay) endedBeforeFirstEvent(x *exchange) bool {
+	return x.endsWithConnection() && r.awaitingFirst && r.q.lastEventID == ""
+}
+
 // finishStream handles a stream that its target has ended properly. It sends the
 // response head of a stream without events.
 func (r *streamRelay) finishStream(x *exchange) resend.Outcome {
+	r.q.progress.mayBeCut = x.endsWithConnection() && r.q.progress.responseDuration(r.server.Clock.Now()) < poison.MinInnocentRun
 	if !r.headSent {
 		r.caller.writeHead(x.resp, -1)
 		r.headSent = true
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -107,22 +107,24 @@
 		responseErr error
 		status      int
 		duration    time.Duration
+		mayBeCut    bool
 		want        []string
 	}{
-		{"connection ends before the response", resend.Broken, io.ErrUnexpectedEOF, nil, 0, 0, []string{"struck i-1 after 0s"}},
-		{"connection reset", resend.Broken, errors.CombineErrors(reset, errSilent), nil, 0, 0, []string{"struck i-1 after 0s"}},
-		{"connection ends within the response", resend.Broken, nil, eof, 200, time.Second, []string{"struck i-1 after 1s"}},
-		{"moved by the entry", resend.Broken, errLoading, closed, 200, time.Second, nil},
-		{"target silent", resend.Broken, errors.CombineErrors(closed, errSilent), nil, 0, 0, nil},
-		{"events out of order", resend.Broken, nil, errOrder, 200, 0, nil},
-		{"not signed", resend.Broken, errors.New("response is not signed by the target"), nil, 200, 0, nil},
-		{"target not reached", resend.Unreached, reset, nil, 0, 0, nil},
-		{"rejected by the target", resend.NotRun, errors.New("status 503"), nil, 0, 0, nil},
-		{"response to another request", resend.MismatchedReply, errors.New("another"), nil, 0, 0, nil},
-		{"caller disconnected", resend.CallerGone, nil, nil, 200, 0, nil},
-		{"success", resend.Relayed, nil, nil, 200, 0, []string{"answered i-1", "sound [a b]", "succeeded"}},
-		{"client error", resend.Relayed, nil, nil, 404, 0, []string{"answered i-1"}},
-		{"server error", resend.TargetFailure, nil, nil, 500, 0, []string{"answered i-1"}},
+		{"connection ends before the response", resend.Broken, io.ErrUnexpectedEOF, nil, 0, 0, false, []string{"struck i-1 after 0s"}},
+		{"connection reset", resend.Broken, errors.CombineErrors(reset, errSilent), nil, 0, 0, false, []string{"struck i-1 after 0s"}},
+		{"connection ends within the response", resend.Broken, nil, eof, 200, time.Second, false, []string{"struck i-1 after 1s"}},
+		{"moved by the entry", resend.Broken, errLoading, closed, 200, time.Second, false, nil},
+		{"target silent", resend.Broken, errors.CombineErrors(closed, errSilent), nil, 0, 0, false, nil},
+		{"events out of order", resend.Broken, nil, errOrder, 200, 0, false, nil},
+		{"not signed", resend.Broken, errors.New("response is not signed by the target"), nil, 200, 0, false, nil},
+		{"target not reached", resend.Unreached, reset, nil, 0, 0, false, nil},
+		{"rejected by the target", resend.NotRun, errors.New("status 503"), nil, 0, 0, false, nil},
+		{"response to another request", resend.MismatchedReply, errors.New("another"), nil, 0, 0, false, nil},
+		{"caller disconnected", resend.CallerGone, nil, nil, 200, 0, false, nil},
+		{"success", resend.Relayed, nil, nil, 200, 0, false, []string{"answered i-1", "sound [a b]", "succeeded"}},
+		{"success that may be cut off", resend.Relayed, nil, nil, 200, 0, true, []string{"answered i-1"}},
+		{"client error", resend.Relayed, nil, nil, 404, 0, false, []string{"answered i-1"}},
+		{"server error", resend.TargetFailure, nil, nil, 500, 0, false, []string{"answered i-1"}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -131,6 +133,7 @@
 			s := &Server{Clock: clock, Suspects: recorder}
 			q := &request{incoming: httptest.NewRequest(http.MethodPost, "/x", nil), call: CallerHeaders{SharedParts: []string{"a", "b"}}}
 			q.progress.status, q.progress.responseErr = tc.status, tc.responseErr
+			q.progress.mayBeCut = tc.mayBeCut
 			if tc.duration > 0 {
 				q.progress.firstEventAt = clock.Now().Add(-tc.duration)
 			}
