poison: keep subjects that failed once from displacing those that failed again

Cause: each crash adds a record for every request and part under way, and a record is renewed only where somebody asks for it. A hub, which nobody asks, forgets a fatal part after 4096 others, and an entry that starts then learns nothing of it (by reading, and by the model of one ledger). Change: records with one failure have bounds of their own: 3072, and 1024 for the others. Measured: TestPartLedgerIsBounded fails without it ("the fatal part is forgotten") and passes."

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -50,14 +50,16 @@
 	sameFailureWindow = time.Second
 )
 
-// Bounds of a ledger. maxRecords and maxStarts are the most subjects and target
-// starts in it; beyond them the ones renewed longest ago are forgotten. maxFailures
+// Bounds of a ledger. maxOnce and maxRepeated are the most subjects with one failure and
+// with more, and maxStarts the most target starts in it; beyond them the ones renewed
+// longest ago are forgotten. maxFailures
 // is the most failures kept of one subject; beyond it the oldest is dropped, and a
 // Note with more is invalid. A record expires recordMaxAge after the last failure,
 // success or repeat of its subject. The subjects that failed at a target start are only
 // of interest for maxAnswerTime, as long as an answer may last.
 const (
-	maxRecords  = 4096
+	maxOnce     = 3072
+	maxRepeated = 1024
 	maxStarts   = 512
 	maxFailures = 8
 	// maxSubjectsPerStart is the most subjects recorded as failed at one target start.
@@ -147,7 +149,7 @@
 	if r == nil {
 		return 0, false
 	}
-	l.bySubject.Put(now, k, r)
+	l.put(now, k, r)
 	n, last := r.suspectedCrashes()
 	if n < blockThreshold {
 		return 0, false
--- a/core/request/poison/ledger_test.go
+++ b/core/request/poison/ledger_test.go
@@ -245,7 +245,7 @@
 	for i := range blockThreshold {
 		l.RecordFailure(epoch, epoch, testKey(0), newStart(string(rune('a'+i))), 0)
 	}
-	for i := range 3 * maxRecords {
+	for i := range 3 * maxOnce {
 		now := epoch.Add(time.Duration(i) * time.Millisecond)
 		l.RecordFailure(now, now, testKey(i+1), newStart(string(rune('a'+i%700))), 0)
 		if i%1000 == 0 {
@@ -254,7 +254,7 @@
 			}
 		}
 	}
-	if diff := cmp.Diff([]int{maxRecords, maxStarts}, []int{l.Len(), l.byStart.Len()}); diff != "" {
+	if diff := cmp.Diff([]int{maxOnce + 1, maxStarts}, []int{l.Len(), l.byStart.Len()}); diff != "" {
 		t.Errorf("requests and starts (-want +got):\n%s", diff)
 	}
 	for i := range 3 * maxFailures {
--- a/core/request/poison/parts.go
+++ b/core/request/poison/parts.go
@@ -131,7 +131,7 @@
 		if r == nil {
 			continue
 		}
-		l.bySubject.Put(now, p, r)
+		l.put(now, p, r)
 		if !r.mayCrashTargets() || l.othersMayBeCause(now, r, parts) {
 			continue
 		}
--- a/core/request/poison/parts_test.go
+++ b/core/request/poison/parts_test.go
@@ -97,15 +97,22 @@
 	}
 }
 
-// Guards against memory that grows with the number of parts, when no two prompts are alike.
+// Guards against memory that grows with the number of parts, when no two prompts are alike, and
+// against a fatal part that is forgotten because of that where nobody asks for it.
 func TestPartLedgerIsBounded(t *testing.T) {
 	var l PartLedger
+	for i := range blockThreshold {
+		l.RecordFailure(epoch, epoch, "fatal", newStart(fmt.Sprint("fatal", i)), 0)
+	}
 	for i := range 2 * maxSoundParts {
 		now := epoch.Add(time.Duration(i) * time.Millisecond)
 		l.RecordSuccess(now, PartID(fmt.Sprint("sound", i)))
 		l.RecordFailure(now, now, PartID(fmt.Sprint("failed", i)), newStart(fmt.Sprint(i%700)), 0)
 	}
-	if diff := cmp.Diff([]int{maxRecords, maxStarts, maxSoundParts}, []int{l.Len(), l.byStart.Len(), l.sound.Len()}); diff != "" {
+	if diff := cmp.Diff([]int{maxOnce + 1, maxStarts, maxSoundParts}, []int{l.Len(), l.byStart.Len(), l.sound.Len()}); diff != "" {
 		t.Errorf("parts, starts and sound parts (-want +got):\n%s", diff)
 	}
+	if _, blocked := l.Blocked(epoch.Add(2*maxSoundParts*time.Millisecond), []PartID{"fatal"}); !blocked {
+		t.Error("the fatal part is forgotten")
+	}
 }
--- a/core/request/poison/records.go
+++ b/core/request/poison/records.go
@@ -117,27 +117,43 @@
 type records[K comparable] struct {
 	// startTTL is how long it is known which subjects failed at a target start,
 	// maxAnswerTime if it is zero.
-	startTTL  time.Duration
-	bySubject ttlmap.Map[K, *record]
+	startTTL time.Duration
+	// once holds the records with one failure, and repeated those with more. A crash adds many
+	// with one, which must not displace those of subjects that crash target after target.
+	once, repeated ttlmap.Map[K, *record]
 	// byStart holds the subjects whose attempts recently broke off at each target start.
 	byStart ttlmap.Map[Incarnation, []K]
 }
 
 func (l *records[K]) init() {
-	l.bySubject.MaxEntries, l.bySubject.TTL = maxRecords, recordMaxAge
+	l.once.MaxEntries, l.once.TTL = maxOnce, recordMaxAge
+	l.repeated.MaxEntries, l.repeated.TTL = maxRepeated, recordMaxAge
 	l.byStart.MaxEntries, l.byStart.TTL = maxStarts, cmp.Or(l.startTTL, maxAnswerTime)
 }
 
 // Len returns the number of known subjects.
-func (l *records[K]) Len() int { return l.bySubject.Len() }
+func (l *records[K]) Len() int { return l.once.Len() + l.repeated.Len() }
 
 // record returns the record of a subject, or nil if there is none.
 func (l *records[K]) record(now time.Time, k K) *record {
 	l.init()
-	r, _ := l.bySubject.Get(now, k)
+	if r, ok := l.repeated.Get(now, k); ok {
+		return r
+	}
+	r, _ := l.once.Get(now, k)
 	return r
 }
 
+// put stores or renews the record of a subject.
+func (l *records[K]) put(now time.Time, k K, r *record) {
+	if len(r.failures) <= 1 {
+		l.once.Put(now, k, r)
+		return
+	}
+	l.once.Delete(k)
+	l.repeated.Put(now, k, r)
+}
+
 // recordFailure records that an attempt sent at sentAt broke off at a target start.
 func (l *records[K]) recordFailure(now, sentAt time.Time, k K, at Incarnation) {
 	r := l.record(now, k)
@@ -156,7 +172,7 @@
 // failures that say more.
 func (l *records[K]) addFailure(now time.Time, k K, r *record, at Incarnation, f failure) bool {
 	stored := r.setFailure(at, f)
-	l.bySubject.Put(now, k, r)
+	l.put(now, k, r)
 	if !stored {
 		return false
 	}
@@ -178,7 +194,7 @@
 		return false
 	}
 	r.lastSuccess = now
-	l.bySubject.Put(now, k, r)
+	l.put(now, k, r)
 	return true
 }
 
@@ -236,11 +252,14 @@
 	return changed
 }
 
-// Subjects returns the known subjects, the most recent first.
+// Subjects returns the known subjects.
 func (l *records[K]) Subjects(now time.Time) []K {
 	l.init()
 	var out []K
-	for k := range l.bySubject.All(now) {
+	for k := range l.repeated.All(now) {
+		out = append(out, k)
+	}
+	for k := range l.once.All(now) {
 		out = append(out, k)
 	}
 	return out
