poison: count the block of a part from its last failure, and move its causes to a file

Cause: the time from which a part is refused was that of the last failure that counts as one after the other; with long queues that is the first one. Found by reading. Change: the last failure counts. What decides between a part and others has a file of its own. Measured: TestPartIsBlockedFromItsLastFailure fails before (9m0s wanted, 8m56s got) and passes.

--- a/core/request/poison/parts.go
+++ b/core/request/poison/parts.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,10 +17,6 @@
 	// maxSoundCrashMoments is the same for a part that requests have completed with. Such a
 	// part is at many targets at a time, and breaks off at each crash that another causes.
 	maxSoundCrashMoments = maxFailures
-	// maxOtherCauses is how many other parts together may be the cause of a part's failures.
-	// With more, any failures can be explained, as each crash breaks off requests with many
-	// parts.
-	maxOtherCauses = 2
 	// soundBlockDuration is how long after its last failure a part is refused that requests
 	// have completed with. While a part that all callers use is refused, nothing can show that
 	// it is harmless.
@@ -63,9 +58,10 @@
 
 // PartLedger classifies parts of prompts. A request that crashes its target may do so
 // because of any of its parts, and all requests under way at the target break off with it.
-// A part is therefore blocked only if no request with it completes while attempts with it
-// break off again and again, and only for requests without a part that may have caused the
-// same crashes. The zero value is ready to use. It isn't safe for concurrent use.
+// A part is therefore blocked only if attempts with it break off again and again and none
+// completes in between. A request with such a part is still let through if a few parts that
+// it lacks may have caused the same crashes. The zero value is ready to use. It isn't safe
+// for concurrent use.
 type PartLedger struct {
 	records[PartID]
 	// sound holds when a request with a part last completed, also of parts without a record.
@@ -139,89 +135,20 @@
 		if !r.mayCrashTargets() || l.othersMayBeCause(now, r, parts) {
 			continue
 		}
-		_, last := r.suspectedCrashes()
-		duration := blockDuration
-		if r.hasSucceeded() {
-			duration = soundBlockDuration
-		}
-		if d, ok := blockedFor(now, last, duration); ok {
+		if d, ok := r.partBlockedFor(now); ok {
 			wait, blocked = max(wait, d), true
 		}
 	}
 	return wait, blocked
 }
 
-// othersMayBeCause reports whether all failures of a part may be due to a few other parts that
-// the request, which has the given parts, lacks. Such a request is let through: it shows which
-// of them is the cause.
-func (l *PartLedger) othersMayBeCause(now time.Time, r *record, parts []PartID) bool {
+// partBlockedFor returns how much longer a part is refused that may crash targets, or false if
+// it isn't any more.
+func (r *record) partBlockedFor(now time.Time) (time.Duration, bool) {
 	failures := r.unexplainedFailures()
-	for range maxOtherCauses {
-		likeliest, explained := PartID(""), 0
-		for other, n := range l.countOthers(now, failures, parts) {
-			if n > explained || n == explained && other < likeliest {
-				likeliest, explained = other, n
-			}
-		}
-		if explained == 0 {
-			return false
-		}
-		failures = slices.DeleteFunc(failures, func(f failure) bool { return l.mayHaveCaused(now, likeliest, f) })
-		if len(failures) == 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// countOthers returns how many of the failures each part may have caused that is not among the
-// given ones.
-func (l *PartLedger) countOthers(now time.Time, failures []failure, parts []PartID) map[PartID]int {
-	n := map[PartID]int{}
-	for _, f := range failures {
-		for _, other := range l.FailedAt(now, f.start) {
-			if !slices.Contains(parts, other) && l.mayHaveCaused(now, other, f) {
-				n[other]++
-			}
-		}
-	}
-	return n
-}
-
-// mayHaveCaused reports whether a part may be the cause of a failure of another part: it failed in
-// the same crash, and no request with it has ever completed, or it is likely to crash targets.
-func (l *PartLedger) mayHaveCaused(now time.Time, other PartID, f failure) bool {
-	r := l.record(now, other)
-	if r == nil || r.hasSucceeded() && !r.mayCrashTargets() {
-		return false
-	}
-	g, ok := r.failures[f.start]
-	return ok && g.unexplained(r.lastSuccess) && f.at.Sub(g.at).Abs() <= sameFailureWindow
-}
-
-// mayCrashTargets reports whether the attempts with a part have broken off so often that it
-// may be the cause.
-func (r *record) mayCrashTargets() bool {
-	moments := r.crashMoments()
+	last := failures[len(failures)-1].at
 	if r.hasSucceeded() {
-		return moments >= maxSoundCrashMoments
-	}
-	n, _ := r.suspectedCrashes()
-	return n >= blockThreshold || moments >= maxCrashMoments
-}
-
-// hasSucceeded reports whether a request with the subject has ever completed.
-func (r *record) hasSucceeded() bool { return !r.lastSuccess.IsZero() }
-
-// crashMoments returns at how many distinct moments attempts have broken off.
-func (r *record) crashMoments() int {
-	n := 0
-	var since time.Time
-	for _, f := range r.unexplainedFailures() {
-		if n == 0 || f.at.Sub(since) > momentDuration {
-			n++
-			since = f.at
-		}
+		return blockedFor(now, last, soundBlockDuration)
 	}
-	return n
+	return blockedFor(now, last, blockDuration)
 }
--- a/core/request/poison/parts_test.go
+++ b/core/request/poison/parts_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// Guards against a fatal part that is accepted too early, because its requests were all under way
+// when the first one broke off.
+func TestPartIsBlockedFromItsLastFailure(t *testing.T) {
+	var l PartLedger
+	var last time.Time
+	for i := range maxCrashMoments {
+		last = epoch.Add(time.Duration(i) * time.Second)
+		l.RecordFailure(last, epoch.Add(-time.Second), "a", newStart(fmt.Sprint(i)), 0)
+	}
+	left, _ := l.Blocked(last.Add(time.Minute), []PartID{"a"})
+	if diff := cmp.Diff(blockDuration-time.Minute, left); diff != "" {
+		t.Errorf("refused for (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a fatal part that is never blocked, because requests with it come so fast that
 // the record is full of failures of the same moments.
 func TestFullRecordKeepsDistinctMoments(t *testing.T) {
