poison, alert, direct: rename what reads oddly

Cause: a newcomer's reading: book, leastTelling, mayBeCut, RecallSuccess, and company in the model. Change: publisher, leastInformative, mayBeTruncated, ApplyOwnSuccess, common part. No other change. Measured: the tests of poison, alert and direct pass, and those of platform on crashes.

--- a/core/request/poison/partmodel_test.go
+++ b/core/request/poison/partmodel_test.go
@@ -18,12 +18,12 @@
 	rate, fatalRate float64
 	maxWait         time.Duration
 	// fatalParts are in turn the parts of fatal requests that crash targets. All fatal requests
-	// begin with the part company; the share companyShare of the harmless ones begins with it,
-	// too, from companySince on.
-	fatalParts   []PartID
-	company      PartID
-	companyShare float64
-	companySince time.Duration
+	// begin with the part common; the share commonShare of the harmless ones begins with it,
+	// too, from commonSince on.
+	fatalParts  []PartID
+	common      PartID
+	commonShare float64
+	commonSince time.Duration
 	// crashRate is the number of crashes per second that no request causes. Every
 	// massCrashInterval, the share massCrashShare of the targets crashes together.
 	crashRate, massCrashShare float64
@@ -59,16 +59,16 @@
 	// late counts fatal requests that reached a target later than noticeTime after the crash
 	// that reached maxPartCrashes for their part.
 	late int
-	// companySent and companyRefused count the harmless requests with the company of the fatal
-	// ones from 2 x noticeTime on after that crash, or the last one if there were fewer.
-	companySent, companyRefused int
+	// commonSent and commonRefused count the harmless requests with the common part of the
+	// fatal ones from 2 x noticeTime on after that crash, or the last one if there were fewer.
+	commonSent, commonRefused int
 }
 
 // add returns the sum of two results.
 func (r partResult) add(o partResult) partResult {
 	return partResult{
 		r.sent + o.sent, r.refused + o.refused, r.crashes + o.crashes, max(r.lastRefused, o.lastRefused), r.late + o.late,
-		r.companySent + o.companySent, r.companyRefused + o.companyRefused,
+		r.commonSent + o.commonSent, r.commonRefused + o.commonRefused,
 	}
 }
 
@@ -81,14 +81,14 @@
 	counts  partResult
 	fatals  int
 	// crashesOf holds when requests with each fatal part have crashed targets, and reachedBy
-	// when such requests reached targets. companyCalls are the harmless requests with the
-	// company of the fatal ones.
-	crashesOf    map[PartID][]time.Duration
-	reachedBy    map[PartID][]time.Duration
-	companyCalls []companyCall
+	// when such requests reached targets. commonCalls are the harmless requests with the
+	// common part of the fatal ones.
+	crashesOf   map[PartID][]time.Duration
+	reachedBy   map[PartID][]time.Duration
+	commonCalls []commonCall
 }
 
-type companyCall struct {
+type commonCall struct {
 	at      time.Duration
 	refused bool
 }
@@ -125,11 +125,11 @@
 			}
 		}
 	}
-	for _, c := range p.companyCalls {
+	for _, c := range p.commonCalls {
 		if c.at > noticed+noticeTime && len(p.crashesOf) > 0 {
-			p.counts.companySent++
+			p.counts.commonSent++
 			if c.refused {
-				p.counts.companyRefused++
+				p.counts.commonRefused++
 			}
 		}
 	}
@@ -155,8 +155,8 @@
 func (p *partSimulation) arrive(now time.Duration) {
 	if p.rnd.Float64() < p.rate*simulationStep.Seconds() {
 		first := []PartID{"a", "b"}[p.rnd.IntN(2)]
-		if p.rnd.Float64() < p.companyShare && now >= p.companySince {
-			first = p.company
+		if p.rnd.Float64() < p.commonShare && now >= p.commonSince {
+			first = p.common
 		}
 		// Half of the requests have one of a few second parts.
 		second := p.rnd.IntN(5)
@@ -167,7 +167,7 @@
 	}
 	if now >= fatalStart && p.rnd.Float64() < p.fatalRate*simulationStep.Seconds() {
 		p.fatals++
-		p.send(now, &partRequest{fatal: true, parts: []PartID{p.company, p.fatalParts[p.fatals%len(p.fatalParts)]}})
+		p.send(now, &partRequest{fatal: true, parts: []PartID{p.common, p.fatalParts[p.fatals%len(p.fatalParts)]}})
 	}
 }
 
@@ -183,8 +183,8 @@
 			p.counts.refused++
 			p.counts.lastRefused = now
 		}
-		if q.parts[0] == p.company {
-			p.companyCalls = append(p.companyCalls, companyCall{now, blocked})
+		if q.parts[0] == p.common {
+			p.commonCalls = append(p.commonCalls, commonCall{now, blocked})
 		}
 	}
 	if !blocked {
@@ -288,7 +288,7 @@
 func TestFatalPartIsBlockedAlone(t *testing.T) {
 	base := partWorkload{
 		targets: 20, entries: 3, rate: 60, fatalRate: 4, maxWait: 500 * time.Millisecond, fatalParts: []PartID{"fatal"},
-		company: "c", companyShare: 0.3,
+		common: "c", commonShare: 0.3,
 	}
 	with := func(name string, edit func(c *partWorkload)) partWorkload {
 		c := base
@@ -304,12 +304,12 @@
 		with("few targets", func(c *partWorkload) { c.targets, c.rate = 4, 20 }),
 		with("two parts in turn", func(c *partWorkload) { c.fatalParts = []PartID{"fatal", "fatal2"} }),
 		with("other crashes beside", func(c *partWorkload) { c.crashRate = 1.6 }),
-		with("company first seen with a fatal part", func(c *partWorkload) { c.companySince = fatalStart + time.Second }),
-		with("company first seen long after", func(c *partWorkload) { c.companySince = fatalStart + 15*time.Second }),
-		with("rare company", func(c *partWorkload) { c.companyShare, c.fatalRate = 0.01, 10 }),
-		with("rare company, long queues", func(c *partWorkload) { c.companyShare, c.fatalRate, c.maxWait = 0.01, 10, 3*time.Second }),
-		with("company first seen with two fatal parts", func(c *partWorkload) {
-			c.fatalParts, c.companySince = []PartID{"fatal", "fatal2"}, fatalStart+5*time.Second
+		with("common part first seen with a fatal part", func(c *partWorkload) { c.commonSince = fatalStart + time.Second }),
+		with("common part first seen long after", func(c *partWorkload) { c.commonSince = fatalStart + 15*time.Second }),
+		with("rare common part", func(c *partWorkload) { c.commonShare, c.fatalRate = 0.01, 10 }),
+		with("rare common part, long queues", func(c *partWorkload) { c.commonShare, c.fatalRate, c.maxWait = 0.01, 10, 3*time.Second }),
+		with("common part first seen with two fatal parts", func(c *partWorkload) {
+			c.fatalParts, c.commonSince = []PartID{"fatal", "fatal2"}, fatalStart+5*time.Second
 		}),
 	}
 	for _, tc := range tests {
@@ -320,12 +320,12 @@
 				if most := maxLateRequests * len(tc.fatalParts); r.late > most {
 					t.Errorf("seed %d: %d fatal requests sent late, want at most %d", seed, r.late, most)
 				}
-				if 2*r.companyRefused > r.companySent {
-					t.Errorf("seed %d: %d of %d harmless requests with the company of fatal ones refused, want at most half", seed, r.companyRefused, r.companySent)
+				if 2*r.commonRefused > r.commonSent {
+					t.Errorf("seed %d: %d of %d harmless requests with the common part refused, want at most half", seed, r.commonRefused, r.commonSent)
 				}
 				all = all.add(r)
 			}
-			t.Logf("%s: %d crashes, %d late; refused %d of %d harmless requests, %d of %d with the company late", tc.name, all.crashes, all.late, all.refused, all.sent, all.companyRefused, all.companySent)
+			t.Logf("%s: %d crashes, %d late; refused %d of %d harmless requests, %d of %d with the common part late", tc.name, all.crashes, all.late, all.refused, all.sent, all.commonRefused, all.commonSent)
 		})
 	}
 }
@@ -362,7 +362,7 @@
 // all requests is refused, none can show that it is harmless.
 func TestPartsAreAcceptedAfterOutage(t *testing.T) {
 	c := partWorkload{
-		targets: 20, entries: 3, rate: 60, maxWait: 100 * time.Millisecond, company: "c", companyShare: 1,
+		targets: 20, entries: 3, rate: 60, maxWait: 100 * time.Millisecond, common: "c", commonShare: 1,
 		outageStart: 10 * time.Second, outageDuration: 5 * time.Second,
 	}
 	for seed := range uint64(modelSeeds) {
--- a/core/request/poison/parts.go
+++ b/core/request/poison/parts.go
@@ -77,7 +77,7 @@
 	}
 	l.startTTL = blockDuration
 	l.recordFailure(now, sentAt, p, at)
-	l.RecallSuccess(now, p)
+	l.ApplyOwnSuccess(now, p)
 	return true
 }
 
@@ -89,9 +89,9 @@
 	return l.records.RecordSuccess(now, p)
 }
 
-// RecallSuccess applies the last success that this ledger has recorded to the record of the
+// ApplyOwnSuccess applies the last success that this ledger has recorded to the record of the
 // part, which may have come from another process, and reports whether that changes it.
-func (l *PartLedger) RecallSuccess(now time.Time, p PartID) bool {
+func (l *PartLedger) ApplyOwnSuccess(now time.Time, p PartID) bool {
 	at, known := l.sound.Get(now, p)
 	r := l.record(now, p)
 	return known && r != nil && r.mergeSuccess(now, true, now.Sub(at))
--- a/core/request/poison/records.go
+++ b/core/request/poison/records.go
@@ -82,21 +82,21 @@
 }
 
 // setFailure sets the failure at a target start. If that is one too many, it drops the one
-// that says the least, and returns false if that is the new one.
+// that is least informative, and returns false if that is the new one.
 func (r *record) setFailure(at Incarnation, f failure) bool {
 	r.failures[at] = f
 	if len(r.failures) <= maxFailures {
 		return true
 	}
-	dropped := r.leastTelling()
+	dropped := r.leastInformative()
 	delete(r.failures, dropped)
 	return dropped != at
 }
 
-// leastTelling returns the target start with the oldest failure of those that change nothing:
+// leastInformative returns the target start with the oldest failure of those that change nothing:
 // its attempt was under way when another one broke off, at about the same time. If there is
 // none, it returns the one with the oldest failure.
-func (r *record) leastTelling() Incarnation {
+func (r *record) leastInformative() Incarnation {
 	failures := slices.SortedFunc(maps.Values(r.failures), compareFailures)
 	for i := 1; i < len(failures); i++ {
 		if f, before := failures[i], failures[i-1]; f.sentAt.Before(before.at) && f.at.Sub(before.at) <= momentDuration {
--- a/io/process/alert/book.go
+++ b/io/process/alert/publisher.go
@@ -21,9 +21,9 @@
 	RecordListing(now time.Time, k K, starts map[poison.Incarnation]bool) bool
 }
 
-// book changes one ledger of a registry, and publishes and logs the changes. Unless a method says
-// otherwise, the registry's lock must be held.
-type book[K comparable] struct {
+// publisher changes one ledger of a registry, and publishes and logs the changes. Unless a method
+// says otherwise, the registry's lock must be held.
+type publisher[K comparable] struct {
 	*Registry
 	ledger ledger[K]
 	// pending returns the subjects that a subscription still has to send.
@@ -44,16 +44,16 @@
 	}
 )
 
-func requestBook(r *Registry) book[poison.Fingerprint] {
-	return book[poison.Fingerprint]{
+func requestPublisher(r *Registry) publisher[poison.Fingerprint] {
+	return publisher[poison.Fingerprint]{
 		Registry: r, ledger: &r.requests, counter: "requests_total", actions: requestActions,
 		pending:  func(sub *subscription) map[poison.Fingerprint]struct{} { return sub.requests },
 		describe: func(d *trail.Decision, k poison.Fingerprint) { d.Fingerprint = k.String() },
 	}
 }
 
-func partBook(r *Registry) book[poison.PartID] {
-	return book[poison.PartID]{
+func partPublisher(r *Registry) publisher[poison.PartID] {
+	return publisher[poison.PartID]{
 		Registry: r, ledger: &r.parts, counter: "parts_total", actions: partActions,
 		pending:  func(sub *subscription) map[poison.PartID]struct{} { return sub.parts },
 		describe: func(d *trail.Decision, k poison.PartID) { d.PromptParts = []string{string(k)} },
@@ -61,40 +61,40 @@
 }
 
 // change applies edit to the record of a subject and, if edit reports a change, publishes it.
-func (b book[K]) change(s source, peer string, k K, edit func(now time.Time) bool) {
-	now := b.Clock.Now()
-	before := b.ledger.State(now, k)
+func (p publisher[K]) change(s source, peer string, k K, edit func(now time.Time) bool) {
+	now := p.Clock.Now()
+	before := p.ledger.State(now, k)
 	if edit(now) {
-		b.publish(now, s, peer, k, before)
+		p.publish(now, s, peer, k, before)
 	}
-	b.size.Store(int64(b.requests.Len() + b.parts.Len()))
+	p.size.Store(int64(p.requests.Len() + p.parts.Len()))
 }
 
 // publish queues a changed subject for the subscribers, and logs its new state if that has
 // changed.
-func (b book[K]) publish(now time.Time, s source, peer string, k K, before poison.State) {
-	for sub := range b.subscribers {
+func (p publisher[K]) publish(now time.Time, s source, peer string, k K, before poison.State) {
+	for sub := range p.subscribers {
 		if sub.includes(s) {
-			b.pending(sub)[k] = struct{}{}
+			p.pending(sub)[k] = struct{}{}
 			sub.notify()
 		}
 	}
-	state := b.ledger.State(now, k)
+	state := p.ledger.State(now, k)
 	if state == before {
 		return
 	}
-	b.count(b.counter, string(state))
-	b.Log.Record(b.decision(now, peer, k, state))
+	p.count(p.counter, string(state))
+	p.Log.Record(p.decision(now, peer, k, state))
 }
 
-func (b book[K]) decision(now time.Time, peer string, k K, state poison.State) trail.Decision {
-	d := trail.Decision{Area: trail.AreaRouting, Action: b.actions[state]}
-	b.describe(&d, k)
+func (p publisher[K]) decision(now time.Time, peer string, k K, state poison.State) trail.Decision {
+	d := trail.Decision{Area: trail.AreaRouting, Action: p.actions[state]}
+	p.describe(&d, k)
 	var reasons []string
 	if peer != "" {
 		reasons = append(reasons, "told by "+peer)
 	}
-	n, _ := b.ledger.Note(now, k, 0)
+	n, _ := p.ledger.Note(now, k, 0)
 	if n.Succeeded {
 		reasons = append(reasons, fmt.Sprintf("ended well %d ms ago", n.SuccessAge.Milliseconds()))
 	}
@@ -110,54 +110,54 @@
 }
 
 // recordAnswer records that a target start has answered a request that was sent to it at sentAt.
-func (b book[K]) recordAnswer(sentAt time.Time, at poison.Incarnation) {
-	now := b.Clock.Now()
+func (p publisher[K]) recordAnswer(sentAt time.Time, at poison.Incarnation) {
+	now := p.Clock.Now()
 	before := map[K]poison.State{}
-	for _, k := range b.ledger.FailedAt(now, at) {
-		before[k] = b.ledger.State(now, k)
+	for _, k := range p.ledger.FailedAt(now, at) {
+		before[k] = p.ledger.State(now, k)
 	}
-	for _, k := range b.ledger.RecordAnswer(now, sentAt, at) {
-		b.publish(now, fromLocal, "", k, before[k])
+	for _, k := range p.ledger.RecordAnswer(now, sentAt, at) {
+		p.publish(now, fromLocal, "", k, before[k])
 	}
 }
 
 // applyListing records which target starts are currently listed. It takes the registry's lock for
 // one subject at a time, because there may be thousands.
-func (b book[K]) applyListing(starts map[poison.Incarnation]bool) {
-	b.mu.Lock()
-	subjects := b.ledger.Subjects(b.Clock.Now())
-	b.mu.Unlock()
+func (p publisher[K]) applyListing(starts map[poison.Incarnation]bool) {
+	p.mu.Lock()
+	subjects := p.ledger.Subjects(p.Clock.Now())
+	p.mu.Unlock()
 	for _, k := range subjects {
-		b.mu.Lock()
-		b.change(fromLocal, "", k, func(now time.Time) bool { return b.ledger.RecordListing(now, k, starts) })
-		b.mu.Unlock()
+		p.mu.Lock()
+		p.change(fromLocal, "", k, func(now time.Time) bool { return p.ledger.RecordListing(now, k, starts) })
+		p.mu.Unlock()
 	}
 }
 
 // merge adds the notes of a peer.
-func (b book[K]) merge(s source, peer string, notes []poison.Note[K]) {
+func (p publisher[K]) merge(s source, peer string, notes []poison.Note[K]) {
 	for _, n := range notes {
-		b.change(s, peer, n.Subject, func(now time.Time) bool { return b.ledger.Merge(now, n) })
+		p.change(s, peer, n.Subject, func(now time.Time) bool { return p.ledger.Merge(now, n) })
 	}
 }
 
 // addAll makes all known subjects pending in a subscription.
-func (b book[K]) addAll(sub *subscription) {
-	for _, k := range b.ledger.Subjects(b.Clock.Now()) {
-		b.pending(sub)[k] = struct{}{}
+func (p publisher[K]) addAll(sub *subscription) {
+	for _, k := range p.ledger.Subjects(p.Clock.Now()) {
+		p.pending(sub)[k] = struct{}{}
 		sub.notify()
 	}
 }
 
 // take removes up to maxNotes pending subjects from a subscription and returns their notes.
-func (b book[K]) take(sub *subscription) (notes []poison.Note[K]) {
-	now, pending := b.Clock.Now(), b.pending(sub)
+func (p publisher[K]) take(sub *subscription) (notes []poison.Note[K]) {
+	now, pending := p.Clock.Now(), p.pending(sub)
 	for k := range pending {
 		if len(notes) == maxNotes {
 			break
 		}
 		delete(pending, k)
-		if n, ok := b.ledger.Note(now, k, sub.minFailures); ok {
+		if n, ok := p.ledger.Note(now, k, sub.minFailures); ok {
 			notes = append(notes, n)
 		}
 	}
--- a/io/process/alert/registry.go
+++ b/io/process/alert/registry.go
@@ -75,7 +75,7 @@
 func (r *Registry) RecordFailure(began time.Time, id poison.Identity, at poison.Incarnation, ran time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requestBook(r).change(fromLocal, "", id.Request, func(now time.Time) bool {
+	requestPublisher(r).change(fromLocal, "", id.Request, func(now time.Time) bool {
 		counts := r.requests.RecordFailure(now, began, id.Request, at, ran)
 		if counts {
 			r.count("strikes_total", "")
@@ -83,7 +83,7 @@
 		return counts
 	})
 	for _, p := range id.Parts {
-		partBook(r).change(fromLocal, "", p, func(now time.Time) bool { return r.parts.RecordFailure(now, began, p, at, ran) })
+		partPublisher(r).change(fromLocal, "", p, func(now time.Time) bool { return r.parts.RecordFailure(now, began, p, at, ran) })
 	}
 }
 
@@ -91,7 +91,7 @@
 func (r *Registry) RecordSuccess(k poison.Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requestBook(r).change(fromLocal, "", k, func(now time.Time) bool { return r.requests.RecordSuccess(now, k) })
+	requestPublisher(r).change(fromLocal, "", k, func(now time.Time) bool { return r.requests.RecordSuccess(now, k) })
 }
 
 // RecordSound records that a target has run a request with the given parts without a crash.
@@ -99,7 +99,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range parts {
-		partBook(r).change(fromLocal, "", p, func(now time.Time) bool { return r.parts.RecordSuccess(now, p) })
+		partPublisher(r).change(fromLocal, "", p, func(now time.Time) bool { return r.parts.RecordSuccess(now, p) })
 	}
 }
 
@@ -107,24 +107,24 @@
 func (r *Registry) RecordAnswer(sentAt time.Time, at poison.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requestBook(r).recordAnswer(sentAt, at)
-	partBook(r).recordAnswer(sentAt, at)
+	requestPublisher(r).recordAnswer(sentAt, at)
+	partPublisher(r).recordAnswer(sentAt, at)
 }
 
 // applyListing records which target starts are currently listed.
 func (r *Registry) applyListing(starts map[poison.Incarnation]bool) {
-	requestBook(r).applyListing(starts)
-	partBook(r).applyListing(starts)
+	requestPublisher(r).applyListing(starts)
+	partPublisher(r).applyListing(starts)
 }
 
 // merge adds the notes of a peer.
 func (r *Registry) merge(s source, peer string, m *alertMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requestBook(r).merge(s, peer, m.Notes)
-	partBook(r).merge(s, peer, m.PartNotes)
+	requestPublisher(r).merge(s, peer, m.Notes)
+	partPublisher(r).merge(s, peer, m.PartNotes)
 	for _, n := range m.PartNotes {
-		partBook(r).change(fromLocal, "", n.Subject, func(now time.Time) bool { return r.parts.RecallSuccess(now, n.Subject) })
+		partPublisher(r).change(fromLocal, "", n.Subject, func(now time.Time) bool { return r.parts.ApplyOwnSuccess(now, n.Subject) })
 	}
 }
 
@@ -145,8 +145,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requestBook(r).addAll(sub)
-	partBook(r).addAll(sub)
+	requestPublisher(r).addAll(sub)
+	partPublisher(r).addAll(sub)
 	if r.subscribers == nil {
 		r.subscribers = map[*subscription]struct{}{}
 	}
@@ -173,6 +173,6 @@
 func (r *Registry) takeNotes(sub *subscription) (m *alertMessage, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m = &alertMessage{Notes: requestBook(r).take(sub), PartNotes: partBook(r).take(sub)}
+	m = &alertMessage{Notes: requestPublisher(r).take(sub), PartNotes: partPublisher(r).take(sub)}
 	return m, len(sub.requests)+len(sub.parts) > 0
 }
--- a/io/request/direct/buffered.go
+++ b/io/request/direct/buffered.go
@@ -82,7 +82,7 @@
 		r.q.progress.responseErr = operr.Wrap("read answer", "", err)
 		return resend.Broken
 	}
-	r.q.progress.mayBeCut = x.endsWithConnection() && len(b) == 0
+	r.q.progress.mayBeTruncated = x.endsWithConnection() && len(b) == 0
 	if x.resp.StatusCode >= http.StatusInternalServerError && r.q.route.Repeatable() {
 		r.heldFailure, r.heldBody = x.resp, b
 		return resend.TargetFailure
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -47,9 +47,9 @@
 	// firstEventAt is when the target's first event with an ID arrived, zero before
 	// that.
 	firstEventAt time.Time
-	// mayBeCut is set if a crash of the target may have ended the response, although it looks
+	// mayBeTruncated is set if a crash of the target may have ended the response, although it looks
 	// complete.
-	mayBeCut bool
+	mayBeTruncated bool
 	// reportedSound is set once the attempt has been reported to run without a crash.
 	reportedSound bool
 	// timeToFirstEvent is the time from the arrival of the request to the first event,
@@ -113,7 +113,7 @@
 // beginAttempt resets the state for an attempt that follows the given verdict.
 func (q *request) beginAttempt(now time.Time, v place.Verdict) {
 	q.progress.verdict, q.progress.attemptStart, q.progress.status, q.progress.responseErr = v, now, 0, nil
-	q.progress.firstEventAt, q.progress.reportedSound, q.progress.mayBeCut = time.Time{}, false, false
+	q.progress.firstEventAt, q.progress.reportedSound, q.progress.mayBeTruncated = time.Time{}, false, false
 }
 
 // contextEndReason returns an error that says why the request's context ended, nil if
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -156,7 +156,7 @@
 // finishStream handles a stream that its target has ended properly. It sends the
 // response head of a stream without events.
 func (r *streamRelay) finishStream(x *exchange) resend.Outcome {
-	r.q.progress.mayBeCut = x.endsWithConnection() && r.q.progress.responseDuration(r.server.Clock.Now()) < poison.MinInnocentRun
+	r.q.progress.mayBeTruncated = x.endsWithConnection() && r.q.progress.responseDuration(r.server.Clock.Now()) < poison.MinInnocentRun
 	if !r.headSent {
 		r.caller.writeHead(x.resp, -1)
 		r.headSent = true
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -80,7 +80,7 @@
 		s.Suspects.RecordAnswer(q.progress.attemptStart, at)
 	}
 	// With an error status, the request may not have run.
-	if q.progress.status >= http.StatusBadRequest || q.progress.mayBeCut {
+	if q.progress.status >= http.StatusBadRequest || q.progress.mayBeTruncated {
 		return
 	}
 	s.reportSound(q)
--- a/io/request/direct/suspects_test.go
+++ b/io/request/direct/suspects_test.go
@@ -101,14 +101,14 @@
 	reset := &net.OpError{Op: "read", Err: syscall.ECONNRESET}
 	closed := &net.OpError{Op: "read", Err: net.ErrClosed}
 	tests := []struct {
-		name        string
-		outcome     resend.Outcome
-		err         error
-		responseErr error
-		status      int
-		duration    time.Duration
-		mayBeCut    bool
-		want        []string
+		name           string
+		outcome        resend.Outcome
+		err            error
+		responseErr    error
+		status         int
+		duration       time.Duration
+		mayBeTruncated bool
+		want           []string
 	}{
 		{"connection ends before the response", resend.Broken, io.ErrUnexpectedEOF, nil, 0, 0, false, []string{"struck i-1 after 0s"}},
 		{"connection reset", resend.Broken, errors.CombineErrors(reset, errSilent), nil, 0, 0, false, []string{"struck i-1 after 0s"}},
@@ -133,7 +133,7 @@
 			s := &Server{Clock: clock, Suspects: recorder}
 			q := &request{incoming: httptest.NewRequest(http.MethodPost, "/x", nil), call: CallerHeaders{SharedParts: []string{"a", "b"}}}
 			q.progress.status, q.progress.responseErr = tc.status, tc.responseErr
-			q.progress.mayBeCut = tc.mayBeCut
+			q.progress.mayBeTruncated = tc.mayBeTruncated
 			if tc.duration > 0 {
 				q.progress.firstEventAt = clock.Now().Add(-tc.duration)
 			}
