poison: pass on a success that clears only some failures

Cause: a note with a success counted as a change only if the number of failures one after the other changed. Of a part with several failures under way at a time that number may stay the same, and a hub then kept the success to itself, so that other entries went on refusing a harmless part. Change: any failure that a success clears is a change. The search for other causes is split.

--- a/core/request/poison/ledger.go
+++ b/core/request/poison/ledger.go
@@ -52,11 +52,11 @@
 
 // Bounds of a ledger. maxOnce and maxRepeated are the most subjects with one failure and
 // with more, and maxStarts the most target starts in it; beyond them the ones renewed
-// longest ago are forgotten. maxFailures
-// is the most failures kept of one subject; beyond it the oldest is dropped, and a
-// Note with more is invalid. A record expires recordMaxAge after the last failure,
-// success or repeat of its subject. The subjects that failed at a target start are only
-// of interest for maxAnswerTime, as long as an answer may last.
+// longest ago are forgotten. maxFailures is the most failures kept of one subject; beyond
+// it the least informative one is dropped, and a Note with more is invalid. A record
+// expires recordMaxAge after the last failure, success or repeat of its subject. The
+// subjects that failed at a target start are only of interest for maxAnswerTime, as long
+// as an answer may last.
 const (
 	maxOnce     = 3072
 	maxRepeated = 1024
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -80,7 +80,7 @@
 }
 
 // mergeSuccess adds a successful completion, and reports whether it clears the
-// subject of failures or is the first one. It does not report a mere change of the
+// subject of any failures or is the first one. It does not report a mere change of the
 // time: when several processes report the same completion, each seems a little later
 // than the one before.
 func (r *record) mergeSuccess(now time.Time, succeeded bool, age time.Duration) bool {
@@ -89,10 +89,9 @@
 		return false
 	}
 	first := r.lastSuccess.IsZero()
-	before, _ := r.suspectedCrashes()
+	before := len(r.unexplainedFailures())
 	r.lastSuccess = at
-	after, _ := r.suspectedCrashes()
-	return first || before != after
+	return first || len(r.unexplainedFailures()) != before
 }
 
 // mergeFailure adds a failure, or the news that the target of a known failure
--- a/core/request/poison/partcause.go
+++ b/core/request/poison/partcause.go
@@ -16,16 +16,11 @@
 func (l *PartLedger) othersMayBeCause(now time.Time, r *record, parts []PartID) bool {
 	failures := r.unexplainedFailures()
 	for range maxOtherCauses {
-		likeliest, explained := PartID(""), 0
-		for other, n := range l.countOthers(now, failures, parts) {
-			if n > explained || n == explained && other < likeliest {
-				likeliest, explained = other, n
-			}
-		}
-		if explained == 0 {
+		other, ok := mostFrequent(l.countOthers(now, failures, parts))
+		if !ok {
 			return false
 		}
-		failures = slices.DeleteFunc(failures, func(f failure) bool { return l.mayHaveCaused(now, likeliest, f) })
+		failures = slices.DeleteFunc(failures, func(f failure) bool { return l.mayHaveCaused(now, other, f) })
 		if len(failures) == 0 {
 			return true
 		}
@@ -33,6 +28,17 @@
 	return false
 }
 
+// mostFrequent returns the part with the highest count, the first one by ID if several have it.
+func mostFrequent(counts map[PartID]int) (part PartID, ok bool) {
+	most := 0
+	for p, n := range counts {
+		if n > most || n == most && p < part {
+			part, most = p, n
+		}
+	}
+	return part, most > 0
+}
+
 // countOthers returns how many of the failures each part may have caused that is not among the
 // given ones.
 func (l *PartLedger) countOthers(now time.Time, failures []failure, parts []PartID) map[PartID]int {
--- a/core/request/poison/parts_test.go
+++ b/core/request/poison/parts_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// Guards against a harmless part that stays blocked at some entries, because a hub doesn't pass on
+// a success that clears only some of the failures that it knows.
+func TestSuccessThatClearsSomeFailuresIsAChange(t *testing.T) {
+	var hub, entry PartLedger
+	for i := range 4 {
+		at := epoch.Add(time.Duration(i) * time.Second)
+		for _, l := range []*PartLedger{&hub, &entry} {
+			l.RecordFailure(at, epoch.Add(-time.Second), "a", newStart(fmt.Sprint(i)), 0)
+		}
+		if i == 2 {
+			entry.RecordSuccess(at.Add(time.Millisecond), "a")
+		}
+	}
+	n, _ := entry.Note(epoch.Add(4*time.Second), "a", 1)
+	earlier := n
+	earlier.SuccessAge = time.Hour
+	hub.Merge(epoch.Add(4*time.Second), earlier)
+	if !hub.Merge(epoch.Add(4*time.Second), n) {
+		t.Error("the success is not a change")
+	}
+}
+
 // Guards against a fatal part that is accepted too early, because its requests were all under way
 // when the first one broke off.
 func TestPartIsBlockedFromItsLastFailure(t *testing.T) {
