--- a/core/request/poison/partmodel_test.go
+++ b/core/request/poison/partmodel_test.go
@@ -283,8 +283,7 @@
 // maxLateRequests is the number of fatal requests for each part that may be sent late.
 const maxLateRequests = 3
 
-// Guards against fatal requests that reach targets after their part must be known, and against
-// refusals of harmless ones that have all but that part.
+// Guards against fatal parts that go on reaching targets, and refusals of what they come with.
 func TestFatalPartIsBlockedAlone(t *testing.T) {
 	base := partWorkload{
 		targets: 20, entries: 3, rate: 60, fatalRate: 4, maxWait: 500 * time.Millisecond, fatalParts: []PartID{"fatal"},
@@ -358,8 +357,7 @@
 	}
 }
 
-// Guards against parts that stay blocked although no target crashes any more: while one that is in
-// all requests is refused, none can show that it is harmless.
+// Guards against parts that stay blocked although no target crashes any more.
 func TestPartsAreAcceptedAfterOutage(t *testing.T) {
 	c := partWorkload{
 		targets: 20, entries: 3, rate: 60, maxWait: 100 * time.Millisecond, common: "c", commonShare: 1,
--- a/core/request/poison/parts_test.go
+++ b/core/request/poison/parts_test.go
@@ -19,8 +19,7 @@
 	sentBefore time.Duration
 }
 
-// Guards against requests with a part that crashes targets being let through, and against
-// refusals of requests that have other parts only.
+// Guards against fatal parts that are let through, and harmless ones that are refused.
 func TestBlockedParts(t *testing.T) {
 	ab, ac := []PartID{"a", "b"}, []PartID{"a", "c"}
 	fail := func(n int, parts ...PartID) []partEvent {
@@ -82,8 +81,7 @@
 	}
 }
 
-// Guards against a part that all callers use being refused for long after targets crashed for
-// another reason.
+// Guards against a part of all callers that is refused for long after crashes of another cause.
 func TestSoundPartIsAcceptedSoon(t *testing.T) {
 	var l PartLedger
 	l.RecordSuccess(epoch.Add(-time.Second), "a")
@@ -100,8 +98,7 @@
 	}
 }
 
-// Guards against a harmless part that stays blocked at some entries, because a hub doesn't pass on
-// a success that clears only some of the failures that it knows.
+// Guards against a harmless part that stays blocked, because a hub keeps a success to itself.
 func TestSuccessThatClearsSomeFailuresIsAChange(t *testing.T) {
 	var hub, entry PartLedger
 	for i := range 4 {
@@ -122,8 +119,7 @@
 	}
 }
 
-// Guards against a fatal part that is accepted too early, because its requests were all under way
-// when the first one broke off.
+// Guards against a fatal part that is accepted too early, since its requests overlapped.
 func TestPartIsBlockedFromItsLastFailure(t *testing.T) {
 	var l PartLedger
 	var last time.Time
@@ -137,8 +133,7 @@
 	}
 }
 
-// Guards against a fatal part that is never blocked, because requests with it come so fast that
-// the record is full of failures of the same moments.
+// Guards against a fatal part that is never blocked, since its record is full of one moment.
 func TestFullRecordKeepsDistinctMoments(t *testing.T) {
 	var l PartLedger
 	for i := range maxCrashMoments {
@@ -152,8 +147,7 @@
 	}
 }
 
-// Guards against memory that grows with the number of parts, when no two prompts are alike, and
-// against a fatal part that is forgotten because of that where nobody asks for it.
+// Guards against memory that grows with different prompts, and a fatal part lost among them.
 func TestPartLedgerIsBounded(t *testing.T) {
 	var l PartLedger
 	for i := range blockThreshold {
--- a/io/process/alert/alert_test.go
+++ b/io/process/alert/alert_test.go
@@ -194,8 +194,7 @@
 	}
 }
 
-// A part of prompts crashes one target through each of three entries. All entries must then
-// refuse requests with it, also one that starts later, and none with other parts only.
+// Guards against entries that don't know of a fatal part, and refuse what came with it.
 func TestEntriesShareParts(t *testing.T) {
 	hub, _ := serveHub(t, "127.0.0.1:0", newRegistry().Handler())
 	registries := []*Registry{newRegistry(), newRegistry(), newRegistry()}
