place, direct, platform: record and log what targets say of themselves in responses

Change: Server-Leaving of any response, and Retry-After of a 503, are decoded and recorded for the run of the target that said it, logged once (targetLeaving, targetResting), counted, and shown in config/state. Nothing is decided by them yet.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -50,6 +50,10 @@
 	AttemptEnds    []AttemptEndCount `json:"ends,omitempty"`
 	// RateLimited counts the targets that have named a limit on their requests.
 	RateLimited int `json:"rateLimited,omitempty"`
+	// SaidLeaving counts the targets that have said in a response that they are about
+	// to stop, and Resting those that have asked this process for a rest.
+	SaidLeaving int `json:"saidLeaving,omitempty"`
+	Resting     int `json:"resting,omitempty"`
 }
 
 // AttemptEndCount counts, for one cause and since the process started, the
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -20,11 +20,13 @@
 	AreaMember    Area = "member"
 )
 
-// The actions of the records of an entry, or of the side that it has told, about the limits
-// that targets name on their requests.
+// The actions of the records about what targets say of themselves in their responses. An
+// entry writes them; those about limits are also written by the side that it has told.
 const (
 	ActionRateLimitNamed  = "rateLimitNamed"
 	ActionRateLimitLifted = "rateLimitLifted"
+	ActionTargetLeaving   = "targetLeaving"
+	ActionTargetResting   = "targetResting"
 )
 
 // Exclusion is a candidate that was not chosen, and the reason.
@@ -80,6 +82,8 @@
 	MinVersion uint64 `json:"demanded,omitempty"`
 	// RateLimit is the limit that a target names, in requests a second.
 	RateLimit float64 `json:"rateLimit,omitempty"`
+	// RetryAfterMS is for how long a target wants no requests from the process.
+	RetryAfterMS int64 `json:"retryAfterMs,omitempty"`
 	// Attempts is how often the request was sent. It is omitted for 1.
 	Attempts int `json:"attempts,omitempty"`
 	// LastEvent is the last event of the stream that the caller had received when
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -162,6 +162,7 @@
 
 	services map[string]*service
 	targets  map[string]*target
+	notices  notices
 	active   map[string]*activeRequest
 	// roundTrips holds the measured round trip to the targets of each zone.
 	roundTrips map[string]time.Duration
@@ -219,11 +220,13 @@
 			state = &target{distance: p.distance(t.Zone)}
 		}
 		state.update(now, t, s.warmup)
+		state.notice = p.notices.ofRun(t)
 		state.region = p.Regions[t.Zone]
 		state.extraRoundTrip = p.extraRoundTripTo(t.Zone)
 		p.targets[t.ID] = state
 		s.all = append(s.all, state)
 	}
+	p.notices.prune(now, p.targets)
 	for _, s := range p.services {
 		p.selectSubset(s)
 	}
@@ -358,6 +361,7 @@
 	}
 	p.services = map[string]*service{}
 	p.targets = map[string]*target{}
+	p.notices = notices{}
 	p.active = map[string]*activeRequest{}
 }
 
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -64,17 +64,6 @@
 	return true
 }
 
-// RateLimited counts the targets that have named a limit.
-func (p *Placer) RateLimited() int {
-	n := 0
-	for _, t := range p.targets {
-		if t.rate.limit.Limited {
-			n++
-		}
-	}
-	return n
-}
-
 // permitsComeTooLate reports whether a new request cannot be served in time since all targets
 // that may run it have named a limit: none of them has a permit soon enough, or what this
 // entry may send them goes to the requests that wait already.
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -38,7 +38,7 @@
 			t.Errorf("%s: changed (-want +got):\n%s", tc.name, diff)
 		}
 	}
-	if diff := cmp.Diff(1, p.RateLimited()); diff != "" {
+	if diff := cmp.Diff(1, p.NoticeCounts(start).RateLimited); diff != "" {
 		t.Errorf("limited targets (-want +got):\n%s", diff)
 	}
 }
@@ -122,7 +122,7 @@
 			for _, step := range tc.steps {
 				step(p)
 			}
-			if diff := cmp.Diff(tc.want, p.RateLimited()); diff != "" {
+			if diff := cmp.Diff(tc.want, p.NoticeCounts(start).RateLimited); diff != "" {
 				t.Errorf("limited targets (-want +got):\n%s", diff)
 			}
 		})
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -93,6 +93,8 @@
 	cold    coldState
 	rate    rateState
 	permits permitState
+	// notice is what this run of the target has said of itself.
+	notice *noticeState
 
 	failures    int
 	pausedUntil time.Time
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -91,7 +91,7 @@
 		component{"sides to listen to", func(ctx context.Context) error { return reports.watchTargets(ctx, p.feed) }},
 	)
 	p.ready, p.drain, p.served, p.ends = server.Ready, server.Drain, server.Served, server.AttemptEnds
-	p.rateLimited, p.entries = server.RateLimited, server.Entries
+	p.notices, p.entries = server.NoticeCounts, server.Entries
 	peers, api, err := e.listeners()
 	if err != nil {
 		return err
--- a/io/process/hosted/gauges.go
+++ b/io/process/hosted/gauges.go
@@ -34,7 +34,10 @@
 		scope.Gauge("age_seconds").Update(age.Seconds())
 	}
 	scope.Gauge("entries").Update(float64(p.entries()))
-	scope.Gauge("rate_limited_targets").Update(float64(p.rateLimited()))
+	notices := p.notices()
+	scope.Gauge("rate_limited_targets").Update(float64(notices.RateLimited))
+	scope.Gauge("said_leaving_targets").Update(float64(notices.Leaving))
+	scope.Gauge("resting_targets").Update(float64(notices.Resting))
 	known := p.feed.Current()
 	scope.Gauge("revision").Update(float64(known.Revision))
 	if known.Table != nil {
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -100,10 +100,10 @@
 	served func() []place.TargetVersion
 	// ends counts the attempts and answers that this process ended itself.
 	ends func() []trail.AttemptEndCount
-	// rateLimited counts the targets that have named a limit on their requests, and entries
-	// the entries that this process has heard of.
-	rateLimited func() int
-	entries     func() int
+	// notices counts the targets by what they say of themselves, and entries the entries
+	// that this process has heard of.
+	notices func() place.NoticeCounts
+	entries func() int
 }
 
 func newProcess(s Settings, platform Platform, out io.Writer) (*process, error) {
@@ -113,11 +113,11 @@
 	}
 	p := &process{
 		settings: s, latest: s, readSettings: platform.ReloadSettings, clock: clockwork.NewRealClock(),
-		ready:       func() error { return nil },
-		served:      func() []place.TargetVersion { return nil },
-		ends:        func() []trail.AttemptEndCount { return nil },
-		rateLimited: func() int { return 0 },
-		entries:     func() int { return 0 },
+		ready:   func() error { return nil },
+		served:  func() []place.TargetVersion { return nil },
+		ends:    func() []trail.AttemptEndCount { return nil },
+		notices: func() place.NoticeCounts { return place.NoticeCounts{} },
+		entries: func() int { return 0 },
 	}
 	p.started = p.clock.Now()
 	p.self = &link.Self{VM: s.VM, Boot: uuid.NewString()}
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -30,7 +30,11 @@
 
 func (p *process) stateDecision() trail.Decision {
 	known := p.feed.Current()
-	s := &trail.State{Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends(), RateLimited: p.rateLimited()}
+	notices := p.notices()
+	s := &trail.State{
+		Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends(),
+		RateLimited: notices.RateLimited, SaidLeaving: notices.Leaving, Resting: notices.Resting,
+	}
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
 	}
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -153,8 +153,9 @@
 	}
 	reply := s.HeaderCodec.ReadReply(x.resp.StatusCode, x.resp.Header)
 	s.recordRateLimit(x, reply)
+	s.recordNotice(q, x, reply)
 	if reply.NotRun {
-		return resend.NotRun, errors.Newf("status %d", x.resp.StatusCode)
+		return resend.NotRun, notRunReason(x.resp.StatusCode, reply.Rest)
 	}
 	if reply.RequestID != "" && reply.RequestID != q.call.ID {
 		return resend.MismatchedReply, errors.Newf("response is for request %q", reply.RequestID)
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -111,13 +111,23 @@
 	return out
 }
 
-// rateLimited counts the targets that have named a limit.
-func (d *dispatcher) rateLimited() (n int) {
+// noticeCounts counts the targets by what they say of themselves.
+func (d *dispatcher) noticeCounts() (c place.NoticeCounts) {
 	d.Do(func() []place.Verdict {
-		n = d.placer.RateLimited()
+		c = d.placer.NoticeCounts(d.clock.Now())
 		return nil
 	})
-	return n
+	return c
+}
+
+// recordNotice tells the placer what a target says of itself in the response to a request
+// that was sent at the given time, and returns the part of it that is new.
+func (d *dispatcher) recordNotice(t facts.Target, said place.Notice, sentAt time.Time) (news place.Notice) {
+	d.Do(func() []place.Verdict {
+		news = d.placer.RecordNotice(d.clock.Now(), t, said, sentAt)
+		return nil
+	})
+	return news
 }
 
 // update hands new facts to the placer.
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -39,9 +39,9 @@
 type exchange struct {
 	conn net.Conn
 	resp *http.Response
-	// targetID is the ID of the target, and openedAt when the connection was open, before
-	// the request was sent.
-	targetID string
+	// target is the target as it was listed, and openedAt when the connection was open,
+	// before the request was sent.
+	target   facts.Target
 	openedAt time.Time
 	// stopAfterFunc stops the function that closes conn when the context ends.
 	stopAfterFunc func() bool
@@ -118,7 +118,7 @@
 	}
 	opened := c.clock.Now()
 	c.dialTimes.record(t.Zone, opened.Sub(began))
-	x := &exchange{conn: conn, targetID: t.ID, openedAt: opened, closed: make(chan struct{})}
+	x := &exchange{conn: conn, target: t, openedAt: opened, closed: make(chan struct{})}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
 }
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -60,6 +60,11 @@
 	// RequestID is the ID of the request that was answered, empty if the headers do not
 	// say.
 	RequestID string
+	// Leaving is set if the target says that it is about to stop.
+	Leaving bool
+	// Rest is for how long the target wants no requests from this entry, 0 if it does not
+	// say.
+	Rest time.Duration
 	// RateLimit is the limit that the target names.
 	RateLimit lease.RateLimit
 }
--- a/io/request/direct/metrics.go
+++ b/io/request/direct/metrics.go
@@ -111,6 +111,11 @@
 	m.count(counterKey{name: "broken_off_total", reason: string(c), status: noStatus})
 }
 
+// countNotice counts what targets say of themselves, by the action of their log lines.
+func (m requestMetrics) countNotice(action string) {
+	m.count(counterKey{name: "target_notices_total", reason: action, status: noStatus})
+}
+
 // countRateLimitChange counts the changes of the limits that targets name, by the action of
 // their log lines.
 func (m requestMetrics) countRateLimitChange(action string) {
--- a/io/request/direct/ratelimit.go
+++ b/io/request/direct/ratelimit.go
@@ -2,12 +2,6 @@
 
 import "hawthornferry/core/process/trail"
 
-// RateLimited counts the targets that have named a limit on their requests.
-func (s *Server) RateLimited() int {
-	s.init()
-	return s.dispatcher.rateLimited()
-}
-
 // recordRateLimit tells the placer which limit the head of a response names, and logs a
 // change. Only a signed response lifts a limit: others may come from something in between.
 func (s *Server) recordRateLimit(x *exchange, reply ReplyHeaders) {
@@ -15,10 +9,10 @@
 	if !limit.Limited && !reply.Signed {
 		return
 	}
-	if !s.dispatcher.recordRateLimit(x.targetID, limit, x.openedAt) {
+	if !s.dispatcher.recordRateLimit(x.target.ID, limit, x.openedAt) {
 		return
 	}
-	d := trail.Decision{Area: trail.AreaAdmission, Action: trail.ActionRateLimitNamed, Choice: x.targetID, RateLimit: limit.PerSecond}
+	d := trail.Decision{Area: trail.AreaAdmission, Action: trail.ActionRateLimitNamed, Choice: x.target.ID, RateLimit: limit.PerSecond}
 	if !limit.Limited {
 		d.Action = trail.ActionRateLimitLifted
 	}
