place, direct: send nothing to a target that says in its responses that it leaves

Callers saw: answers, as the target went on answering for a while; had it ended, a closed connection for each of these requests, and a failure where it may run once only. Cause: the list of the platform's store was the only source of a target's leaving. Change: what a target has said excludes it wherever a target is chosen (new, waiting, resumed and moved requests), and is looked at again once the connection is open. Why it works: an entry sends nothing by any other way, and a run that leaves doesn't take its word back.

--- a/core/request/place/candidates.go
+++ b/core/request/place/candidates.go
@@ -32,7 +32,7 @@
 		return excludedRegion
 	case t.Evacuated:
 		return excludedEvacuated
-	case t.Leaving:
+	case t.isLeaving():
 		return excludedLeaving
 	case now.Before(t.pausedUntil):
 		return excludedPaused
--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -109,6 +109,13 @@
 	return n.record(now, said, sentAt)
 }
 
+// TakesRequests reports whether a target that was chosen for a request has not said in the
+// meantime that it takes none.
+func (p *Placer) TakesRequests(t facts.Target) bool {
+	n := p.notices[t.ID]
+	return n == nil || !n.startedAt.Equal(t.StartedAt) || !n.leaving
+}
+
 // NoticeCounts counts the listed targets by what they say of themselves.
 type NoticeCounts struct {
 	// RateLimited counts those that have named a limit.
--- /dev/null
+++ b/core/request/place/notice_test.go
@@ -0,0 +1,149 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/lease"
+)
+
+// noticeFacts returns the facts of a service with the targets "a" and "b", of which "b" has
+// started at the given time.
+func noticeFacts(engine bool, startedAt time.Time) *facts.Facts {
+	e := usualEngine
+	if !engine {
+		e = nil
+	}
+	f := testFacts(e, 2, "a", "b")
+	f.Targets[1].StartedAt = startedAt
+	return f
+}
+
+// Guards against any way by which a request gets to a target that has said that it leaves.
+func TestNoWayLeadsToTargetThatLeaves(t *testing.T) {
+	resumed := testRequest("resumed")
+	resumed.Resumed, resumed.FailedTargets = true, []string{"a"}
+	tests := []struct {
+		name string
+		try  func(p *Placer, b facts.Target) []Verdict
+	}{
+		{"a new request", func(p *Placer, _ facts.Target) []Verdict { return p.Offer(start, testRequest("new")) }},
+		{"a request that waits", func(p *Placer, _ facts.Target) []Verdict { return p.Tick(start.Add(time.Millisecond)) }},
+		{"a request that ends there", func(p *Placer, _ facts.Target) []Verdict { return p.RequestEnded(start, "at b", ResultDone) }},
+		{"a report", func(p *Placer, b facts.Target) []Verdict {
+			return p.Report(start, b.ID, LoadReport{Alive: true, ServedVersion: 1})
+		}},
+		{"a permit", func(p *Placer, b facts.Target) []Verdict {
+			return p.AddPermits(start, b.ID, lease.Grant{N: 1, Expires: start.Add(time.Second)})
+		}},
+		{"a stream that is resumed", func(p *Placer, _ facts.Target) []Verdict { return p.Offer(start, resumed) }},
+		{"a stream whose target is silent", func(p *Placer, _ facts.Target) []Verdict {
+			v, _ := p.Reassign(start, resumed)
+			return []Verdict{v}
+		}},
+		{"a stream whose target loads", func(p *Placer, _ facts.Target) []Verdict {
+			v, _ := p.Relocate(start, resumed, time.Second)
+			return []Verdict{v}
+		}},
+		{"the list again", func(p *Placer, _ facts.Target) []Verdict { return p.Update(start, noticeFacts(true, start)) }},
+		{"its entry lapses and comes back", func(p *Placer, _ facts.Target) []Verdict {
+			p.Update(start, testFacts(usualEngine, 2, "a"))
+			return p.Update(start.Add(time.Millisecond), noticeFacts(true, start))
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := noticeFacts(true, start)
+			p := testPlacer(f)
+			fillTarget(p, "a", 2)
+			at := testRequest("at b")
+			at.FailedTargets = []string{"a"}
+			p.Offer(start, at)
+			p.RecordNotice(start, f.Targets[1], Notice{Leaving: true}, start)
+			p.Offer(start, testRequest("waits"))
+			for _, v := range tc.try(p, f.Targets[1]) {
+				if v.Target.ID == "b" {
+					t.Errorf("%s was placed at the target that leaves", v.ID)
+				}
+			}
+			if p.HasRoomElsewhere(start, "svc", "a", resumed.Regions) {
+				t.Error("the target that leaves counts as one that has room")
+			}
+			if p.TakesRequests(f.Targets[1]) {
+				t.Error("a request that was assigned before may still be sent")
+			}
+		})
+	}
+}
+
+// fillTarget offers requests until the target with the given ID has n of them.
+func fillTarget(p *Placer, id string, n int) {
+	for i := range n {
+		w := testRequest("fill" + id + string(rune('0'+i)))
+		for other := range p.targets {
+			if other != id {
+				w.FailedTargets = append(w.FailedTargets, other)
+			}
+		}
+		p.Offer(start, w)
+	}
+}
+
+// Guards against a word that outlasts the run of the target that said it, or is taken from
+// another run.
+func TestNoticeBelongsToOneRun(t *testing.T) {
+	later := start.Add(time.Minute)
+	tests := []struct {
+		name string
+		// listed are the starts of the target by the list, one after the other; the zero
+		// time stands for a list without it. It says that it leaves in the run of saidBy
+		// after the first one.
+		listed []time.Time
+		saidBy time.Time
+		want   bool
+	}{
+		{"the same run", []time.Time{start, start}, start, true},
+		{"the next run", []time.Time{start, later}, start, false},
+		{"by the former run, after the start of the next", []time.Time{later, later}, start, false},
+		{"the entry lapses", []time.Time{start, {}, start}, start, true},
+		{"the entry lapses, and another run comes", []time.Time{start, {}, later}, start, false},
+		{"said while its entry has lapsed", []time.Time{{}, start}, start, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := testPlacer(testFacts(nil, 2, "a"))
+			for i, startedAt := range tc.listed {
+				f := testFacts(nil, 2, "a")
+				if !startedAt.IsZero() {
+					f = noticeFacts(false, startedAt)
+				}
+				p.Update(start.Add(time.Duration(i)*time.Second), f)
+				if i == 0 {
+					said := noticeFacts(false, tc.saidBy).Targets[1]
+					p.RecordNotice(start, said, Notice{Leaving: true}, start)
+				}
+			}
+			if diff := cmp.Diff(tc.want, p.targets["b"].isLeaving()); diff != "" {
+				t.Errorf("leaving (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against records of targets that have ended which grow without bound.
+func TestNoticesOfEndedTargetsAreDropped(t *testing.T) {
+	p := testPlacer(testFacts(nil, 2, "a"))
+	p.RecordNotice(start, noticeFacts(false, start).Targets[1], Notice{Leaving: true}, start)
+	for _, tc := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 2}, {noticeRetention, 2}, {noticeRetention + time.Second, 1}} {
+		p.Update(start.Add(tc.after), testFacts(nil, 2, "a"))
+		if diff := cmp.Diff(tc.want, len(p.notices)); diff != "" {
+			t.Errorf("records after %s (-want +got):\n%s", tc.after, diff)
+		}
+	}
+}
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -140,7 +140,7 @@
 
 // mayServe reports whether a target may run the request now or once it has room.
 func (s *service) mayServe(now time.Time, t *target, w *Request) bool {
-	if !w.Regions.Allows(t.region) || t.Evacuated || t.Leaving || slices.Contains(w.FailedTargets, t.ID) {
+	if !w.Regions.Allows(t.region) || t.Evacuated || t.isLeaving() || slices.Contains(w.FailedTargets, t.ID) {
 		return false
 	}
 	if s.engine == nil {
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -42,9 +42,10 @@
 }
 
 // placeResultOf returns what the end of an attempt says about its target. An attempt
-// that was moved because its target waits to load does not count as a failure.
+// that was moved because its target waits to load, or was not sent because of what the
+// target says of itself, does not count as a failure.
 func placeResultOf(o resend.Outcome, err error) place.Result {
-	if errors.Is(err, errLoading) {
+	if errors.IsAny(err, errLoading, errTakesNone) {
 		return place.ResultCallerGone
 	}
 	return placeResults[o]
@@ -122,7 +123,7 @@
 		return resend.Unreached, err
 	}
 	defer x.close()
-	if err := s.checkPermit(v); err != nil {
+	if err := s.checkPlacement(v); err != nil {
 		return resend.Unreached, err
 	}
 	q.tries.Sent()
@@ -134,14 +135,20 @@
 	return out.readResponse(ctx, x, wd)
 }
 
-// errPermitExpired is why a request is not sent to the target to which it was assigned.
-var errPermitExpired = errors.New("permit for the target expired before the request was sent")
+// The reasons why a request is not sent to the target to which it was assigned.
+var (
+	errPermitExpired = errors.New("permit for the target expired before the request was sent")
+	errTakesNone     = errors.New("target said before the request was sent that it takes none")
+)
 
-// checkPermit returns an error if the request may no longer be sent to its target.
-func (s *Server) checkPermit(v place.Verdict) error {
+// checkPlacement returns an error if the request may no longer be sent to its target.
+func (s *Server) checkPlacement(v place.Verdict) error {
 	if !v.SendBy.IsZero() && s.Clock.Now().After(v.SendBy) {
 		return errPermitExpired
 	}
+	if !s.dispatcher.takesRequests(v.Target) {
+		return errTakesNone
+	}
 	return nil
 }
 
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -144,6 +144,15 @@
 	})
 }
 
+// takesRequests reports whether a target that was chosen for a request still takes it.
+func (d *dispatcher) takesRequests(t facts.Target) (ok bool) {
+	d.Do(func() []place.Verdict {
+		ok = d.placer.TakesRequests(t)
+		return nil
+	})
+	return ok
+}
+
 // report hands a target's report of its own load to the placer.
 func (d *dispatcher) report(target string, r place.LoadReport) {
 	d.Do(func() []place.Verdict { return d.placer.Report(d.clock.Now(), target, r) })
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return succ.fail(resend.Unreached, err)
 	}
-	if err := s.checkPermit(v); err != nil {
+	if err := s.checkPlacement(v); err != nil {
 		x.close()
 		return succ.fail(resend.Unreached, err)
 	}
