place: send nothing to a target that rests after a rejection with Retry-After

Callers saw: 503 where two engines in a row had turned a request away, or the retry budget was used up by such repeats; else an answer some milliseconds later. Cause: Retry-After of a target was not read. Its rejection paused it for 60 ms, after which it looked idle, as it had turned all away, and was the first choice again. Change: a target that rests is excluded wherever a target is chosen, and looked at again once the connection is open. A rest ends at its latest end, or with the run of the target; one asked for by a new run that the list doesn't show yet holds on. A caller is refused at once (targetsResting) where all targets rest for longer than its request can wait, and told to come back when the first one has rested. Why it works: as for a target that leaves, there is no other way to send a request; what is under way when the rest begins arrives within the half second that the rule leaves. TestNoWayLeadsToTargetThatTakesNone, TestRequestsWaitForShortRestsOnly, TestQueueIsRefusedOnceAllTargetsRest fail without the change.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -24,6 +24,8 @@
 	OtherRegion int `json:"otherRegion,omitempty"`
 	Evacuated   int `json:"evacuated,omitempty"`
 	Leaving     int `json:"leaving,omitempty"`
+	// Resting counts targets that have asked this entry for a rest.
+	Resting int `json:"resting,omitempty"`
 	// Paused counts targets that get no requests for a while because they failed
 	// recently, FailedThisRequest those that already failed this request.
 	Paused            int `json:"paused,omitempty"`
--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -32,7 +32,10 @@
 }
 
 // resting reports whether the target wants no requests from this entry now.
-func (n *noticeState) resting(now time.Time) bool { return now.Before(n.restUntil) }
+func (n *noticeState) resting(now time.Time) bool { return n.restLeft(now) > 0 }
+
+// restLeft returns for how long the target wants no requests from this entry.
+func (n *noticeState) restLeft(now time.Time) time.Duration { return max(0, n.restUntil.Sub(now)) }
 
 // record adds a notice from the response to a request that was sent at the given time, and
 // returns the part of it that the target had not said before.
@@ -111,9 +114,9 @@
 
 // TakesRequests reports whether a target that was chosen for a request has not said in the
 // meantime that it takes none.
-func (p *Placer) TakesRequests(t facts.Target) bool {
+func (p *Placer) TakesRequests(now time.Time, t facts.Target) bool {
 	n := p.notices[t.ID]
-	return n == nil || !n.startedAt.Equal(t.StartedAt) || !n.leaving
+	return n == nil || !n.startedAt.Equal(t.StartedAt) || !n.leaving && !n.resting(now)
 }
 
 // NoticeCounts counts the listed targets by what they say of themselves.
--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,8 +23,8 @@
 	return f
 }
 
-// Guards against any way by which a request gets to a target that has said that it leaves.
-func TestNoWayLeadsToTargetThatLeaves(t *testing.T) {
+// Guards against any way by which a request gets to a target that has said that it takes none.
+func TestNoWayLeadsToTargetThatTakesNone(t *testing.T) {
 	resumed := testRequest("resumed")
 	resumed.Resumed, resumed.FailedTargets = true, []string{"a"}
 	tests := []struct {
@@ -54,28 +55,30 @@
 			return p.Update(start.Add(time.Millisecond), noticeFacts(true, start))
 		}},
 	}
-	for _, tc := range tests {
-		t.Run(tc.name, func(t *testing.T) {
-			f := noticeFacts(true, start)
-			p := testPlacer(f)
-			fillTarget(p, "a", 2)
-			at := testRequest("at b")
-			at.FailedTargets = []string{"a"}
-			p.Offer(start, at)
-			p.RecordNotice(start, f.Targets[1], Notice{Leaving: true}, start)
-			p.Offer(start, testRequest("waits"))
-			for _, v := range tc.try(p, f.Targets[1]) {
-				if v.Target.ID == "b" {
-					t.Errorf("%s was placed at the target that leaves", v.ID)
+	for _, said := range []Notice{{Leaving: true}, {Rest: time.Minute}} {
+		for _, tc := range tests {
+			t.Run(fmt.Sprintf("%s, %+v", tc.name, said), func(t *testing.T) {
+				f := noticeFacts(true, start)
+				p := testPlacer(f)
+				fillTarget(p, "a", 2)
+				at := testRequest("at b")
+				at.FailedTargets = []string{"a"}
+				p.Offer(start, at)
+				p.RecordNotice(start, f.Targets[1], said, start)
+				p.Offer(start, testRequest("waits"))
+				for _, v := range tc.try(p, f.Targets[1]) {
+					if v.Target.ID == "b" {
+						t.Errorf("%s was placed at the target that takes none", v.ID)
+					}
 				}
-			}
-			if p.HasRoomElsewhere(start, "svc", "a", resumed.Regions) {
-				t.Error("the target that leaves counts as one that has room")
-			}
-			if p.TakesRequests(f.Targets[1]) {
-				t.Error("a request that was assigned before may still be sent")
-			}
-		})
+				if p.HasRoomElsewhere(start, "svc", "a", resumed.Regions) {
+					t.Error("the target that takes none counts as one that has room")
+				}
+				if p.TakesRequests(start, f.Targets[1]) {
+					t.Error("a request that was assigned before may still be sent")
+				}
+			})
+		}
 	}
 }
 
@@ -147,3 +150,105 @@
 		}
 	}
 }
+
+// Guards against a rest that is cut short by a later, shorter one, or outlasts the longest.
+func TestRestLastsUntilTheLatestEnd(t *testing.T) {
+	f := testFacts(nil, 2, "a")
+	p := testPlacer(f)
+	p.RecordNotice(start, f.Targets[0], Notice{Rest: 3 * time.Second}, start)
+	p.RecordNotice(start.Add(time.Second), f.Targets[0], Notice{Rest: time.Second}, start)
+	var got []time.Duration
+	for _, after := range []time.Duration{0, 2500 * time.Millisecond, 3 * time.Second} {
+		if !p.TakesRequests(start.Add(after), f.Targets[0]) {
+			got = append(got, after)
+		}
+	}
+	if diff := cmp.Diff([]time.Duration{0, 2500 * time.Millisecond}, got); diff != "" {
+		t.Errorf("resting (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a rest that is forgotten since the list shows late that the target has started
+// anew, and against one that the former run had asked for.
+func TestRestOfNextRunIsKept(t *testing.T) {
+	later := start.Add(time.Second)
+	for _, tc := range []struct {
+		name   string
+		sentAt time.Time
+		want   bool
+	}{{"sent to the former run", start, false}, {"sent after the start of the next", later, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := noticeFacts(false, start)
+			p := testPlacer(f)
+			p.RecordNotice(later, f.Targets[1], Notice{Rest: time.Minute}, tc.sentAt)
+			p.Update(later, noticeFacts(false, later))
+			if diff := cmp.Diff(tc.want, p.targets["b"].notice.resting(later)); diff != "" {
+				t.Errorf("resting (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait for targets which rest for longer than they can wait, or are
+// refused although one of them has rested in time.
+func TestRequestsWaitForShortRestsOnly(t *testing.T) {
+	const short, long = 100 * time.Millisecond, 3 * time.Second
+	limit := lease.RateLimit{Limited: true, PerSecond: 0.2}
+	tests := []struct {
+		name    string
+		engine  bool
+		rests   map[string]time.Duration
+		limited string
+		want    []string
+		// retryAfter is that of a refused request.
+		retryAfter time.Duration
+	}{
+		{"plain, both for long", false, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsResting"}, maxRetryAfter},
+		{"plain, one for a moment", false, map[string]time.Duration{"a": short, "b": long}, "", []string{"w placed a"}, 0},
+		{"engines, both for long", true, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsResting"}, maxRetryAfter},
+		{"engines, both beyond the objective", true, map[string]time.Duration{"a": long / 6, "b": long}, "", []string{"w refused targetsResting"}, long / 6},
+		{"engines, one without a permit for long", true, map[string]time.Duration{"a": long}, "b", []string{"w refused rateLimited"}, maxRetryAfter},
+		{"engines, one without a permit, one for a moment", true, map[string]time.Duration{"a": short}, "b", []string{"w placed a"}, 0},
+		{"engines, one for a moment", true, map[string]time.Duration{"a": short, "b": long}, "", []string{"w placed a"}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := noticeFacts(tc.engine, start)
+			p := testPlacer(f)
+			for i, listed := range f.Targets {
+				p.RecordNotice(start, f.Targets[i], Notice{Rest: tc.rests[listed.ID]}, start)
+			}
+			if tc.limited != "" {
+				p.RecordRateLimit(start, tc.limited, limit, start)
+				p.AddPermits(start, tc.limited, lease.Grant{NextAt: start.Add(long)})
+			}
+			w := testRequest("w")
+			got := p.Offer(start, w)
+			if len(got) == 0 {
+				got = p.Tick(start.Add(short))
+			}
+			if diff := cmp.Diff(tc.want, decisions(got)); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.retryAfter, got[0].RetryAfter); diff != "" {
+				t.Errorf("Retry-After (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against requests in the queue that are kept although the last target has asked for a
+// rest that is too long for them.
+func TestQueueIsRefusedOnceAllTargetsRest(t *testing.T) {
+	f := testFacts(usualEngine, 1, "a")
+	p := testPlacer(f)
+	p.Offer(start, testRequest("first"))
+	if got := p.Offer(start, testRequest("waits")); len(got) != 0 {
+		t.Fatalf("got %v, want the request to wait", decisions(got))
+	}
+	p.RecordNotice(start, f.Targets[0], Notice{Rest: 3 * time.Second}, start)
+	got := p.Tick(start.Add(TickEvery))
+	if diff := cmp.Diff([]string{"waits refused targetsResting"}, decisions(got)); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -65,8 +65,8 @@
 }
 
 // permitsComeTooLate reports whether a new request cannot be served in time since all targets
-// that may run it have named a limit: none of them has a permit soon enough, or what this
-// entry may send them goes to the requests that wait already.
+// that may run it have named a limit or rest: none of them has a permit or has rested soon
+// enough, or what this entry may send them goes to the requests that wait already.
 func (p *Placer) permitsComeTooLate(now time.Time, s *service, q *waitingRequest) bool {
 	w := &q.request
 	if w.Resumed {
@@ -77,11 +77,17 @@
 		if !s.mayServe(now, t, w) {
 			continue
 		}
+		until := t.notice.restLeft(now)
 		if !t.rate.limit.Limited {
-			return false
+			if until == 0 {
+				return false
+			}
+			perSecond = math.Inf(1)
+		} else {
+			perSecond += float64(time.Second) / float64(p.shareInterval(t))
+			until = max(until, t.permits.nextAt.Sub(now))
 		}
-		perSecond += float64(time.Second) / float64(p.shareInterval(t))
-		untilNext = min(untilNext, t.permits.nextAt.Sub(now))
+		untilNext = min(untilNext, until)
 	}
 	wait := max(untilNext, time.Duration(float64(len(s.waiting))/perSecond*float64(time.Second)))
 	if s.engine == nil {
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -65,8 +66,11 @@
 		ID: w.ID, Decision: Refused, Reason: reason,
 		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since), Candidates: p.candidates(now, s, w),
 	}
-	if reason == ReasonLate {
+	switch reason {
+	case ReasonLate:
 		v.ExpectedFirstAnswer = s.minFirstAnswer(now, w)
+	case ReasonResting:
+		v.RetryAfter = min(v.RetryAfter, s.untilRested(now, w))
 	}
 	return v
 }
@@ -83,6 +87,9 @@
 	if !anyMayServe(now, s, w) {
 		return s.noTargetReason(w), false
 	}
+	if s.restsTooLong(now, q) {
+		return ReasonResting, false
+	}
 	if s.engine == nil {
 		// A request at a plain service waits for at most half of its objective, and
 		// one without an objective does not wait.
@@ -98,6 +105,38 @@
 	return "", true
 }
 
+// restsTooLong reports whether all targets that may run the request rest for longer than it
+// can wait.
+func (s *service) restsTooLong(now time.Time, q *waitingRequest) bool {
+	w := &q.request
+	rest := s.untilRested(now, w)
+	switch {
+	case rest == 0:
+		return false
+	case now.Add(rest).After(w.Deadline):
+		return true
+	case s.engine == nil:
+		return now.Add(rest).Sub(q.since) > plainPatience(w)
+	default:
+		return s.isLate(now, w, rest+s.minFirstAnswer(now, w))
+	}
+}
+
+// untilRested returns when the first of the targets that may run the request has rested, 0 if
+// one of them does not rest or there is none.
+func (s *service) untilRested(now time.Time, w *Request) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, t := range s.all {
+		if s.mayServe(now, t, w) {
+			least = min(least, t.notice.restLeft(now))
+		}
+	}
+	if least == math.MaxInt64 {
+		return 0
+	}
+	return least
+}
+
 // plainPatience is how long a request waits for a plain target.
 func plainPatience(w *Request) time.Duration { return w.Objective / 2 }
 
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -147,7 +147,7 @@
 // takesRequests reports whether a target that was chosen for a request still takes it.
 func (d *dispatcher) takesRequests(t facts.Target) (ok bool) {
 	d.Do(func() []place.Verdict {
-		ok = d.placer.TakesRequests(t)
+		ok = d.placer.TakesRequests(d.clock.Now(), t)
 		return nil
 	})
 	return ok
