place: keep the limit that a target names while its entry of the list has lapsed

Cause: what an entry knows of a target goes with the target's entry in the list, which may lapse while the platform's store is away. The entry came back without a limit, and got its full load until its next response; a limit named after the lapse was dropped. Change: the limit stands with what else a target says of itself, which outlasts the lapse. It outlasts the run, too, as before, until a response without it.

--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -26,6 +26,8 @@
 	restUntil time.Time
 	// restSentAt is when the request was sent whose response asked for the rest.
 	restSentAt time.Time
+	// rate is the limit on its requests. It outlasts the run, until a response without it.
+	rate rateState
 	// unlistedAt is when the target was first missing from the list, zero while it is
 	// listed.
 	unlistedAt time.Time
@@ -57,7 +59,7 @@
 // nextRun returns the state of the run that has started after this one. The list shows a
 // start late, so that a rest may have been asked for by the next run already.
 func (n *noticeState) nextRun(startedAt time.Time) *noticeState {
-	next := &noticeState{startedAt: startedAt}
+	next := &noticeState{startedAt: startedAt, rate: n.rate}
 	if !n.restSentAt.Before(startedAt) {
 		next.restUntil, next.restSentAt = n.restUntil, n.restSentAt
 	}
@@ -91,7 +93,7 @@
 		if n.unlistedAt.IsZero() {
 			n.unlistedAt = now
 		}
-		inForce := n.leaving || n.resting(now)
+		inForce := n.leaving || n.resting(now) || n.rate.limit.Limited
 		if n.startedAt.IsZero() || !inForce || now.Sub(n.unlistedAt) > noticeRetention {
 			delete(ns, id)
 		}
@@ -101,15 +103,22 @@
 // RecordNotice records what a target says of itself in the response to a request that was
 // sent at the given time, and returns the part of it that is new.
 func (p *Placer) RecordNotice(now time.Time, t facts.Target, said Notice, sentAt time.Time) Notice {
+	n, ok := p.noticeOf(t)
+	if !ok {
+		return Notice{}
+	}
+	return n.record(now, said, sentAt)
+}
+
+// noticeOf returns what a run of a target has said of itself. It returns false if a later run
+// is known, or if the target is not listed and no start time tells one run from the next.
+func (p *Placer) noticeOf(t facts.Target) (*noticeState, bool) {
 	p.initMaps()
 	if p.targets[t.ID] == nil && t.StartedAt.IsZero() {
-		return Notice{}
+		return nil, false
 	}
 	n := p.notices.ofRun(t)
-	if n.startedAt.After(t.StartedAt) {
-		return Notice{}
-	}
-	return n.record(now, said, sentAt)
+	return n, !n.startedAt.After(t.StartedAt)
 }
 
 // TakesRequests reports whether a target that was chosen for a request has not said in the
@@ -131,7 +140,7 @@
 func (p *Placer) NoticeCounts(now time.Time) NoticeCounts {
 	var c NoticeCounts
 	for _, t := range p.targets {
-		if t.rate.limit.Limited {
+		if t.notice.rate.limit.Limited {
 			c.RateLimited++
 		}
 		if t.notice.leaving {
--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -136,6 +136,28 @@
 	}
 }
 
+// Guards against a limit that is forgotten since the entry of its target in the list has lapsed.
+func TestRateLimitOutlastsLapse(t *testing.T) {
+	limit := lease.RateLimit{Limited: true, PerSecond: 1}
+	for _, lapsedFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("named after the lapse: ", lapsedFirst), func(t *testing.T) {
+			f := noticeFacts(true, start)
+			p := testPlacer(f)
+			if lapsedFirst {
+				p.Update(start, testFacts(usualEngine, 2, "a"))
+			}
+			p.RecordRateLimit(start, f.Targets[1], limit, start)
+			if !lapsedFirst {
+				p.Update(start, testFacts(usualEngine, 2, "a"))
+			}
+			p.Update(start.Add(time.Second), f)
+			if diff := cmp.Diff(map[string]int{"a": 2}, offerMany(p, start.Add(time.Second), 4)); diff != "" {
+				t.Errorf("placed without permits (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against records of targets that have ended which grow without bound.
 func TestNoticesOfEndedTargetsAreDropped(t *testing.T) {
 	p := testPlacer(testFacts(nil, 2, "a"))
@@ -219,7 +241,7 @@
 				p.RecordNotice(start, f.Targets[i], Notice{Rest: tc.rests[listed.ID]}, start)
 			}
 			if tc.limited != "" {
-				p.RecordRateLimit(start, tc.limited, limit, start)
+				p.RecordRateLimit(start, p.targets[tc.limited].Target, limit, start)
 				p.AddPermits(start, tc.limited, lease.Grant{NextAt: start.Add(long)})
 			}
 			w := testRequest("w")
--- a/core/request/place/permits.go
+++ b/core/request/place/permits.go
@@ -35,7 +35,7 @@
 
 // needsPermit reports whether a target takes only a limited number of requests now.
 func (s *service) needsPermit(now time.Time, t *target) bool {
-	return s.isCold(now, t) || t.rate.limit.Limited
+	return s.isCold(now, t) || t.notice.rate.limit.Limited
 }
 
 // lacksPermit reports whether a target takes only a limited number of requests and this
@@ -51,7 +51,7 @@
 	if s.isCold(now, t) && !p.withinColdShare(now, s, t) {
 		return true
 	}
-	return t.rate.limit.Limited && !t.rate.pacer.Allows(now, p.shareInterval(t), p.Rand.Float64)
+	return t.notice.rate.limit.Limited && !t.notice.rate.pacer.Allows(now, p.shareInterval(t), p.Rand.Float64)
 }
 
 // usePermit counts a request that is placed at a target, and returns by when it must be
@@ -67,8 +67,8 @@
 	if s.isCold(now, t) {
 		t.cold.sentAt = append(t.cold.sentAt, now)
 	}
-	if t.rate.limit.Limited {
-		t.rate.pacer.Use(now, p.shareInterval(t))
+	if t.notice.rate.limit.Limited {
+		t.notice.rate.pacer.Use(now, p.shareInterval(t))
 	}
 	return time.Time{}
 }
@@ -120,7 +120,7 @@
 		return
 	}
 	o.target.permits.askedAt = now
-	p.RequestLease(o.target.ID, min(len(s.waiting)+1, maxPermitsAsked), o.target.rate.limit)
+	p.RequestLease(o.target.ID, min(len(s.waiting)+1, maxPermitsAsked), o.target.notice.rate.limit)
 }
 
 // AddPermits records permits that the side of a target has granted, and places waiting
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/lease"
 )
 
@@ -52,12 +53,16 @@
 // RecordRateLimit records which limit a target names in the response to a request that was
 // sent at the given time, and reports whether that is a change. It tells the side of an
 // engine, from which the other entries learn it.
-func (p *Placer) RecordRateLimit(now time.Time, id string, limit lease.RateLimit, sentAt time.Time) bool {
-	t, ok := p.targets[id]
-	if !ok || !t.rate.record(now, limit, sentAt) {
+func (p *Placer) RecordRateLimit(now time.Time, t facts.Target, limit lease.RateLimit, sentAt time.Time) bool {
+	n, ok := p.noticeOf(t)
+	if !ok || !n.rate.record(now, limit, sentAt) {
 		return false
 	}
-	t.permits.reset()
+	listed := p.targets[t.ID]
+	if listed == nil {
+		return true
+	}
+	listed.permits.reset()
 	if p.service(t.Service).engine != nil && p.RequestLease != nil {
 		p.RequestLease(t.ID, 0, limit)
 	}
@@ -78,7 +83,7 @@
 			continue
 		}
 		until := t.notice.restLeft(now)
-		if !t.rate.limit.Limited {
+		if !t.notice.rate.limit.Limited {
 			if until == 0 {
 				return false
 			}
@@ -99,5 +104,5 @@
 // shareInterval is the time between two requests of this entry to a limited target if all
 // entries share its limit equally.
 func (p *Placer) shareInterval(t *target) time.Duration {
-	return t.rate.limit.Interval(p.entryCount())
+	return t.notice.rate.limit.Interval(p.entryCount())
 }
--- a/core/request/place/ratelimit_test.go
+++ b/core/request/place/ratelimit_test.go
@@ -33,7 +33,7 @@
 	p := testPlacer(testFacts(nil, 8, "a"))
 	for i, tc := range tests {
 		now := start.Add(time.Duration(i+1) * time.Second)
-		got := p.RecordRateLimit(now, "a", tc.response.limit, start.Add(tc.response.sentAt))
+		got := p.RecordRateLimit(now, p.targets["a"].Target, tc.response.limit, start.Add(tc.response.sentAt))
 		if diff := cmp.Diff(tc.want, got); diff != "" {
 			t.Errorf("%s: changed (-want +got):\n%s", tc.name, diff)
 		}
@@ -57,7 +57,7 @@
 			*asked = append(*asked, want)
 		}
 	}
-	p.RecordRateLimit(start, "limited", lease.RateLimit{Limited: true, PerSecond: perSecond}, start)
+	p.RecordRateLimit(start, p.targets["limited"].Target, lease.RateLimit{Limited: true, PerSecond: perSecond}, start)
 	return p, asked
 }
 
@@ -100,7 +100,9 @@
 		}
 	}
 	answer := func(l lease.RateLimit, sentAt time.Duration) func(p *Placer) {
-		return func(p *Placer) { p.RecordRateLimit(start.Add(time.Second), "a", l, start.Add(sentAt)) }
+		return func(p *Placer) {
+			p.RecordRateLimit(start.Add(time.Second), p.targets["a"].Target, l, start.Add(sentAt))
+		}
 	}
 	tests := []struct {
 		name  string
@@ -155,7 +157,7 @@
 		p := testPlacer(testFacts(engine, 8, "a", "b"))
 		p.entries = 1
 		for _, id := range []string{"a", "b"} {
-			p.RecordRateLimit(start, id, limit, start)
+			p.RecordRateLimit(start, p.targets[id].Target, limit, start)
 		}
 		var got []string
 		for _, id := range []string{"1", "2", "3"} {
@@ -173,7 +175,7 @@
 // Guards against questions and waiting callers while a side cannot grant any permits.
 func TestSideIsAskedOnceItHasPermits(t *testing.T) {
 	p, _ := limitedPlacer(true, 0.5)
-	p.RecordRateLimit(start, "a", lease.RateLimit{Limited: true, PerSecond: 0.5}, start)
+	p.RecordRateLimit(start, p.targets["a"].Target, lease.RateLimit{Limited: true, PerSecond: 0.5}, start)
 	asked := 0
 	p.RequestLease = func(string, int, lease.RateLimit) { asked++ }
 	for _, id := range []string{"a", "limited"} {
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -88,12 +88,11 @@
 	reportedVersion  uint64
 	versionReported  bool
 
-	// cold and rate say whether the target takes only a limited number of requests: since
-	// it has just started, or as it says itself. permits are for such a target.
+	// cold says whether the target takes only a limited number of requests since it has just
+	// started. permits are for such a target, or one that has named a limit.
 	cold    coldState
-	rate    rateState
 	permits permitState
-	// notice is what this run of the target has said of itself.
+	// notice is what the target has said of itself.
 	notice *noticeState
 
 	failures    int
@@ -135,7 +134,7 @@
 	}
 	t.reportedAt = now
 	t.cold.report(now, r.Cold, warmup)
-	if t.rate.applyReport(now, r.Rate) {
+	if t.notice.rate.applyReport(now, r.Rate) {
 		t.permits.reset()
 	}
 	t.unreported = slices.DeleteFunc(t.unreported, func(s sentRequest) bool { return now.Sub(s.at) > reportLag+t.extraRoundTrip })
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -160,9 +160,9 @@
 
 // recordRateLimit tells the placer which limit a target names in the response to a request
 // that was sent at the given time, and reports whether that is a change.
-func (d *dispatcher) recordRateLimit(target string, limit lease.RateLimit, sentAt time.Time) (changed bool) {
+func (d *dispatcher) recordRateLimit(t facts.Target, limit lease.RateLimit, sentAt time.Time) (changed bool) {
 	d.Do(func() []place.Verdict {
-		changed = d.placer.RecordRateLimit(d.clock.Now(), target, limit, sentAt)
+		changed = d.placer.RecordRateLimit(d.clock.Now(), t, limit, sentAt)
 		return nil
 	})
 	return changed
--- a/io/request/direct/ratelimit.go
+++ b/io/request/direct/ratelimit.go
@@ -9,7 +9,7 @@
 	if !limit.Limited && !reply.Signed {
 		return
 	}
-	if !s.dispatcher.recordRateLimit(x.target.ID, limit, x.openedAt) {
+	if !s.dispatcher.recordRateLimit(x.target, limit, x.openedAt) {
 		return
 	}
 	d := trail.Decision{Area: trail.AreaAdmission, Action: trail.ActionRateLimitNamed, Choice: x.target.ID, RateLimit: limit.PerSecond}
