place: hold a target to its word while its entry of the list has no start time

Cause: by reading: an entry may come from another writer, without a start time; a request assigned by such an entry was sent although the target had said that it takes none, and what the target said in a response to it was dropped as that of a former run. Change: without a start time a target is taken for the run that is known.

--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -39,6 +39,12 @@
 // restLeft returns for how long the target wants no requests from this entry.
 func (n *noticeState) restLeft(now time.Time) time.Duration { return max(0, n.restUntil.Sub(now)) }
 
+// isOfRunAfter reports whether a later run than the given one is known. Without a start time
+// it is taken for the run that is known.
+func (n *noticeState) isOfRunAfter(t facts.Target) bool {
+	return !t.StartedAt.IsZero() && n.startedAt.After(t.StartedAt)
+}
+
 // record adds a notice from the response to a request that was sent at the given time, and
 // returns the part of it that the target had not said before.
 func (n *noticeState) record(now time.Time, said Notice, sentAt time.Time) Notice {
@@ -118,14 +124,14 @@
 		return nil, false
 	}
 	n := p.notices.ofRun(t)
-	return n, !n.startedAt.After(t.StartedAt)
+	return n, !n.isOfRunAfter(t)
 }
 
 // TakesRequests reports whether a target that was chosen for a request has not said in the
 // meantime that it takes none.
 func (p *Placer) TakesRequests(now time.Time, t facts.Target) bool {
 	n := p.notices[t.ID]
-	return n == nil || !n.startedAt.Equal(t.StartedAt) || !n.leaving && !n.resting(now)
+	return n == nil || n.isOfRunAfter(t) || !n.leaving && !n.resting(now)
 }
 
 // NoticeCounts counts the listed targets by what they say of themselves.
--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -158,6 +158,21 @@
 	}
 }
 
+// Guards against a word that is forgotten while the target's entry in the list lacks its start
+// time.
+func TestNoticeHoldsWithoutStartTime(t *testing.T) {
+	known, unknown := noticeFacts(false, start), noticeFacts(false, time.Time{})
+	p := testPlacer(known)
+	p.Update(start, unknown)
+	p.RecordNotice(start, unknown.Targets[1], Notice{Leaving: true}, start)
+	for _, f := range []*facts.Facts{unknown, known} {
+		p.Update(start, f)
+		if p.TakesRequests(start, f.Targets[1]) || !p.targets["b"].isLeaving() {
+			t.Errorf("the target started at %s counts as one that does not leave", f.Targets[1].StartedAt)
+		}
+	}
+}
+
 // Guards against records of targets that have ended which grow without bound.
 func TestNoticesOfEndedTargetsAreDropped(t *testing.T) {
 	p := testPlacer(testFacts(nil, 2, "a"))
