--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -82,16 +82,14 @@
 		if !s.mayServe(now, t, w) {
 			continue
 		}
-		until := t.notice.restLeft(now)
-		if !t.notice.rate.limit.Limited {
-			if until == 0 {
-				return false
-			}
-			perSecond = math.Inf(1)
-		} else {
-			perSecond += float64(time.Second) / float64(p.shareInterval(t))
+		until, share := t.notice.restLeft(now), math.Inf(1)
+		if t.notice.rate.limit.Limited {
 			until = max(until, t.permits.nextAt.Sub(now))
+			share = float64(time.Second) / float64(p.shareInterval(t))
+		} else if until == 0 {
+			return false
 		}
+		perSecond += share
 		untilNext = min(untilNext, until)
 	}
 	wait := max(untilNext, time.Duration(float64(len(s.waiting))/perSecond*float64(time.Second)))
