place: show of each way to a target that it is open without a notice

Cause: a newcomer's reading: the target of TestNoWayLeadsToTargetThatTakesNone had no room left for most of its ways, so that only the checks beside them failed without the fixes. Change: each way is gone with no notice, too, and then has to lead there; room and what was assigned before have a test of their own.

--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/lease"
+	"hawthornferry/core/request/table"
 )
 
 // noticeFacts returns the facts of a service with the targets "a" and "b", of which "b" has
@@ -25,73 +27,98 @@
 
 // Guards against any way by which a request gets to a target that has said that it takes none.
 func TestNoWayLeadsToTargetThatTakesNone(t *testing.T) {
-	resumed := testRequest("resumed")
-	resumed.Resumed, resumed.FailedTargets = true, []string{"a"}
+	const full, soon = 2, 100 * time.Millisecond
+	only := func(id string, resumed bool) Request {
+		w := testRequest(id)
+		w.FailedTargets, w.Resumed = []string{"a"}, resumed
+		return w
+	}
+	fill := func(p *Placer) {
+		for i := range full {
+			p.Offer(start, only(fmt.Sprint("at b ", i), false))
+		}
+	}
+	fillAndWait := func(p *Placer) {
+		fill(p)
+		p.Offer(start, only("waits", false))
+	}
 	tests := []struct {
 		name string
-		try  func(p *Placer, b facts.Target) []Verdict
+		// before is run before the target says that it takes none. Then try places a request
+		// at it, if nothing keeps it from that.
+		before func(p *Placer)
+		try    func(p *Placer) []Verdict
 	}{
-		{"a new request", func(p *Placer, _ facts.Target) []Verdict { return p.Offer(start, testRequest("new")) }},
-		{"a request that waits", func(p *Placer, _ facts.Target) []Verdict { return p.Tick(start.Add(time.Millisecond)) }},
-		{"a request that ends there", func(p *Placer, _ facts.Target) []Verdict { return p.RequestEnded(start, "at b", ResultDone) }},
-		{"a report", func(p *Placer, b facts.Target) []Verdict {
-			return p.Report(start, b.ID, LoadReport{Alive: true, ServedVersion: 1})
+		{"a new request", func(*Placer) {}, func(p *Placer) []Verdict { return p.Offer(start, only("new", false)) }},
+		{"a request that waits", func(p *Placer) {
+			fillAndWait(p)
+			p.RequestEnded(start, "at b 0", ResultRejected)
+		}, func(p *Placer) []Verdict { return p.Tick(start.Add(soon)) }},
+		{"a request that ends there", fillAndWait, func(p *Placer) []Verdict { return p.RequestEnded(start, "at b 0", ResultDone) }},
+		{"a report", func(p *Placer) {
+			p.Report(start, "b", LoadReport{Alive: true, ServedVersion: 1, Active: full})
+			p.Offer(start, only("waits", false))
+		}, func(p *Placer) []Verdict {
+			return p.Report(start, "b", LoadReport{Alive: true, ServedVersion: 1})
 		}},
-		{"a permit", func(p *Placer, b facts.Target) []Verdict {
-			return p.AddPermits(start, b.ID, lease.Grant{N: 1, Expires: start.Add(time.Second)})
+		{"a permit", func(p *Placer) {
+			p.RecordRateLimit(start, p.targets["b"].Target, lease.RateLimit{Limited: true, PerSecond: 100}, start)
+			p.Offer(start, only("waits", false))
+		}, func(p *Placer) []Verdict {
+			return p.AddPermits(start, "b", lease.Grant{N: 1, Expires: start.Add(time.Second)})
 		}},
-		{"a stream that is resumed", func(p *Placer, _ facts.Target) []Verdict { return p.Offer(start, resumed) }},
-		{"a stream whose target is silent", func(p *Placer, _ facts.Target) []Verdict {
-			v, _ := p.Reassign(start, resumed)
+		{"a stream that is resumed", fill, func(p *Placer) []Verdict { return p.Offer(start, only("resumed", true)) }},
+		{"a stream whose target is silent", func(*Placer) {}, func(p *Placer) []Verdict {
+			v, _ := p.Reassign(start, only("resumed", true))
 			return []Verdict{v}
 		}},
-		{"a stream whose target loads", func(p *Placer, _ facts.Target) []Verdict {
-			v, _ := p.Relocate(start, resumed, time.Second)
+		{"a stream whose target loads", func(*Placer) {}, func(p *Placer) []Verdict {
+			v, _ := p.Relocate(start, only("resumed", true), time.Second)
 			return []Verdict{v}
 		}},
-		{"the list again", func(p *Placer, _ facts.Target) []Verdict { return p.Update(start, noticeFacts(true, start)) }},
-		{"its entry lapses and comes back", func(p *Placer, _ facts.Target) []Verdict {
-			p.Update(start, testFacts(usualEngine, 2, "a"))
+		{"the list, which shows it as ready again", func(p *Placer) {
+			f := noticeFacts(true, start)
+			f.Targets[1].Leaving = true
+			p.Update(start, f)
+			p.Offer(start, only("waits", true))
+		}, func(p *Placer) []Verdict { return p.Update(start, noticeFacts(true, start)) }},
+		{"its entry lapses and comes back", func(*Placer) {}, func(p *Placer) []Verdict {
+			p.Update(start, testFacts(usualEngine, full, "a"))
+			p.Offer(start, only("waits", true))
 			return p.Update(start.Add(time.Millisecond), noticeFacts(true, start))
 		}},
 	}
-	for _, said := range []Notice{{Leaving: true}, {Rest: time.Minute}} {
-		for _, tc := range tests {
+	for _, tc := range tests {
+		for _, said := range []Notice{{}, {Leaving: true}, {Rest: time.Minute}} {
 			t.Run(fmt.Sprintf("%s, %+v", tc.name, said), func(t *testing.T) {
 				f := noticeFacts(true, start)
 				p := testPlacer(f)
-				fillTarget(p, "a", 2)
-				at := testRequest("at b")
-				at.FailedTargets = []string{"a"}
-				p.Offer(start, at)
+				tc.before(p)
 				p.RecordNotice(start, f.Targets[1], said, start)
-				p.Offer(start, testRequest("waits"))
-				for _, v := range tc.try(p, f.Targets[1]) {
-					if v.Target.ID == "b" {
-						t.Errorf("%s was placed at the target that takes none", v.ID)
-					}
-				}
-				if p.HasRoomElsewhere(start, "svc", "a", resumed.Regions) {
-					t.Error("the target that takes none counts as one that has room")
-				}
-				if p.TakesRequests(start, f.Targets[1]) {
-					t.Error("a request that was assigned before may still be sent")
+				got := slices.ContainsFunc(tc.try(p), func(v Verdict) bool { return v.Target.ID == "b" })
+				if diff := cmp.Diff(said == Notice{}, got); diff != "" {
+					t.Errorf("placed there (-want +got):\n%s", diff)
 				}
 			})
 		}
 	}
 }
 
-// fillTarget offers requests until the target with the given ID has n of them.
-func fillTarget(p *Placer, id string, n int) {
-	for i := range n {
-		w := testRequest("fill" + id + string(rune('0'+i)))
-		for other := range p.targets {
-			if other != id {
-				w.FailedTargets = append(w.FailedTargets, other)
+// Guards against a target that takes none and counts as one that may get a request all the same.
+func TestTargetThatTakesNoneHasNoRoom(t *testing.T) {
+	for _, said := range []Notice{{}, {Leaving: true}, {Rest: time.Minute}} {
+		t.Run(fmt.Sprintf("%+v", said), func(t *testing.T) {
+			f := noticeFacts(true, start)
+			p := testPlacer(f)
+			p.RecordNotice(start, f.Targets[1], said, start)
+			want := said == Notice{}
+			if diff := cmp.Diff(want, p.HasRoomElsewhere(start, "svc", "a", table.AllowedRegions{})); diff != "" {
+				t.Errorf("room elsewhere (-want +got):\n%s", diff)
 			}
-		}
-		p.Offer(start, w)
+			if diff := cmp.Diff(want, p.TakesRequests(start, f.Targets[1])); diff != "" {
+				t.Errorf("takes what was assigned before (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
