--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Guards against a word that outlasts the run of the target that said it, or is taken from
+// Guards against a notice that outlasts the run of the target that gave it, or is taken from
 // another run.
 func TestNoticeBelongsToOneRun(t *testing.T) {
 	later := start.Add(time.Minute)
@@ -185,8 +185,8 @@
 	}
 }
 
-// Guards against a word that is forgotten while the target's entry in the list lacks its start
-// time.
+// Guards against a notice that is forgotten while the target's entry in the list lacks its
+// start time.
 func TestNoticeHoldsWithoutStartTime(t *testing.T) {
 	known, unknown := noticeFacts(false, start), noticeFacts(false, time.Time{})
 	p := testPlacer(known)
--- a/core/request/place/target.go
+++ b/core/request/place/target.go
@@ -113,8 +113,8 @@
 	t.Target = f
 }
 
-// isLeaving reports whether the target is about to stop, by the list or by its own word. The
-// list may be late: the platform's store may be away.
+// isLeaving reports whether the target is about to stop, by the list or by its own
+// responses. The list may be late: the platform's store may be away.
 func (t *target) isLeaving() bool { return t.Leaving || t.notice.leaving }
 
 // sentRequest is a request that was sent to a target recently.
