--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -24,8 +24,8 @@
 	OtherRegion int `json:"otherRegion,omitempty"`
 	Evacuated   int `json:"evacuated,omitempty"`
 	Leaving     int `json:"leaving,omitempty"`
-	// Resting counts targets that have asked this entry for a rest.
-	Resting int `json:"resting,omitempty"`
+	// BackingOff counts targets that have asked this entry to back off.
+	BackingOff int `json:"backingOff,omitempty"`
 	// Paused counts targets that get no requests for a while because they failed
 	// recently, FailedThisRequest those that already failed this request.
 	Paused            int `json:"paused,omitempty"`
@@ -53,9 +53,9 @@
 	// RateLimited counts the targets that have named a limit on their requests.
 	RateLimited int `json:"rateLimited,omitempty"`
 	// SaidLeaving counts the targets that have said in a response that they are about
-	// to stop, and Resting those that have asked this process for a rest.
+	// to stop, and BackingOff those that have asked this process to back off.
 	SaidLeaving int `json:"saidLeaving,omitempty"`
-	Resting     int `json:"resting,omitempty"`
+	BackingOff  int `json:"backingOff,omitempty"`
 }
 
 // AttemptEndCount counts, for one cause and since the process started, the
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -26,7 +26,7 @@
 	ActionRateLimitNamed  = "rateLimitNamed"
 	ActionRateLimitLifted = "rateLimitLifted"
 	ActionTargetLeaving   = "targetLeaving"
-	ActionTargetResting   = "targetResting"
+	ActionTargetBackoff   = "targetBackoff"
 )
 
 // Exclusion is a candidate that was not chosen, and the reason.
--- a/core/request/place/candidates.go
+++ b/core/request/place/candidates.go
@@ -17,7 +17,7 @@
 	excludedRegion      exclusion = "otherRegion"
 	excludedEvacuated   exclusion = "evacuated"
 	excludedLeaving     exclusion = "leaving"
-	excludedResting     exclusion = "resting"
+	excludedBackoff     exclusion = "backoff"
 	excludedPaused      exclusion = "paused"
 	excludedFailed      exclusion = "tried"
 	excludedSilent      exclusion = "silent"
@@ -35,8 +35,8 @@
 		return excludedEvacuated
 	case t.isLeaving():
 		return excludedLeaving
-	case t.notice.resting(now):
-		return excludedResting
+	case t.notice.backingOff(now):
+		return excludedBackoff
 	case now.Before(t.pausedUntil):
 		return excludedPaused
 	case slices.Contains(w.FailedTargets, t.ID):
@@ -82,8 +82,8 @@
 			c.Evacuated++
 		case excludedLeaving:
 			c.Leaving++
-		case excludedResting:
-			c.Resting++
+		case excludedBackoff:
+			c.BackingOff++
 		case excludedPaused:
 			c.Paused++
 		case excludedFailed:
--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -10,9 +10,9 @@
 type Notice struct {
 	// Leaving is set if the target is about to stop and takes no more requests.
 	Leaving bool
-	// Rest is for how long the target wants no requests from this entry, 0 if it does not
+	// RetryAfter is for how long the target wants no requests from this entry, 0 if it does not
 	// say.
-	Rest time.Duration
+	RetryAfter time.Duration
 }
 
 // RecordNotice records what a target says of itself in the response to a request that was
@@ -40,7 +40,7 @@
 // meantime that it takes none.
 func (p *Placer) TakesRequests(now time.Time, t facts.Target) bool {
 	n := p.notices[t.ID]
-	return n == nil || n.isOfRunAfter(t) || !n.leaving && !n.resting(now)
+	return n == nil || n.isOfRunAfter(t) || !n.leaving && !n.backingOff(now)
 }
 
 // NoticeCounts counts the listed targets by what they say of themselves.
@@ -48,7 +48,7 @@
 	// RateLimited counts those that have named a limit.
 	RateLimited int
 	Leaving     int
-	Resting     int
+	BackingOff  int
 }
 
 // NoticeCounts counts the listed targets by what they say of themselves.
@@ -61,8 +61,8 @@
 		if t.notice.leaving {
 			c.Leaving++
 		}
-		if t.notice.resting(now) {
-			c.Resting++
+		if t.notice.backingOff(now) {
+			c.BackingOff++
 		}
 	}
 	return c
--- a/core/request/place/notice_test.go
+++ b/core/request/place/notice_test.go
@@ -89,7 +89,7 @@
 		}},
 	}
 	for _, tc := range tests {
-		for _, said := range []Notice{{}, {Leaving: true}, {Rest: time.Minute}} {
+		for _, said := range []Notice{{}, {Leaving: true}, {RetryAfter: time.Minute}} {
 			t.Run(fmt.Sprintf("%s, %+v", tc.name, said), func(t *testing.T) {
 				f := noticeFacts(true, start)
 				p := testPlacer(f)
@@ -106,7 +106,7 @@
 
 // Guards against a target that takes none and counts as one that may get a request all the same.
 func TestTargetThatTakesNoneHasNoRoom(t *testing.T) {
-	for _, said := range []Notice{{}, {Leaving: true}, {Rest: time.Minute}} {
+	for _, said := range []Notice{{}, {Leaving: true}, {RetryAfter: time.Minute}} {
 		t.Run(fmt.Sprintf("%+v", said), func(t *testing.T) {
 			f := noticeFacts(true, start)
 			p := testPlacer(f)
@@ -215,12 +215,12 @@
 	}
 }
 
-// Guards against a rest that is cut short by a later, shorter one, or outlasts the longest.
-func TestRestLastsUntilTheLatestEnd(t *testing.T) {
+// Guards against a backoff that is cut short by a later, shorter one, or outlasts the longest.
+func TestBackoffLastsUntilTheLatestEnd(t *testing.T) {
 	f := testFacts(nil, 2, "a")
 	p := testPlacer(f)
-	p.RecordNotice(start, f.Targets[0], Notice{Rest: 3 * time.Second}, start)
-	p.RecordNotice(start.Add(time.Second), f.Targets[0], Notice{Rest: time.Second}, start)
+	p.RecordNotice(start, f.Targets[0], Notice{RetryAfter: 3 * time.Second}, start)
+	p.RecordNotice(start.Add(time.Second), f.Targets[0], Notice{RetryAfter: time.Second}, start)
 	var got []time.Duration
 	for _, after := range []time.Duration{0, 2500 * time.Millisecond, 3 * time.Second} {
 		if !p.TakesRequests(start.Add(after), f.Targets[0]) {
@@ -228,13 +228,13 @@
 		}
 	}
 	if diff := cmp.Diff([]time.Duration{0, 2500 * time.Millisecond}, got); diff != "" {
-		t.Errorf("resting (-want +got):\n%s", diff)
+		t.Errorf("backing off (-want +got):\n%s", diff)
 	}
 }
 
-// Guards against a rest that is forgotten since the list shows late that the target has started
+// Guards against a backoff that is forgotten since the list shows late that the target has started
 // anew, and against one that the former run had asked for.
-func TestRestOfNextRunIsKept(t *testing.T) {
+func TestBackoffFromNextRunIsKept(t *testing.T) {
 	later := start.Add(time.Second)
 	for _, tc := range []struct {
 		name   string
@@ -244,33 +244,33 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := noticeFacts(false, start)
 			p := testPlacer(f)
-			p.RecordNotice(later, f.Targets[1], Notice{Rest: time.Minute}, tc.sentAt)
+			p.RecordNotice(later, f.Targets[1], Notice{RetryAfter: time.Minute}, tc.sentAt)
 			p.Update(later, noticeFacts(false, later))
-			if diff := cmp.Diff(tc.want, p.targets["b"].notice.resting(later)); diff != "" {
-				t.Errorf("resting (-want +got):\n%s", diff)
+			if diff := cmp.Diff(tc.want, p.targets["b"].notice.backingOff(later)); diff != "" {
+				t.Errorf("backing off (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
 
-// Guards against callers that wait for targets which rest for longer than they can wait, or are
-// refused although one of them has rested in time.
-func TestRequestsWaitForShortRestsOnly(t *testing.T) {
+// Guards against callers that wait for backoffs that are longer than they can wait, or are
+// refused although one of them ends in time.
+func TestRequestsWaitForShortBackoffsOnly(t *testing.T) {
 	const short, long = 100 * time.Millisecond, 3 * time.Second
 	limit := lease.RateLimit{Limited: true, PerSecond: 0.2}
 	tests := []struct {
-		name    string
-		engine  bool
-		rests   map[string]time.Duration
-		limited string
-		want    []string
+		name     string
+		engine   bool
+		backoffs map[string]time.Duration
+		limited  string
+		want     []string
 		// retryAfter is that of a refused request.
 		retryAfter time.Duration
 	}{
-		{"plain, both for long", false, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsResting"}, maxRetryAfter},
+		{"plain, both for long", false, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsBackOff"}, maxRetryAfter},
 		{"plain, one for a moment", false, map[string]time.Duration{"a": short, "b": long}, "", []string{"w placed a"}, 0},
-		{"engines, both for long", true, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsResting"}, maxRetryAfter},
-		{"engines, both beyond the objective", true, map[string]time.Duration{"a": long / 6, "b": long}, "", []string{"w refused targetsResting"}, long / 6},
+		{"engines, both for long", true, map[string]time.Duration{"a": long, "b": 2 * long}, "", []string{"w refused targetsBackOff"}, maxRetryAfter},
+		{"engines, both beyond the objective", true, map[string]time.Duration{"a": long / 6, "b": long}, "", []string{"w refused targetsBackOff"}, long / 6},
 		{"engines, one without a permit for long", true, map[string]time.Duration{"a": long}, "b", []string{"w refused rateLimited"}, maxRetryAfter},
 		{"engines, one without a permit, one for a moment", true, map[string]time.Duration{"a": short}, "b", []string{"w placed a"}, 0},
 		{"engines, one for a moment", true, map[string]time.Duration{"a": short, "b": long}, "", []string{"w placed a"}, 0},
@@ -280,7 +280,7 @@
 			f := noticeFacts(tc.engine, start)
 			p := testPlacer(f)
 			for i, listed := range f.Targets {
-				p.RecordNotice(start, f.Targets[i], Notice{Rest: tc.rests[listed.ID]}, start)
+				p.RecordNotice(start, f.Targets[i], Notice{RetryAfter: tc.backoffs[listed.ID]}, start)
 			}
 			if tc.limited != "" {
 				p.RecordRateLimit(start, p.targets[tc.limited].Target, limit, start)
@@ -302,17 +302,17 @@
 }
 
 // Guards against requests in the queue that are kept although the last target has asked for a
-// rest that is too long for them.
-func TestQueueIsRefusedOnceAllTargetsRest(t *testing.T) {
+// backoff that is too long for them.
+func TestQueueIsRefusedDuringBackoffFromAllTargets(t *testing.T) {
 	f := testFacts(usualEngine, 1, "a")
 	p := testPlacer(f)
 	p.Offer(start, testRequest("first"))
 	if got := p.Offer(start, testRequest("waits")); len(got) != 0 {
 		t.Fatalf("got %v, want the request to wait", decisions(got))
 	}
-	p.RecordNotice(start, f.Targets[0], Notice{Rest: 3 * time.Second}, start)
+	p.RecordNotice(start, f.Targets[0], Notice{RetryAfter: 3 * time.Second}, start)
 	got := p.Tick(start.Add(TickEvery))
-	if diff := cmp.Diff([]string{"waits refused targetsResting"}, decisions(got)); diff != "" {
+	if diff := cmp.Diff([]string{"waits refused targetsBackOff"}, decisions(got)); diff != "" {
 		t.Errorf("verdicts (-want +got):\n%s", diff)
 	}
 }
--- a/core/request/place/noticestate.go
+++ b/core/request/place/noticestate.go
@@ -12,11 +12,11 @@
 
 // noticeState is what one run of a target has said of itself.
 type noticeState struct {
-	startedAt time.Time
-	leaving   bool
-	restUntil time.Time
-	// restSentAt is when the request was sent whose response asked for the rest.
-	restSentAt time.Time
+	startedAt    time.Time
+	leaving      bool
+	backoffUntil time.Time
+	// backoffSentAt is when the request was sent whose response asked to back off.
+	backoffSentAt time.Time
 	// rate is the limit on its requests. It outlasts the run, until a response without it.
 	rate rateState
 	// unlistedAt is when the target was first missing from the list, zero while it is
@@ -24,11 +24,13 @@
 	unlistedAt time.Time
 }
 
-// resting reports whether the target wants no requests from this entry now.
-func (n *noticeState) resting(now time.Time) bool { return n.restLeft(now) > 0 }
+// backingOff reports whether the target wants no requests from this entry now.
+func (n *noticeState) backingOff(now time.Time) bool { return n.backoffLeft(now) > 0 }
 
-// restLeft returns for how long the target wants no requests from this entry.
-func (n *noticeState) restLeft(now time.Time) time.Duration { return max(0, n.restUntil.Sub(now)) }
+// backoffLeft returns for how long the target wants no requests from this entry.
+func (n *noticeState) backoffLeft(now time.Time) time.Duration {
+	return max(0, n.backoffUntil.Sub(now))
+}
 
 // isOfRunAfter reports whether a later run than the given one is known. Without a start time
 // it is taken for the run that is known.
@@ -43,22 +45,22 @@
 	if n.leaving {
 		news.Leaving = false
 	}
-	if n.resting(now) {
-		news.Rest = 0
+	if n.backingOff(now) {
+		news.RetryAfter = 0
 	}
 	n.leaving = n.leaving || said.Leaving
-	if until := now.Add(said.Rest); until.After(n.restUntil) {
-		n.restUntil, n.restSentAt = until, sentAt
+	if until := now.Add(said.RetryAfter); until.After(n.backoffUntil) {
+		n.backoffUntil, n.backoffSentAt = until, sentAt
 	}
 	return news
 }
 
 // nextRun returns the state of the run that has started after this one. The list shows a
-// start late, so that a rest may have been asked for by the next run already.
+// start late, so that the next run may already have asked to back off.
 func (n *noticeState) nextRun(startedAt time.Time) *noticeState {
 	next := &noticeState{startedAt: startedAt, rate: n.rate}
-	if !n.restSentAt.Before(startedAt) {
-		next.restUntil, next.restSentAt = n.restUntil, n.restSentAt
+	if !n.backoffSentAt.Before(startedAt) {
+		next.backoffUntil, next.backoffSentAt = n.backoffUntil, n.backoffSentAt
 	}
 	return next
 }
@@ -90,7 +92,7 @@
 		if n.unlistedAt.IsZero() {
 			n.unlistedAt = now
 		}
-		inForce := n.leaving || n.resting(now) || n.rate.limit.Limited
+		inForce := n.leaving || n.backingOff(now) || n.rate.limit.Limited
 		if n.startedAt.IsZero() || !inForce || now.Sub(n.unlistedAt) > noticeRetention {
 			delete(ns, id)
 		}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -104,9 +104,9 @@
 	// ReasonRateLimited means that all targets have named a limit, and that the requests
 	// which wait already take what it leaves.
 	ReasonRateLimited Reason = "rateLimited"
-	// ReasonResting means that all targets have asked this entry for a rest that ends too late
-	// for the request.
-	ReasonResting Reason = "targetsResting"
+	// ReasonBackoff means that all targets have asked this entry to back off until it is too
+	// late for the request.
+	ReasonBackoff Reason = "targetsBackOff"
 	// ReasonNoRoomForLate is for a caller that came back after its objective had
 	// passed. Such requests may use only part of the slots.
 	ReasonNoRoomForLate Reason = "noRoomForLate"
--- a/core/request/place/ratelimit.go
+++ b/core/request/place/ratelimit.go
@@ -70,8 +70,8 @@
 }
 
 // permitsComeTooLate reports whether a new request cannot be served in time since all targets
-// that may run it have named a limit or rest: none of them has a permit or has rested soon
-// enough, or what this entry may send them goes to the requests that wait already.
+// that may run it have named a limit or asked to back off: none of them has a permit or takes
+// requests again soon enough, or what this entry may send them goes to the requests that wait already.
 func (p *Placer) permitsComeTooLate(now time.Time, s *service, q *waitingRequest) bool {
 	w := &q.request
 	if w.Resumed {
@@ -82,7 +82,7 @@
 		if !s.mayServe(now, t, w) {
 			continue
 		}
-		until, share := t.notice.restLeft(now), math.Inf(1)
+		until, share := t.notice.backoffLeft(now), math.Inf(1)
 		if t.notice.rate.limit.Limited {
 			until = max(until, t.permits.nextAt.Sub(now))
 			share = float64(time.Second) / float64(p.shareInterval(t))
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -69,8 +69,8 @@
 	switch reason {
 	case ReasonLate:
 		v.ExpectedFirstAnswer = s.minFirstAnswer(now, w)
-	case ReasonResting:
-		v.RetryAfter = min(v.RetryAfter, s.untilRested(now, w))
+	case ReasonBackoff:
+		v.RetryAfter = min(v.RetryAfter, s.untilBackoffEnds(now, w))
 	}
 	return v
 }
@@ -87,8 +87,8 @@
 	if !anyMayServe(now, s, w) {
 		return s.noTargetReason(w), false
 	}
-	if s.restsTooLong(now, q) {
-		return ReasonResting, false
+	if s.backsOffTooLong(now, q) {
+		return ReasonBackoff, false
 	}
 	if s.engine == nil {
 		// A request at a plain service waits for at most half of its objective, and
@@ -105,30 +105,30 @@
 	return "", true
 }
 
-// restsTooLong reports whether all targets that may run the request rest for longer than it
-// can wait.
-func (s *service) restsTooLong(now time.Time, q *waitingRequest) bool {
+// backsOffTooLong reports whether this entry backs off from all targets that may run
+// the request for longer than it can wait.
+func (s *service) backsOffTooLong(now time.Time, q *waitingRequest) bool {
 	w := &q.request
-	rest := s.untilRested(now, w)
+	backoff := s.untilBackoffEnds(now, w)
 	switch {
-	case rest == 0:
+	case backoff == 0:
 		return false
-	case now.Add(rest).After(w.Deadline):
+	case now.Add(backoff).After(w.Deadline):
 		return true
 	case s.engine == nil:
-		return now.Add(rest).Sub(q.since) > plainPatience(w)
+		return now.Add(backoff).Sub(q.since) > plainPatience(w)
 	default:
-		return s.isLate(now, w, rest+s.minFirstAnswer(now, w))
+		return s.isLate(now, w, backoff+s.minFirstAnswer(now, w))
 	}
 }
 
-// untilRested returns when the first of the targets that may run the request has rested, 0 if
-// one of them does not rest or there is none.
-func (s *service) untilRested(now time.Time, w *Request) time.Duration {
+// untilBackoffEnds returns for how long this entry backs off from all targets that may run the
+// request, 0 if there is none.
+func (s *service) untilBackoffEnds(now time.Time, w *Request) time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for _, t := range s.all {
 		if s.mayServe(now, t, w) {
-			least = min(least, t.notice.restLeft(now))
+			least = min(least, t.notice.backoffLeft(now))
 		}
 	}
 	if least == math.MaxInt64 {
--- a/io/process/hosted/gauges.go
+++ b/io/process/hosted/gauges.go
@@ -37,7 +37,7 @@
 	notices := p.notices()
 	scope.Gauge("rate_limited_targets").Update(float64(notices.RateLimited))
 	scope.Gauge("said_leaving_targets").Update(float64(notices.Leaving))
-	scope.Gauge("resting_targets").Update(float64(notices.Resting))
+	scope.Gauge("backoff_targets").Update(float64(notices.BackingOff))
 	known := p.feed.Current()
 	scope.Gauge("revision").Update(float64(known.Revision))
 	if known.Table != nil {
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -33,7 +33,7 @@
 	notices := p.notices()
 	s := &trail.State{
 		Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends(),
-		RateLimited: notices.RateLimited, SaidLeaving: notices.Leaving, Resting: notices.Resting,
+		RateLimited: notices.RateLimited, SaidLeaving: notices.Leaving, BackingOff: notices.BackingOff,
 	}
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -162,7 +162,7 @@
 	s.recordRateLimit(x, reply)
 	s.recordNotice(q, x, reply)
 	if reply.NotRun {
-		return resend.NotRun, notRunReason(x.resp.StatusCode, reply.Rest)
+		return resend.NotRun, notRunReason(x.resp.StatusCode, reply.RetryAfter)
 	}
 	if reply.RequestID != "" && reply.RequestID != q.call.ID {
 		return resend.MismatchedReply, errors.Newf("response is for request %q", reply.RequestID)
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -62,9 +62,9 @@
 	RequestID string
 	// Leaving is set if the target says that it is about to stop.
 	Leaving bool
-	// Rest is for how long the target wants no requests from this entry, 0 if it does not
+	// RetryAfter is for how long the target wants no requests from this entry, 0 if it does not
 	// say.
-	Rest time.Duration
+	RetryAfter time.Duration
 	// RateLimit is the limit that the target names.
 	RateLimit lease.RateLimit
 }
--- a/io/request/direct/notice.go
+++ b/io/request/direct/notice.go
@@ -18,7 +18,7 @@
 // recordNotice tells the placer what the head of a response says of its target, and logs
 // what is new.
 func (s *Server) recordNotice(q *request, x *exchange, reply ReplyHeaders) {
-	said := place.Notice{Leaving: reply.Leaving, Rest: reply.Rest}
+	said := place.Notice{Leaving: reply.Leaving, RetryAfter: reply.RetryAfter}
 	if said == (place.Notice{}) {
 		return
 	}
@@ -28,8 +28,8 @@
 		d.Action = trail.ActionTargetLeaving
 		s.logNotice(d)
 	}
-	if news.Rest > 0 {
-		d.Action, d.RetryAfterMS = trail.ActionTargetResting, news.Rest.Milliseconds()
+	if news.RetryAfter > 0 {
+		d.Action, d.RetryAfterMS = trail.ActionTargetBackoff, news.RetryAfter.Milliseconds()
 		s.logNotice(d)
 	}
 }
@@ -40,9 +40,9 @@
 }
 
 // notRunReason returns why a target has not run a request, as far as its response says.
-func notRunReason(status int, rest time.Duration) error {
-	if rest > 0 {
-		return errors.Newf("status %d, retry after %s", status, rest)
+func notRunReason(status int, backoff time.Duration) error {
+	if backoff > 0 {
+		return errors.Newf("status %d, retry after %s", status, backoff)
 	}
 	return errors.Newf("status %d", status)
 }
--- a/io/request/direct/notice_test.go
+++ b/io/request/direct/notice_test.go
@@ -26,7 +26,7 @@
 		said place.Notice
 	}{
 		{"leaving", place.Notice{Leaving: true}},
-		{"resting", place.Notice{Rest: time.Minute}},
+		{"backing off", place.Notice{RetryAfter: time.Minute}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
