--- a/core/request/place/notice.go
+++ b/core/request/place/notice.go
@@ -36,8 +36,7 @@
 	return n, !n.isOfRunAfter(t)
 }
 
-// TakesRequests reports whether a target that was chosen for a request has not said in the
-// meantime that it takes none.
+// TakesRequests reports whether a target takes requests, by what it says of itself.
 func (p *Placer) TakesRequests(now time.Time, t facts.Target) bool {
 	n := p.notices[t.ID]
 	return n == nil || n.isOfRunAfter(t) || !n.leaving && !n.backingOff(now)
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -144,7 +144,7 @@
 	})
 }
 
-// takesRequests reports whether a target that was chosen for a request still takes it.
+// takesRequests reports whether a target takes requests, by what it says of itself.
 func (d *dispatcher) takesRequests(t facts.Target) (ok bool) {
 	d.Do(func() []place.Verdict {
 		ok = d.placer.TakesRequests(d.clock.Now(), t)
