--- /dev/null
+++ b/io/request/direct/retrybudget_test.go
@@ -0,0 +1,204 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/budget"
+	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
+)
+
+// frozenListener accepts no connection until thawed is closed. Until then the kernel
+// completes connections and keeps what is sent on them.
+type frozenListener struct {
+	net.Listener
+	thawed chan struct{}
+}
+
+func (l *frozenListener) Accept() (net.Conn, error) {
+	<-l.thawed
+	return l.Listener.Accept()
+}
+
+// retryTest is an entry with two engines. Target a holds its requests and then rejects
+// them; target b accepts no connection until it is thawed.
+type retryTest struct {
+	t       *testing.T
+	server  *Server
+	address string
+	reject  chan struct{}
+	// held counts the requests that a holds.
+	held    atomic.Int32
+	thaw    func()
+	callers sync.WaitGroup
+	lastID  int
+
+	mu sync.Mutex
+	// arrived holds the IDs of the requests that have reached an engine, and repeats
+	// counts the further arrivals of them.
+	arrived map[string]bool
+	repeats int
+}
+
+// countArrival counts a request that an engine has read.
+func (m *retryTest) countArrival(r *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := r.Header.Get(testHeaderID)
+	if m.arrived[id] {
+		m.repeats++
+	}
+	m.arrived[id] = true
+}
+
+// takeRepeats returns how many repeats have arrived since the last call.
+func (m *retryTest) takeRepeats() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.repeats
+	m.repeats = 0
+	return n
+}
+
+func newRetryTest(t *testing.T, rules budget.Budget) *retryTest {
+	t.Helper()
+	m := &retryTest{t: t, reject: make(chan struct{}), arrived: map[string]bool{}}
+	a := httptest.NewServer(readBodyFirst(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.countArrival(r)
+		m.held.Add(1)
+		select {
+		case <-m.reject:
+		case <-t.Context().Done():
+		}
+		m.held.Add(-1)
+		w.Header().Set(testHeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})))
+	b := httptest.NewUnstartedServer(readBodyFirst(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { m.countArrival(r) })))
+	thawed := make(chan struct{})
+	b.Listener = &frozenListener{Listener: b.Listener, thawed: thawed}
+	b.Start()
+	m.thaw = sync.OnceFunc(func() { close(thawed) })
+	known := idleEngines("a", "b")
+	known.Targets[0].Address, known.Targets[1].Address = addressOf(a), addressOf(b)
+	known.Table.Services[0].Engine.PrefillTokensPerSecond = 1e6
+	known.Table.Routes = []table.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: table.KindIdempotent, MaxAttempts: 2, Timeout: 20 * time.Second, Objective: 10 * time.Second,
+		TrafficSplit: []table.WeightedService{{Service: "svc", Weight: 1}},
+	}}
+	known.Table.BuildIndex()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.address = nl.Addr().String()
+	m.server = &Server{
+		Listener: nl, Clock: clockwork.NewRealClock(), Log: trail.Discard{}, HeaderCodec: testCodec{}, Source: &testSource{facts: known},
+		Placer: &place.Placer{Zone: "z", Rand: rand.New(rand.NewPCG(1, 1))}, Rules: Rules{RetryBudget: rules},
+	}
+	m.server.init()
+	m.server.dispatcher.update(known)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.server.Run(ctx) }()
+	t.Cleanup(func() {
+		m.thaw()
+		m.callers.Wait()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		a.Close()
+		b.Close()
+	})
+	return m
+}
+
+// setIdle reports one engine as idle and the other as about to load a version, so that
+// requests go to the idle one.
+func (m *retryTest) setIdle(idle, loading string) {
+	m.server.Report(idle, place.LoadReport{Alive: true, ServedVersion: 1})
+	m.server.Report(loading, place.LoadReport{Alive: true, Loading: true, ServedVersion: 1})
+}
+
+// send sends n requests without waiting for the responses.
+func (m *retryTest) send(n int) {
+	for range n {
+		m.lastID++
+		path := fmt.Sprintf("/%d", m.lastID)
+		m.callers.Go(func() { _, _, _ = fetch(m.t, m.address, path) })
+	}
+}
+
+// sendRejected sends n requests that a rejects, after which b is the only engine for a
+// repeat.
+func (m *retryTest) sendRejected(n int) {
+	m.t.Helper()
+	m.setIdle("a", "b")
+	m.send(n)
+	m.waitUntil("a holds all requests", func() bool { return m.held.Load() == int32(n) })
+	m.setIdle("b", "a")
+	for range n {
+		m.reject <- struct{}{}
+	}
+}
+
+func (m *retryTest) waitUntil(what string, holds func() bool) {
+	m.t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > 10*time.Second {
+			m.t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// What the test below sends and allows. Within settle a repeat is sent, and after pause a
+// window is over.
+const (
+	retryRequests = 12
+	retryRatio    = 0.5
+	retryWindow   = 400 * time.Millisecond
+	settle        = 100 * time.Millisecond
+	pause         = retryWindow + retryWindow/5
+)
+
+// checkRepeats fails the test unless some repeats have arrived since the last call, and no
+// more than are allowed of one group of requests.
+func (m *retryTest) checkRepeats(when string) {
+	m.t.Helper()
+	if got := m.takeRepeats(); got == 0 || got > retryRatio*retryRequests {
+		m.t.Errorf("%s: %d repeats arrived, want 1 to %v", when, got, retryRatio*retryRequests)
+	}
+}
+
+// Guards against counting repeats when they are granted. A target that freezes for longer
+// than a window reads those of several windows at once when it wakes.
+func TestRepeatsThatArriveTogetherStayWithinBudget(t *testing.T) {
+	m := newRetryTest(t, budget.Budget{Ratio: retryRatio, Window: retryWindow})
+	for range 3 {
+		m.sendRejected(retryRequests)
+		time.Sleep(pause)
+	}
+	m.sendRejected(retryRequests)
+	time.Sleep(settle)
+	m.thaw()
+	m.callers.Wait()
+	m.checkRepeats("after the freeze")
+
+	time.Sleep(pause)
+	m.sendRejected(retryRequests)
+	m.callers.Wait()
+	m.checkRepeats("a window later")
+}
