budget, direct: hold a repeat until it has arrived

Until it arrives it waits for a place, or on its way to a target that stands still, for up to its deadline; after a window the entry granted anew, and a target saw both at once.

Now a granted repeat is outstanding until its target responds or the attempt ends, and counts for a window from then. If an attempt was given up, its target may still read it: the repeats of that request are outstanding until its deadline. Repeats that are never sent are given back. All repeats that arrive within a window were outstanding or counted when the last of them was granted, so that they stay within what was allowed then.

The counter requests_retries_total tells granted, arrived and released ones apart.

--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -28,8 +28,11 @@
 )
 
 // Budget counts the requests and repeats of one service within a sliding window. Up to
-// Ratio of the requests, plus a part of Slack, may be repeated. Set the exported fields
-// before the first call.
+// Ratio of the requests, plus a part of Slack, may be repeated. The operator counts repeats
+// when they arrive at targets, which may be seconds after they were granted: a repeat waits
+// for a place, and a target that stands still reads it late. A granted repeat is therefore
+// outstanding, and uses the budget, from Reserve until a window after its arrival. Set the
+// exported fields before the first call.
 type Budget struct {
 	Ratio  float64
 	Slack  float64
@@ -41,8 +44,11 @@
 	// monotonic clock. If the time of day were used and jumped by a window, repeats
 	// would be granted again. While a machine is suspended the monotonic clock stands
 	// still, which only keeps repeats counted for longer.
-	started       time.Time
-	requests      [buckets]float64
+	started  time.Time
+	requests [buckets]float64
+	// outstanding is the number of granted repeats that may not have arrived yet, and
+	// repeats counts those that have.
+	outstanding   int
 	repeats       [repeatBuckets]float64
 	currentBucket int64
 }
@@ -53,17 +59,28 @@
 	b.requests[b.currentBucket%buckets]++
 }
 
-// TryRepeat reports whether a request may be repeated, and counts the repeat if so.
-func (b *Budget) TryRepeat(now time.Time) bool {
+// Reserve reports whether a request may be repeated. If so, the repeat is outstanding until
+// Arrived or Release is called for it.
+func (b *Budget) Reserve(now time.Time) bool {
 	b.advance(now)
 	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
-	if sum(b.repeats[:])+1 > allowed {
+	if float64(b.outstanding)+sum(b.repeats[:])+1 > allowed {
 		return false
 	}
-	b.repeats[b.currentBucket%repeatBuckets]++
+	b.outstanding++
 	return true
 }
 
+// Arrived records that n outstanding repeats have arrived at the latest now.
+func (b *Budget) Arrived(now time.Time, n int) {
+	b.advance(now)
+	b.outstanding -= n
+	b.repeats[b.currentBucket%repeatBuckets] += float64(n)
+}
+
+// Release gives back n outstanding repeats that will never be sent.
+func (b *Budget) Release(n int) { b.outstanding -= n }
+
 // slackShare is the part of Slack that this entry may use in a window. The sum over all
 // entries stays within Slack even if every entry restarts once in that time.
 func (b *Budget) slackShare() float64 {
--- a/core/request/budget/budget_test.go
+++ b/core/request/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 	"unsafe"
@@ -24,7 +25,7 @@
 		for range perSecond {
 			b.CountRequest(now)
 			x.requests++
-			if b.TryRepeat(now) {
+			if takeOne(b, now) {
 				x.repeats++
 			}
 			now = now.Add(time.Second / time.Duration(perSecond))
@@ -75,10 +76,19 @@
 	return b
 }
 
+// takeOne takes a repeat that arrives at once, and reports whether it was granted.
+func takeOne(b *Budget, now time.Time) bool {
+	if !b.Reserve(now) {
+		return false
+	}
+	b.Arrived(now, 1)
+	return true
+}
+
 // takeAll takes repeats until none is granted, and returns how many were.
 func takeAll(b *Budget, now time.Time) int {
 	n := 0
-	for b.TryRepeat(now) {
+	for takeOne(b, now) {
 		n++
 	}
 	return n
@@ -170,3 +180,91 @@
 		}
 	}
 }
+
+// Guards against granting repeats anew while earlier ones wait to be sent. Released ones are
+// granted again at once, those that arrived after a window.
+func TestOutstandingRepeatsUseTheBudget(t *testing.T) {
+	const window = 10 * time.Second
+	began := time.Now()
+	b := newRunningBudget(began, window)
+	whole := 0
+	for b.Reserve(began) {
+		whole++
+	}
+	later := began.Add(3 * window)
+	if diff := cmp.Diff(0, takeAll(b, later)); diff != "" {
+		t.Errorf("repeats while all are outstanding (-want +got):\n%s", diff)
+	}
+	b.Release(1)
+	if diff := cmp.Diff(1, takeAll(b, later)); diff != "" {
+		t.Errorf("repeats after one was released (-want +got):\n%s", diff)
+	}
+	b.Arrived(later, whole-1)
+	if diff := cmp.Diff(0, takeAll(b, later.Add(window-time.Millisecond))); diff != "" {
+		t.Errorf("repeats within a window after the arrival (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(whole, takeAll(b, later.Add(2*window))); diff != "" {
+		t.Errorf("repeats two windows after the arrival (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against more arrivals in a window than the operator allows, whenever repeats are
+// granted and however long each takes to arrive. The operator counts the requests of the
+// window, of the one before it or of the one half a window before it.
+func TestArrivalsStayWithinBudgetHoweverLongTheyTake(t *testing.T) {
+	const (
+		window  = 10 * time.Second
+		step    = 50 * time.Millisecond
+		steps   = 1200
+		perStep = 20
+		entries = 15
+		slack   = 134
+		ratio   = 0.2
+	)
+	perWindow := int(window / step)
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		budgets := make([]Budget, entries)
+		for i := range budgets {
+			budgets[i] = Budget{Ratio: ratio, Slack: slack, Window: window, Entries: entries}
+		}
+		began := time.Now()
+		arrivals := make([]int, steps+2*perWindow)
+		due := make([][]int, len(arrivals))
+		// Repeats are wanted and held up in phases, as while targets fail or stand still.
+		failing, release := false, 0
+		for at := range steps {
+			now := began.Add(time.Duration(at) * step)
+			if r.IntN(40) == 0 {
+				failing = !failing
+			}
+			if at >= release && r.IntN(80) == 0 {
+				release = at + r.IntN(perWindow*3/5)
+			}
+			for _, i := range due[at] {
+				budgets[i].Arrived(now, 1)
+				arrivals[at]++
+			}
+			for range perStep {
+				i := r.IntN(entries)
+				budgets[i].CountRequest(now)
+				if failing && budgets[i].Reserve(now) {
+					arrival := max(at+1, release)
+					due[arrival] = append(due[arrival], i)
+				}
+			}
+		}
+		inWindow := 0
+		for at := range steps {
+			inWindow += arrivals[at]
+			if at >= perWindow {
+				inWindow -= arrivals[at-perWindow]
+			}
+			// The rate of requests is constant, so that all windows but the first have as many.
+			allowed := ratio*float64(perStep*min(at+1, perWindow)) + slack
+			if float64(inWindow) > allowed {
+				t.Fatalf("seed %d: %d repeats arrive in the window before %v, want at most %v", seed, inWindow, time.Duration(at)*step, allowed)
+			}
+		}
+	}
+}
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -127,6 +127,7 @@
 		return resend.Unreached, err
 	}
 	q.tries.Sent()
+	s.attemptSent(q)
 	wd := s.startWatchdog(q, x, v, q.tries.Remaining() > 0)
 	defer wd.stop()
 	if o, err := s.sendAndCheck(q, x, req); o != "" {
@@ -156,8 +157,12 @@
 // returns the outcome of the attempt if the response cannot be used, otherwise "".
 func (s *Server) sendAndCheck(q *request, x *exchange, req *http.Request) (resend.Outcome, error) {
 	if err := x.roundTrip(req, q.body); err != nil {
+		if x.abortReason() != nil || req.Context().Err() != nil {
+			s.attemptGivenUp(q)
+		}
 		return resend.Broken, errors.CombineErrors(err, x.abortReason())
 	}
+	s.attemptAnswered(q)
 	reply := s.HeaderCodec.ReadReply(x.resp.StatusCode, x.resp.Header)
 	s.recordRateLimit(x, reply)
 	s.recordNotice(q, x, reply)
@@ -173,16 +178,17 @@
 	return "", nil
 }
 
-// mayRetry reports whether another attempt may follow one with the given outcome, and
-// counts it in the retry budget. An attempt that reached no target is not counted.
+// mayRetry reports whether another attempt may follow one with the given outcome, and takes
+// it from the retry budget unless the request still holds a retry. An attempt that reached
+// no target needs none.
 func (s *Server) mayRetry(q *request, o resend.Outcome) bool {
 	if !q.tries.Ended(o) {
 		return false
 	}
-	if o == resend.Unreached || q.retryCounted.CompareAndSwap(true, false) {
+	if o == resend.Unreached || s.holdsRetry(q) {
 		return true
 	}
-	if !s.takeRetry(q.service.Name) {
+	if !s.takeRetry(q) {
 		q.reason = "retryBudget"
 		return false
 	}
--- a/io/request/direct/forwarder.go
+++ b/io/request/direct/forwarder.go
@@ -192,6 +192,8 @@
 	succ.close()
 	if succ.sent {
 		f.q.tries.Sent()
+	} else {
+		f.server.releaseRetries(f.q)
 	}
 	f.q.tries.Ended(succ.outcome)
 	if succ.outcome != resend.Dropped {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,9 +58,8 @@
 	tries resend.AttemptTracker
 	// failedTargets are the IDs of targets that must not get the request again.
 	failedTargets []string
-	// retryCounted is set if the next attempt has already been counted in the retry
-	// budget.
-	retryCounted atomic.Bool
+	// retries is what the request holds of the retry budget.
+	retries heldRetries
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
 	// responseBegun is set if the caller has a part of the response.
@@ -130,6 +128,7 @@
 	ctx, cancel := clockwork.WithDeadline(r.Context(), s.Clock, q.deadline)
 	defer cancel()
 	s.countForRetries(q.service.Name)
+	defer s.endRetries(q)
 	s.runAttempts(ctx, w, q)
 }
 
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -94,7 +94,7 @@
 	if !ok {
 		return nil
 	}
-	if !s.takeRetry(q.service.Name) {
+	if !s.takeRetry(q) {
 		s.dispatcher.done(v.ID, place.ResultCallerGone)
 		return nil
 	}
@@ -120,6 +120,7 @@
 		x.close()
 		return succ.fail(resend.Unreached, err)
 	}
+	s.attemptSent(q)
 	succ.x, succ.sent, succ.watchdog = x, true, s.startWatchdog(q, x, v, movable)
 	if o, err := s.sendAndCheck(q, x, req); o != "" {
 		return succ.fail(o, err)
--- a/io/request/direct/metrics.go
+++ b/io/request/direct/metrics.go
@@ -70,13 +70,15 @@
 // noStatus is the status of counters without that tag.
 const noStatus = -1
 
-func (m requestMetrics) count(k counterKey) {
+func (m requestMetrics) count(k counterKey) { m.add(k, 1) }
+
+func (m requestMetrics) add(k counterKey, n int) {
 	c, ok := m.counters.Load(k)
 	if !ok {
 		c, _ = m.counters.LoadOrStore(k, m.scope.Tagged(k.tags()).Counter(k.name))
 	}
 	if c, ok := c.(tally.Counter); ok {
-		c.Inc(1)
+		c.Inc(int64(n))
 	}
 }
 
@@ -111,6 +113,12 @@
 	m.count(counterKey{name: "broken_off_total", reason: string(c), status: noStatus})
 }
 
+// countRetries counts what becomes of retries. Those granted and neither arrived nor released
+// may still reach a target.
+func (m requestMetrics) countRetries(outcome string, n int) {
+	m.add(counterKey{name: "retries_total", outcome: outcome, status: noStatus}, n)
+}
+
 // countNotice counts what targets say of themselves, by the action of their log lines.
 func (m requestMetrics) countNotice(action string) {
 	m.count(counterKey{name: "target_notices_total", reason: action, status: noStatus})
--- a/io/request/direct/retrybudget_test.go
+++ b/io/request/direct/retrybudget_test.go
@@ -17,6 +17,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/budget"
 	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/table"
 )
 
@@ -202,3 +203,71 @@
 	m.callers.Wait()
 	m.checkRepeats("a window later")
 }
+
+// Guards against forgetting an attempt that was given up. A target that stands still reads it
+// when it wakes, after the attempt that replaced it was answered.
+func TestAttemptGivenUpUsesTheBudgetUntilTheDeadline(t *testing.T) {
+	const window = 10 * time.Second
+	tests := []struct {
+		name     string
+		giveUp   bool
+		free     time.Duration
+		deadline time.Duration
+	}{
+		{name: "answered by the other target", free: 0, deadline: 6 * time.Second},
+		{name: "given up", giveUp: true, free: 6 * time.Second, deadline: 6 * time.Second},
+		{name: "given up, after the deadline", giveUp: true, free: 0, deadline: -time.Second},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			s := &Server{
+				Clock: clock, Log: trail.Discard{}, Source: &testSource{facts: idleEngines("a")}, HeaderCodec: testCodec{},
+				Placer: &place.Placer{Zone: "z", Rand: rand.New(rand.NewPCG(1, 1))}, Rules: Rules{RetryBudget: budget.Budget{Ratio: 1.25, Window: window}},
+			}
+			s.init()
+			q := &request{service: table.Service{Name: "svc"}, deadline: clock.Now().Add(tc.deadline)}
+			s.countForRetries("svc")
+			if tc.giveUp {
+				x, _ := newPipeExchange(t)
+				x.abort(errSilent)
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if o, _ := s.sendAndCheck(q, x, req); o != resend.Broken {
+					t.Fatalf("outcome %q, want %q", o, resend.Broken)
+				}
+			}
+			if !s.takeRetry(q) {
+				t.Fatal("no retry granted")
+			}
+			s.attemptSent(q)
+			s.attemptAnswered(q)
+			s.endRetries(q)
+			// A window later the entry counts the request no longer, so it counts another one.
+			clock.Advance(tc.free)
+			time.Sleep(10 * time.Millisecond)
+			clock.Advance(window)
+			s.countForRetries("svc")
+			if s.takeRetry(&request{service: q.service}) {
+				t.Error("granted within a window after the last possible arrival")
+			}
+			clock.Advance(window / 5)
+			s.countForRetries("svc")
+			if !s.takeRetry(&request{service: q.service}) {
+				t.Error("not granted a window after the last possible arrival")
+			}
+		})
+	}
+}
+
+// newPipeExchange returns an exchange over a pipe, and the target's end of it.
+func newPipeExchange(t *testing.T) (*exchange, net.Conn) {
+	t.Helper()
+	entry, target := net.Pipe()
+	t.Cleanup(func() { target.Close() })
+	x := &exchange{conn: entry, closed: make(chan struct{}), stopAfterFunc: func() bool { return true }}
+	t.Cleanup(x.close)
+	return x, target
+}
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -247,29 +247,3 @@
 	}
 	return operr.Wrap("drain", "", s.server.Shutdown(ctx))
 }
-
-// takeRetry reports whether the retry budget of a service allows another attempt, and
-// counts it if so.
-func (s *Server) takeRetry(service string) bool {
-	s.budgetMu.Lock()
-	defer s.budgetMu.Unlock()
-	return s.retryBudget(service).TryRepeat(s.Clock.Now())
-}
-
-// countForRetries counts a caller's request; the retry budget is a fraction of these.
-func (s *Server) countForRetries(service string) {
-	s.budgetMu.Lock()
-	defer s.budgetMu.Unlock()
-	s.retryBudget(service).CountRequest(s.Clock.Now())
-}
-
-// retryBudget returns the budget of a service. The caller must hold budgetMu.
-func (s *Server) retryBudget(service string) *budget.Budget {
-	b, ok := s.retryBudgets[service]
-	if !ok {
-		b = &budget.Budget{Ratio: s.Rules.RetryBudget.Ratio, Slack: s.Rules.RetryBudget.Slack, Window: s.Rules.RetryBudget.Window}
-		s.retryBudgets[service] = b
-	}
-	b.Entries = s.maxEntries
-	return b
-}
--- a/io/request/direct/watchdog.go
+++ b/io/request/direct/watchdog.go
@@ -154,10 +154,9 @@
 		g.requestHandover(errSilent)
 		return
 	}
-	if !g.server.dispatcher.otherHasRoom(g.q.service.Name, g.targetID, g.server.allowedRegions(g.q)) || !g.server.takeRetry(g.q.service.Name) {
+	if !g.server.dispatcher.otherHasRoom(g.q.service.Name, g.targetID, g.server.allowedRegions(g.q)) || !g.server.takeRetry(g.q) {
 		return
 	}
-	g.q.retryCounted.Store(true)
 	g.x.abort(errSilent)
 }
 
