feed, epoch, platform: follow a store that was restored from an older copy

Cause: after a restore the store gives its revisions out again, and everything here compares revisions alone. A watch got 410, the list that followed was dropped for its lower revision, ten times a second; once the store's count had passed the old one, a watch went on from there and what was written below it was never read.

Now a revision holds the store's epoch (Store-Era in the adapter) above its count, so that all that compares revisions (lists, peers, relays, documents) goes by both. An answer to a watch that names another epoch is taken for lost history. The first state of an epoch is of some time ago, so what is known and may be missing there stays in force until it is written again: a configuration or a version is not replaced by an older one, nor a notice of leaving by the time before it; targets and evacuations that are missing are kept for the grace of an outage; targets whose removal was seen are not used for 5 s unless they register. A peer of an older epoch is sent all keys. A version that is read again keeps its date.

Logs: storeRestored, listIgnored, olderItemIgnored, and epoch beside revision in each line; gauge store_epoch.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -4,7 +4,11 @@
 // them back.
 package trail
 
-import "time"
+import (
+	"time"
+
+	"hawthornferry/core/process/epoch"
+)
 
 // Area is the part of the system that made a decision.
 type Area string
@@ -61,7 +65,9 @@
 	Cause string `json:"cause,omitempty"`
 	// Revision is that of the configuration in force, or of the state that a
 	// configuration or membership record is about.
-	Revision uint64      `json:"revision,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	// Epoch is that of the store's revision; see package epoch. A Log sets it.
+	Epoch    uint64      `json:"epoch,omitempty"`
 	Excluded []Exclusion `json:"left,omitempty"`
 	// Fingerprint identifies a request by what it has in common with its repeats,
 	// in hexadecimal digits. It is computed only when needed: after an attempt has
@@ -115,6 +121,11 @@
 	State *State `json:"state,omitempty"`
 }
 
+// SplitRevision moves the epoch out of Revision, which is then the store's own count.
+func (d *Decision) SplitRevision() {
+	d.Epoch, d.Revision = epoch.Of(d.Revision), epoch.Count(d.Revision)
+}
+
 // Log records decisions. Implementations set Time, Process and Boot, must be
 // safe for concurrent use and must not block on a slow reader.
 type Log interface {
--- a/core/process/verlog/log.go
+++ b/core/process/verlog/log.go
@@ -112,6 +112,11 @@
 	return out
 }
 
+// HasRead reports whether this process has read a version from the store itself.
+func (l *Log) HasRead(model string, version uint64) bool {
+	return slices.ContainsFunc(l.entries, func(e Entry) bool { return e.Read && e.Model == model && e.Version == version })
+}
+
 // All returns all entries, sorted by model and version.
 func (l *Log) All() []Entry { return slices.Clone(l.entries) }
 
--- a/io/process/feed/fakes_test.go
+++ b/io/process/feed/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"strconv"
@@ -59,6 +60,25 @@
 	changed      chan struct{}
 	// failNext makes only one watch fail.
 	failNext bool
+	epoch    uint64
+}
+
+// restore replaces the items by those of a copy at a revision, as a new epoch.
+func (s *fakeStore) restore(items map[string]Item, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.log, s.revision = maps.Clone(items), nil, revision
+	s.epoch++
+	s.oldestRevision = revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// copy returns the items and the revision.
+func (s *fakeStore) copy() (items map[string]Item, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.items), s.revision
 }
 
 func newFakeStore() *fakeStore {
@@ -105,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	p := Page{AtRevision: s.revision}
+	p := Page{AtRevision: s.revision, Epoch: s.epoch}
 	for _, it := range s.items {
 		p.Items = append(p.Items, it)
 	}
@@ -142,7 +162,7 @@
 			s.calls++
 			s.gap = max(s.gap, time.Since(s.lastWatchEnd))
 		}
-		c := Changes{AtRevision: s.revision}
+		c := Changes{AtRevision: s.revision, Epoch: s.epoch}
 		for _, it := range s.log {
 			if it.Revision > after {
 				c.Items = append(c.Items, it)
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -123,11 +123,13 @@
 	IsRelay    func() bool
 	RelayWaits Waits
 
-	mu            sync.Mutex
-	items         map[string]Item
-	removed       removals
-	decoded       map[string]DecodedItem
-	graceEnds     map[string]time.Time
+	mu        sync.Mutex
+	items     map[string]Item
+	removed   removals
+	decoded   map[string]DecodedItem
+	graceEnds map[string]time.Time
+	// withheld holds until when items are not used that a restored store lists again.
+	withheld      map[string]time.Time
 	announcements verlog.Log
 	// queries is how often peers were asked when the newest version was
 	// announced, and nextQuery the time on the Uptime clock of the next query.
@@ -194,6 +196,7 @@
 		f.items = map[string]Item{}
 		f.decoded = map[string]DecodedItem{}
 		f.graceEnds = map[string]time.Time{}
+		f.withheld = map[string]time.Time{}
 		f.changed = make(chan struct{})
 		f.current.Store(&facts.Facts{})
 		if f.Metrics == nil {
--- a/io/process/feed/publish.go
+++ b/io/process/feed/publish.go
@@ -20,6 +20,7 @@
 	}
 	f.known, f.revision, f.confirmed = c.Known, c.Revision, c.Confirmed
 	f.dropExpired()
+	f.useWithheld()
 	f.publish()
 }
 
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -302,18 +302,12 @@
 // held.
 func (f *Feed) applyReply(reply *factsReply) {
 	if reply.Changes {
-		f.apply(reply.Items, verlog.OptionalTime{})
+		f.apply(reply.Items, source{})
 		return
 	}
 	present := make(map[string]bool, len(reply.Keys))
 	for _, k := range reply.Keys {
 		present[k] = true
 	}
-	items := reply.Items
-	for key := range f.items {
-		if !present[key] {
-			items = append(items, Item{Key: key, Revision: reply.AtRevision, Deleted: true})
-		}
-	}
-	f.apply(items, verlog.OptionalTime{})
+	f.applyAll(reply.Items, present, reply.AtRevision)
 }
--- a/io/process/feed/removals.go
+++ b/io/process/feed/removals.go
@@ -30,6 +30,11 @@
 	return revision > 0 && revision >= r.completeAfter
 }
 
+// has reports whether the removal of an item is remembered.
+func (r *removals) has(key string) bool {
+	return slices.ContainsFunc(r.items, func(it Item) bool { return it.Key == key })
+}
+
 // after returns the removals after a revision.
 func (r *removals) after(revision uint64) []Item {
 	var out []Item
--- a/io/process/feed/removals_test.go
+++ b/io/process/feed/removals_test.go
@@ -9,8 +9,6 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-
-	"hawthornferry/core/process/verlog"
 )
 
 // Guards against an entry that uses a target which has left, because its
@@ -62,7 +60,7 @@
 	} else {
 		for _, it := range s.log {
 			if it.Revision > f.revision {
-				f.apply([]Item{it}, verlog.OptionalTime{})
+				f.apply([]Item{it}, source{})
 			}
 		}
 	}
--- /dev/null
+++ b/io/process/feed/restored.go
@@ -0,0 +1,74 @@
+package feed
+
+import (
+	"time"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/process/verlog"
+)
+
+// withholdTime is how long a target that the store lists again, although its removal had
+// been seen, gets no requests. Within it a target that has left is removed again: its
+// registration lapses after three heartbeats.
+const withholdTime = 5 * time.Second
+
+// beginEpoch prepares for the state of a store that was restored from an older copy. What was
+// written after the copy is missing there until its writers write it again. f.mu must be
+// held.
+func (f *Feed) beginEpoch(at uint64) {
+	// Targets that are missing now register again, as after an outage.
+	f.storeBackAt = f.Clock.Now()
+	// A peer of an older epoch may have items that this process has never seen, so that it
+	// must be sent all keys.
+	f.removed.completeAfter = at
+	f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "storeRestored", Revision: at})
+}
+
+// wasRemoved reports whether the removal of an item has been seen, and no later item of that
+// key. f.mu must be held.
+func (f *Feed) wasRemoved(key string) bool {
+	if _, present := f.items[key]; present {
+		return false
+	}
+	return f.removed.has(key)
+}
+
+// isOlder reports whether a decoded item is older than the one in force: a configuration
+// with a lower version or, in a store that was restored, the state of a target from before
+// it began to leave. f.mu must be held.
+func (f *Feed) isOlder(key string, fact DecodedItem, src source) bool {
+	old := f.decoded[key]
+	switch {
+	case old.Config != nil && fact.Config != nil:
+		return fact.Config.Table.Version < old.Config.Table.Version
+	case old.Target != nil && fact.Target != nil:
+		sameRun := fact.Target.StartedAt.Equal(old.Target.StartedAt)
+		return src.restored && sameRun && old.Target.Leaving && !fact.Target.Leaving
+	default:
+		return false
+	}
+}
+
+// keepItem keeps the value of an item at the revision of another one, so that peers get it as
+// well. f.mu must be held.
+func (f *Feed) keepItem(other Item) {
+	it, present := f.items[other.Key]
+	if !present {
+		it = other
+	}
+	it.Revision = other.Revision
+	f.items[other.Key] = it
+}
+
+// useWithheld decodes the withheld items whose time has passed. f.mu must be held.
+func (f *Feed) useWithheld() {
+	now := f.Clock.Now()
+	for key, until := range f.withheld {
+		if now.Before(until) {
+			continue
+		}
+		delete(f.withheld, key)
+		fact, err := f.Decoder.Decode(f.items[key])
+		f.use(f.items[key], fact, err, verlog.OptionalTime{})
+	}
+}
--- a/io/process/feed/store.go
+++ b/io/process/feed/store.go
@@ -10,12 +10,16 @@
 	"hawthornferry/core/request/table"
 )
 
+// errNewEpoch is returned for an answer of another epoch than the calls before it.
+var errNewEpoch = errors.New("the store was restored from an older copy")
+
 // ErrHistoryLost is returned by a watch if the store no longer has the changes
 // after the given revision; everything has to be listed again.
 var ErrHistoryLost = errors.New("the store no longer has this history")
 
 // Item is one key of the store. Deleted marks a key that was removed at
-// Revision; it has no value.
+// Revision; it has no value. From a Store, Revision is the store's own count; in a Feed
+// and between peers it includes the epoch (package epoch).
 type Item struct {
 	Key      string `msgpack:"key"`
 	Value    []byte `msgpack:"value"`
@@ -23,22 +27,25 @@
 	Deleted  bool   `msgpack:"deleted,omitempty"`
 }
 
-// Page is one page of a list. AtRevision is the store's revision when it was
-// read.
+// Page is one page of a list. AtRevision is the store's own count when it was
+// read, and Epoch rises each time the store is restored from an older copy.
 type Page struct {
 	Items      []Item
 	More       bool
 	AtRevision uint64
+	Epoch      uint64
 }
 
-// Changes is the result of a watch; the next watch continues after
+// Changes is the result of a watch; the next watch of the same Epoch continues after
 // AtRevision.
 type Changes struct {
 	Items      []Item
 	AtRevision uint64
+	Epoch      uint64
 }
 
-// Store is the platform's store. Both calls return once their context ends.
+// Store is the platform's store. Both calls return once their context ends. Watch takes
+// the store's own count.
 type Store interface {
 	List(ctx context.Context, after string) (Page, error)
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
--- a/io/process/feed/watch.go
+++ b/io/process/feed/watch.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hawthornferry/core/process/epoch"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/verlog"
 )
@@ -28,9 +29,14 @@
 	f.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	c, err := f.Store.Watch(callCtx, contact.Revision, wait)
+	c, err := f.Store.Watch(callCtx, epoch.Count(contact.Revision), wait)
 	got := f.Uptime()
-	if errors.Is(err, ErrHistoryLost) {
+	if err == nil && c.Epoch != epoch.Of(contact.Revision) {
+		// The same count stands for other writes, so the changes after it are not all that is
+		// missing here.
+		err = errNewEpoch
+	}
+	if errors.Is(err, ErrHistoryLost) || errors.Is(err, errNewEpoch) {
 		f.mu.Lock()
 		f.recordStoreAnswer(f.waits().Store)
 		f.mu.Unlock()
@@ -44,13 +50,14 @@
 	defer f.mu.Unlock()
 	// A peer may have sent a newer revision in the meantime.
 	f.answerDue = 0
-	if c.AtRevision >= f.revision {
+	at := epoch.Revision(c.Epoch, c.AtRevision)
+	if at >= f.revision {
 		call := verlog.StoreCall{Asked: asked, Got: got, Wait: wait}
 		live := f.contact().ChangesMadeAt(call, f.ranSince)
 		f.recordStoreAnswer(f.waits().Store)
 		f.recordAnswerTime(call)
-		f.apply(c.Items, live)
-		f.confirm(asked, c.AtRevision)
+		f.apply(inEpoch(c.Items, c.Epoch), source{live: live})
+		f.confirm(asked, at)
 	}
 	return nil
 }
@@ -62,18 +69,21 @@
 	f.expectAnswer(asked + watchSlack)
 	f.mu.Unlock()
 	var items []Item
-	var first uint64
+	var first Page
 	after := ""
 	for {
 		p, err := f.page(ctx, after)
 		if err != nil {
 			return err
 		}
+		if after != "" && p.Epoch != first.Epoch {
+			return errNewEpoch
+		}
 		f.mu.Lock()
 		f.recordStoreAnswer(pageTimeout)
 		f.mu.Unlock()
 		if after == "" {
-			first = p.AtRevision
+			first = p
 		}
 		items = append(items, p.Items...)
 		if !p.More || len(p.Items) == 0 {
@@ -85,15 +95,27 @@
 	defer f.mu.Unlock()
 	// Pages are not a consistent snapshot. What changed between two pages comes
 	// again with the watch, which starts at the revision of the first page.
-	if first < f.revision {
+	at := epoch.Revision(first.Epoch, first.AtRevision)
+	if at < f.revision {
+		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "listIgnored", Reason: "a peer has sent a newer state", Revision: at})
 		return nil
 	}
 	f.recordAnswerTime(verlog.StoreCall{Asked: asked, Got: f.Uptime()})
-	f.replaceAll(items, first)
-	f.confirm(asked, first)
+	f.replaceAll(inEpoch(items, first.Epoch), at)
+	f.confirm(asked, at)
 	return nil
 }
 
+// inEpoch returns the store's items with the epoch in their revisions.
+func inEpoch(items []Item, of uint64) []Item {
+	out := make([]Item, len(items))
+	for i, it := range items {
+		it.Revision = epoch.Revision(of, it.Revision)
+		out[i] = it
+	}
+	return out
+}
+
 func (f *Feed) page(ctx context.Context, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
--- a/io/process/hosted/gauges.go
+++ b/io/process/hosted/gauges.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"hawthornferry/core/process/epoch"
 	"hawthornferry/core/request/place"
 )
 
@@ -39,7 +40,8 @@
 	scope.Gauge("said_leaving_targets").Update(float64(notices.Leaving))
 	scope.Gauge("backoff_targets").Update(float64(notices.BackingOff))
 	known := p.feed.Current()
-	scope.Gauge("revision").Update(float64(known.Revision))
+	scope.Gauge("revision").Update(float64(epoch.Count(known.Revision)))
+	scope.Gauge("store_epoch").Update(float64(epoch.Of(known.Revision)))
 	if known.Table != nil {
 		scope.Gauge("configuration_version").Update(float64(known.Table.Version))
 	}
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornferry/core/process/epoch"
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/operr"
 	"hawthornferry/core/process/trail"
@@ -308,6 +309,6 @@
 	if err := p.ready(); err != nil {
 		s.Process.Ready, s.Process.NotReadyReason = false, err.Error()
 	}
-	s.Config = admin.Config{Revision: p.self.Revision.Load(), VMs: len(p.feed.Current().Targets)}
+	s.Config = admin.Config{Revision: epoch.Count(p.self.Revision.Load()), VMs: len(p.feed.Current().Targets)}
 	return s
 }
--- a/io/process/jsonl/log.go
+++ b/io/process/jsonl/log.go
@@ -46,6 +46,7 @@
 	d.Time = l.Clock.Now().Truncate(timeUnit)
 	d.Process = l.Process
 	d.Boot = cmp.Or(l.Boot, d.Boot)
+	d.SplitRevision()
 	e := l.Logger.WithField(decisionField, d)
 	e.Level = logrus.InfoLevel
 	b, err := l.Logger.Formatter.Format(e)
