feed: give peers a configuration that the store has forgotten

An entry that starts after the store was restored and before the operator has written again reads the copy's configuration, and with it keys that were revoked since. TestProcessThatStartsGetsForgottenConfigurationFromPeer fails without adoptAhead: version 1 where a peer has 5.

A request between peers now names the requester's configuration. A reply holds the configuration if it is newer although its revision is not; that happens after a restore only, so that other replies do not grow.

--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -165,9 +165,9 @@
 func (f *Feed) exchange(c *link.Conn, wait time.Duration) (*factsReply, error) {
 	asked := f.Uptime()
 	f.mu.Lock()
-	after := f.revision
+	req := &factsRequest{After: f.revision, Wait: wait, ConfigVersion: f.configVersion()}
 	f.mu.Unlock()
-	if err := c.Send(&factsRequest{After: after, Wait: wait}); err != nil {
+	if err := c.Send(req); err != nil {
 		return nil, err
 	}
 	reply, err := receiveReply(c)
@@ -196,6 +196,9 @@
 		if len(part.Announced) == 0 {
 			part.Announced = reply.Announced
 		}
+		if len(part.PackedAhead) == 0 {
+			part.PackedAhead = reply.PackedAhead
+		}
 		part.StoreUnreachable, part.StoreLost = part.StoreUnreachable || reply.StoreUnreachable, part.StoreLost || reply.StoreLost
 		part.StoreLateness = cmp.Or(part.StoreLateness, reply.StoreLateness)
 		part.Items = append(reply.Items, part.Items...)
@@ -285,6 +288,7 @@
 	r := verlog.Reply{Asked: asked, Got: f.Uptime(), LongPoll: waited, StoreUnreachable: reply.StoreUnreachable}
 	f.mergeAnnouncements(r, reply.Announced)
 	f.recordPeerReply(waited, reply.Age)
+	defer f.adoptAhead(reply)
 	since := r.Since(reply.Age)
 	if !f.contact().ShouldAdopt(since, reply.AtRevision) {
 		return
--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -57,9 +57,12 @@
 // factsRequest is the request of a process that holds the store's revision
 // After. The peer replies once it has a newer revision or has lost the store,
 // at the latest after Wait.
+//
+// ConfigVersion is that of the requester's configuration, 0 if it has none.
 type factsRequest struct {
-	After uint64        `msgpack:"after"`
-	Wait  time.Duration `msgpack:"wait"`
+	After         uint64        `msgpack:"after"`
+	Wait          time.Duration `msgpack:"wait"`
+	ConfigVersion uint64        `msgpack:"config"`
 }
 
 // Kind returns the message's name on the wire.
@@ -82,6 +85,9 @@
 	Items      []Item        `msgpack:"-"`
 	// Packed is the result of packItems for Items.
 	Packed []byte `msgpack:"packed"`
+	// PackedAhead is the result of packItems for the configuration, if it is newer than the
+	// requester's although its revision is not: the store was restored and has forgotten it.
+	PackedAhead []byte `msgpack:"ahead"`
 	// Changes is set when Items are all changes after the requested revision,
 	// including removals. Otherwise Keys lists all existing keys, and the
 	// requester removes every other key.
@@ -193,6 +199,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := &factsReply{Known: f.known, AtRevision: f.revision, Age: max(0, f.Uptime()-f.confirmed), Announced: f.announcements.VersionReports(f.Uptime()), StoreUnreachable: f.contact().StoreUnreachable(f.ranSince), StoreLost: f.storeLost, StoreLateness: f.storeLateness()}
+	t.PackedAhead = f.packAhead(req)
 	if !f.known || f.revision <= req.After {
 		t.Last = true
 		return []*factsReply{t}
--- a/io/process/feed/restored.go
+++ b/io/process/feed/restored.go
@@ -60,6 +60,55 @@
 	f.items[other.Key] = it
 }
 
+// configVersion returns the version of the configuration in force, 0 if there is none. f.mu
+// must be held.
+func (f *Feed) configVersion() uint64 {
+	if t := f.current.Load().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// packAhead returns the configuration for a peer that has an older one at the same or a later
+// revision, nil for any other peer. f.mu must be held.
+func (f *Feed) packAhead(req *factsRequest) []byte {
+	if !f.known || req.ConfigVersion == 0 || f.configVersion() <= req.ConfigVersion {
+		return nil
+	}
+	var ahead []Item
+	for key, fact := range f.decoded {
+		if it := f.items[key]; fact.Config != nil && it.Revision <= req.After {
+			ahead = append(ahead, it)
+		}
+	}
+	packed, err := packItems(ahead)
+	if err != nil {
+		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Reason: err.Error(), Revision: f.revision})
+	}
+	return packed
+}
+
+// adoptAhead adopts the configuration of a peer that is newer than this process's, although the
+// state of the store that holds it was lost. f.mu must be held.
+func (f *Feed) adoptAhead(reply *factsReply) {
+	items, err := unpackItems(reply.PackedAhead)
+	if err != nil {
+		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Reason: err.Error(), Revision: reply.AtRevision})
+		return
+	}
+	for _, it := range items {
+		fact, err := f.Decoder.Decode(it)
+		former, present := f.items[it.Key]
+		if err != nil || !present || fact.Config == nil || fact.Config.Table.Version <= f.configVersion() {
+			continue
+		}
+		it.Revision = former.Revision
+		f.items[it.Key] = it
+		f.use(it, fact, nil, verlog.OptionalTime{})
+		f.publish()
+	}
+}
+
 // useWithheld decodes the withheld items whose time has passed. f.mu must be held.
 func (f *Feed) useWithheld() {
 	now := f.Clock.Now()
--- a/io/process/feed/restored_test.go
+++ b/io/process/feed/restored_test.go
@@ -81,18 +81,33 @@
 	}
 }
 
-// Guards against peers that get the older configuration of a restored store from a process
-// that knows a newer one.
+// Guards against an older configuration, and the keys revoked since, in a process that starts
+// when the store has forgotten the newer one. A peer has it, whether the process asks the peer
+// or the store first.
 func TestProcessThatStartsGetsForgottenConfigurationFromPeer(t *testing.T) {
-	m := newRestoredTest(t)
-	m.store.set("config", "5", false)
-	m.list(m.feed)
-	m.restore()
-	m.list(m.feed)
-	started := m.newFeed()
-	pullFromPeer(started, m.feed)
-	if diff := cmp.Diff(uint64(5), started.Current().Table.Version); diff != "" {
-		t.Errorf("configuration (-want +got):\n%s", diff)
+	for _, fromStore := range []bool{false, true} {
+		m := newRestoredTest(t)
+		m.store.set("config", "5", false)
+		m.list(m.feed)
+		m.restore()
+		m.list(m.feed)
+		m.store.set("target/d", "", false)
+		started := m.newFeed()
+		if fromStore {
+			m.list(started)
+		}
+		peer, _ := servePeer(t, m.feed)
+		if err := started.queryPeer(t.Context(), peer); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(uint64(5), started.Current().Table.Version); diff != "" {
+			t.Errorf("store asked first %v: configuration (-want +got):\n%s", fromStore, diff)
+		}
+		m.store.set("config", "7", false)
+		m.list(started)
+		if diff := cmp.Diff(uint64(7), started.Current().Table.Version); diff != "" {
+			t.Errorf("written again: configuration (-want +got):\n%s", diff)
+		}
 	}
 }
 
