link: serve the peers that are set before Run

An entry that had read the store before its listener for load reports ran heard no side at all until the next change of the list: SetPeers had no effect before Run. It then placed requests by its own count alone, and others counted one entry too few. TestPeersSetBeforeRunAreServed fails on the code before: no peer is served.

The set is kept and served once Run starts.

--- a/io/conn/link/peers.go
+++ b/io/conn/link/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 )
 
@@ -18,25 +19,37 @@
 	ctx     context.Context
 	wg      sync.WaitGroup
 	cancels map[netip.AddrPort]context.CancelFunc
+	// early is the set of peers from before Run.
+	early []netip.AddrPort
 }
 
-// Run accepts changes of the set until ctx ends, then waits for the goroutines.
+// Run serves the peers of the set until ctx ends, then waits for the goroutines.
 func (r *PeerRunner) Run(ctx context.Context) error {
 	r.mu.Lock()
 	r.ctx = ctx
 	r.cancels = map[netip.AddrPort]context.CancelFunc{}
+	r.replace(r.early)
 	r.mu.Unlock()
 	<-ctx.Done()
 	r.wg.Wait()
 	return nil
 }
 
-// SetPeers replaces the set of peers. It has no effect before Run starts or after
-// its context ends.
+// SetPeers replaces the set of peers. A set from before Run is served once that starts. It
+// has no effect after the context of Run has ended.
 func (r *PeerRunner) SetPeers(addrs []netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ctx == nil || r.ctx.Err() != nil {
+	if r.ctx == nil {
+		r.early = slices.Clone(addrs)
+		return
+	}
+	r.replace(addrs)
+}
+
+// replace replaces the set of peers. r.mu must be held.
+func (r *PeerRunner) replace(addrs []netip.AddrPort) {
+	if r.ctx.Err() != nil {
 		return
 	}
 	wanted := make(map[netip.AddrPort]bool, len(addrs))
