budget, direct: log what the retry budget counts when it allows no retry

Change: the line of a request that the budget did not allow to be sent again has the requests, retries, allowed retries and the age of the budget; the counter retries_total counts those denied. No decision changes.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -41,6 +41,19 @@
 	OldVersion int `json:"oldVersion,omitempty"`
 }
 
+// RetryBudget is the state of a service's retry budget when it did not allow a retry.
+type RetryBudget struct {
+	// Requests and Arrived are the callers' requests and the retries of the current
+	// window, and Outstanding the granted retries that may not have arrived yet.
+	Requests    int `json:"requests"`
+	Arrived     int `json:"arrived"`
+	Outstanding int `json:"outstanding"`
+	// Allowed is how many retries may be outstanding or have arrived in the window.
+	Allowed int `json:"allowed"`
+	// AgeMS is how long the process has kept the budget.
+	AgeMS int64 `json:"ageMs"`
+}
+
 // State is a snapshot of what a process knows. Processes log it periodically, so
 // that an excerpt of a log is enough to explain a request.
 type State struct {
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -117,6 +117,9 @@
 	// Candidates is set when a request was refused because no target could take
 	// it.
 	Candidates *CandidateCounts `json:"candidates,omitempty"`
+	// RetryBudget is set for a request that the retry budget of its service did not allow
+	// to be sent again.
+	RetryBudget *RetryBudget `json:"retryBudget,omitempty"`
 	// State is set for the periodic snapshots of what a process knows.
 	State *State `json:"state,omitempty"`
 }
--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -63,8 +63,7 @@
 // Arrived or Release is called for it.
 func (b *Budget) Reserve(now time.Time) bool {
 	b.advance(now)
-	allowed := ratioShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
-	if float64(b.outstanding)+sum(b.repeats[:])+1 > allowed {
+	if float64(b.outstanding)+sum(b.repeats[:])+1 > b.allowed() {
 		return false
 	}
 	b.outstanding++
@@ -78,9 +77,36 @@
 	b.repeats[b.currentBucket%repeatBuckets] += float64(n)
 }
 
+// Usage is what decides whether a request may be repeated.
+type Usage struct {
+	// Requests and Arrived are the requests and the repeats of the current window, and
+	// Outstanding the granted repeats that may not have arrived yet.
+	Requests    int
+	Arrived     int
+	Outstanding int
+	// Allowed is how many repeats may be outstanding or have arrived in the window.
+	Allowed int
+	// Age is the time since the first call.
+	Age time.Duration
+}
+
+// Usage returns what decides about repeats now.
+func (b *Budget) Usage(now time.Time) Usage {
+	b.advance(now)
+	return Usage{
+		Requests: int(sum(b.requests[:])), Arrived: int(sum(b.repeats[:])), Outstanding: b.outstanding,
+		Allowed: int(b.allowed()), Age: now.Sub(b.started),
+	}
+}
+
 // Release gives back n outstanding repeats that will never be sent.
 func (b *Budget) Release(n int) { b.outstanding -= n }
 
+// allowed is how many repeats may be outstanding or have arrived in the current window.
+func (b *Budget) allowed() float64 {
+	return ratioShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
+}
+
 // slackShare is the part of Slack that this entry may use in a window. The sum over all
 // entries stays within Slack even if every entry restarts once in that time.
 func (b *Budget) slackShare() float64 {
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -88,6 +88,9 @@
 	add("tookMs", d.TookMS, d.TookMS != 0)
 	add("ageMs", d.AgeMS, d.AgeMS != 0)
 	add("revision", d.Revision, d.Revision != 0)
+	if d.RetryBudget != nil {
+		parts = append(parts, "retryBudget="+compactJSON(d.RetryBudget))
+	}
 	if d.Candidates != nil {
 		parts = append(parts, "candidates="+compactJSON(d.Candidates))
 	}
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -195,6 +195,7 @@
 		d.AgeMS = age.Milliseconds()
 	}
 	d.FirstEventMS = q.progress.timeToFirstEvent.Milliseconds()
+	d.RetryBudget = s.deniedRetry(q)
 	if q.progress.attempts > 1 {
 		d.Attempts = q.progress.attempts
 	}
--- a/io/request/direct/retrybudget.go
+++ b/io/request/direct/retrybudget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/budget"
 )
 
@@ -11,6 +12,7 @@
 	retryGranted  = "granted"
 	retryArrived  = "arrived"
 	retryReleased = "released"
+	retryDenied   = "denied"
 )
 
 // heldRetries is what a request holds of the retry budget of its service. It is guarded by
@@ -25,6 +27,22 @@
 	inTransit bool
 	// ended is set at the end of the request.
 	ended bool
+	// denied is the state of the budget when it last allowed no retry, nil if it never
+	// did.
+	denied *trail.RetryBudget
+}
+
+func newRetryBudgetRecord(u budget.Usage) *trail.RetryBudget {
+	return &trail.RetryBudget{
+		Requests: u.Requests, Arrived: u.Arrived, Outstanding: u.Outstanding, Allowed: u.Allowed, AgeMS: u.Age.Milliseconds(),
+	}
+}
+
+// deniedRetry returns the state of the budget when it last allowed the request no retry.
+func (s *Server) deniedRetry(q *request) *trail.RetryBudget {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	return q.retries.denied
 }
 
 // takeRetry reports whether the retry budget allows another attempt at the request. If so,
@@ -32,7 +50,13 @@
 func (s *Server) takeRetry(q *request) bool {
 	s.budgetMu.Lock()
 	defer s.budgetMu.Unlock()
-	if q.retries.ended || !s.retryBudget(q.service.Name).Reserve(s.Clock.Now()) {
+	if q.retries.ended {
+		return false
+	}
+	b := s.retryBudget(q.service.Name)
+	if now := s.Clock.Now(); !b.Reserve(now) {
+		q.retries.denied = newRetryBudgetRecord(b.Usage(now))
+		s.metrics.countRetries(retryDenied, 1)
 		return false
 	}
 	q.retries.granted++
--- a/io/request/direct/retrybudget_test.go
+++ b/io/request/direct/retrybudget_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/trail"
@@ -271,3 +272,42 @@
 	t.Cleanup(x.close)
 	return x, target
 }
+
+// recordingLog keeps the decisions of one action.
+type recordingLog struct {
+	action    string
+	decisions []trail.Decision
+}
+
+func (l *recordingLog) Record(d trail.Decision) {
+	if d.Action == l.action {
+		l.decisions = append(l.decisions, d)
+	}
+}
+
+// Guards against a refusal whose line does not tell why the budget allowed no retry.
+func TestLineOfDeniedRetryHasTheBudget(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	log := &recordingLog{action: actionAnswer}
+	s := &Server{
+		Clock: clock, Log: log, Source: &testSource{facts: idleEngines("a")}, HeaderCodec: testCodec{},
+		Placer: &place.Placer{Zone: "z", Rand: rand.New(rand.NewPCG(1, 1))}, Rules: Rules{RetryBudget: budget.Budget{Ratio: 0.5, Window: 10 * time.Second}},
+	}
+	s.init()
+	q := &request{service: table.Service{Name: "svc"}, deadline: clock.Now().Add(time.Second)}
+	for range 8 {
+		s.countForRetries("svc")
+	}
+	clock.Advance(3 * time.Second)
+	for s.takeRetry(q) {
+	}
+	s.finishRequest(q, "failed", http.StatusBadGateway)
+	want := []*trail.RetryBudget{{Requests: 8, Outstanding: q.retries.granted, Allowed: q.retries.granted, AgeMS: 3000}}
+	var got []*trail.RetryBudget
+	for _, d := range log.decisions {
+		got = append(got, d.RetryBudget)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("budget in the lines (-want +got):\n%s", diff)
+	}
+}
