budget: grant a process that starts only what its requests earn

Cause: a process sets aside a part of the slack at its start for what its predecessor has used, and nothing of the ratio. It repeats .16 of its requests at once, in a window whose .16 its predecessor has spent within two seconds.

Change: of each span up to now, no more repeats than .6 of the ratio of its requests, and a burst of .3 of the ratio of the window's requests with the slack. For two windows from its start a process may not use the burst. Why it holds: what several processes earn one after the other is what a single one would, and only one of them can have used a burst in a window. The slack is divided for two starts of all processes in a window. The age of a process counts from its start, not from its first request for the service.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -48,9 +48,10 @@
 	Requests    int `json:"requests"`
 	Arrived     int `json:"arrived"`
 	Outstanding int `json:"outstanding"`
-	// Allowed is how many retries may be outstanding or have arrived in the window.
-	Allowed int `json:"allowed"`
-	// AgeMS is how long the process has kept the budget.
+	// Starting is set while retries of the process before may still count, so that only a
+	// part of the budget may be used.
+	Starting bool `json:"starting,omitempty"`
+	// AgeMS is how long ago the process started.
 	AgeMS int64 `json:"ageMs"`
 }
 
--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -4,20 +4,32 @@
 // requests, and together they repeat the same share of all.
 package budget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // How an entry uses its part of the operator's limit.
 const (
-	// ratioShare is the share of the ratio that is used. The rest is a reserve, since
-	// the operator's windows begin at other times than the entry's.
-	ratioShare = 0.8
+	// earnedShare is the share of the ratio that each request earns for repeats.
+	// burstShare is the share of it that is allowed beside that, of all requests of a
+	// window and at any time. A process that has just started may not use the burst, since
+	// its predecessor may have used it in the same window. The rest of the ratio is a
+	// reserve, as the operator's windows begin at other times than the entry's.
+	earnedShare = 0.6
+	burstShare  = 0.3
+	// startWindows is for how many windows a process counts as just started. Repeats that
+	// its predecessor has sent may arrive late, and then count for another window.
+	startWindows = 2
 	// minEntries is the lowest number of entries that the slack is divided by. An entry
 	// that starts does not know how many others there are, and one that is cut off
 	// hears of only a few.
 	minEntries = 12
-	// initialShare is the share of its slack that a process may use at its start. What
-	// its predecessor used is not known and still counts.
-	initialShare = 0.25
+	// initialShare is the share of its slack that a process that has just started may use.
+	// What its predecessor used is not known and still counts.
+	initialShare = 0.5
+	// restarts is for how many starts of every process in a window slack is set aside.
+	restarts = 2
 	// buckets is the number of parts into which a window is divided.
 	buckets = 10
 	// repeatBuckets is for how many buckets a repeat is counted. A window mostly covers
@@ -39,31 +51,35 @@
 	Window time.Duration
 	// Entries is the highest number of entries known so far, 0 if none; it may grow.
 	Entries int
+	// StartedAt is when the process started; the time of the first call if it is not set.
+	// Buckets are counted from it by the monotonic clock. If the time of day were used and
+	// jumped by a window, repeats would be granted again. While a machine is suspended the
+	// monotonic clock stands still, which only keeps repeats counted for longer.
+	StartedAt time.Time
 
-	// started is the time of the first call. Buckets are counted from it by the
-	// monotonic clock. If the time of day were used and jumped by a window, repeats
-	// would be granted again. While a machine is suspended the monotonic clock stands
-	// still, which only keeps repeats counted for longer.
-	started  time.Time
 	requests [buckets]float64
 	// outstanding is the number of granted repeats that may not have arrived yet, and
 	// repeats counts those that have.
 	outstanding   int
 	repeats       [repeatBuckets]float64
 	currentBucket int64
+	// allRequests and allRepeats count since the start of the process.
+	allRequests float64
+	allRepeats  float64
 }
 
 // CountRequest counts a request of a caller.
 func (b *Budget) CountRequest(now time.Time) {
 	b.advance(now)
 	b.requests[b.currentBucket%buckets]++
+	b.allRequests++
 }
 
 // Reserve reports whether a request may be repeated. If so, the repeat is outstanding until
 // Arrived or Release is called for it.
 func (b *Budget) Reserve(now time.Time) bool {
 	b.advance(now)
-	if float64(b.outstanding)+sum(b.repeats[:])+1 > b.allowed() {
+	if b.room(now) < 1 {
 		return false
 	}
 	b.outstanding++
@@ -75,6 +91,7 @@
 	b.advance(now)
 	b.outstanding -= n
 	b.repeats[b.currentBucket%repeatBuckets] += float64(n)
+	b.allRepeats += float64(n)
 }
 
 // Usage is what decides whether a request may be repeated.
@@ -84,9 +101,9 @@
 	Requests    int
 	Arrived     int
 	Outstanding int
-	// Allowed is how many repeats may be outstanding or have arrived in the window.
-	Allowed int
-	// Age is the time since the first call.
+	// Starting is set while the process counts as just started.
+	Starting bool
+	// Age is the time since the start of the process.
 	Age time.Duration
 }
 
@@ -95,32 +112,65 @@
 	b.advance(now)
 	return Usage{
 		Requests: int(sum(b.requests[:])), Arrived: int(sum(b.repeats[:])), Outstanding: b.outstanding,
-		Allowed: int(b.allowed()), Age: now.Sub(b.started),
+		Starting: b.starting(now), Age: now.Sub(b.StartedAt),
 	}
 }
 
 // Release gives back n outstanding repeats that will never be sent.
 func (b *Budget) Release(n int) { b.outstanding -= n }
 
-// allowed is how many repeats may be outstanding or have arrived in the current window.
-func (b *Budget) allowed() float64 {
-	return ratioShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
+// room is how many more repeats may be granted.
+func (b *Budget) room(now time.Time) float64 {
+	room := b.windowRoom()
+	if b.starting(now) {
+		room = min(room, b.startRoom())
+	}
+	return room
+}
+
+// starting reports whether repeats of an earlier process may still count for the operator.
+func (b *Budget) starting(now time.Time) bool {
+	return now.Sub(b.StartedAt) < startWindows*b.Window
+}
+
+// startRoom is what is left of what the process got at its start and has earned since.
+// However often an entry restarts in a window, its processes together earn no more than a
+// single one.
+func (b *Budget) startRoom() float64 {
+	earned := earnedShare*b.Ratio*b.allRequests + initialShare*b.slackShare()
+	return earned - float64(b.outstanding) - b.allRepeats
+}
+
+// windowRoom is what is left of the current window: of each span of time up to now, no more
+// may be used than its requests have earned and a burst.
+func (b *Budget) windowRoom() float64 {
+	burst := burstShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
+	room := math.Inf(1)
+	requests, repeats := 0.0, float64(b.outstanding)
+	for back := range min(int64(repeatBuckets), b.currentBucket+1) {
+		at := b.currentBucket - back
+		if back < buckets {
+			requests += b.requests[at%buckets]
+		}
+		repeats += b.repeats[at%repeatBuckets]
+		room = min(room, earnedShare*b.Ratio*requests+burst-repeats)
+	}
+	return room
 }
 
 // slackShare is the part of Slack that this entry may use in a window. The sum over all
-// entries stays within Slack even if every entry restarts once in that time.
+// entries stays within Slack even if all of them restart in that time.
 func (b *Budget) slackShare() float64 {
-	return b.Slack / (float64(max(b.Entries, minEntries)) * (1 + initialShare))
+	return b.Slack / (float64(max(b.Entries, minEntries)) * (1 + restarts*initialShare))
 }
 
 // advance moves to the current bucket and clears those that have left the window.
 func (b *Budget) advance(now time.Time) {
 	width := max(b.Window/buckets, time.Millisecond)
-	if b.started.IsZero() {
-		b.started = now
-		b.repeats[0] = (1 - initialShare) * b.slackShare()
+	if b.StartedAt.IsZero() {
+		b.StartedAt = now
 	}
-	at := int64(now.Sub(b.started) / width)
+	at := int64(now.Sub(b.StartedAt) / width)
 	// After a long gap, clearing each bucket once is enough.
 	b.currentBucket = max(b.currentBucket, at-repeatBuckets)
 	for b.currentBucket < at {
--- a/io/request/direct/retrybudget.go
+++ b/io/request/direct/retrybudget.go
@@ -34,7 +34,7 @@
 
 func newRetryBudgetRecord(u budget.Usage) *trail.RetryBudget {
 	return &trail.RetryBudget{
-		Requests: u.Requests, Arrived: u.Arrived, Outstanding: u.Outstanding, Allowed: u.Allowed, AgeMS: u.Age.Milliseconds(),
+		Requests: u.Requests, Arrived: u.Arrived, Outstanding: u.Outstanding, Starting: u.Starting, AgeMS: u.Age.Milliseconds(),
 	}
 }
 
@@ -162,7 +162,8 @@
 func (s *Server) retryBudget(service string) *budget.Budget {
 	b, ok := s.retryBudgets[service]
 	if !ok {
-		b = &budget.Budget{Ratio: s.Rules.RetryBudget.Ratio, Slack: s.Rules.RetryBudget.Slack, Window: s.Rules.RetryBudget.Window}
+		rules := s.Rules.RetryBudget
+		b = &budget.Budget{Ratio: rules.Ratio, Slack: rules.Slack, Window: rules.Window, StartedAt: s.startedAt}
 		s.retryBudgets[service] = b
 	}
 	b.Entries = s.maxEntries
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -88,6 +88,7 @@
 	drainTimes atomic.Pointer[drainTimes]
 
 	budgetMu     sync.Mutex
+	startedAt    time.Time
 	retryBudgets map[string]*budget.Budget
 	// maxEntries is the highest number of entries that a report has told of. It is
 	// guarded by budgetMu.
@@ -112,6 +113,7 @@
 		s.dispatcher = newDispatcher(s.Clock, s.Placer)
 		s.connector = newConnector(s.Clock)
 		s.connector.dialTimes.onChange = s.dispatcher.setRoundTrip
+		s.startedAt = s.Clock.Now()
 		s.retryBudgets = map[string]*budget.Budget{}
 		s.server = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
