admit: start a process with one retry, not with a full budget

The token bucket of retries was full at each start, beside what the process before had used of the same calls.

Change: one token at the start; a tenth of the calls earns the others as before.

Result: 20 processes one after the other, 100 calls each, all failing: 380 retries before, at most 220 are a tenth and one for each start; now within it (TestRetriesAreAShareOfTheCallsWhenTheProcessRestarts, which failed before). The tests of front, cmds and the stand-ins pass.

--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -146,6 +146,26 @@
 	}
 }
 
+// Guards against a full budget at each start of a process, beside what its predecessors have
+// used of the same calls.
+func TestRetriesAreAShareOfTheCallsWhenTheProcessRestarts(t *testing.T) {
+	granted := 0
+	for i := range 20 {
+		a := &Admitter{}
+		for j := range 100 {
+			id := fmt.Sprint(i, j)
+			a.Offer(start, offer(id, "x"))
+			if a.Retry(start, "helper") {
+				granted++
+			}
+			a.Done(start, Done{ID: id})
+		}
+	}
+	if granted > 220 {
+		t.Errorf("%d retries for 2000 calls, want at most 220", granted)
+	}
+}
+
 // The limit falls while targets report waiting calls. It does not rise without use
 // afterwards, even though the targets have room.
 func TestLimitFollowsReports(t *testing.T) {
--- a/core/request/admit/retrybudget.go
+++ b/core/request/admit/retrybudget.go
@@ -1,10 +1,11 @@
 package admit
 
-// Parameters of the retry budget: the tokens that one call adds, and the most that are
-// kept.
+// Parameters of the retry budget: the tokens that one call adds, the most that are kept,
+// and those that a process has at its start, when its predecessor may just have used its own.
 const (
 	retryTokensPerCall = 0.1
 	maxRetryTokens     = 10
+	initialRetryTokens = 1
 )
 
 // retryBudget is a token bucket of retries. It is filled by calls and not by time, so
@@ -13,7 +14,7 @@
 	tokens float64
 }
 
-func newRetryBudget() retryBudget { return retryBudget{tokens: maxRetryTokens} }
+func newRetryBudget() retryBudget { return retryBudget{tokens: initialRetryTokens} }
 
 func (b *retryBudget) earn() { b.tokens = min(b.tokens+retryTokensPerCall, maxRetryTokens) }
 
