place: give a cold plain target no second share after a restart

An entry counts what it has sent to a cold target without a side in the last second, and forgets it when its process ends. After a restart within that second the target gets the entry's share again; if all entries restart, up to 1.6 times what it tolerates, by reading.

Change: in its first second a process sends nothing to such targets.

Targets with a side are not concerned: their side grants permits, and none for its own first 1.3 s.

--- a/core/request/place/cold.go
+++ b/core/request/place/cold.go
@@ -35,8 +35,12 @@
 }
 
 // withinColdShare reports whether this entry's share of what a cold target without a side
-// tolerates allows another request.
+// tolerates in a second allows another request. The process before may have used the share
+// until the start of this one.
 func (p *Placer) withinColdShare(now time.Time, s *service, t *target) bool {
+	if now.Sub(p.StartedAt) < time.Second {
+		return false
+	}
 	t.cold.sentAt = slices.DeleteFunc(t.cold.sentAt, func(at time.Time) bool { return now.Sub(at) >= time.Second })
 	return len(t.cold.sentAt) < lease.Share(s.coldLimit, p.entryCount(), p.Name, t.ID)
 }
--- a/core/request/place/cold_test.go
+++ b/core/request/place/cold_test.go
@@ -121,6 +121,28 @@
 	}
 }
 
+// Guards against a process that gives a cold plain target its share again, in the second in
+// which the process before has done so.
+func TestColdPlainTargetGetsOneShareWhenTheEntryRestarts(t *testing.T) {
+	const downtime = 300 * time.Millisecond
+	restarted := start.Add(downtime)
+	sum := 0
+	for _, startedAt := range []time.Time{start.Add(-time.Hour), restarted} {
+		f, p, _ := coldFacts(nil, 32)
+		p.Name, p.entries, p.StartedAt = "entry", 7, startedAt
+		f.Targets = f.Targets[1:]
+		now := later(start, startedAt)
+		p.Update(now, f)
+		sum += offerMany(p, now, 100)["cold"] + offerMany(p, start.Add(time.Second-time.Millisecond), 100)["cold"]
+		if offerMany(p, restarted.Add(time.Second), 100)["cold"] == 0 {
+			t.Error("no request is placed a second after the restart")
+		}
+	}
+	if share := lease.Share((lease.Bound{Overshoot: 1.5, Slack: 5}).PerSecond(32), 7, "entry", "cold"); sum != share {
+		t.Errorf("%d requests within a second, want %d", sum, share)
+	}
+}
+
 // Guards against entries that together exceed the limit of a cold plain target, which has
 // no side to grant permits.
 func TestColdPlainTargetGetsShares(t *testing.T) {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -157,6 +157,9 @@
 	Zone    string
 	Regions map[string]string
 	Rand    *rand.Rand
+	// StartedAt is when the process started. What the process before has sent to cold
+	// targets counts for a while longer.
+	StartedAt time.Time
 	// ColdRate limits the requests to cold targets. RequestLease asks the side of a target
 	// for permits to send it requests, and tells it the limit that the target names; with a
 	// want of 0 it only tells. It must not block.
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -56,7 +56,7 @@
 		Placer: &place.Placer{
 			Name: e.Settings.VM.Name, Zone: e.Settings.VM.Zone, Regions: e.Settings.Regions,
 			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			ColdRate: bounds.ColdRate,
+			ColdRate: bounds.ColdRate, StartedAt: p.clock.Now(),
 		},
 		Rules: direct.Rules{
 			MaxTableAge:      scaleDuration(bounds.ConfigDelay, tableShare),
