direct: try a target again whose connection timed out late

What callers saw: beside a load of 23 and more on 8 cores, sound callers waited up to 3.3 s or got 503 (noTarget), though the target was idle.

Cause: the process ran late. Connections to the only target timed out after 198 to 752 ms where 150 were allowed, though the kernel had opened them. Each of them counted as a failure of the target in a row, which paused it for 3 s.

Change: a timeout that fires more than 10 ms late shows that the process did not run; the target is tried again, three times in all. Targets that cannot be reached in time are given up as before.

--- a/io/request/direct/dialtimes.go
+++ b/io/request/direct/dialtimes.go
@@ -14,6 +14,10 @@
 	// request may arrive seconds after its caller has gone. At this point the request
 	// has not been sent and can still be in time at another target.
 	dialSlack = 150 * time.Millisecond
+	// maxTimerDelay is how late a timer fires at most in a process that runs as usual.
+	maxTimerDelay = 10 * time.Millisecond
+	// maxDials is the most connections tried for one attempt in a process that runs late.
+	maxDials = 3
 	// defaultDialTimeout applies while no time has been measured: a round trip to the
 	// other side of the globe, and as much again for a target that is busy.
 	defaultDialTimeout = 600 * time.Millisecond
--- a/io/request/direct/dialtimes_test.go
+++ b/io/request/direct/dialtimes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,51 @@
 	}
 }
 
+// Guards against taking a target for unreachable because the process itself runs late. All
+// connections that it opens at that moment time out, and the target would be paused for seconds.
+func TestLateProcessDoesNotTakeTargetForUnreachable(t *testing.T) {
+	tests := []struct {
+		name string
+		// lateness is by how much the timeouts of the first connections fire late.
+		lateness []time.Duration
+		dials    int
+		reached  bool
+	}{
+		{name: "on time", dials: 1, reached: true},
+		{name: "late", lateness: []time.Duration{50 * time.Millisecond}, dials: 2, reached: true},
+		{name: "unreachable", lateness: []time.Duration{time.Millisecond}, dials: 1},
+		{name: "late, then unreachable", lateness: []time.Duration{50 * time.Millisecond, 0}, dials: 2},
+		{name: "late all the time", lateness: slices.Repeat([]time.Duration{time.Second}, 10), dials: maxDials},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			s := newConnector(clock)
+			dials := 0
+			s.dial = func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				if dials <= len(tc.lateness) {
+					clock.Advance(defaultDialTimeout + tc.lateness[dials-1])
+					return nil, context.DeadlineExceeded
+				}
+				local, remote := net.Pipe()
+				remote.Close()
+				return local, nil
+			}
+			x, err := s.connect(t.Context(), facts.Target{ID: "t", Zone: "z"})
+			if err == nil {
+				x.close()
+			}
+			if diff := cmp.Diff(tc.reached, err == nil); diff != "" {
+				t.Errorf("reached (-want +got), error %v:\n%s", err, diff)
+			}
+			if diff := cmp.Diff(tc.dials, dials); diff != "" {
+				t.Errorf("connections tried (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a fixed dial timeout. With one of 150 ms, an entry in a zone whose
 // nearest engines were a round trip of 180 ms away reached none of them, paused them
 // all as failing and served no caller.
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,20 +110,40 @@
 // connect opens a connection to a target. After an error, the target has not seen the
 // request. The connection is closed when ctx ends.
 func (c *connector) connect(ctx context.Context, t facts.Target) (*exchange, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimes.timeout(t.Zone))
-	defer cancel()
-	began := c.clock.Now()
-	conn, err := c.dial(dialCtx, "tcp", t.Address.String())
+	conn, err := c.dialUnlessLate(ctx, t)
 	if err != nil {
 		return nil, operr.Wrap("connect to target", t.Address.String(), err)
 	}
-	opened := c.clock.Now()
-	c.dialTimes.record(t.Zone, opened.Sub(began))
-	x := &exchange{conn: conn, target: t, openedAt: opened, closed: make(chan struct{})}
+	x := &exchange{conn: conn, target: t, openedAt: c.clock.Now(), closed: make(chan struct{})}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { conn.Close() })
 	return x, nil
 }
 
+// dialUnlessLate opens a connection to a target. A timeout that fires late shows that this
+// process did not run meanwhile, and says nothing about the target, which is then tried again.
+func (c *connector) dialUnlessLate(ctx context.Context, t facts.Target) (net.Conn, error) {
+	for dials := 1; ; dials++ {
+		timeout := c.dialTimes.timeout(t.Zone)
+		began := c.clock.Now()
+		conn, err := c.dialWithin(ctx, t, timeout)
+		took := c.clock.Since(began)
+		if err == nil {
+			c.dialTimes.record(t.Zone, took)
+			return conn, nil
+		}
+		late := os.IsTimeout(err) && took > timeout+maxTimerDelay
+		if !late || dials == maxDials || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *connector) dialWithin(ctx context.Context, t facts.Target, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.dial(ctx, "tcp", t.Address.String())
+}
+
 // roundTrip writes the request and reads the head of the response. A target may respond
 // and reset the connection before it has read a long body; a write error is ignored if
 // there is a response.
