--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -11,24 +11,25 @@
 
 // How an entry uses its part of the operator's limit.
 const (
-	// earnedShare is the share of the ratio that each request earns for repeats.
-	// burstShare is the share of it that is allowed beside that, of all requests of a
-	// window and at any time. A process that has just started may not use the burst, since
-	// its predecessor may have used it in the same window. The rest of the ratio is a
-	// reserve, as the operator's windows begin at other times than the entry's.
+	// earnedShare is the share of the ratio that may be used in any span of time, of the
+	// requests in it.
 	earnedShare = 0.6
-	burstShare  = 0.3
-	// startWindows is for how many windows a process counts as just started. Repeats that
-	// its predecessor has sent may arrive late, and then count for another window.
+	// burstShare is the share of the ratio that may be used beside that, of the requests of
+	// the last window. What is left is a reserve, since the operator's windows begin at
+	// other times than the entry's.
+	burstShare = 0.3
+	// startWindows is for how many windows a process counts as just started. Until then it
+	// may not use a burst, since its predecessor may have used one. Repeats that the
+	// predecessor has sent may arrive late, and count for a window from then.
 	startWindows = 2
 	// minEntries is the lowest number of entries that the slack is divided by. An entry
 	// that starts does not know how many others there are, and one that is cut off
 	// hears of only a few.
 	minEntries = 12
 	// initialShare is the share of its slack that a process that has just started may use.
-	// What its predecessor used is not known and still counts.
 	initialShare = 0.5
-	// restarts is for how many starts of every process in a window slack is set aside.
+	// restarts is the number of starts of each process, within a window, for which slack is
+	// set aside.
 	restarts = 2
 	// buckets is the number of parts into which a window is divided.
 	buckets = 10
@@ -141,8 +142,8 @@
 	return earned - float64(b.outstanding) - b.allRepeats
 }
 
-// windowRoom is what is left of the current window: of each span of time up to now, no more
-// may be used than its requests have earned and a burst.
+// windowRoom is what is left of the current window: in each span of time up to now, no more
+// may be used than its requests have earned, and a burst.
 func (b *Budget) windowRoom() float64 {
 	burst := burstShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
 	room := math.Inf(1)
