--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -128,12 +128,10 @@
 	}
 }
 
-// Guards against a retry of every call when all targets fail. Only a tenth of the calls
-// and the first few are retried.
-func TestRetriesAreAShareOfTheCalls(t *testing.T) {
-	a := &Admitter{}
+// countRetries offers n calls, all of which fail, and returns how many may be retried.
+func countRetries(a *Admitter, n int) int {
 	granted := 0
-	for i := range 1000 {
+	for i := range n {
 		id := fmt.Sprint(i)
 		a.Offer(start, offer(id, "x"))
 		if a.Retry(start, "helper") {
@@ -141,7 +139,13 @@
 		}
 		a.Done(start, Done{ID: id})
 	}
-	if granted > 111 {
+	return granted
+}
+
+// Guards against a retry of every call when all targets fail. Only a tenth of the calls
+// and the first few are retried.
+func TestRetriesAreAShareOfTheCalls(t *testing.T) {
+	if granted := countRetries(&Admitter{}, 1000); granted > 111 {
 		t.Errorf("%d retries for 1000 calls, want at most 111", granted)
 	}
 }
@@ -150,16 +154,8 @@
 // used of the same calls.
 func TestRetriesAreAShareOfTheCallsWhenTheProcessRestarts(t *testing.T) {
 	granted := 0
-	for i := range 20 {
-		a := &Admitter{}
-		for j := range 100 {
-			id := fmt.Sprint(i, j)
-			a.Offer(start, offer(id, "x"))
-			if a.Retry(start, "helper") {
-				granted++
-			}
-			a.Done(start, Done{ID: id})
-		}
+	for range 20 {
+		granted += countRetries(&Admitter{}, 100)
 	}
 	if granted > 220 {
 		t.Errorf("%d retries for 2000 calls, want at most 220", granted)
--- a/core/request/budget/restart_test.go
+++ b/core/request/budget/restart_test.go
@@ -45,7 +45,8 @@
 	owner *Budget
 }
 
-// fleetRun is one run of a fleetModel. All slices are indexed by the step.
+// fleetRun is one run of a fleetModel. The slices due, requests and arrived are indexed by the
+// step.
 type fleetRun struct {
 	fleetModel
 	rand     *rand.Rand
