admit: start a process with three retries

Cause: with one the first call that finds a target unreachable uses it, also where there is no other target, and the next one is refused.

Change: three, the first few that the test of the share speaks of. The bound of TestRetriesAreAShareOfTheCallsWhenTheProcessRestarts, a tenth and what a start grants, is 260 with it; a full bucket at each start gives 380, as before.

The platform's processes don't use the package.

--- a/core/request/admit/retrybudget.go
+++ b/core/request/admit/retrybudget.go
@@ -5,7 +5,7 @@
 const (
 	retryTokensPerCall = 0.1
 	maxRetryTokens     = 10
-	initialRetryTokens = 1
+	initialRetryTokens = 3
 )
 
 // retryBudget is a token bucket of retries. It is filled by calls and not by time, so
