--- a/io/request/direct/dialtimes.go
+++ b/io/request/direct/dialtimes.go
@@ -14,7 +14,7 @@
 	// request may arrive seconds after its caller has gone. At this point the request
 	// has not been sent and can still be in time at another target.
 	dialSlack = 150 * time.Millisecond
-	// maxTimerDelay is how late a timer fires at most in a process that runs as usual.
+	// maxTimerDelay is how late a timer fires at most while the process gets the CPU.
 	maxTimerDelay = 10 * time.Millisecond
 	// maxDials is the most connections tried for one attempt in a process that runs late.
 	maxDials = 3
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -110,7 +110,7 @@
 // connect opens a connection to a target. After an error, the target has not seen the
 // request. The connection is closed when ctx ends.
 func (c *connector) connect(ctx context.Context, t facts.Target) (*exchange, error) {
-	conn, err := c.dialUnlessLate(ctx, t)
+	conn, err := c.dialTarget(ctx, t)
 	if err != nil {
 		return nil, operr.Wrap("connect to target", t.Address.String(), err)
 	}
@@ -119,13 +119,13 @@
 	return x, nil
 }
 
-// dialUnlessLate opens a connection to a target. A timeout that fires late shows that this
+// dialTarget opens a connection to a target. A timeout that fires late shows that this
 // process did not run meanwhile, and says nothing about the target, which is then tried again.
-func (c *connector) dialUnlessLate(ctx context.Context, t facts.Target) (net.Conn, error) {
+func (c *connector) dialTarget(ctx context.Context, t facts.Target) (net.Conn, error) {
 	for dials := 1; ; dials++ {
 		timeout := c.dialTimes.timeout(t.Zone)
 		began := c.clock.Now()
-		conn, err := c.dialWithin(ctx, t, timeout)
+		conn, err := c.dialOnce(ctx, t, timeout)
 		took := c.clock.Since(began)
 		if err == nil {
 			c.dialTimes.record(t.Zone, took)
@@ -138,7 +138,7 @@
 	}
 }
 
-func (c *connector) dialWithin(ctx context.Context, t facts.Target, timeout time.Duration) (net.Conn, error) {
+func (c *connector) dialOnce(ctx context.Context, t facts.Target, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.dial(ctx, "tcp", t.Address.String())
