budget: add a fleet that grows to the model of restarts

Cause: entries that were never there before, start late and hear of fewer than there are stood in no fleet of the model.

The other fleets have the same draws as before.

--- a/core/request/budget/restart_test.go
+++ b/core/request/budget/restart_test.go
@@ -11,6 +11,8 @@
 type fleetModel struct {
 	name    string
 	entries int
+	// added is how many more entries start for the first time halfway.
+	added int
 	// heardOf is the number of entries that each entry has heard of, 0 for none.
 	heardOf int
 	// perSecond is the rate of requests of all callers when a run begins, and at its end it
@@ -69,6 +71,9 @@
 	for range m.entries {
 		r.entries = append(r.entries, &modelEntry{budget: r.newBudget(0)})
 	}
+	for range m.added {
+		r.entries = append(r.entries, &modelEntry{})
+	}
 	failing, releaseAt := false, 0
 	for at := range modelSteps {
 		if r.rand.IntN(60) == 0 {
@@ -93,9 +98,17 @@
 
 func (r *fleetRun) timeOf(at int) time.Time { return r.began.Add(time.Duration(at) * modelStep) }
 
+// present returns the entries that callers use at a step.
+func (r *fleetRun) present(at int) []*modelEntry {
+	if at < modelSteps/2 {
+		return r.entries[:r.fleetModel.entries]
+	}
+	return r.entries
+}
+
 // restart ends some processes now and then, and starts those that have been down.
 func (r *fleetRun) restart(at int) {
-	for _, e := range r.entries {
+	for _, e := range r.present(at) {
 		if e.budget == nil && at >= e.upAt {
 			e.budget = r.newBudget(at)
 		}
@@ -104,7 +117,7 @@
 		return
 	}
 	share := r.restartShares[r.rand.IntN(len(r.restartShares))]
-	for _, e := range r.entries {
+	for _, e := range r.present(at) {
 		if r.rand.Float64() < share {
 			e.budget, e.upAt = nil, at+1+r.rand.IntN(int(maxDowntime/modelStep))
 		}
@@ -133,8 +146,9 @@
 		n++
 	}
 	r.requests[at] = n
+	present := r.present(at)
 	for range n {
-		e := r.entries[r.rand.IntN(len(r.entries))]
+		e := present[r.rand.IntN(len(present))]
 		if e.budget == nil {
 			continue
 		}
@@ -194,6 +208,7 @@
 		{name: "falling load", entries: 15, heardOf: 15, perSecond: 800, lastShare: 0.1, limit: large, restartShares: anyShare, restartEvery: 4 * time.Second},
 		{name: "targets that stand still", entries: 15, heardOf: 15, perSecond: 500, limit: large, hold: 6 * time.Second, restartShares: anyShare, restartEvery: 8 * time.Second},
 		{name: "entries that hear of no others", entries: 20, perSecond: 500, limit: large, restartShares: anyShare, restartEvery: 4 * time.Second},
+		{name: "added entries", entries: 10, added: 10, heardOf: 10, perSecond: 500, limit: large, restartShares: anyShare, restartEvery: 4 * time.Second},
 		{name: "little traffic, much slack", entries: 3, heardOf: 3, perSecond: 40, limit: Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, restartShares: anyShare, restartEvery: 2 * time.Second},
 		{name: "low ratio", entries: 4, heardOf: 4, perSecond: 120, limit: Budget{Ratio: 0.1, Slack: 20, Window: 10 * time.Second}, restartShares: anyShare, restartEvery: 3 * time.Second},
 		{name: "no slack", entries: 30, heardOf: 30, perSecond: 900, limit: Budget{Ratio: 0.15, Window: 6 * time.Second}, restartShares: anyShare, restartEvery: 3 * time.Second},
