--- a/io/process/feed/upstream_test.go
+++ b/io/process/feed/upstream_test.go
@@ -218,15 +218,14 @@
 	_, peer := newUpstream(t, "reader", s)
 	f := newFeed(s)
 	setEntryWaits(f)
+	log := &actionCounter{}
+	f.Log = log
 	f.Upstreams = func() []Peer { return []Peer{peer} }
 	runFeed(t, f)
 	eventually(t, "both are known", func() bool { return targetIDs(f) == "a b" })
+	before := log.count("tellerLost")
 	s.fail(errors.New("down"))
-	eventually(t, "the upstream is dropped", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return !f.nextUpstreamTry.IsZero()
-	})
+	eventually(t, "the upstream is dropped", func() bool { return log.count("tellerLost") > before })
 	s.set("target/a", "", true)
 	s.fail(nil)
 	eventually(t, "the store is in touch", func() bool { age, _ := f.Age(); return age < minOutage })
