poison, direct: try a blocked request where it has just broken off

Cause: a request is blocked once attempts at three targets have broken off one after the other. An answer within a second of the failure shows that a target survived, but while the request is blocked nothing is sent that could be answered.

Change: an entry sends a blocked request once more, up to four times a second, to a target at which it broke off .2 to .8 s ago. One that crashed cannot be reached yet, so that the trial harms nothing; one that went on answers, which clears the request everywhere, or breaks off and allows the next trial. No more than 40 without a success, for targets that restart faster.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -30,6 +30,8 @@
 	// recently, FailedThisRequest those that already failed this request.
 	Paused            int `json:"paused,omitempty"`
 	FailedThisRequest int `json:"tried,omitempty"`
+	// NotInTrial counts targets that may not get a trial of a blocked request.
+	NotInTrial int `json:"notInTrial,omitempty"`
 	// Silent counts targets whose engine does not respond, Loading those whose
 	// engine is loading weights, and NotReporting those whose side no longer
 	// reports.
--- a/core/request/place/candidates.go
+++ b/core/request/place/candidates.go
@@ -20,6 +20,7 @@
 	excludedBackoff     exclusion = "backoff"
 	excludedPaused      exclusion = "paused"
 	excludedFailed      exclusion = "tried"
+	excludedNotInTrial  exclusion = "notInTrial"
 	excludedSilent      exclusion = "silent"
 	excludedLoading     exclusion = "loading"
 	excludedReportsLost exclusion = "unheard"
@@ -37,7 +38,9 @@
 		return excludedLeaving
 	case t.notice.backingOff(now):
 		return excludedBackoff
-	case now.Before(t.pausedUntil):
+	case w.excludes(t):
+		return excludedNotInTrial
+	case now.Before(t.pausedUntil) && !w.isTrial():
 		return excludedPaused
 	case slices.Contains(w.FailedTargets, t.ID):
 		return excludedFailed
@@ -60,6 +63,14 @@
 	return notExcluded
 }
 
+// isTrial reports whether the request is only for targets that it names.
+func (w *Request) isTrial() bool { return len(w.OnlyTargets) > 0 }
+
+// excludes reports whether the request is only for other targets.
+func (w *Request) excludes(t *target) bool {
+	return w.isTrial() && !slices.Contains(w.OnlyTargets, t.ID)
+}
+
 // candidates counts the targets of the service by what kept each from getting a refused
 // request. Without the counts, the log says only that a service was full, and not
 // whether its targets were busy, had failed or were about to leave.
@@ -88,6 +99,8 @@
 			c.Paused++
 		case excludedFailed:
 			c.FailedThisRequest++
+		case excludedNotInTrial:
+			c.NotInTrial++
 		case excludedSilent:
 			c.Silent++
 		case excludedLoading:
--- a/core/request/place/candidates_test.go
+++ b/core/request/place/candidates_test.go
@@ -107,3 +107,29 @@
 		})
 	}
 }
+
+// Guards against a trial of a blocked request that reaches a target which it is not for, or that
+// waits while the targets which it is for are paused or full.
+func TestTrialIsPlacedAtItsTargetsOrRefused(t *testing.T) {
+	p := testPlacer(testFacts(nil, 1, "a", "b", "c"))
+	trialAt := func(id string, targets ...string) Request {
+		w := testRequest(id)
+		w.Objective, w.OnlyTargets = time.Second, targets
+		return w
+	}
+	check := func(offer Request, want string) {
+		t.Helper()
+		if diff := cmp.Diff([]string{want}, decisions(p.Offer(start, offer))); diff != "" {
+			t.Errorf("decision (-want +got):\n%s", diff)
+		}
+	}
+	check(trialAt("first", "a"), "first placed a")
+	p.RequestEnded(start, "first", ResultFailed)
+	for i := range 1 + queueAllowance {
+		id := fmt.Sprint(i)
+		check(trialAt(id, "a"), id+" placed a")
+	}
+	check(trialAt("more", "a"), "more refused full")
+	check(trialAt("gone", "d"), "gone refused full")
+	check(trialAt("other", "d", "b"), "other placed b")
+}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -54,6 +54,9 @@
 	NewestVersion uint64
 	// FailedTargets lists the targets that have failed this request.
 	FailedTargets []string
+	// OnlyTargets, if not empty, lists the only targets that may get the request, also while
+	// they are paused. Such a request does not wait.
+	OnlyTargets []string
 	// Resumed is set if the caller already has a part of the answer. Such a request
 	// goes before all others, and waits until its deadline rather than being refused.
 	Resumed bool
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -79,6 +79,9 @@
 // reason says why.
 func (p *Placer) worthWaiting(now time.Time, s *service, q *waitingRequest) (Reason, bool) {
 	w := &q.request
+	if w.isTrial() {
+		return ReasonFull, false
+	}
 	if w.Resumed {
 		// A refusal would lose the part that the caller has, so wait until the
 		// deadline.
@@ -179,7 +182,7 @@
 
 // mayServe reports whether a target may run the request now or once it has room.
 func (s *service) mayServe(now time.Time, t *target, w *Request) bool {
-	if !w.Regions.Allows(t.region) || t.Evacuated || t.isLeaving() || slices.Contains(w.FailedTargets, t.ID) {
+	if !w.Regions.Allows(t.region) || t.Evacuated || t.isLeaving() || slices.Contains(w.FailedTargets, t.ID) || w.excludes(t) {
 		return false
 	}
 	if s.engine == nil {
--- a/core/request/poison/note.go
+++ b/core/request/poison/note.go
@@ -90,7 +90,7 @@
 	}
 	first := r.lastSuccess.IsZero()
 	before := len(r.unexplainedFailures())
-	r.lastSuccess = at
+	r.lastSuccess, r.trials = at, 0
 	return first || len(r.unexplainedFailures()) != before
 }
 
--- a/core/request/poison/records.go
+++ b/core/request/poison/records.go
@@ -50,6 +50,9 @@
 	failures map[Incarnation]failure
 	// lastSuccess is when the request last completed successfully, or zero if never.
 	lastSuccess time.Time
+	// trials is the number of trials since then, and lastTrial the time of the last one.
+	trials    int
+	lastTrial time.Time
 }
 
 // suspectedCrashes returns how many target starts the request may have crashed one
@@ -193,7 +196,7 @@
 	if n, _ := r.suspectedCrashes(); n == 0 {
 		return false
 	}
-	r.lastSuccess = now
+	r.lastSuccess, r.trials = now, 0
 	l.put(now, k, r)
 	return true
 }
--- a/io/process/alert/alert_test.go
+++ b/io/process/alert/alert_test.go
@@ -122,6 +122,35 @@
 	eventually(t, "all let it through", all(false))
 }
 
+// Guards against trials of a request that is blocked because of a part of its prompt, which no
+// success of the request itself would clear.
+func TestTrialIsOfWholeRequestsOnly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	blockedPart := poison.Identity{Request: crashKey, Parts: []poison.PartID{"p"}}
+	tests := []struct {
+		name string
+		id   poison.Identity
+		want int
+	}{
+		{"the request", crashRequest, 3},
+		{"a part of it as well", blockedPart, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRegistry()
+			r.Clock = clock
+			for i := range 3 {
+				r.RecordFailure(clock.Now(), tc.id, poison.Incarnation{Target: fmt.Sprint("i-", i)}, 0)
+				clock.Advance(100 * time.Millisecond)
+			}
+			clock.Advance(100 * time.Millisecond)
+			if diff := cmp.Diff(tc.want, len(r.Trial(tc.id).Starts)); diff != "" {
+				t.Errorf("targets of the trial (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // When a target turns out to have survived a failure, the failure must be voided at all
 // entries, not only at the one that saw it.
 func TestSurvivedFailureIsPublished(t *testing.T) {
--- a/io/process/alert/registry.go
+++ b/io/process/alert/registry.go
@@ -70,6 +70,23 @@
 	return r.parts.Blocked(now, id.Parts)
 }
 
+// Trial returns where a blocked request may be sent once more, and counts that as a trial. There
+// is none if the request is blocked because of a part of its prompt.
+func (r *Registry) Trial(id poison.Identity) poison.Trial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if _, blocked := r.parts.Blocked(now, id.Parts); blocked {
+		return poison.Trial{}
+	}
+	t := r.requests.Trial(now, id.Request)
+	if len(t.Starts) > 0 {
+		r.count("trials_total", "")
+		r.Log.Record(trail.Decision{Area: trail.AreaRouting, Action: "requestTrial", Fingerprint: id.Request.String()})
+	}
+	return t
+}
+
 // RecordFailure records that an attempt of a request, sent at began, broke off at a target
 // start, after its answer had been going on for ran.
 func (r *Registry) RecordFailure(began time.Time, id poison.Identity, at poison.Incarnation, ran time.Duration) {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -58,6 +58,8 @@
 	tries resend.AttemptTracker
 	// failedTargets are the IDs of targets that must not get the request again.
 	failedTargets []string
+	// trial is set while the request is blocked and sent nevertheless.
+	trial trial
 	// retries is what the request holds of the retry budget.
 	retries heldRetries
 	// lastEventID is the ID of the last event that the caller has.
--- a/io/request/direct/metrics.go
+++ b/io/request/direct/metrics.go
@@ -36,6 +36,7 @@
 type counterKey struct {
 	name    string
 	route   string
+	service string
 	outcome string
 	reason  string
 	status  int
@@ -49,6 +50,7 @@
 		}
 	}
 	add("route", k.route)
+	add("service", k.service)
 	add("outcome", k.outcome)
 	add("reason", k.reason)
 	if k.status >= 0 {
@@ -102,6 +104,11 @@
 	m.count(counterKey{name: "own_answers_total", reason: reason, status: status})
 }
 
+// countBlocked counts a request that was refused because it may crash targets.
+func (m requestMetrics) countBlocked(service string) {
+	m.count(counterKey{name: "blocked_total", service: service, status: noStatus})
+}
+
 // countAborted counts an attempt that the entry itself aborted.
 func (m requestMetrics) countAborted(c endCause) {
 	m.count(counterKey{name: "abandoned_total", reason: string(c), status: noStatus})
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 	// Blocked reports whether a request must be refused, and after what time its caller
 	// may retry.
 	Blocked(id poison.Identity) (time.Duration, bool)
+	// Trial returns where a blocked request may be sent once more to show whether targets
+	// survive it, and counts that as a trial.
+	Trial(id poison.Identity) poison.Trial
 	// RecordFailure records that a target dropped the connection during an attempt sent at
 	// began. at identifies the start of that target, and ran is how long the response had
 	// been under way.
@@ -42,6 +46,8 @@
 
 func (noSuspects) Blocked(poison.Identity) (time.Duration, bool) { return 0, false }
 
+func (noSuspects) Trial(poison.Identity) poison.Trial { return poison.Trial{} }
+
 func (noSuspects) RecordFailure(time.Time, poison.Identity, poison.Incarnation, time.Duration) {}
 
 func (noSuspects) RecordSuccess(poison.Fingerprint)           {}
@@ -61,6 +67,28 @@
 	return s.Suspects.Blocked(q.identity())
 }
 
+// startTrial reports whether a blocked request may be sent once more, and restricts its next
+// attempt to the targets of the trial.
+func (s *Server) startTrial(q *request) bool {
+	t := s.Suspects.Trial(q.identity())
+	q.trial = trial{sendBy: t.SendBy}
+	for _, target := range s.Source.Current().Targets {
+		if slices.Contains(t.Starts, poison.NewIncarnation(target.ID, target.StartedAt)) {
+			q.trial.targets = append(q.trial.targets, target.ID)
+		}
+	}
+	return q.inTrial()
+}
+
+// trial restricts the next attempt of a blocked request to the given targets and to the time
+// until sendBy. Without targets the request is not in a trial.
+type trial struct {
+	targets []string
+	sendBy  time.Time
+}
+
+func (q *request) inTrial() bool { return len(q.trial.targets) > 0 }
+
 // reportOutcome tells Suspects what the end of an attempt says about the request and
 // its target.
 func (s *Server) reportOutcome(q *request, t facts.Target, o resend.Outcome, err error) {
