poison: allow a trial only soon after an attempt of this process was sent

Cause, by reading: a trial of a blocked request was allowed until .8 s after its failure was read or a note of it arrived. A process that freezes reads a failure seconds late, and a note may be held up on the way; the target has restarted by then, and the trial would crash it again.

Change: the time counts from when the attempt was sent, since the target cannot have crashed before, and only attempts of the process itself count.

Result: TestLateFailureAllowsNoTrial fails without it (3 target starts where none may be).

--- a/core/request/poison/records.go
+++ b/core/request/poison/records.go
@@ -22,6 +22,9 @@
 	firstAnswer time.Time
 	// survived is set once the target is known not to have crashed.
 	survived bool
+	// seenHere is set if the attempt was this process's own. It is unknown how long a note of
+	// another process was on its way, so that its times may be too late.
+	seenHere bool
 }
 
 // unexplained reports whether the subject may have caused the failure: its target has not
@@ -167,7 +170,7 @@
 		// Of several attempts at a target that crashed, any may be the cause.
 		sentAt = known.sentAt
 	}
-	l.addFailure(now, k, r, at, failure{start: at, sentAt: sentAt, at: now})
+	l.addFailure(now, k, r, at, failure{start: at, sentAt: sentAt, at: now, seenHere: true})
 }
 
 // addFailure stores a failure in the subject's record and the subject among those
--- a/core/request/poison/trial.go
+++ b/core/request/poison/trial.go
@@ -6,8 +6,9 @@
 const (
 	// trialInterval is the minimum time between two trials in one process.
 	trialInterval = 250 * time.Millisecond
-	// maxTrialAge is how long after a failure its target start may get a trial. A target that
-	// crashed cannot be reached until it has restarted, and a trial takes a while to reach it.
+	// maxTrialAge is how long after an attempt was sent its target start may get a trial. A target
+	// that crashed under it cannot be reached until it has restarted, and a trial takes a while
+	// to reach it. The failure itself may have been read late.
 	maxTrialAge = minRestartTime - 200*time.Millisecond
 	// maxTrials is the number of trials in one process without a success in between. It bounds
 	// the crashes at targets that restart faster than minRestartTime.
@@ -25,7 +26,7 @@
 // Trial returns where a blocked request may be sent once more, and counts that as a trial.
 // Targets that drop connections and go on break off attempts just as those that crash do; while
 // the request is blocked, only a trial can show that they survive. It is sent to a target at
-// which the request has just broken off. If that one crashed, it cannot be reached yet; if it
+// which an attempt of this process has just broken off. If that one crashed, it cannot be reached yet; if it
 // survived, the trial succeeds, or breaks off and allows another one.
 func (l *Ledger) Trial(now time.Time, k Fingerprint) Trial {
 	r := l.record(now, k)
@@ -34,11 +35,11 @@
 	}
 	var t Trial
 	for _, f := range r.failures {
-		age := now.Sub(f.at)
-		if age < survivalDelay || age >= maxTrialAge {
+		by := f.sentAt.Add(maxTrialAge)
+		if !f.seenHere || now.Sub(f.at) < survivalDelay || !now.Before(by) {
 			continue
 		}
-		if by := f.at.Add(maxTrialAge); len(t.Starts) == 0 || by.Before(t.SendBy) {
+		if len(t.Starts) == 0 || by.Before(t.SendBy) {
 			t.SendBy = by
 		}
 		t.Starts = append(t.Starts, f.start)
--- a/core/request/poison/trial_test.go
+++ b/core/request/poison/trial_test.go
@@ -72,6 +72,36 @@
 	}
 }
 
+// Guards against trials at targets that have restarted, because the failure was read late or
+// reported late by another process.
+func TestLateFailureAllowsNoTrial(t *testing.T) {
+	const late = 2 * time.Second
+	tests := []struct {
+		name   string
+		record func(l *Ledger, at time.Time, start Incarnation)
+		want   int
+	}{
+		{"in time", func(l *Ledger, at time.Time, start Incarnation) { l.RecordFailure(at, at, testKey(1), start, 0) }, 3},
+		{"read late", func(l *Ledger, at time.Time, start Incarnation) {
+			l.RecordFailure(at, at.Add(-late), testKey(1), start, 0)
+		}, 0},
+		{"reported by another process", func(l *Ledger, at time.Time, start Incarnation) {
+			l.Merge(at, Note[Fingerprint]{Subject: testKey(1), Failures: []Failure{{Incarnation: start}}})
+		}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var l Ledger
+			for _, name := range []string{"a", "b", "c"} {
+				tc.record(&l, epoch, newStart(name))
+			}
+			if diff := cmp.Diff(tc.want, len(l.Trial(epoch.Add(survivalDelay), testKey(1)).Starts)); diff != "" {
+				t.Errorf("target starts of the trial (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against trials that go on crashing targets which restart before they may.
 func TestTrialsAreBounded(t *testing.T) {
 	var l Ledger
@@ -96,11 +126,13 @@
 // crashModel is a service whose targets crash under one request that callers repeat at all
 // entries.
 type crashModel struct {
-	entries      int
+	entryCount   int
 	noStartTimes bool
 	// restarts is set if entries restart now and then, and learn from another one what they
 	// have lost.
 	restarts bool
+	// freezes is set if entries freeze now and then, and read a failure only afterwards.
+	freezes bool
 }
 
 const (
@@ -113,6 +145,9 @@
 	maxRestartTime = 8 * time.Second
 	// restartOdds is the number of steps in which, on average, one entry restarts.
 	restartOdds = 200
+	// In one of freezeOdds crashes, the entry freezes for maxFreeze at the longest.
+	freezeOdds = 4
+	maxFreeze  = 3 * time.Second
 )
 
 // The bound on the runs of a request that crashes targets: no more than maxLateRuns later than
@@ -127,23 +162,39 @@
 	crashModel
 	rand    *rand.Rand
 	now     time.Duration
-	ledgers []*Ledger
+	entries []crashEntry
 	targets [crashTargets]simulatedTarget
 	notes   map[time.Duration]Note[Fingerprint]
 	crashes []time.Duration
 }
 
+// crashEntry is one entry of a crashModel. While it is frozen, unread is the failure that it has
+// not read yet.
+type crashEntry struct {
+	ledger      *Ledger
+	frozenUntil time.Duration
+	unread      *crashFailure
+}
+
+type crashFailure struct {
+	at    Incarnation
+	since time.Duration
+}
+
 func (m crashModel) play(seed uint64) *crashRun {
 	r := &crashRun{crashModel: m, rand: rand.New(rand.NewPCG(seed, 3)), notes: map[time.Duration]Note[Fingerprint]{}}
-	for range m.entries {
-		r.ledgers = append(r.ledgers, &Ledger{})
+	for range m.entryCount {
+		r.entries = append(r.entries, crashEntry{ledger: &Ledger{}})
 	}
 	for range crashSteps {
 		r.mergeNotes()
+		r.readFailures()
 		if m.restarts && r.rand.IntN(restartOdds) == 0 {
-			r.restartEntry(r.rand.IntN(m.entries))
+			r.restartEntry(r.rand.IntN(m.entryCount))
+		}
+		if e := &r.entries[r.rand.IntN(m.entryCount)]; r.now >= e.frozenUntil {
+			r.send(e)
 		}
-		r.send(r.ledgers[r.rand.IntN(m.entries)])
 		r.now += crashStep
 	}
 	return r
@@ -154,16 +205,32 @@
 	if !ok {
 		return
 	}
-	for _, l := range r.ledgers {
-		l.Merge(epoch.Add(r.now), n)
+	for _, e := range r.entries {
+		e.ledger.Merge(epoch.Add(r.now), n)
+	}
+}
+
+// readFailures lets entries read failures that they have not read yet, unless they are frozen.
+func (r *crashRun) readFailures() {
+	now := epoch.Add(r.now)
+	for i := range r.entries {
+		e := &r.entries[i]
+		if e.unread == nil || r.now < e.frozenUntil {
+			continue
+		}
+		e.ledger.RecordFailure(now, epoch.Add(e.unread.since), testKey(1), e.unread.at, 0)
+		e.unread = nil
+		if n, ok := e.ledger.Note(now, testKey(1), 1); ok {
+			r.notes[r.now+noteDelay] = n
+		}
 	}
 }
 
 func (r *crashRun) restartEntry(i int) {
-	n, known := r.ledgers[(i+1)%r.entries].Note(epoch.Add(r.now), testKey(1), 1)
-	r.ledgers[i] = &Ledger{}
+	n, known := r.entries[(i+1)%len(r.entries)].ledger.Note(epoch.Add(r.now), testKey(1), 1)
+	r.entries[i] = crashEntry{ledger: &Ledger{}}
 	if known {
-		r.ledgers[i].Merge(epoch.Add(r.now), n)
+		r.entries[i].ledger.Merge(epoch.Add(r.now), n)
 	}
 }
 
@@ -190,16 +257,15 @@
 }
 
 // send sends the request from an entry. The target that gets it crashes if it is up.
-func (r *crashRun) send(l *Ledger) {
-	i, ok := r.choose(l)
+func (r *crashRun) send(e *crashEntry) {
+	i, ok := r.choose(e.ledger)
 	if !ok || r.now < r.targets[i].upAt {
 		return
 	}
-	now := epoch.Add(r.now)
 	r.crashes = append(r.crashes, r.now)
-	l.RecordFailure(now, now, testKey(1), r.startAt(i), 0)
-	if n, ok := l.Note(now, testKey(1), 1); ok {
-		r.notes[r.now+noteDelay] = n
+	e.unread = &crashFailure{at: r.startAt(i), since: r.now}
+	if r.freezes && r.rand.IntN(freezeOdds) == 0 {
+		e.frozenUntil = r.now + time.Duration(r.rand.Int64N(int64(maxFreeze)))
 	}
 	back := r.now + minRestartTime + time.Duration(r.rand.Int64N(int64(maxRestartTime-minRestartTime)))
 	r.targets[i] = simulatedTarget{born: back, upAt: back}
@@ -220,8 +286,8 @@
 func TestTrialsReachNoTargetThatCrashed(t *testing.T) {
 	for _, entries := range []int{2, 60} {
 		for _, noStartTimes := range []bool{false, true} {
-			for _, restarts := range []bool{false, true} {
-				m := crashModel{entries: entries, noStartTimes: noStartTimes, restarts: restarts}
+			for _, troubled := range []bool{false, true} {
+				m := crashModel{entryCount: entries, noStartTimes: noStartTimes, restarts: troubled, freezes: troubled}
 				t.Run(fmt.Sprintf("%+v", m), func(t *testing.T) {
 					most := 0
 					for seed := range uint64(20) {
