budget: say retry, as package direct does; let lint fail if a tool cannot run

The package called a request that is sent again a repeat, direct a retry; three tests are renamed with it, in the documents too. Nothing else changes there.

--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 	$(TOOLS) goimports -l -w -local hawthornferry .
 
 lint:
-	@out=$$($(TOOLS) gofumpt -l .); if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
-	@out=$$($(TOOLS) goimports -l -local hawthornferry .); if [ -n "$$out" ]; then echo "goimports: $$out"; exit 1; fi
+	@out=$$($(TOOLS) gofumpt -l .) || exit 1; if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
+	@out=$$($(TOOLS) goimports -l -local hawthornferry .) || exit 1; if [ -n "$$out" ]; then echo "goimports: $$out"; exit 1; fi
 	$(GO) vet $(PACKAGES)
 	$(TOOLS) staticcheck $(PACKAGES)
 
--- a/core/request/budget/budget.go
+++ b/core/request/budget/budget.go
@@ -1,7 +1,7 @@
 // Package budget limits how many requests an entry (the process that accepts callers'
-// requests) repeats. Package direct calls it. The limit holds over all entries of the
-// system without messages between them: each entry repeats only a share of its own
-// requests, and together they repeat the same share of all.
+// requests) sends again. Package direct calls it. The limit holds over all entries of the
+// system without messages between them: each entry retries only a share of its own
+// requests, and together they retry the same share of all.
 package budget
 
 import (
@@ -19,7 +19,7 @@
 	// other times than the entry's.
 	burstShare = 0.3
 	// startWindows is for how many windows a process counts as just started. Until then it
-	// may not use a burst, since its predecessor may have used one. Repeats that the
+	// may not use a burst, since its predecessor may have used one. Retries that the
 	// predecessor has sent may arrive late, and count for a window from then.
 	startWindows = 2
 	// minEntries is the lowest number of entries that the slack is divided by. An entry
@@ -33,17 +33,17 @@
 	restarts = 2
 	// buckets is the number of parts into which a window is divided.
 	buckets = 10
-	// repeatBuckets is for how many buckets a repeat is counted. A window mostly covers
-	// only parts of its first and last bucket. If repeats were dropped together with
+	// retryBuckets is for how many buckets a retry is counted. A window mostly covers
+	// only parts of its first and last bucket. If retries were dropped together with
 	// the requests, they would be granted again up to a bucket too soon, and the
 	// operator would see both in one window.
-	repeatBuckets = buckets + 1
+	retryBuckets = buckets + 1
 )
 
-// Budget counts the requests and repeats of one service within a sliding window. Up to
-// Ratio of the requests, plus a part of Slack, may be repeated. The operator counts repeats
-// when they arrive at targets, which may be seconds after they were granted: a repeat waits
-// for a place, and a target that stands still reads it late. A granted repeat is therefore
+// Budget counts the requests and retries of one service within a sliding window. Up to
+// Ratio of the requests, plus a part of Slack, may be retried. The operator counts retries
+// when they arrive at targets, which may be seconds after they were granted: a retry waits
+// for a place, and a stalled target reads it late. A granted retry is therefore
 // outstanding, and uses the budget, from Reserve until a window after its arrival. Set the
 // exported fields before the first call.
 type Budget struct {
@@ -54,19 +54,19 @@
 	Entries int
 	// StartedAt is when the process started; the time of the first call if it is not set.
 	// Buckets are counted from it by the monotonic clock. If the time of day were used and
-	// jumped by a window, repeats would be granted again. While a machine is suspended the
-	// monotonic clock stands still, which only keeps repeats counted for longer.
+	// jumped by a window, retries would be granted again. While a machine is suspended the
+	// monotonic clock stands still, which only keeps retries counted for longer.
 	StartedAt time.Time
 
 	requests [buckets]float64
-	// outstanding is the number of granted repeats that may not have arrived yet, and
-	// repeats counts those that have.
+	// outstanding is the number of granted retries that may not have arrived yet, and
+	// retries counts those that have.
 	outstanding   int
-	repeats       [repeatBuckets]float64
+	retries       [retryBuckets]float64
 	currentBucket int64
-	// allRequests and allRepeats count since the start of the process.
+	// allRequests and allRetries count since the start of the process.
 	allRequests float64
-	allRepeats  float64
+	allRetries  float64
 }
 
 // CountRequest counts a request of a caller.
@@ -76,7 +76,7 @@
 	b.allRequests++
 }
 
-// Reserve reports whether a request may be repeated. If so, the repeat is outstanding until
+// Reserve reports whether a request may be retried. If so, the retry is outstanding until
 // Arrived or Release is called for it.
 func (b *Budget) Reserve(now time.Time) bool {
 	b.advance(now)
@@ -87,18 +87,18 @@
 	return true
 }
 
-// Arrived records that n outstanding repeats have arrived at the latest now.
+// Arrived records that n outstanding retries have arrived at the latest now.
 func (b *Budget) Arrived(now time.Time, n int) {
 	b.advance(now)
 	b.outstanding -= n
-	b.repeats[b.currentBucket%repeatBuckets] += float64(n)
-	b.allRepeats += float64(n)
+	b.retries[b.currentBucket%retryBuckets] += float64(n)
+	b.allRetries += float64(n)
 }
 
-// Usage is what decides whether a request may be repeated.
+// Usage is what decides whether a request may be retried.
 type Usage struct {
-	// Requests and Arrived are the requests and the repeats of the current window, and
-	// Outstanding the granted repeats that may not have arrived yet.
+	// Requests and Arrived are the requests and the retries of the current window, and
+	// Outstanding the granted retries that may not have arrived yet.
 	Requests    int
 	Arrived     int
 	Outstanding int
@@ -108,19 +108,19 @@
 	Age time.Duration
 }
 
-// Usage returns what decides about repeats now.
+// Usage returns what decides about retries now.
 func (b *Budget) Usage(now time.Time) Usage {
 	b.advance(now)
 	return Usage{
-		Requests: int(sum(b.requests[:])), Arrived: int(sum(b.repeats[:])), Outstanding: b.outstanding,
+		Requests: int(sum(b.requests[:])), Arrived: int(sum(b.retries[:])), Outstanding: b.outstanding,
 		Starting: b.starting(now), Age: now.Sub(b.StartedAt),
 	}
 }
 
-// Release gives back n outstanding repeats that will never be sent.
+// Release gives back n outstanding retries that will never be sent.
 func (b *Budget) Release(n int) { b.outstanding -= n }
 
-// room is how many more repeats may be granted.
+// room is how many more retries may be granted.
 func (b *Budget) room(now time.Time) float64 {
 	room := b.windowRoom()
 	if b.starting(now) {
@@ -129,7 +129,7 @@
 	return room
 }
 
-// starting reports whether repeats of an earlier process may still count for the operator.
+// starting reports whether retries of an earlier process may still count for the operator.
 func (b *Budget) starting(now time.Time) bool {
 	return now.Sub(b.StartedAt) < startWindows*b.Window
 }
@@ -139,7 +139,7 @@
 // single one.
 func (b *Budget) startRoom() float64 {
 	earned := earnedShare*b.Ratio*b.allRequests + initialShare*b.slackShare()
-	return earned - float64(b.outstanding) - b.allRepeats
+	return earned - float64(b.outstanding) - b.allRetries
 }
 
 // windowRoom is what is left of the current window: in each span of time up to now, no more
@@ -147,14 +147,14 @@
 func (b *Budget) windowRoom() float64 {
 	burst := burstShare*b.Ratio*sum(b.requests[:]) + b.slackShare()
 	room := math.Inf(1)
-	requests, repeats := 0.0, float64(b.outstanding)
-	for back := range min(int64(repeatBuckets), b.currentBucket+1) {
+	requests, retries := 0.0, float64(b.outstanding)
+	for back := range min(int64(retryBuckets), b.currentBucket+1) {
 		at := b.currentBucket - back
 		if back < buckets {
 			requests += b.requests[at%buckets]
 		}
-		repeats += b.repeats[at%repeatBuckets]
-		room = min(room, earnedShare*b.Ratio*requests+burst-repeats)
+		retries += b.retries[at%retryBuckets]
+		room = min(room, earnedShare*b.Ratio*requests+burst-retries)
 	}
 	return room
 }
@@ -173,11 +173,11 @@
 	}
 	at := int64(now.Sub(b.StartedAt) / width)
 	// After a long gap, clearing each bucket once is enough.
-	b.currentBucket = max(b.currentBucket, at-repeatBuckets)
+	b.currentBucket = max(b.currentBucket, at-retryBuckets)
 	for b.currentBucket < at {
 		b.currentBucket++
 		b.requests[b.currentBucket%buckets] = 0
-		b.repeats[b.currentBucket%repeatBuckets] = 0
+		b.retries[b.currentBucket%retryBuckets] = 0
 	}
 }
 
--- a/core/request/budget/budget_test.go
+++ b/core/request/budget/budget_test.go
@@ -9,12 +9,12 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// Guards against repeating every request when targets fail. The repeats of any window
+// Guards against retrying every request when targets fail. The retries of any window
 // stay within the operator's limit, and some are always granted.
-func TestRepeatsStayWithinRatio(t *testing.T) {
+func TestRetriesStayWithinRatio(t *testing.T) {
 	b := &Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
 	now := time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
-	type sent struct{ requests, repeats int }
+	type sent struct{ requests, retries int }
 	var seconds []sent
 	for s := range 60 {
 		perSecond := 60
@@ -26,7 +26,7 @@
 			b.CountRequest(now)
 			x.requests++
 			if takeOne(b, now) {
-				x.repeats++
+				x.retries++
 			}
 			now = now.Add(time.Second / time.Duration(perSecond))
 		}
@@ -36,7 +36,7 @@
 		var sum sent
 		for _, x := range seconds[s-10 : s] {
 			sum.requests += x.requests
-			sum.repeats += x.repeats
+			sum.retries += x.retries
 		}
 		// While the load falls, the window before has the most requests.
 		before := 0
@@ -44,10 +44,10 @@
 			before += x.requests
 		}
 		most := int(0.2*float64(max(sum.requests, before))) + 100
-		if sum.repeats > most {
-			t.Errorf("second %d: %d repeats in a window, want at most %d", s, sum.repeats, most)
+		if sum.retries > most {
+			t.Errorf("second %d: %d retries in a window, want at most %d", s, sum.retries, most)
 		}
-		if sum.repeats == 0 {
+		if sum.retries == 0 {
 			t.Errorf("second %d: no request may be sent again", s)
 		}
 	}
@@ -76,7 +76,7 @@
 	return b
 }
 
-// takeOne takes a repeat that arrives at once, and reports whether it was granted.
+// takeOne takes a retry that arrives at once, and reports whether it was granted.
 func takeOne(b *Budget, now time.Time) bool {
 	if !b.Reserve(now) {
 		return false
@@ -85,7 +85,7 @@
 	return true
 }
 
-// takeAll takes repeats until none is granted, and returns how many were.
+// takeAll takes retries until none is granted, and returns how many were.
 func takeAll(b *Budget, now time.Time) int {
 	n := 0
 	for takeOne(b, now) {
@@ -95,7 +95,7 @@
 }
 
 // Guards against using the time of day, which may jump by more than a window. After a
-// jump forward all used repeats would be granted again at once, beyond the operator's
+// jump forward all used retries would be granted again at once, beyond the operator's
 // limit; after one backward they would be counted for too long, and callers would get
 // none.
 func TestTimeOfDayDoesNotMoveTheWindow(t *testing.T) {
@@ -105,11 +105,11 @@
 		b := newRunningBudget(now, window)
 		whole := takeAll(b, now)
 		if diff := cmp.Diff(0, takeAll(b, shiftTimeOfDay(t, now, seconds))); diff != "" {
-			t.Errorf("repeats after a jump of %d s (-want +got):\n%s", seconds, diff)
+			t.Errorf("retries after a jump of %d s (-want +got):\n%s", seconds, diff)
 		}
 		after := shiftTimeOfDay(t, now.Add(2*window), seconds)
 		if diff := cmp.Diff(whole, takeAll(b, after)); diff != "" {
-			t.Errorf("repeats two windows after a jump of %d s (-want +got):\n%s", seconds, diff)
+			t.Errorf("retries two windows after a jump of %d s (-want +got):\n%s", seconds, diff)
 		}
 	}
 }
@@ -156,7 +156,7 @@
 		}
 	}
 	if anew == 0 || sum+anew > slack {
-		t.Errorf("%d repeats before the loss and %d after it, want some and at most %d together", sum, anew, slack)
+		t.Errorf("%d retries before the loss and %d after it, want some and at most %d together", sum, anew, slack)
 	}
 }
 
@@ -176,14 +176,14 @@
 			sum += takeAll(b, now)
 		}
 		if sum == 0 || sum > slack {
-			t.Errorf("%d entries: %d repeats, want some and at most %d", entries, sum, slack)
+			t.Errorf("%d entries: %d retries, want some and at most %d", entries, sum, slack)
 		}
 	}
 }
 
-// Guards against granting repeats anew while earlier ones wait to be sent. Released ones are
+// Guards against granting retries anew while earlier ones wait to be sent. Released ones are
 // granted again at once, those that arrived after a window.
-func TestOutstandingRepeatsUseTheBudget(t *testing.T) {
+func TestOutstandingRetriesUseTheBudget(t *testing.T) {
 	const window = 10 * time.Second
 	began := time.Now()
 	b := newRunningBudget(began, window)
@@ -193,22 +193,22 @@
 	}
 	later := began.Add(3 * window)
 	if diff := cmp.Diff(0, takeAll(b, later)); diff != "" {
-		t.Errorf("repeats while all are outstanding (-want +got):\n%s", diff)
+		t.Errorf("retries while all are outstanding (-want +got):\n%s", diff)
 	}
 	b.Release(1)
 	if diff := cmp.Diff(1, takeAll(b, later)); diff != "" {
-		t.Errorf("repeats after one was released (-want +got):\n%s", diff)
+		t.Errorf("retries after one was released (-want +got):\n%s", diff)
 	}
 	b.Arrived(later, whole-1)
 	if diff := cmp.Diff(0, takeAll(b, later.Add(window-time.Millisecond))); diff != "" {
-		t.Errorf("repeats within a window after the arrival (-want +got):\n%s", diff)
+		t.Errorf("retries within a window after the arrival (-want +got):\n%s", diff)
 	}
 	if diff := cmp.Diff(whole, takeAll(b, later.Add(2*window))); diff != "" {
-		t.Errorf("repeats two windows after the arrival (-want +got):\n%s", diff)
+		t.Errorf("retries two windows after the arrival (-want +got):\n%s", diff)
 	}
 }
 
-// Guards against more arrivals in a window than the operator allows, whenever repeats are
+// Guards against more arrivals in a window than the operator allows, whenever retries are
 // granted and however long each takes to arrive. The operator counts the requests of the
 // window, of the one before it or of the one half a window before it.
 func TestArrivalsStayWithinBudgetHoweverLongTheyTake(t *testing.T) {
@@ -231,7 +231,7 @@
 		began := time.Now()
 		arrivals := make([]int, steps+2*perWindow)
 		due := make([][]int, len(arrivals))
-		// Repeats are wanted and held up in phases, as while targets fail or stand still.
+		// Retries are wanted and held up in phases, as while targets fail or stand still.
 		failing, release := false, 0
 		for at := range steps {
 			now := began.Add(time.Duration(at) * step)
@@ -263,7 +263,7 @@
 			// The rate of requests is constant, so that all windows but the first have as many.
 			allowed := ratio*float64(perStep*min(at+1, perWindow)) + slack
 			if float64(inWindow) > allowed {
-				t.Fatalf("seed %d: %d repeats arrive in the window before %v, want at most %v", seed, inWindow, time.Duration(at)*step, allowed)
+				t.Fatalf("seed %d: %d retries arrive in the window before %v, want at most %v", seed, inWindow, time.Duration(at)*step, allowed)
 			}
 		}
 	}
--- a/core/request/budget/restart_test.go
+++ b/core/request/budget/restart_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// fleetModel is a fleet of entries that repeat failed requests to one service, and whose
+// fleetModel is a fleet of entries that retry failed requests to one service, and whose
 // processes end and start again.
 type fleetModel struct {
 	name    string
@@ -41,7 +41,7 @@
 	upAt   int
 }
 
-// arrival is a repeat on its way to a target, sent by a process with the given budget.
+// arrival is a retry on its way to a target, sent by a process with the given budget.
 type arrival struct {
 	from  *modelEntry
 	owner *Budget
@@ -57,9 +57,9 @@
 	due      [][]arrival
 	requests []int
 	arrived  []int
-	// failed and repeated count the failed requests that an entry could repeat, and
+	// failed and retried count the failed requests that an entry could retry, and
 	// those that it did.
-	failed, repeated int
+	failed, retried int
 }
 
 func (m fleetModel) play(seed uint64) *fleetRun {
@@ -124,7 +124,7 @@
 	}
 }
 
-// deliver lets targets read the repeats that are due, also those of processes that have
+// deliver lets targets read the retries that are due, also those of processes that have
 // ended since.
 func (r *fleetRun) deliver(at int) {
 	for _, a := range r.due[at] {
@@ -158,14 +158,14 @@
 		}
 		r.failed++
 		if e.budget.Reserve(r.timeOf(at)) {
-			r.repeated++
+			r.retried++
 			arrives := max(at+1, releaseAt)
 			r.due[arrives] = append(r.due[arrives], arrival{from: e, owner: e.budget})
 		}
 	}
 }
 
-// excess returns how many more repeats arrive in the window before some step than the
+// excess returns how many more retries arrive in the window before some step than the
 // operator allows, at the worst, and that step. The operator counts the requests of the
 // window, of the one before it or of the one half a window before it.
 func (r *fleetRun) excess() (worst float64, at int) {
@@ -195,7 +195,7 @@
 	anyShare   = []float64{1, 1, 0.5, 0.1}
 )
 
-// Guards against granting a window's repeats anew in a process that has just started. What
+// Guards against granting a window's retries anew in a process that has just started. What
 // its predecessor has used is not known to it, and still counts for the operator.
 func TestArrivalsStayWithinBudgetWhenEntriesRestart(t *testing.T) {
 	large := Budget{Ratio: 0.2, Slack: 134, Window: 10 * time.Second}
@@ -219,18 +219,18 @@
 			m.lastShare = 1
 		}
 		t.Run(m.name, func(t *testing.T) {
-			failed, repeated := 0, 0
+			failed, retried := 0, 0
 			for seed := range uint64(20) {
 				r := m.play(seed)
-				failed, repeated = failed+r.failed, repeated+r.repeated
+				failed, retried = failed+r.failed, retried+r.retried
 				if over, at := r.excess(); over > 0 {
-					t.Errorf("seed %d: %.0f repeats too many arrive in the window before %v", seed, over, time.Duration(at)*modelStep)
+					t.Errorf("seed %d: %.0f retries too many arrive in the window before %v", seed, over, time.Duration(at)*modelStep)
 				}
 			}
-			if repeated == 0 {
-				t.Error("no failed request was repeated")
+			if retried == 0 {
+				t.Error("no failed request was retried")
 			}
-			t.Logf("repeated %.3f of %d failed requests", float64(repeated)/float64(failed), failed)
+			t.Logf("retried %.3f of %d failed requests", float64(retried)/float64(failed), failed)
 		})
 	}
 }
--- a/io/request/direct/retrybudget_test.go
+++ b/io/request/direct/retrybudget_test.go
@@ -187,7 +187,7 @@
 
 // Guards against counting repeats when they are granted. A target that freezes for longer
 // than a window reads those of several windows at once when it wakes.
-func TestRepeatsThatArriveTogetherStayWithinBudget(t *testing.T) {
+func TestRetriesThatArriveTogetherStayWithinBudget(t *testing.T) {
 	m := newRetryTest(t, budget.Budget{Ratio: retryRatio, Window: retryWindow})
 	for range 3 {
 		m.sendRejected(retryRequests)
