feed: log the loss of an upstream as upstreamLost

Code, documents and metrics call the process that is followed an upstream; only this log line had another word. The tests of upstreams pass, 3 runs with the race detector.

--- a/io/process/feed/log.go
+++ b/io/process/feed/log.go
@@ -28,7 +28,7 @@
 // logUpstreamLost logs that this process has left an upstream or a relay, and why.
 func (f *Feed) logUpstreamLost(p Peer, err error) {
 	f.Log.Record(trail.Decision{
-		Area: trail.AreaConfig, Action: "tellerLost", Choice: p.Address.String(), Reason: err.Error(),
+		Area: trail.AreaConfig, Action: "upstreamLost", Choice: p.Address.String(), Reason: err.Error(),
 		Revision: f.Self.Revision.Load(),
 	})
 }
--- a/io/process/feed/upstream_test.go
+++ b/io/process/feed/upstream_test.go
@@ -223,9 +223,9 @@
 	f.Upstreams = func() []Peer { return []Peer{peer} }
 	runFeed(t, f)
 	eventually(t, "both are known", func() bool { return targetIDs(f) == "a b" })
-	before := log.count("tellerLost")
+	before := log.count("upstreamLost")
 	s.fail(errors.New("down"))
-	eventually(t, "the upstream is dropped", func() bool { return log.count("tellerLost") > before })
+	eventually(t, "the upstream is dropped", func() bool { return log.count("upstreamLost") > before })
 	s.set("target/a", "", true)
 	s.fail(nil)
 	eventually(t, "the store is in touch", func() bool { age, _ := f.Age(); return age < minOutage })
