--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -7,6 +7,7 @@
 package table
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -190,6 +191,27 @@
 	return t.Services[i], true
 }
 
+// Priorities returns the different priorities that requests to a service may have, in
+// order: those of its routes, and those of customers, which take precedence.
+func (t *Table) Priorities(service string) []int {
+	var out []int
+	for _, r := range t.Routes {
+		if slices.ContainsFunc(r.TrafficSplit, func(s WeightedService) bool { return s.Service == service }) {
+			out = append(out, r.Priority)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	for _, c := range t.Customers {
+		if c.Priority != nil {
+			out = append(out, *c.Priority)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Kind returns the kind of the service as environment documents name it.
 func (s Service) Kind() envdoc.ServiceKind {
 	if s.Engine != nil {
