table, direct: order requests by customer, then by route

Cause: a customer's priority replaced that of the route.

Change: a request has a rank among those of its service: by the priority of its customer, and among customers with the same one by that of the route.

--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -7,7 +7,6 @@
 package table
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -106,8 +105,8 @@
 	MeanAnswerTokens int
 }
 
-// Customer is a tenant of the system, identified by any of its API keys. A nil
-// Priority means that of the route. Regions are those in which its requests may be served,
+// Customer is a tenant of the system, identified by any of its API keys. Its Priority goes
+// before that of the route; nil means that of the route. Regions are those in which its requests may be served,
 // besides what the route allows.
 type Customer struct {
 	Name     string
@@ -133,6 +132,7 @@
 	routesByHost   map[string][]int
 	customersByKey map[string]int
 	servicesByName map[string]int
+	ranksByService map[string][]priorityPair
 }
 
 // BuildIndex builds the look-up maps. It must be called once before the table is
@@ -148,6 +148,7 @@
 			t.customersByKey[k] = i
 		}
 	}
+	t.ranksByService = t.rankPriorities()
 	t.servicesByName = make(map[string]int, len(t.Services))
 	for i, s := range t.Services {
 		t.servicesByName[s.Name] = i
@@ -191,27 +192,6 @@
 	return t.Services[i], true
 }
 
-// Priorities returns the different priorities that requests to a service may have, in
-// order: those of its routes, and those of customers, which take precedence.
-func (t *Table) Priorities(service string) []int {
-	var out []int
-	for _, r := range t.Routes {
-		if slices.ContainsFunc(r.TrafficSplit, func(s WeightedService) bool { return s.Service == service }) {
-			out = append(out, r.Priority)
-		}
-	}
-	if len(out) == 0 {
-		return nil
-	}
-	for _, c := range t.Customers {
-		if c.Priority != nil {
-			out = append(out, *c.Priority)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
 // Kind returns the kind of the service as environment documents name it.
 func (s Service) Kind() envdoc.ServiceKind {
 	if s.Engine != nil {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -48,8 +48,10 @@
 	customer string
 	// customerRegions are the regions that the customer allows.
 	customerRegions table.AllowedRegions
-	progress        progress
-	arrivedAt       time.Time
+	// rank orders the requests of a service, the most urgent first.
+	rank      int
+	progress  progress
+	arrivedAt time.Time
 	// firstAskedAt is when the caller sent its first request, estimated from its
 	// deadline; earlier than arrivedAt for a retry after a refusal.
 	firstAskedAt time.Time
@@ -220,6 +222,7 @@
 // MaxKeyAge, no key is accepted and the caller has to try another entry.
 func (s *Server) identifyCustomer(q *request) (errorResponse, bool) {
 	if !q.facts.Table.RequiresKey() || q.route.AllowAnonymous {
+		q.rank = q.facts.Table.Rank(q.service.Name, nil, q.route.Priority)
 		return errorResponse{}, true
 	}
 	if s.Rules.MaxKeyAge > 0 && q.factsAge.OlderThan(s.Rules.MaxKeyAge) {
@@ -230,9 +233,7 @@
 		return s.notFoundError(q, http.StatusUnauthorized, "unknownKey"), false
 	}
 	q.customer, q.customerRegions = c.Name, c.Regions
-	if c.Priority != nil {
-		q.route.Priority = *c.Priority
-	}
+	q.rank = q.facts.Table.Rank(q.service.Name, c.Priority, q.route.Priority)
 	return errorResponse{}, true
 }
 
@@ -282,7 +283,7 @@
 	}
 	return place.Request{
 		ID: q.call.ID, Service: q.service.Name, Kind: q.route.Name, PromptTokens: q.call.PromptTokens, AnswerTokens: answerTokens,
-		FirstRequestedAt: q.firstAskedAt, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.route.Priority,
+		FirstRequestedAt: q.firstAskedAt, Objective: q.route.Objective, Deadline: q.deadline, Priority: q.rank,
 		Limits: s.versionLimits(q), NewestVersion: s.newestVersion(q), FailedTargets: q.failedTargets, Resumed: q.responseBegun,
 		Regions: s.allowedRegions(q),
 	}
