direct: bound the head of a response

A target may send bytes that are no valid response until its caller closes the connection. http.ReadResponse reads a line of any length, and any number of fields and of interim responses.

Package io/conn/bound holds the limits of what is read from other machines. The attempt ends as broken off, its connection is closed, and it is not taken for a crash.

--- /dev/null
+++ b/io/conn/bound/head.go
@@ -0,0 +1,119 @@
+package bound
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+)
+
+// The beginning of a status line: the protocol, the minor version, a space and the first digit
+// of the status.
+const (
+	protocol    = "HTTP/1."
+	spaceAt     = len(protocol) + 1
+	statusAt    = spaceAt + 1
+	interimCode = '1'
+)
+
+// HeadReader reads an HTTP/1 response from a connection and passes it on. It fails as soon as
+// the heads of the response, those of interim ones included, exceed MaxHeadBytes or
+// MaxHeadLines, or do not begin as a head does. It does not limit what follows the last head.
+type HeadReader struct {
+	r io.Reader
+	// size and lines count what has been read of the heads.
+	size, lines int
+	// line is the length of the present line so far, and first its first byte.
+	line  int
+	first byte
+	// status is set while the present line is a status line, interim if it is that of an
+	// interim response.
+	status  bool
+	interim bool
+	ended   bool
+}
+
+// NewHeadReader returns a reader of the response that r begins with.
+func NewHeadReader(r io.Reader) *HeadReader { return &HeadReader{r: r, status: true} }
+
+// Read implements io.Reader.
+func (h *HeadReader) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	if cut := h.check(p[:n]); cut != nil {
+		return 0, cut
+	}
+	return n, err
+}
+
+// check checks the part of b that belongs to heads.
+func (h *HeadReader) check(b []byte) error {
+	for len(b) > 0 && !h.ended {
+		end := bytes.IndexByte(b, '\n') + 1
+		if end == 0 {
+			end = len(b)
+		}
+		if err := h.checkPart(b[:end]); err != nil {
+			return err
+		}
+		b = b[end:]
+	}
+	return nil
+}
+
+// checkPart checks a part of a line.
+func (h *HeadReader) checkPart(b []byte) error {
+	if h.size += len(b); h.size > MaxHeadBytes {
+		return Exceeded(Head, MaxHeadBytes)
+	}
+	if h.status && !h.checkStatus(b) {
+		return Invalid("not the head of an HTTP response")
+	}
+	if h.line == 0 {
+		h.first = b[0]
+	}
+	h.line += len(b)
+	if b[len(b)-1] != '\n' {
+		return nil
+	}
+	if h.lines++; h.lines > MaxHeadLines {
+		return &CutOffError{Bound: Head, Reason: fmt.Sprintf("more than %d lines", MaxHeadLines)}
+	}
+	h.endLine()
+	return nil
+}
+
+// checkStatus checks a part of a status line. Its beginning must be exact: a parser that takes
+// another one for that of an interim response would go on to the next head.
+func (h *HeadReader) checkStatus(b []byte) bool {
+	for i, c := range b {
+		at := h.line + i
+		ok := true
+		switch {
+		case at < len(protocol):
+			ok = c == protocol[at]
+		case at == spaceAt:
+			ok = c == ' '
+		case at == statusAt:
+			ok = '1' <= c && c <= '9'
+			h.interim = c == interimCode
+		case at > statusAt:
+			return true
+		default:
+			ok = '0' <= c && c <= '9'
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// endLine handles the end of a line. An empty one ends a head.
+func (h *HeadReader) endLine() {
+	empty := h.line == 1 || h.line == 2 && h.first == '\r'
+	h.line = 0
+	if h.status {
+		h.status = false
+		return
+	}
+	h.status, h.ended = empty, empty && !h.interim
+}
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -17,6 +17,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/io/conn/bound"
 )
 
 // readBuffer is the size in bytes of the buffers for requests and responses.
@@ -158,11 +159,11 @@
 	if writeErr == nil {
 		writeErr = w.Flush()
 	}
-	r := bufio.NewReaderSize(x.conn, readBuffer)
+	r := bufio.NewReaderSize(bound.NewHeadReader(x.conn), readBuffer)
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
-			return errors.CombineErrors(err, writeErr)
+			return errors.CombineErrors(bound.Classify(err), writeErr)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			x.resp = resp
