direct: bound the bodies of responses and the requests of callers

A line of a stream had no bound before its end, blank lines and comments were read for ever, an answer without a length took the whole memory budget, and a caller whose request was refused could hold its connection by not sending the body.

An event is cut off at 1 MiB, the blank lines and comments between two events at 64 KiB, an answer without a declared length at 16 MiB, and what is no valid HTTP at once. Events over 16 KiB and answers of unknown length take at most a quarter of the memory budget, so that the rest is left to others. A handover ends once it has buffered 64 KiB. A caller's head is bounded by 32 KiB (64 KiB before), its body by 16 MiB where the configuration has no limit, and both must arrive in 5 s also where the request is refused.

bound.Reporter writes the line readCutOff, once a second for a machine and bound, and counts reads_cut_off_total. Lines of attempts that were cut off have the cause readCutOff.

Tests call eventReader in place of readEvent; what they check is unchanged. FuzzReadEvent sends its second part for ever and checks the memory, too.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -33,6 +33,10 @@
 	ActionTargetBackoff   = "targetBackoff"
 )
 
+// ActionReadCutOff is the action of the records about machines that have sent more than they
+// may, or what is not valid. Subject is the machine, Choice its address, and Reason the bound.
+const ActionReadCutOff = "readCutOff"
+
 // Exclusion is a candidate that was not chosen, and the reason.
 type Exclusion struct {
 	Name   string `json:"name"`
@@ -61,7 +65,8 @@
 	Reason  string `json:"reason,omitempty"`
 	// Cause is set for a response that was cut off after it had started. It says
 	// why the attempt that had started it ended: overdue, targetSilent,
-	// targetLoading or eventOutOfOrder when the entry ended the attempt.
+	// targetLoading, eventOutOfOrder or readCutOff when the entry ended the attempt.
+	// readCutOff is also set for the attempt itself.
 	Cause string `json:"cause,omitempty"`
 	// Revision is that of the configuration in force, or of the state that a
 	// configuration or membership record is about.
--- a/core/request/space/budget.go
+++ b/core/request/space/budget.go
@@ -58,6 +58,19 @@
 	return true
 }
 
+// spareShare is the part of a budget that contents of unknown length may take. Those without
+// end would take all of it, and leave nothing to others.
+const spareShare = 0.25
+
+// GrowSpare grows like Grow for contents whose length is not known beforehand, but does so only
+// while no more than spareShare of the budget is held.
+func (h *Hold) GrowSpare(n int64) bool {
+	if b := h.Budget; b != nil && n > h.held && float64(b.Used()+n-h.held) > spareShare*float64(b.Limit) {
+		return false
+	}
+	return h.Grow(n)
+}
+
 // Release gives everything back.
 func (h *Hold) Release() {
 	if h.Budget != nil {
--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -23,6 +23,9 @@
 const (
 	Format Name = "format"
 	Head   Name = "head"
+	Event  Name = "event"
+	Filler Name = "filler"
+	Answer Name = "answer"
 )
 
 // Limits of the heads of HTTP requests and responses.
@@ -35,6 +38,22 @@
 	MaxHeadLines = 256
 )
 
+// MaxBodyBytes bounds the body of a caller's request if the configuration doesn't.
+const MaxBodyBytes = 16 << 20
+
+// Limits of the answers of targets.
+const (
+	// MaxEventBytes bounds one event of a stream. Its last one may repeat a whole answer, some
+	// hundred KiB.
+	MaxEventBytes = 1 << 20
+	// MaxFillerBytes bounds the blank lines and the blocks of lines without an ID or data that
+	// follow each other in a stream. A short comment every 100 ms, which counts for 32 bytes,
+	// keeps a connection open for more than 3 minutes.
+	MaxFillerBytes = 64 << 10
+	// MaxAnswerBytes bounds an answer that is no stream and does not declare its length.
+	MaxAnswerBytes = 16 << 20
+)
+
 // CutOffError reports that a read was cut off at a bound.
 type CutOffError struct {
 	Bound  Name
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -72,6 +72,7 @@
 	add("choice", d.Choice, d.Choice != "")
 	add("outcome", d.Outcome, d.Outcome != "")
 	add("reason", d.Reason, d.Reason != "")
+	add("cause", d.Cause, d.Cause != "")
 	add("status", d.Status, d.Status != 0)
 	add("load", d.Load, d.Load != 0)
 	add("version", d.Version, d.Version != 0)
--- a/io/request/direct/endcounts.go
+++ b/io/request/direct/endcounts.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/trail"
+	"hawthornferry/io/conn/bound"
 )
 
 // endCause is why an attempt ended before its response was complete.
@@ -18,6 +19,7 @@
 	causeTargetSilent  endCause = "targetSilent"
 	causeTargetLoading endCause = "targetLoading"
 	causeEventOrder    endCause = "eventOutOfOrder"
+	causeReadCutOff    endCause = "readCutOff"
 	causeTarget        endCause = "target"
 )
 
@@ -40,6 +42,9 @@
 			return o.endCause, true
 		}
 	}
+	if _, cut := bound.Of(err); cut {
+		return causeReadCutOff, true
+	}
 	return causeTarget, false
 }
 
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -17,6 +17,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/core/request/space"
 	"hawthornferry/io/conn/bound"
 )
 
@@ -88,13 +89,15 @@
 }
 
 // readEvents reads the events of the response in the background and sends them on the
-// returned channel, until the response ends or the exchange is closed.
-func (x *exchange) readEvents() <-chan streamItem {
+// returned channel, until the response ends or the exchange is closed. Memory for large events
+// is taken from the given budget.
+func (x *exchange) readEvents(memory *space.Budget) <-chan streamItem {
 	out := make(chan streamItem)
-	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
+	in := eventReader{in: bufio.NewReaderSize(x.resp.Body, readBuffer), hold: space.Hold{Budget: memory}}
 	go func() {
+		defer in.hold.Release()
 		for {
-			e, err := readEvent(in)
+			e, err := in.next()
 			select {
 			case out <- streamItem{e, err}:
 			case <-x.closed:
@@ -166,6 +169,7 @@
 			return errors.CombineErrors(bound.Classify(err), writeErr)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			resp.Body = bound.NewBody(resp)
 			x.resp = resp
 			return nil
 		}
--- a/io/request/direct/forwarder.go
+++ b/io/request/direct/forwarder.go
@@ -103,6 +103,9 @@
 	}
 	if f.pending != nil {
 		f.pending.buffer(f.server.Clock, e, f.lastSentAt.Add(bufferingTime(f.q.route.MaxEventGap)))
+		if f.pending.bufferedBytes > maxBufferedBytes {
+			return f.expireHandover()
+		}
 		return ""
 	}
 	return f.forward(f.x, e)
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +18,7 @@
 	"hawthornferry/core/request/resend"
 	"hawthornferry/core/request/space"
 	"hawthornferry/core/request/table"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/request/gate"
 )
 
@@ -121,6 +121,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{incoming: r, arrivedAt: s.Clock.Now()}
+	// http.Server reads the body of a request that is refused, before it answers and for as long
+	// as it is allowed to.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	q.hold.Budget = s.Memory
 	defer q.hold.Release()
 	if e, ok := s.prepare(w, q); !ok {
@@ -236,17 +239,15 @@
 	return errorResponse{}, true
 }
 
-// readBody reads the whole body within bodyTimeout and the configured size limit.
+// readBody reads the whole body within bodyTimeout of the request's arrival and the configured
+// size limit.
 func (s *Server) readBody(w http.ResponseWriter, q *request) (errorResponse, bool) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	limit := q.facts.Table.Limits.MaxBodyBytes
-	body := io.Reader(q.incoming.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(w, q.incoming.Body, limit)
+	if limit <= 0 {
+		limit = bound.MaxBodyBytes
 	}
+	body := http.MaxBytesReader(w, q.incoming.Body, limit)
 	b, err := readHeld(body, q.incoming.ContentLength, &q.hold, 0)
-	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -256,6 +257,7 @@
 	case err != nil:
 		return errorResponse{status: http.StatusBadRequest, reason: "bodyUnreadable", closeConn: true}, false
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	q.body = b
 	return errorResponse{}, true
 }
--- a/io/request/direct/handover.go
+++ b/io/request/direct/handover.go
@@ -17,6 +17,9 @@
 const (
 	maxBuffering   = 500 * time.Millisecond
 	bufferingShare = 0.9
+	// maxBufferedBytes limits the bytes of the events that are buffered meanwhile. A target
+	// sends some hundred bytes in that time.
+	maxBufferedBytes = 64 << 10
 )
 
 // bufferingTime returns how long after the last event the caller may get none because
@@ -45,6 +48,7 @@
 	// buffered holds the events that the present target has sent during the handover.
 	// bufferExpired is closed when they may wait no longer.
 	buffered      []event
+	bufferedBytes int
 	bufferExpired chan struct{}
 	bufferTimer   clockwork.Timer
 }
@@ -128,7 +132,7 @@
 	if !isStream(x.resp) {
 		return succ.fail(resend.Broken, errNotStream)
 	}
-	succ.events = x.readEvents()
+	succ.events = x.readEvents(s.Memory)
 	item := <-succ.events
 	if item.err != nil {
 		return succ.fail(resend.Broken, errors.CombineErrors(x.abortReason(), item.err))
@@ -141,6 +145,7 @@
 // timer that expires the handover at the given time.
 func (h *handover) buffer(clock clockwork.Clock, e event, until time.Time) {
 	h.buffered = append(h.buffered, e)
+	h.bufferedBytes += len(e.raw)
 	if h.bufferTimer != nil {
 		return
 	}
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -157,7 +157,7 @@
 	}
 	m.t.Cleanup(func() { resp.Body.Close() })
 	in := bufio.NewReader(resp.Body)
-	if e, err := readEvent(in); err != nil || e.id != 1 {
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 1 {
 		m.t.Fatalf("first event %d: %v", e.id, err)
 	}
 	return resp, in
@@ -192,7 +192,7 @@
 	t.Helper()
 	var got []uint64
 	for {
-		e, err := readEvent(in)
+		e, err := (&eventReader{in: in}).next()
 		if err == io.EOF {
 			return got
 		}
@@ -270,7 +270,7 @@
 	m.requestLoad()
 	began := time.Now()
 	m.engine.next <- struct{}{}
-	if e, err := readEvent(in); err != nil || e.id != 2 {
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 2 {
 		t.Fatalf("event %d: %v", e.id, err)
 	}
 	if took := time.Since(began); took > 2*maxBuffering {
--- a/io/request/direct/handoverpause_test.go
+++ b/io/request/direct/handoverpause_test.go
@@ -15,7 +15,7 @@
 	m.requestLoad()
 	time.Sleep(250 * time.Millisecond)
 	m.engine.next <- struct{}{}
-	if e, err := readEvent(in); err != nil || e.id != 2 {
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 2 {
 		t.Fatalf("event %d: %v", e.id, err)
 	}
 	gap := m.server.Source.Current().Table.Routes[0].MaxEventGap
--- a/io/request/direct/memory.go
+++ b/io/request/direct/memory.go
@@ -41,7 +41,7 @@
 				return b, expectEnd(r)
 			}
 			size = 2*int64(cap(b)) + readChunk
-			if !hold.Grow(onTop + size) {
+			if !hold.GrowSpare(onTop + size) {
 				return b, errNoMemory
 			}
 			b = append(make([]byte, 0, size), b...)
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -159,6 +159,10 @@
 	if o == resend.Broken {
 		d.PromptParts = q.call.SharedParts
 	}
+	if c == causeReadCutOff {
+		d.Cause = string(c)
+		s.CutOffs.Record(trail.AreaMember, d.Choice, q.progress.verdict.Target.Address.String(), err)
+	}
 	d.Outcome, d.Status, d.LastEvent = string(o), q.progress.status, q.lastEventID
 	d.TookMS = s.Clock.Since(q.progress.attemptStart).Milliseconds()
 	if err != nil {
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -19,6 +19,7 @@
 	"hawthornferry/core/request/lease"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/space"
+	"hawthornferry/io/conn/bound"
 )
 
 // Source provides the facts that requests are served by: the process's view of the
@@ -54,9 +55,6 @@
 	// idleTimeout exceeds the idle time that any configuration allows callers. If the
 	// entry closed a connection just when a caller reuses it, that request would fail.
 	idleTimeout = 90 * time.Second
-	// maxHeaderBytes limits the header of a request. Callers may send 16 KiB; the rest
-	// is a margin, because http.Server does not count only the bytes of the header.
-	maxHeaderBytes = 64 << 10
 	// writeTimeout limits one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
 )
@@ -77,6 +75,8 @@
 	Suspects Suspects
 	// Memory limits what is held for callers; nil for no limit.
 	Memory *space.Budget
+	// CutOffs reports targets that have sent more than they may; nil for none.
+	CutOffs *bound.Reporter
 
 	initOnce   sync.Once
 	dispatcher *dispatcher
@@ -119,7 +119,7 @@
 			Handler:           http.HandlerFunc(s.serve),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    bound.MaxHeadBytes,
 		}
 	})
 }
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -1,10 +1,7 @@
 package direct
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,53 +16,9 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// maxEventSize is the maximum size of one event, in bytes.
-const maxEventSize = 1 << 20
-
 // errOrder is returned for an event whose ID does not follow the last one.
 var errOrder = errors.New("event out of order")
 
-// event is one event of a stream. raw holds all its bytes, including the final blank
-// line.
-type event struct {
-	raw   []byte
-	id    uint64
-	hasID bool
-}
-
-// readEvent reads one complete event. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ended within an event.
-func readEvent(r *bufio.Reader) (event, error) {
-	var e event
-	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.raw)+len(line) > 0 {
-				return event{}, io.ErrUnexpectedEOF
-			}
-			return event{}, err
-		}
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventSize {
-			return event{}, errors.Newf("event is over %d bytes", maxEventSize)
-		}
-		text := strings.TrimRight(string(line), "\r\n")
-		if text == "" {
-			if len(bytes.TrimSpace(e.raw)) == 0 {
-				e.raw = nil
-				continue
-			}
-			return e, nil
-		}
-		if v, ok := strings.CutPrefix(text, "id:"); ok {
-			id, err := strconv.ParseUint(strings.TrimSpace(v), 10, 64)
-			if err == nil {
-				e.id, e.hasID = id, true
-			}
-		}
-	}
-}
-
 // streamRelay forwards the events of a stream as they arrive. It sends the response
 // head together with the first event, so that a target that fails before that can be
 // replaced without the caller noticing.
@@ -91,7 +44,7 @@
 	}
 	r.q.progress.status = x.resp.StatusCode
 	r.awaitingFirst = true
-	f := &streamForwarder{streamRelay: r, ctx: ctx, x: x, watchdog: g, events: x.readEvents()}
+	f := &streamForwarder{streamRelay: r, ctx: ctx, x: x, watchdog: g, events: x.readEvents(r.server.Memory)}
 	return f.run()
 }
 
--- a/io/request/direct/stream_test.go
+++ b/io/request/direct/stream_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/core/request/space"
+	"hawthornferry/io/conn/bound"
 )
 
 // Callers must get complete events only, although a target may break off within one.
@@ -25,10 +28,10 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			r := bufio.NewReader(strings.NewReader(tc.in))
+			r := &eventReader{in: bufio.NewReader(strings.NewReader(tc.in))}
 			var got []string
 			for {
-				e, err := readEvent(r)
+				e, err := r.next()
 				if err != nil {
 					if !errors.Is(err, tc.wantErr) {
 						t.Errorf("error %v, want %v", err, tc.wantErr)
@@ -55,23 +58,91 @@
 	}
 }
 
+// Guards against a stream without an end of an event that is read for ever, against blank lines
+// and comments without end, and against large events that are rejected or that fill the memory.
+func TestReadEventBounds(t *testing.T) {
+	large := "data: " + strings.Repeat("x", bound.MaxEventBytes-10) + "\n\n"
+	tests := []struct {
+		name, begin, repeat string
+		memory              int64
+		want                bound.Name
+		wantErr             error
+	}{
+		{"no line end", "", "x", 1 << 30, bound.Event, nil},
+		{"lines without a blank one", "id: 1\n", "data: x\n", 1 << 30, bound.Event, nil},
+		{"blank lines", "id: 1\n\n", "\n", 1 << 30, bound.Filler, nil},
+		{"comments", "id: 1\n\n", ": x\n\n", 1 << 30, bound.Filler, nil},
+		{"no memory", "", "x", 4 * smallEvent, "", errNoMemory},
+		{"large events and keep-alives", "", ": x\n\n" + large, 1 << 30, "", io.EOF},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			budget := &space.Budget{Limit: tc.memory}
+			source := io.LimitReader(io.MultiReader(strings.NewReader(tc.begin), &repeatReader{text: tc.repeat}), int64(8*(len(large)+5)))
+			r := &eventReader{in: bufio.NewReaderSize(source, readBuffer), hold: space.Hold{Budget: budget}}
+			var err error
+			for err == nil {
+				_, err = r.next()
+			}
+			if name, _ := bound.Of(err); name != tc.want || tc.wantErr != nil && !errors.Is(err, tc.wantErr) {
+				t.Errorf("cut off at %q with error %v, want %q, %v", name, err, tc.want, tc.wantErr)
+			}
+			if budget.Peak() > tc.memory/4 {
+				t.Errorf("%d bytes held, want at most %d", budget.Peak(), tc.memory/4)
+			}
+		})
+	}
+}
+
+// repeatReader returns a text again and again.
+type repeatReader struct {
+	text string
+	at   int
+}
+
+func (r *repeatReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], r.text[(r.at+n)%len(r.text):])
+	}
+	r.at += n
+	return n, nil
+}
+
 // FuzzReadEvent checks that whatever a target sends, no more bytes are passed on than
-// were received.
+// were received, and no more memory is used than was reserved. The target sends a text, and
+// then another one again and again.
 func FuzzReadEvent(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\n"))
-	f.Add([]byte("\n\nid:x\n\n"))
-	f.Fuzz(func(t *testing.T, in []byte) {
-		r := bufio.NewReader(strings.NewReader(string(in)))
-		var out strings.Builder
+	const (
+		sent   = 16 * smallEvent
+		memory = 8 * smallEvent
+	)
+	f.Add("id: 1\ndata: a\n\n", "data: b\n\n")
+	f.Add("\n\nid:x\n\n", "\r\n")
+	f.Add("data: ", "x")
+	f.Fuzz(func(t *testing.T, begin, repeat string) {
+		if repeat == "" {
+			return
+		}
+		budget := &space.Budget{Limit: memory}
+		source := io.LimitReader(io.MultiReader(strings.NewReader(begin), &repeatReader{text: repeat}), sent)
+		r := &eventReader{in: bufio.NewReaderSize(source, readBuffer), hold: space.Hold{Budget: budget}}
+		out := 0
 		for {
-			e, err := readEvent(r)
+			e, err := r.next()
 			if err != nil {
 				break
 			}
-			out.Write(e.raw)
+			out += len(e.raw)
+			if n := int64(cap(e.raw)); n > max(2*smallEvent, budget.Used()) {
+				t.Errorf("event takes %d bytes, %d are reserved", n, budget.Used())
+			}
+		}
+		if out > sent {
+			t.Errorf("received %d bytes, passed on %d", sent, out)
 		}
-		if out.Len() > len(in) {
-			t.Errorf("received %d bytes, passed on %d", len(in), out.Len())
+		if budget.Peak() > memory/4 {
+			t.Errorf("%d bytes held, want at most %d", budget.Peak(), memory/4)
 		}
 	})
 }
--- a/io/request/direct/unbounded_test.go
+++ b/io/request/direct/unbounded_test.go
@@ -10,14 +10,21 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
@@ -26,14 +33,18 @@
 	"hawthornferry/core/request/poison"
 	"hawthornferry/core/request/space"
 	"hawthornferry/core/request/table"
+	"hawthornferry/io/conn/bound"
 )
 
 const (
 	// maxInvalidRead is how much of a head that is not a valid one may be read, in bytes.
 	maxInvalidRead = 128 << 10
 	// floodBytes is what a faulty target sends at the most, in bytes.
-	floodBytes = 64 << 20
-	statusLine = "HTTP/1.1 200 OK\r\n"
+	floodBytes  = 64 << 20
+	statusLine  = "HTTP/1.1 200 OK\r\n"
+	chunkedLine = "Transfer-Encoding: chunked\r\n\r\n"
+	soundAnswer = "answer"
+	streamHead  = statusLine + "Content-Type: " + eventStreamType + "\r\n\r\n"
 )
 
 // flood is a response without end: begin and then repeat for ever.
@@ -41,19 +52,35 @@
 	name   string
 	begin  string
 	repeat string
-	// bound is what it exceeds.
-	bound string
-	// head is set if the head of the response never ends.
-	head bool
+	// bound is what it exceeds; empty if it is not read at all.
+	bound bound.Name
+	kinds []table.RouteKind
+	// maxRead is how much of it may be read, in bytes.
+	maxRead int64
+	// partial is set if callers may get a part of it that does not look complete.
+	partial bool
 }
 
+var (
+	anyKind  = []table.RouteKind{table.KindIdempotent, table.KindAtMostOnce, table.KindStream}
+	plain    = []table.RouteKind{table.KindIdempotent}
+	streamed = []table.RouteKind{table.KindStream}
+)
+
 var floods = []flood{
-	{"no line end", "", "x", "format", true},
-	{"a header line", statusLine + "A: ", "x", "head", true},
-	{"headers", statusLine, "A: b\r\n", "head", true},
-	{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", "head", true},
-	{"interim responses with other spaces", "", "HTTP/1.1  100 Continue\r\n\r\n", "format", true},
-	{"a status line", "HTTP/1.1 200 ", "x", "head", true},
+	{"no line end", "", "x", bound.Format, anyKind, maxInvalidRead, false},
+	{"a header line", statusLine + "A: ", "x", bound.Head, anyKind, maxInvalidRead, false},
+	{"headers", statusLine, "A: b\r\n", bound.Head, anyKind, maxInvalidRead, false},
+	{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", bound.Head, anyKind, maxInvalidRead, false},
+	{"interim responses with other spaces", "", "HTTP/1.1  100 Continue\r\n\r\n", bound.Format, anyKind, maxInvalidRead, false},
+	{"a status line", "HTTP/1.1 200 ", "x", bound.Head, anyKind, maxInvalidRead, false},
+	{"a refusal", "HTTP/1.1 503 -\r\n" + testHeaderNotRun + ": 1\r\n\r\n", "x", "", anyKind, maxInvalidRead, false},
+	{"a chunk extension", statusLine + chunkedLine + "1;", "x", bound.Format, anyKind, maxInvalidRead, false},
+	{"a trailer", statusLine + chunkedLine + "0\r\n", "A: b\r\n", bound.Format, anyKind, maxInvalidRead, false},
+	{"a body", statusLine + "\r\n", "x", bound.Answer, plain, bound.MaxAnswerBytes + maxInvalidRead, true},
+	{"an event", streamHead, "x", bound.Event, streamed, bound.MaxEventBytes + maxInvalidRead, false},
+	{"blank lines", streamHead, "\n", bound.Filler, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
+	{"comments", streamHead, ":\n\n", bound.Filler, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
 }
 
 // write sends the response until the connection is closed.
@@ -61,6 +88,9 @@
 	if _, err := io.WriteString(w, f.begin); err != nil {
 		return
 	}
+	if f.repeat == "" {
+		return
+	}
 	block := []byte(strings.Repeat(f.repeat, 1+(16<<10)/len(f.repeat)))
 	for sent := 0; sent < floodBytes; sent += len(block) {
 		if _, err := w.Write(block); err != nil {
@@ -69,22 +99,22 @@
 	}
 }
 
-// floodTarget answers each request with a flood.
+// floodTarget answers requests with the floods of their kind in turn.
 type floodTarget struct {
 	listener net.Listener
-	flood    flood
+	floods   []flood
 	open     atomic.Int64
 	requests atomic.Int64
 }
 
-func newFloodTarget(t *testing.T, f flood) *floodTarget {
+func newFloodTarget(t *testing.T, floods ...flood) *floodTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	target := &floodTarget{listener: l, flood: f}
+	target := &floodTarget{listener: l, floods: floods}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -97,15 +127,26 @@
 	return target
 }
 
+func (f *floodTarget) address() netip.AddrPort {
+	return netip.MustParseAddrPort(f.listener.Addr().String())
+}
+
 func (f *floodTarget) serve(conn net.Conn) {
 	defer conn.Close()
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
 		return
 	}
-	f.requests.Add(1)
-	f.flood.write(conn)
+	n := int(f.requests.Add(1))
+	for i := range f.floods {
+		next := f.floods[(n+i)%len(f.floods)]
+		if slices.ContainsFunc(next.kinds, func(k table.RouteKind) bool { return strings.HasPrefix(r.URL.Path, "/"+string(k)) }) {
+			next.write(conn)
+			return
+		}
+	}
 }
 
 // crashCounter counts the attempts that are taken for crashes.
@@ -176,7 +217,7 @@
 	t.Helper()
 	var targets []facts.Target
 	for i, f := range faulty {
-		targets = append(targets, facts.Target{ID: fmt.Sprint("faulty-", i), Address: netip.MustParseAddrPort(f.listener.Addr().String())})
+		targets = append(targets, facts.Target{ID: fmt.Sprint("faulty-", i), Address: f.address()})
 	}
 	for i := range sound {
 		server := httptest.NewServer(readBodyFirst(soundHandler))
@@ -194,7 +235,7 @@
 	for _, kind := range []table.RouteKind{table.KindIdempotent, table.KindAtMostOnce, table.KindStream} {
 		tb.Routes = append(tb.Routes, table.Route{
 			Name: string(kind), Host: "h", Prefix: "/" + string(kind) + "/", Kind: kind, MaxAttempts: 2, Timeout: 2 * time.Second,
-			Objective: 500 * time.Millisecond, MaxEventGap: 400 * time.Millisecond,
+			Objective: 500 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, AllowResume: true,
 			TrafficSplit: []table.WeightedService{{Service: "svc", Weight: 1}},
 		})
 	}
@@ -206,6 +247,7 @@
 		Placer: &place.Placer{Zone: "z", Rand: rand.New(rand.NewPCG(1, 1))}, Memory: &space.Budget{Limit: memory}, Suspects: e.crashes,
 		Rules: Rules{RetryBudget: budget.Budget{Ratio: 1, Slack: 10_000, Window: time.Second}},
 	}
+	e.CutOffs = &bound.Reporter{Clock: e.Clock, Log: e.log, Metrics: tally.NoopScope}
 	e.init()
 	e.dispatcher.update(known)
 	dial := e.connector.dial
@@ -232,9 +274,6 @@
 	return e
 }
 
-// answerSmall answers with a few bytes.
-func answerSmall(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
-
 // call sends a request on a new connection and returns the status and the body. The error is
 // set if the answer is not complete.
 func (e *floodEntry) call(t *testing.T, kind table.RouteKind, id string) (status int, body string, err error) {
@@ -245,29 +284,50 @@
 		return 0, "", err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, floodBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxInvalidRead))
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
 	return resp.StatusCode, string(b), err
 }
 
-// Guards against a head without end that is read until the caller closes the connection: it
-// takes the memory of the process, and requests beside it fail.
-func TestEndlessHeadIsCutOff(t *testing.T) {
+// answerSound answers a request of any route.
+func answerSound(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/"+string(table.KindStream)) {
+		resumeStream(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, soundAnswer)
+}
+
+// isSound reports whether a body is the complete answer of answerSound.
+func isSound(kind table.RouteKind, body string) bool {
+	if kind == table.KindStream {
+		return strings.Contains(body, fmt.Sprintf("id: %d\n", streamEvents)) && strings.HasSuffix(body, "\n\n")
+	}
+	return body == soundAnswer
+}
+
+// Guards against responses without end that are read until the caller closes the connection.
+// They take the memory of the process, and requests beside them fail. A request whose answer
+// was cut off must be repeated where that is allowed, and must not be reported as not run, or
+// be taken for one that crashes targets.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
 	const requests = 20
 	for _, f := range floods {
-		for _, kind := range []table.RouteKind{table.KindIdempotent, table.KindAtMostOnce} {
+		for _, kind := range f.kinds {
 			t.Run(f.name+", "+string(kind), func(t *testing.T) {
 				target := newFloodTarget(t, f)
-				e := newFloodEntry(t, 16<<20, []*floodTarget{target}, 1, answerSmall)
-				allowed := []int{http.StatusOK}
-				if kind == table.KindAtMostOnce {
-					// A request that may have run is not sent again, and not reported as not run.
-					allowed = append(allowed, http.StatusBadGateway)
-				}
+				e := newFloodEntry(t, 32<<20, []*floodTarget{target}, 1, answerSound)
 				var wg sync.WaitGroup
 				for i := range requests {
 					wg.Go(func() {
 						status, body, err := e.call(t, kind, fmt.Sprint(i))
-						if err != nil || !slices.Contains(allowed, status) || status == http.StatusOK && body != "answer" {
+						switch {
+						case err == nil && status == http.StatusOK && isSound(kind, body):
+						case err == nil && status == http.StatusBadGateway && kind == table.KindAtMostOnce && f.bound != "":
+						case err != nil && f.partial:
+						default:
 							t.Errorf("status %d, %d bytes, error %v", status, len(body), err)
 						}
 					})
@@ -276,8 +336,8 @@
 				if target.requests.Load() == 0 {
 					t.Error("the faulty target got no request")
 				}
-				if n := e.most(netip.MustParseAddrPort(target.listener.Addr().String())); n > maxInvalidRead {
-					t.Errorf("%d bytes read, want at most %d", n, maxInvalidRead)
+				if n := e.most(target.address()); n > f.maxRead {
+					t.Errorf("%d bytes read, want at most %d", n, f.maxRead)
 				}
 				for end := time.Now().Add(time.Second); target.open.Load() > 0 && time.Now().Before(end); {
 					time.Sleep(time.Millisecond)
@@ -288,7 +348,143 @@
 				if n := e.crashes.failures.Load(); n > 0 {
 					t.Errorf("%d attempts taken for crashes", n)
 				}
+				if got := e.log.has(trail.ActionReadCutOff, string(f.bound)+": "); got != (f.bound != "") {
+					t.Errorf("logged as cut off at %q: %t", f.bound, got)
+				}
 			})
 		}
 	}
 }
+
+// The load of TestMemoryBesideFaultyTargets, and what must be true of it.
+const (
+	loadTime    = 2 * time.Second
+	callPause   = 5 * time.Millisecond
+	streamCount = 200
+	// heldShare is the part for held bytes of the smallest machine, in bytes.
+	heldShare = 184 << 20 * 3 / 10
+	minServed = 0.98
+)
+
+// slowStream answers like answerSound, but takes its time over a stream.
+func slowStream(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/"+string(table.KindStream)) {
+		answerSound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", eventStreamType)
+	after, _ := strconv.Atoi(r.Header.Get(testHeaderLastEvent))
+	for n := after + 1; n <= streamEvents && r.Context().Err() == nil; n++ {
+		writeEvent(w, n)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// peakMemory returns a function that returns by how much the memory of the process has grown at
+// the most since the call, in bytes.
+func peakMemory(ctx context.Context) func() uint64 {
+	used := func() uint64 {
+		samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
+		metrics.Read(samples)
+		return samples[0].Value.Uint64() + samples[1].Value.Uint64()
+	}
+	runtime.GC()
+	begin := used()
+	var peak atomic.Uint64
+	go func() {
+		for ctx.Err() == nil {
+			peak.Store(max(peak.Load(), used()))
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	return func() uint64 { return peak.Load() - min(begin, peak.Load()) }
+}
+
+// Guards against faulty targets that together take the memory of the process, and against sound
+// requests beside them that fail.
+func TestMemoryBesideFaultyTargets(t *testing.T) {
+	// As the process does.
+	defer debug.SetGCPercent(debug.SetGCPercent(60))
+	var usual uint64
+	for _, sound := range []int{6, 5, 0} {
+		t.Run(fmt.Sprint(6-sound, " of 6 faulty"), func(t *testing.T) {
+			var faulty []*floodTarget
+			for range 6 - sound {
+				faulty = append(faulty, newFloodTarget(t, floods...))
+			}
+			e := newFloodEntry(t, heldShare, faulty, sound, slowStream)
+			ctx, cancel := context.WithTimeout(t.Context(), loadTime)
+			defer cancel()
+			peak := peakMemory(ctx)
+			var wg sync.WaitGroup
+			var served, all, id atomic.Int64
+			call := func(kind table.RouteKind) {
+				all.Add(1)
+				status, body, err := e.call(t, kind, fmt.Sprint(id.Add(1)))
+				if err == nil && status == http.StatusOK && isSound(kind, body) {
+					served.Add(1)
+				}
+			}
+			for range streamCount {
+				wg.Go(func() {
+					for ctx.Err() == nil {
+						call(table.KindStream)
+						time.Sleep(callPause)
+					}
+				})
+			}
+			for ctx.Err() == nil {
+				wg.Go(func() { call(table.KindIdempotent) })
+				time.Sleep(callPause)
+			}
+			wg.Wait()
+			t.Logf("%d of %d served, memory grew by %d KiB, %d KiB held at the peak", served.Load(), all.Load(), peak()>>10, e.Memory.Peak()>>10)
+			if got := float64(served.Load()); sound > 0 && got < minServed*float64(all.Load()) {
+				t.Errorf("%v of %d requests served, want at least %v", got, all.Load(), minServed)
+			}
+			if sound == 6 {
+				// Callers and targets are in the same process.
+				usual = peak()
+			}
+			if got := peak() - min(usual, peak()); got > heldShare {
+				t.Errorf("memory grew by %d bytes more than without faulty targets, want at most %d", got, heldShare)
+			}
+			for _, f := range faulty {
+				if f.requests.Load() == 0 {
+					t.Error("a faulty target got no request")
+				}
+			}
+		})
+	}
+}
+
+// Guards against callers that hold a connection and what belongs to it by sending a part of a
+// request and then nothing, or a head without end.
+func TestCallersCannotHoldConnections(t *testing.T) {
+	const head = "POST /%s/1 HTTP/1.1\r\nHost: h\r\n" + testHeaderID + ": 1\r\nContent-Length: 100\r\n\r\n"
+	tests := []struct{ name, begin, repeat, want string }{
+		{"part of a head", "GET / HTTP/1.1\r\n", "", ""},
+		{"part of a body", fmt.Sprintf(head, table.KindIdempotent), "", "HTTP/1.1 400"},
+		{"part of a body, no route", fmt.Sprintf(head, "none"), "", "HTTP/1.1 404"},
+		{"headers without end", "GET / HTTP/1.1\r\n", "A: b\r\n", "HTTP/1.1 431"},
+	}
+	e := newFloodEntry(t, 1<<20, nil, 1, answerSound)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, tc := range tests {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", e.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			go flood{begin: tc.begin, repeat: tc.repeat}.write(conn)
+			_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout + 2*time.Second))
+			b, err := io.ReadAll(conn)
+			if errors.Is(err, os.ErrDeadlineExceeded) || !strings.HasPrefix(string(b), tc.want) {
+				t.Errorf("%s: answer %.20q, error %v, want %q and the end of the connection", tc.name, b, err, tc.want)
+			}
+		})
+	}
+}
