platform: bound the responses of the store, the engine and the origin

http.Transport reads a head of up to 10 MB by default, and one limit of 256 KiB or 8 MiB was used for responses of very different sizes; a staged chunk was read up to 16 MiB whatever its size.

Heads are bounded by 32 KiB, and each kind of response by what a healthy server sends (package bound). Package platform reports what it cuts off with the Reporter that the process gives its log and metrics, and an entry reports targets with the same one.

--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -12,6 +12,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/textproto"
+	"net/url"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -54,6 +57,33 @@
 	MaxAnswerBytes = 16 << 20
 )
 
+// Limit is a bound on a whole body, in bytes.
+type Limit struct {
+	Name  Name
+	Bytes int64
+}
+
+// The limits of the responses of the platform's store, of engines and of the origin.
+var (
+	// A page of the store has about 500 items or 1 MB, and one item may have 1 MiB more. JSON and
+	// base64 add a third.
+	StorePage = Limit{Name: "storePage", Bytes: 4 << 20}
+	// A watch returns all changes since the one before, of which a process may have missed some
+	// seconds.
+	StoreChanges = Limit{Name: "storeChanges", Bytes: 8 << 20}
+	// An engine reports a few models and their layers in some hundred bytes.
+	EngineReport = Limit{Name: "engineReport", Bytes: 64 << 10}
+	// A version has at most 65,536 chunks; each number takes 6 bytes.
+	EngineStaging = Limit{Name: "engineStaging", Bytes: 512 << 10}
+	// The answer to an order, or to a chunk that was staged, says at the most why it failed.
+	EngineAnswer = Limit{Name: "engineAnswer", Bytes: 64 << 10}
+	// A manifest has at most 65,536 digests of 64 hexadecimal digits.
+	Manifest = Limit{Name: "manifest", Bytes: 5 << 20}
+)
+
+// ChunkOf returns the limit of a chunk of the given size.
+func ChunkOf(size int64) Limit { return Limit{Name: "chunk", Bytes: size} }
+
 // CutOffError reports that a read was cut off at a bound.
 type CutOffError struct {
 	Bound  Name
@@ -68,6 +98,19 @@
 	return &CutOffError{Bound: n, Reason: fmt.Sprintf("more than %d bytes", limit)}
 }
 
+// ReadAll reads a body to its end. It fails if that is longer than the limit, or if what is read
+// is not valid HTTP.
+func ReadAll(r io.Reader, l Limit) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, l.Bytes+1))
+	if err != nil {
+		return nil, Classify(err)
+	}
+	if int64(len(b)) > l.Bytes {
+		return nil, Exceeded(l.Name, l.Bytes)
+	}
+	return b, nil
+}
+
 // Invalid returns the error for data that is not valid.
 func Invalid(reason string) error { return &CutOffError{Bound: Format, Reason: reason} }
 
@@ -81,6 +124,31 @@
 	return cut.Bound, true
 }
 
+// What http.Transport says of a response whose head is too long, or is not valid. It has no
+// types for these errors.
+const (
+	tooLongText = "server response headers exceeded"
+	invalidText = "malformed HTTP"
+)
+
+// ClassifyCall turns the error of an http.Client whose transport limits heads to MaxHeadBytes
+// into a CutOffError, if the head of the response exceeded that or was not valid.
+func ClassifyCall(err error) error {
+	var call *url.Error
+	if !errors.As(err, &call) {
+		return err
+	}
+	var invalid textproto.ProtocolError
+	switch text := call.Err.Error(); {
+	case strings.Contains(text, tooLongText):
+		return Exceeded(Head, MaxHeadBytes)
+	case errors.As(err, &invalid), strings.Contains(text, invalidText):
+		return Invalid(text)
+	default:
+		return err
+	}
+}
+
 // Classify turns the error of a parser that has read from a connection into a CutOffError,
 // unless the connection ended or failed.
 func Classify(err error) error {
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -17,6 +17,7 @@
 
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/frame"
 )
 
@@ -79,6 +80,9 @@
 	Boot     string
 	Revision atomic.Uint64
 	Totals   Totals
+	// CutOffs reports peers that have sent more than they may; nil for none. It must not change
+	// once there are connections.
+	CutOffs *bound.Reporter
 
 	peerAhead atomic.Pointer[PeerAheadFunc]
 }
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -68,7 +68,7 @@
 	if bounds.StrictKeys {
 		server.Rules.MaxKeyAge = scaleDuration(bounds.RevocationDelay, keyShare)
 	}
-	server.Suspects = p.alerts
+	server.Suspects, server.CutOffs = p.alerts, p.cutOffs
 	if limit := e.Settings.MemoryLimit; limit > 0 {
 		server.Memory = &space.Budget{Limit: int64(float64(limit) * bodyMemoryShare)}
 	}
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -24,6 +24,7 @@
 	"hawthornferry/core/process/operr"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/admin"
 	"hawthornferry/io/process/alert"
@@ -37,6 +38,9 @@
 type Platform struct {
 	Store   feed.Store
 	Decoder feed.Decoder
+	// CutOffs is told of responses that were not read to their end. The process sets its
+	// fields. Nil if the platform's clients do not use it.
+	CutOffs *bound.Reporter
 	// ReloadSettings rereads the settings; nil if they cannot change while the process runs.
 	ReloadSettings func() (Settings, error)
 }
@@ -80,6 +84,7 @@
 	feed          *feed.Feed
 	stallDetector *uptime.StallDetector
 	alerts        *alert.Registry
+	cutOffs       *bound.Reporter
 
 	sink           *jsonl.Sink
 	metricsCloser  io.Closer
@@ -130,6 +135,12 @@
 	}
 	p.logger = logger
 	p.log = &jsonl.Log{Process: s.NodeName, Clock: p.clock, Logger: logger, Routine: direct.IsRoutine, RateLimiter: &jsonl.RateLimiter{PerSecond: logLinesPerSecond, RoutinePerSecond: routineLinesPerSecond, Metrics: p.metrics}}
+	p.cutOffs = platform.CutOffs
+	if p.cutOffs == nil {
+		p.cutOffs = &bound.Reporter{}
+	}
+	p.cutOffs.Clock, p.cutOffs.Log, p.cutOffs.Metrics = p.clock, p.log, p.metrics
+	p.self.CutOffs = p.cutOffs
 	p.stallDetector = &uptime.StallDetector{Clock: p.clock, Now: uptime.Now, Log: p.log, Metrics: p.metrics}
 	wait, peerWait := entryWaits(s.Bounds)
 	if s.VM.Role == fleet.RoleSide {
--- a/io/version/adapt/engine.go
+++ b/io/version/adapt/engine.go
@@ -24,14 +24,15 @@
 
 // Engine is the control interface of one engine. The engine stages the chunks of a model
 // under their numbers, one chunk for each number; HeldNumbers lists the numbers for which it
-// has a chunk, and Put overwrites the chunk of a number. OrderLoad orders the engine to load
+// has a chunk, and Put overwrites the chunk of a number. Get reads a chunk back that should
+// have size bytes, and may fail if it is far longer. OrderLoad orders the engine to load
 // the staged chunks as the given version; orders is how many orders the engine must have
 // accepted before.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
 	HeldNumbers(ctx context.Context, model string) ([]int, error)
 	Put(ctx context.Context, model string, num int, b []byte) error
-	Get(ctx context.Context, model string, num int) ([]byte, error)
+	Get(ctx context.Context, model string, num int, size int64) ([]byte, error)
 	OrderLoad(ctx context.Context, model string, version, orders uint64) error
 }
 
--- a/io/version/adapt/load.go
+++ b/io/version/adapt/load.go
@@ -193,7 +193,7 @@
 // uncorrupted.
 func (a *Adapter) ensureStaged(ctx context.Context, e *KnownVersion, num int, ref chunk.Ref) (time.Duration, error) {
 	verifiedAt := a.now()
-	staged, err := a.Engine.Get(ctx, e.Model, num)
+	staged, err := a.Engine.Get(ctx, e.Model, num, ref.Size)
 	if err == nil && chunk.DigestOf(staged) == ref.Digest {
 		return verifiedAt, nil
 	}
@@ -209,7 +209,7 @@
 		return 0, err
 	}
 	verifiedAt = a.now()
-	readBack, err := a.Engine.Get(ctx, e.Model, num)
+	readBack, err := a.Engine.Get(ctx, e.Model, num, ref.Size)
 	if err != nil {
 		return 0, err
 	}
--- a/io/version/adapt/load_test.go
+++ b/io/version/adapt/load_test.go
@@ -88,7 +88,7 @@
 	return nil
 }
 
-func (e *fakeEngine) Get(_ context.Context, _ string, num int) ([]byte, error) {
+func (e *fakeEngine) Get(_ context.Context, _ string, num int, _ int64) ([]byte, error) {
 	if e.onGet != nil {
 		e.onGet(num)
 	}
--- a/io/version/adapt/staging.go
+++ b/io/version/adapt/staging.go
@@ -147,7 +147,7 @@
 	if len(positions) == 0 {
 		return nil, operr.Wrap("read chunk", "engine", errUnknownChunk)
 	}
-	b, err := a.Engine.Get(ctx, positions[0].model, positions[0].num)
+	b, err := a.Engine.Get(ctx, positions[0].model, positions[0].num, positions[0].size)
 	if err != nil {
 		return nil, err
 	}
