frame, link, feed: bound the messages of peers

A peer that announced a frame of 1 MiB got a buffer of that size before it had sent any of it, also before its Hello; a message that never ended held the connection; and a reply in parts had no end.

bound.CheckShape walks through a message before it is decoded. It rejects more elements than the message has bytes, more than 262,144 in all, and nesting beyond 16. A frame's buffer grows with what arrives. A Hello has at most 4 KiB, a message must be complete 30 s after its first byte, and the parts of a reply take at most 16 MiB. A part of a manifest that goes beyond its total is ignored.

--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -15,6 +15,7 @@
 	"net/textproto"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,6 +30,11 @@
 	Event  Name = "event"
 	Filler Name = "filler"
 	Answer Name = "answer"
+	Frame  Name = "frame"
+	Hello  Name = "hello"
+	Reply  Name = "reply"
+	// Elements is that of a message with more elements than it may have, or than it has bytes.
+	Elements Name = "elements"
 )
 
 // Limits of the heads of HTTP requests and responses.
@@ -57,6 +63,22 @@
 	MaxAnswerBytes = 16 << 20
 )
 
+// Limits of the messages of peers.
+const (
+	// MaxFrameBytes bounds a message. A chunk is sent in blocks, and a state in parts of about 256
+	// KiB, to which one value of the store may add 1 MiB before it is compressed.
+	MaxFrameBytes = 1 << 20
+	// MaxHelloBytes bounds the first message of a connection. It has a few names of some tens of
+	// bytes.
+	MaxHelloBytes = 4 << 10
+	// FrameTimeout limits the time from the first byte of a message to its last. 1 MiB takes a
+	// third of it on a link of 1 Mbit/s.
+	FrameTimeout = 30 * time.Second
+	// MaxReplyBytes bounds a reply of several parts, decoded. The state of 10,000 targets has 4
+	// MiB.
+	MaxReplyBytes = 16 << 20
+)
+
 // Limit is a bound on a whole body, in bytes.
 type Limit struct {
 	Name  Name
--- a/io/conn/frame/frame.go
+++ b/io/conn/frame/frame.go
@@ -14,17 +14,28 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"hawthornferry/io/conn/bound"
 )
 
 // MaxFrame is the maximum size in bytes of a frame without its length prefix.
 // It limits how much memory a peer can make this process allocate.
-const MaxFrame = 1 << 20
+const MaxFrame = bound.MaxFrameBytes
 
 // readBuffer is the size in bytes of a reader's buffer. It is small because an
 // entry has a connection to each of a hundred targets; the remainder of a longer
 // frame is read directly into the frame's own buffer.
 const readBuffer = 8 << 10
 
+const (
+	// firstBuffer is the size in bytes of the buffer for a longer frame before any of it has
+	// arrived. It grows with what arrives, so that a peer that announces much and sends little
+	// takes no memory.
+	firstBuffer = 64 << 10
+	// maxKeptBuffer is the most bytes of a frame's buffer that are kept for the next one.
+	maxKeptBuffer = 256 << 10
+)
+
 // lengthSize is the size in bytes of the length prefix of each frame.
 const lengthSize = 4
 
@@ -95,39 +106,97 @@
 
 // Reader reads frames; it is not safe for concurrent use.
 type Reader struct {
+	// MaxBytes limits the frames, without their length prefixes, and Bound names the limit.
+	MaxBytes int
+	Bound    bound.Name
+	// OnPartial, if set, is called when a frame has begun to arrive and its rest is awaited, with
+	// true, and with false once it is complete.
+	OnPartial func(awaited bool)
+
 	r     *bufio.Reader
 	kinds Kinds
 	buf   []byte
 }
 
-// NewReader returns a Reader that reads from r and accepts the given kinds.
+// NewReader returns a Reader that reads from r and accepts the given kinds, in frames of at
+// most MaxFrame bytes.
 func NewReader(r io.Reader, kinds Kinds) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, readBuffer), kinds: kinds}
+	return &Reader{MaxBytes: MaxFrame, Bound: bound.Frame, r: bufio.NewReaderSize(r, readBuffer), kinds: kinds}
 }
 
 // Read returns the next message after decoding and checking it. Byte slices in
 // the message are copies and stay valid after the next Read. At the end of the
 // stream it returns io.EOF.
 func (r *Reader) Read() (Message, Header, error) {
+	if _, err := r.r.Peek(1); err != nil {
+		return nil, Header{}, err
+	}
+	awaited := r.OnPartial != nil && !r.isBuffered()
+	if awaited {
+		r.OnPartial(true)
+	}
+	b, err := r.readFrame()
+	if err != nil {
+		return nil, Header{}, err
+	}
+	if awaited {
+		r.OnPartial(false)
+	}
+	return r.decode(b)
+}
+
+// readFrame reads the length prefix and what follows it.
+func (r *Reader) readFrame() ([]byte, error) {
 	var length [lengthSize]byte
 	if _, err := io.ReadFull(r.r, length[:]); err != nil {
-		return nil, Header{}, err
+		return nil, err
 	}
 	n := int(binary.BigEndian.Uint32(length[:]))
-	if n > MaxFrame {
-		return nil, Header{}, errors.Wrapf(ErrTooLong, "%d bytes", n)
+	if n > r.MaxBytes {
+		return nil, errors.Mark(bound.Exceeded(r.Bound, int64(r.MaxBytes)), ErrTooLong)
+	}
+	b, err := r.readBody(n)
+	return b, errors.Wrap(err, "read frame")
+}
+
+// isBuffered reports whether the whole of the next frame has arrived.
+func (r *Reader) isBuffered() bool {
+	n := r.r.Buffered()
+	if n < lengthSize {
+		return false
 	}
-	if cap(r.buf) < n {
-		r.buf = make([]byte, n)
+	// Peek does not fail for bytes that are buffered.
+	length, _ := r.r.Peek(lengthSize)
+	return n-lengthSize >= int(binary.BigEndian.Uint32(length))
+}
+
+// readBody reads the n bytes that follow the length prefix. They are valid until the next call.
+func (r *Reader) readBody(n int) ([]byte, error) {
+	if cap(r.buf) > maxKeptBuffer {
+		r.buf = nil
 	}
-	b := r.buf[:n]
-	if _, err := io.ReadFull(r.r, b); err != nil {
-		return nil, Header{}, errors.Wrap(err, "read frame")
+	b := r.buf[:0]
+	for len(b) < n {
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, min(n, max(firstBuffer, 2*cap(b)))), b...)
+		}
+		part := b[len(b):min(n, cap(b))]
+		if _, err := io.ReadFull(r.r, part); err != nil {
+			return nil, err
+		}
+		b = b[:len(b)+len(part)]
 	}
-	return r.decode(b)
+	r.buf = b
+	return b, nil
 }
 
+// valuesPerFrame is how many values a frame holds: the header and the message.
+const valuesPerFrame = 2
+
 func (r *Reader) decode(b []byte) (Message, Header, error) {
+	if err := bound.CheckShape(b, valuesPerFrame); err != nil {
+		return nil, Header{}, err
+	}
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
 	dec.Reset(bytes.NewReader(b))
--- a/io/conn/link/link.go
+++ b/io/conn/link/link.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/frame"
 )
@@ -117,6 +119,7 @@
 	r    *frame.Reader
 	// PeerRevision is the highest configuration revision that the peer has sent.
 	PeerRevision atomic.Uint64
+	deadlines    readDeadlines
 }
 
 // Send writes one message.
@@ -127,7 +130,7 @@
 
 // Receive returns the next message.
 func (c *Conn) Receive() (frame.Message, error) {
-	m, h, err := c.r.Read()
+	m, h, err := c.read()
 	if err != nil {
 		return nil, operr.Wrap("receive", c.Peer.VM.Name, err)
 	}
@@ -138,8 +141,44 @@
 	return m, nil
 }
 
+// read reads the next message, and reports a peer that has sent more than it may. Whoever uses the
+// connection closes it after an error.
+func (c *Conn) read() (frame.Message, frame.Header, error) {
+	m, h, err := c.r.Read()
+	if err == nil {
+		return m, h, nil
+	}
+	if c.deadlines.frameExpired() && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = &bound.CutOffError{Bound: c.r.Bound, Reason: "not complete within " + c.deadlines.frameTimeout.String()}
+	}
+	if _, cut := bound.Of(err); cut {
+		c.reportCutOff(err)
+	}
+	return nil, h, err
+}
+
+// CutOff closes the connection and reports the peer, which has exceeded a bound over several
+// messages. It returns err.
+func (c *Conn) CutOff(err error) error {
+	c.reportCutOff(err)
+	c.Close()
+	return err
+}
+
+// reportCutOff reports the peer. Until it has sent its Hello, it is known by its IP address only.
+func (c *Conn) reportCutOff(err error) {
+	peer, address := c.Peer.VM.Name, c.Peer.VM.Address.String()
+	if peer == "" {
+		if address, _, _ = net.SplitHostPort(c.nc.RemoteAddr().String()); address == "" {
+			address = c.nc.RemoteAddr().String()
+		}
+		peer = "peer"
+	}
+	c.self.CutOffs.Record(trail.AreaMember, peer, address, err)
+}
+
 // SetReadDeadline sets the deadline of Receive; the zero time removes it.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.nc.SetReadDeadline(t) }
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.deadlines.set(t) }
 
 // SetWriteDeadline sets the deadline of Send; the zero time removes it.
 func (c *Conn) SetWriteDeadline(t time.Time) error { return c.nc.SetWriteDeadline(t) }
@@ -177,7 +216,10 @@
 	}
 	all.Register(func() frame.Message { return &Hello{} })
 	cc := &countingConn{Conn: nc}
-	return &Conn{self: self, nc: cc, w: frame.NewWriter(cc), r: frame.NewReader(cc, all)}
+	c := &Conn{self: self, nc: cc, w: frame.NewWriter(cc), r: frame.NewReader(cc, all), deadlines: readDeadlines{conn: cc, frameTimeout: bound.FrameTimeout}}
+	c.r.OnPartial = c.deadlines.awaitFrame
+	c.r.MaxBytes, c.r.Bound = bound.MaxHelloBytes, bound.Hello
+	return c
 }
 
 func (c *Conn) sendHello(p Purpose) error {
@@ -185,10 +227,10 @@
 }
 
 func (c *Conn) receiveHello() error {
-	if err := c.nc.SetReadDeadline(time.Now().Add(HelloTimeout)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(HelloTimeout)); err != nil {
 		return err
 	}
-	m, h, err := c.r.Read()
+	m, h, err := c.read()
 	if err != nil {
 		return err
 	}
@@ -199,5 +241,6 @@
 	c.Peer = *hello
 	c.PeerRevision.Store(h.Revision)
 	c.self.compareRevision(c.Peer.VM, h.Revision)
-	return c.nc.SetReadDeadline(time.Time{})
+	c.r.MaxBytes, c.r.Bound = bound.MaxFrameBytes, bound.Frame
+	return c.SetReadDeadline(time.Time{})
 }
--- a/io/process/feed/pack.go
+++ b/io/process/feed/pack.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"hawthornferry/io/conn/bound"
 )
 
 // maxUnpacked bounds the unpacked items of one message, in bytes: a part holds
@@ -61,6 +63,9 @@
 	if len(raw) > maxUnpacked {
 		return nil, errors.Newf("unpacked items exceed %d bytes", maxUnpacked)
 	}
+	if err := bound.CheckShape(raw, 1); err != nil {
+		return nil, errors.Wrap(err, "read items")
+	}
 	var items []Item
 	if err := msgpack.Unmarshal(raw, &items); err != nil {
 		return nil, errors.Wrap(err, "read items")
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -12,6 +12,7 @@
 
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/verlog"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/link"
 )
 
@@ -181,6 +182,7 @@
 // receiveReply receives and joins the parts of one reply.
 func receiveReply(c *link.Conn) (*factsReply, error) {
 	reply := &factsReply{}
+	size := 0
 	for !reply.Last {
 		m, err := c.Receive()
 		if err != nil {
@@ -193,6 +195,9 @@
 		if part.Items, err = unpackItems(part.Packed); err != nil {
 			return nil, err
 		}
+		if size += part.size(); size > bound.MaxReplyBytes {
+			return nil, c.CutOff(bound.Exceeded(bound.Reply, bound.MaxReplyBytes))
+		}
 		if len(part.Announced) == 0 {
 			part.Announced = reply.Announced
 		}
--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// partOverhead is what one part, item, key or announcement counts for besides its text, in bytes.
+const partOverhead = 64
+
+// size returns what a part that has been unpacked counts for towards the bound on replies.
+func (t *factsReply) size() int {
+	n := partOverhead*(1+len(t.Items)+len(t.Keys)+len(t.Announced)) + len(t.PackedAhead)
+	for _, it := range t.Items {
+		n += len(it.Key) + len(it.Value)
+	}
+	for _, k := range t.Keys {
+		n += len(k)
+	}
+	return n
+}
+
 // buildReply returns the parts of the reply with all changes after the
 // requested revision.
 func (f *Feed) buildReply(req *factsRequest) []*factsReply {
--- a/io/version/swarm/manifest.go
+++ b/io/version/swarm/manifest.go
@@ -160,7 +160,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	pending := n.state.pendingManifests[p.Manifest]
-	if pending == nil || pending.peer != c.peerName() || p.Offset != int64(len(pending.data)) {
+	if pending == nil || pending.peer != c.peerName() || p.Offset != int64(len(pending.data)) || p.Offset+int64(len(p.Data)) > p.Total {
 		return
 	}
 	pending.data = append(pending.data, p.Data...)
