--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -101,6 +101,9 @@
 	switch d.Action {
 	case "storeLost", "storeBack", "told":
 		return "/store"
+	case trail.ActionReadCutOff:
+		// What a target has sent does not replace whether it is listed.
+		return "/" + d.Action + "/" + d.Subject
 	}
 	return "/" + string(d.Area) + "/" + d.Subject + d.Fingerprint
 }
--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -113,3 +113,22 @@
 		t.Errorf("explanation (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an explanation that leaves out which target has sent without end, or that shows
+// this in place of whether the target was listed.
+func TestExplainNamesTargetsWhoseResponsesWereCutOff(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	records := []trail.Decision{
+		{Time: at(1), Process: "e1", Area: trail.AreaMember, Action: "gained", Subject: "i-1"},
+		{Time: at(2), Process: "e1", Area: trail.AreaMember, Action: trail.ActionReadCutOff, Subject: "i-1", Reason: "head: 1"},
+		{Time: at(3), Process: "e1", Area: trail.AreaMember, Action: trail.ActionReadCutOff, Subject: "i-2", Reason: "head: 2"},
+		{Time: at(4), Process: "e1", Area: trail.AreaCall, Action: "attempt", Request: "r1", Choice: "i-1", Cause: trail.ActionReadCutOff},
+	}
+	var got []string
+	for _, l := range Explain(records, "r1") {
+		got = append(got, l.Decision.Action+" "+l.Decision.Reason)
+	}
+	if diff := cmp.Diff([]string{"gained ", "readCutOff head: 1", "attempt "}, got); diff != "" {
+		t.Errorf("explanation (-want +got):\n%s", diff)
+	}
+}
--- a/io/conn/bound/report.go
+++ b/io/conn/bound/report.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
@@ -36,16 +37,16 @@
 // Record reports err if a read was cut off with it. subject is the machine that sent the data,
 // and address where it did. Both are in the log line, and the address in the metric.
 func (r *Reporter) Record(area trail.Area, subject, address string, err error) {
-	name, cut := Of(err)
-	if r == nil || r.Log == nil || !cut {
+	var cut *CutOffError
+	if r == nil || r.Log == nil || !errors.As(err, &cut) {
 		return
 	}
-	r.Metrics.Tagged(map[string]string{"address": address, "bound": string(name)}).Counter("reads_cut_off_total").Inc(1)
-	if !r.mayLog(loggedCutOff{address: address, bound: name}) {
+	r.Metrics.Tagged(map[string]string{"address": address, "bound": string(cut.Bound)}).Counter("reads_cut_off_total").Inc(1)
+	if !r.mayLog(loggedCutOff{address: address, bound: cut.Bound}) {
 		return
 	}
 	r.Log.Record(trail.Decision{
-		Area: area, Action: trail.ActionReadCutOff, Subject: subject, Choice: address, Reason: err.Error(),
+		Area: area, Action: trail.ActionReadCutOff, Subject: subject, Choice: address, Reason: cut.Error(),
 	})
 }
 
--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -14,6 +14,7 @@
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/roll"
 	"hawthornferry/core/version/spread"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/process/proc"
 	"hawthornferry/io/process/uptime"
@@ -108,7 +109,7 @@
 		Uptime:           uptime.Now,
 		Log:              h.Log,
 		Source:           h.Watcher,
-		Engine:           &order.EngineClient{Address: h.Settings.Target.Address, Client: &http.Client{}},
+		Engine:           &order.EngineClient{Address: h.Settings.Target.Address, Client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bound.MaxHeadBytes}}},
 		VerifiedManifest: s.verified,
 		Draining:         h.Draining,
 	}
--- a/io/process/watch/fetcher.go
+++ b/io/process/watch/fetcher.go
@@ -17,6 +17,7 @@
 	"hawthornferry/core/process/fleet"
 	"hawthornferry/core/process/inidoc"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/io/conn/bound"
 )
 
 // Timeouts and limits of reads from the platform.
@@ -47,7 +48,7 @@
 }
 
 func newFetcher(addr netip.AddrPort) *fetcher {
-	return &fetcher{addr: addr, client: &http.Client{Transport: &http.Transport{}}, slack: minSlack}
+	return &fetcher{addr: addr, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bound.MaxHeadBytes}}, slack: minSlack}
 }
 
 func (s *fetcher) close() { s.client.CloseIdleConnections() }
--- a/io/request/gate/transport.go
+++ b/io/request/gate/transport.go
@@ -7,14 +7,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hawthornferry/io/conn/bound"
 )
 
 // Limits for connections to the target.
 const (
-	dialTimeout    = 2 * time.Second
-	maxIdleConns   = 64
-	idleTimeout    = 30 * time.Second
-	maxHeaderBytes = 64 << 10
+	dialTimeout  = 2 * time.Second
+	maxIdleConns = 64
+	idleTimeout  = 30 * time.Second
 )
 
 // errNotReached marks a failure that happened before any byte could reach the target.
@@ -27,7 +28,7 @@
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: bound.MaxHeadBytes,
 	}
 }
 
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -12,6 +12,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/spread"
+	"hawthornferry/io/conn/bound"
 )
 
 // headerTimeout limits the wait for the response headers of the store and the
@@ -20,9 +21,10 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		ResponseHeaderTimeout: headerTimeout,
-		MaxIdleConnsPerHost:   2,
-		IdleConnTimeout:       30 * time.Second,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: bound.MaxHeadBytes,
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        30 * time.Second,
 	}
 }
 
