front: bound the time of bodies of refused requests

http.Server reads the body of a request that is refused before it answers, without a limit in time. The body must arrive within Limits.BodyTimeout in all cases. The new case of TestLimitsOnCallers got no answer within 5 s before.

--- a/io/request/front/body.go
+++ b/io/request/front/body.go
@@ -35,12 +35,21 @@
 
 func (r *budgetReader) release() { r.budget.Release(r.acquired) }
 
+// limitBodyTime limits the time in which the body of a request must arrive, also if the request
+// is refused: http.Server reads the body of such a request for as long as it is allowed to.
+func (s *Server) limitBodyTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.Limits.BodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // readBody reads a request's body within the limits on size and time. If that fails, it
 // writes the error response itself and returns false. The caller of readBody must call
 // release when the call has ended, to give back the body's share of the budget.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), ok bool) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(s.Limits.BodyTimeout))
 	budgeted := &budgetReader{Reader: http.MaxBytesReader(w, r.Body, int64(s.Limits.MaxBodyBytes)), budget: s.bodyBudget}
 	body, err := io.ReadAll(budgeted)
 	if err != nil {
@@ -48,7 +57,7 @@
 		s.rejectBody(w, err)
 		return nil, nil, false
 	}
-	_ = rc.SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, budgeted.release, true
 }
 
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -84,7 +84,7 @@
 	s.pool = newPool(s)
 	s.watchTables()
 	s.server = &http.Server{
-		Handler:           s.newRouter(),
+		Handler:           s.limitBodyTime(s.newRouter()),
 		ConnState:         trackConnState,
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
--- a/io/request/front/limits_test.go
+++ b/io/request/front/limits_test.go
@@ -29,6 +29,7 @@
 		{"large body", line + "Content-Length: 4096\r\n\r\n" + strings.Repeat("x", 4096), http.StatusRequestEntityTooLarge},
 		{"large header", line + "A: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 		{"slow body", line + "Content-Length: 10\r\n\r\nabc", http.StatusRequestTimeout},
+		{"slow body of a refused request", "POST /none HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc", http.StatusNotFound},
 		{"slow header", line + "A: b", http.StatusRequestTimeout},
 		{"ordinary", line + "Content-Length: 3\r\n\r\nabc", http.StatusOK},
 	}
@@ -39,6 +40,7 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 			fmt.Fprint(c, tc.send)
 			check(t, "ordinary caller meanwhile", "GET /x ", fl.call(e, http.MethodGet, "/v1/services/booking/x", "", nil).Body)
 			res, err := http.ReadResponse(bufio.NewReader(c), nil)
