--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -33,6 +33,7 @@
 	Frame  Name = "frame"
 	Hello  Name = "hello"
 	Reply  Name = "reply"
+	List   Name = "storeList"
 	// Elements is that of a message with more elements than it may have, or than it has bytes.
 	Elements Name = "elements"
 )
@@ -74,9 +75,9 @@
 	// FrameTimeout limits the time from the first byte of a message to its last. 1 MiB takes a
 	// third of it on a link of 1 Mbit/s.
 	FrameTimeout = 30 * time.Second
-	// MaxReplyBytes bounds a reply of several parts, decoded. The state of 10,000 targets has 4
-	// MiB.
-	MaxReplyBytes = 16 << 20
+	// MaxStateBytes bounds the platform's state, decoded, as a list of the store in pages and as a
+	// reply of a peer in parts. That of 10,000 targets has 4 MiB.
+	MaxStateBytes = 16 << 20
 )
 
 // Limit is a bound on a whole body, in bytes.
--- a/io/process/feed/bound_test.go
+++ b/io/process/feed/bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -30,3 +31,24 @@
 	}
 	<-closed
 }
+
+// endlessStore has another page after each page of a list.
+type endlessStore struct {
+	*fakeStore
+	pages int
+}
+
+func (s *endlessStore) List(context.Context, string) (Page, error) {
+	s.pages++
+	return Page{Items: []Item{{Key: fmt.Sprint("target/", s.pages), Value: make([]byte, 1<<20)}}, More: true, AtRevision: 1}, nil
+}
+
+// Guards against a list of the store that never ends: all its pages would be kept until the end.
+func TestListWithoutEndIsCutOff(t *testing.T) {
+	f := newFeed(&endlessStore{fakeStore: newFakeStore()})
+	f.init()
+	name, _ := bound.Of(f.list(t.Context()))
+	if diff := cmp.Diff(bound.List, name); diff != "" {
+		t.Errorf("cut off at (-want +got):\n%s", diff)
+	}
+}
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -195,8 +195,8 @@
 		if part.Items, err = unpackItems(part.Packed); err != nil {
 			return nil, err
 		}
-		if size += part.size(); size > bound.MaxReplyBytes {
-			return nil, c.CutOff(bound.Exceeded(bound.Reply, bound.MaxReplyBytes))
+		if size += part.size(); size > bound.MaxStateBytes {
+			return nil, c.CutOff(bound.Exceeded(bound.Reply, bound.MaxStateBytes))
 		}
 		if len(part.Announced) == 0 {
 			part.Announced = reply.Announced
--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -193,15 +193,21 @@
 	}
 }
 
-// partOverhead is what one part, item, key or announcement counts for besides its text, in bytes.
-const partOverhead = 64
+// itemOverhead is what one part, item, key or announcement counts for besides its text, in bytes.
+const itemOverhead = 64
+
+// sizeOf returns what items count for towards the bound on the state.
+func sizeOf(items []Item) int {
+	n := 0
+	for _, it := range items {
+		n += itemOverhead + len(it.Key) + len(it.Value)
+	}
+	return n
+}
 
-// size returns what a part that has been unpacked counts for towards the bound on replies.
+// size returns what a part that has been unpacked counts for towards the bound on the state.
 func (t *factsReply) size() int {
-	n := partOverhead*(1+len(t.Items)+len(t.Keys)+len(t.Announced)) + len(t.PackedAhead)
-	for _, it := range t.Items {
-		n += len(it.Key) + len(it.Value)
-	}
+	n := sizeOf(t.Items) + itemOverhead*(1+len(t.Keys)+len(t.Announced)) + len(t.PackedAhead)
 	for _, k := range t.Keys {
 		n += len(k)
 	}
--- a/io/process/feed/watch.go
+++ b/io/process/feed/watch.go
@@ -8,6 +8,7 @@
 	"hawthornferry/core/process/epoch"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/process/verlog"
+	"hawthornferry/io/conn/bound"
 )
 
 // syncOnce lists the store if there is no state yet; otherwise it waits for one
@@ -70,7 +71,7 @@
 	f.mu.Unlock()
 	var items []Item
 	var first Page
-	after := ""
+	after, size := "", 0
 	for {
 		p, err := f.page(ctx, after)
 		if err != nil {
@@ -85,6 +86,11 @@
 		if after == "" {
 			first = p
 		}
+		if size += sizeOf(p.Items); size > bound.MaxStateBytes {
+			err := bound.Exceeded(bound.List, bound.MaxStateBytes)
+			f.Self.CutOffs.Record(trail.AreaMember, "store", "store", err)
+			return err
+		}
 		items = append(items, p.Items...)
 		if !p.More || len(p.Items) == 0 {
 			break
