--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -71,6 +71,8 @@
 	next      chan struct{}
 	cancelled chan struct{}
 	crash     chan struct{}
+	// padding is a comment in each event.
+	padding string
 }
 
 func (e *steppedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -84,6 +86,9 @@
 			close(e.cancelled)
 			return
 		}
+		if e.padding != "" {
+			_, _ = io.WriteString(w, ": "+e.padding+"\n")
+		}
 		writeEvent(w, n)
 	}
 }
@@ -284,6 +289,27 @@
 	}
 }
 
+// Guards against a target that fills the memory while its stream is being handed over.
+func TestLittleIsBufferedDuringHandover(t *testing.T) {
+	begun := make(chan struct{})
+	m := newHandoverTest(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	})
+	m.engine.padding = strings.Repeat("x", maxBufferedBytes)
+	_, in := m.startStream()
+	m.requestLoad()
+	<-begun
+	began := time.Now()
+	m.engine.next <- struct{}{}
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 2 {
+		t.Fatalf("event %d: %v", e.id, err)
+	}
+	if took := time.Since(began); took > maxBuffering/2 {
+		t.Errorf("event received after %s, as if it had been buffered until the end of the handover", took)
+	}
+}
+
 // A target that has rejected the handover of a request must not be asked to take over
 // the same request again.
 func TestTargetThatRejectedHandoverIsNotRetried(t *testing.T) {
--- a/io/request/direct/unbounded_test.go
+++ b/io/request/direct/unbounded_test.go
@@ -103,8 +103,10 @@
 type floodTarget struct {
 	listener net.Listener
 	floods   []flood
-	open     atomic.Int64
-	requests atomic.Int64
+	// recovered is set once the target answers as a sound one.
+	recovered atomic.Bool
+	open      atomic.Int64
+	requests  atomic.Int64
 }
 
 func newFloodTarget(t *testing.T, floods ...flood) *floodTarget {
@@ -140,6 +142,10 @@
 		return
 	}
 	n := int(f.requests.Add(1))
+	if f.recovered.Load() {
+		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", statusLine, len(soundAnswer), soundAnswer)
+		return
+	}
 	for i := range f.floods {
 		next := f.floods[(n+i)%len(f.floods)]
 		if slices.ContainsFunc(next.kinds, func(k table.RouteKind) bool { return strings.HasPrefix(r.URL.Path, "/"+string(k)) }) {
@@ -488,3 +494,30 @@
 		})
 	}
 }
+
+// Guards against a target that goes on getting its share of the requests while it sends without
+// end, or gets none after that.
+func TestFaultyTargetIsPausedAndUsedAgain(t *testing.T) {
+	const requests = 100
+	target := newFloodTarget(t, floods[0])
+	e := newFloodEntry(t, 16<<20, []*floodTarget{target}, 1, answerSound)
+	send := func(n int) {
+		for range n {
+			if status, _, err := e.call(t, table.KindIdempotent, fmt.Sprint(time.Now().UnixNano())); status != http.StatusOK || err != nil {
+				t.Errorf("status %d, error %v", status, err)
+			}
+		}
+	}
+	send(requests)
+	if n := target.requests.Load(); n == 0 || n > requests/4 {
+		t.Errorf("the faulty target got %d of %d requests", n, requests)
+	}
+	target.recovered.Store(true)
+	before := target.requests.Load()
+	for end := time.Now().Add(5 * time.Second); target.requests.Load() < before+requests/4 && time.Now().Before(end); {
+		send(10)
+	}
+	if n := target.requests.Load() - before; n < requests/4 {
+		t.Errorf("the target got %d requests after it had recovered", n)
+	}
+}
