standin/flood: share responses without end between tests and the soak

The tests of packages direct and platform and the soak each had their own server and list of responses without end.

--- a/io/request/direct/unbounded_test.go
+++ b/io/request/direct/unbounded_test.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -34,6 +33,7 @@
 	"hawthornferry/core/request/space"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/conn/bound"
+	"hawthornferry/standin/flood"
 )
 
 const (
@@ -41,19 +41,13 @@
 	maxInvalidRead = 128 << 10
 	// floodBytes is what a faulty target sends at the most, in bytes.
 	floodBytes  = 64 << 20
-	statusLine  = "HTTP/1.1 200 OK\r\n"
-	chunkedLine = "Transfer-Encoding: chunked\r\n\r\n"
 	soundAnswer = "answer"
-	streamHead  = statusLine + "Content-Type: " + eventStreamType + "\r\n\r\n"
+	streamHead  = flood.StatusLine + flood.StreamLine + "\r\n"
 )
 
-// flood is a response without end: begin and then repeat for ever.
-type flood struct {
-	name   string
-	begin  string
-	repeat string
-	// bound is what it exceeds; empty if it is not read at all.
-	bound bound.Name
+// endless is a response without end.
+type endless struct {
+	flood.Response
 	kinds []table.RouteKind
 	// maxRead is how much of it may be read, in bytes.
 	maxRead int64
@@ -67,92 +61,54 @@
 	streamed = []table.RouteKind{table.KindStream}
 )
 
-var floods = []flood{
-	{"no line end", "", "x", bound.Format, anyKind, maxInvalidRead, false},
-	{"a header line", statusLine + "A: ", "x", bound.Head, anyKind, maxInvalidRead, false},
-	{"headers", statusLine, "A: b\r\n", bound.Head, anyKind, maxInvalidRead, false},
-	{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", bound.Head, anyKind, maxInvalidRead, false},
-	{"interim responses with other spaces", "", "HTTP/1.1  100 Continue\r\n\r\n", bound.Format, anyKind, maxInvalidRead, false},
-	{"a status line", "HTTP/1.1 200 ", "x", bound.Head, anyKind, maxInvalidRead, false},
-	{"a refusal", "HTTP/1.1 503 -\r\n" + testHeaderNotRun + ": 1\r\n\r\n", "x", "", anyKind, maxInvalidRead, false},
-	{"a chunk extension", statusLine + chunkedLine + "1;", "x", bound.Format, anyKind, maxInvalidRead, false},
-	{"a trailer", statusLine + chunkedLine + "0\r\n", "A: b\r\n", bound.Format, anyKind, maxInvalidRead, false},
-	{"a body", statusLine + "\r\n", "x", bound.Answer, plain, bound.MaxAnswerBytes + maxInvalidRead, true},
-	{"an event", streamHead, "x", bound.Event, streamed, bound.MaxEventBytes + maxInvalidRead, false},
-	{"blank lines", streamHead, "\n", bound.Filler, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
-	{"comments", streamHead, ":\n\n", bound.Filler, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
-}
-
-// write sends the response until the connection is closed.
-func (f flood) write(w io.Writer) {
-	if _, err := io.WriteString(w, f.begin); err != nil {
-		return
-	}
-	if f.repeat == "" {
-		return
-	}
-	block := []byte(strings.Repeat(f.repeat, 1+(16<<10)/len(f.repeat)))
-	for sent := 0; sent < floodBytes; sent += len(block) {
-		if _, err := w.Write(block); err != nil {
-			return
-		}
+// responses are the heads without end, and these. Those without a bound are not read at all.
+var responses = append(endlessHeads(), []endless{
+	{flood.Response{Name: "a refusal", Begin: "HTTP/1.1 503 -\r\n" + testHeaderNotRun + ": 1\r\n\r\n", Repeat: "x"}, anyKind, maxInvalidRead, false},
+	{flood.Response{Name: "a chunk extension", Begin: flood.StatusLine + flood.ChunkedLine + "\r\n1;", Repeat: "x", Bound: bound.Format}, anyKind, maxInvalidRead, false},
+	{flood.Response{Name: "a trailer", Begin: flood.StatusLine + flood.ChunkedLine + "\r\n0\r\n", Repeat: "A: b\r\n", Bound: bound.Format}, anyKind, maxInvalidRead, false},
+	{flood.Response{Name: "a body", Begin: flood.StatusLine + "\r\n", Repeat: "x", Bound: bound.Answer}, plain, bound.MaxAnswerBytes + maxInvalidRead, true},
+	{flood.Response{Name: "an event", Begin: streamHead, Repeat: "x", Bound: bound.Event}, streamed, bound.MaxEventBytes + maxInvalidRead, false},
+	{flood.Response{Name: "blank lines", Begin: streamHead, Repeat: "\n", Bound: bound.Filler}, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
+	{flood.Response{Name: "comments", Begin: streamHead, Repeat: ":\n\n", Bound: bound.Filler}, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
+}...)
+
+func endlessHeads() (out []endless) {
+	for _, r := range flood.Heads {
+		out = append(out, endless{r, anyKind, maxInvalidRead, false})
 	}
+	return out
 }
 
-// floodTarget answers requests with the floods of their kind in turn.
+// floodTarget answers requests with the responses of their kind in turn.
 type floodTarget struct {
-	listener net.Listener
-	floods   []flood
+	*flood.Server
 	// recovered is set once the target answers as a sound one.
 	recovered atomic.Bool
-	open      atomic.Int64
-	requests  atomic.Int64
 }
 
-func newFloodTarget(t *testing.T, floods ...flood) *floodTarget {
+func newFloodTarget(t *testing.T, responses ...endless) *floodTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := flood.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	target := &floodTarget{listener: l, floods: floods}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
+	t.Cleanup(func() { server.Listener.Close() })
+	target := &floodTarget{Server: server}
+	server.Answer = func(conn net.Conn, r *http.Request, n int) {
+		if target.recovered.Load() {
+			fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", flood.StatusLine, len(soundAnswer), soundAnswer)
+			return
+		}
+		for i := range responses {
+			next := responses[(n+i)%len(responses)]
+			if slices.ContainsFunc(next.kinds, func(k table.RouteKind) bool { return strings.HasPrefix(r.URL.Path, "/"+string(k)) }) {
+				_, _ = next.Write(conn, floodBytes)
 				return
 			}
-			go target.serve(conn)
-		}
-	}()
-	return target
-}
-
-func (f *floodTarget) address() netip.AddrPort {
-	return netip.MustParseAddrPort(f.listener.Addr().String())
-}
-
-func (f *floodTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	f.open.Add(1)
-	defer f.open.Add(-1)
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	n := int(f.requests.Add(1))
-	if f.recovered.Load() {
-		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", statusLine, len(soundAnswer), soundAnswer)
-		return
-	}
-	for i := range f.floods {
-		next := f.floods[(n+i)%len(f.floods)]
-		if slices.ContainsFunc(next.kinds, func(k table.RouteKind) bool { return strings.HasPrefix(r.URL.Path, "/"+string(k)) }) {
-			next.write(conn)
-			return
 		}
 	}
+	go server.Run()
+	return target
 }
 
 // crashCounter counts the attempts that are taken for crashes.
@@ -223,7 +179,7 @@
 	t.Helper()
 	var targets []facts.Target
 	for i, f := range faulty {
-		targets = append(targets, facts.Target{ID: fmt.Sprint("faulty-", i), Address: f.address()})
+		targets = append(targets, facts.Target{ID: fmt.Sprint("faulty-", i), Address: f.Addr()})
 	}
 	for i := range sound {
 		server := httptest.NewServer(readBodyFirst(soundHandler))
@@ -320,9 +276,9 @@
 // be taken for one that crashes targets.
 func TestEndlessResponsesAreCutOff(t *testing.T) {
 	const requests = 20
-	for _, f := range floods {
+	for _, f := range responses {
 		for _, kind := range f.kinds {
-			t.Run(f.name+", "+string(kind), func(t *testing.T) {
+			t.Run(f.Name+", "+string(kind), func(t *testing.T) {
 				target := newFloodTarget(t, f)
 				e := newFloodEntry(t, 32<<20, []*floodTarget{target}, 1, answerSound)
 				var wg sync.WaitGroup
@@ -331,7 +287,7 @@
 						status, body, err := e.call(t, kind, fmt.Sprint(i))
 						switch {
 						case err == nil && status == http.StatusOK && isSound(kind, body):
-						case err == nil && status == http.StatusBadGateway && kind == table.KindAtMostOnce && f.bound != "":
+						case err == nil && status == http.StatusBadGateway && kind == table.KindAtMostOnce && f.Bound != "":
 						case err != nil && f.partial:
 						default:
 							t.Errorf("status %d, %d bytes, error %v", status, len(body), err)
@@ -339,23 +295,23 @@
 					})
 				}
 				wg.Wait()
-				if target.requests.Load() == 0 {
+				if target.Requests.Load() == 0 {
 					t.Error("the faulty target got no request")
 				}
-				if n := e.most(target.address()); n > f.maxRead {
+				if n := e.most(target.Addr()); n > f.maxRead {
 					t.Errorf("%d bytes read, want at most %d", n, f.maxRead)
 				}
-				for end := time.Now().Add(time.Second); target.open.Load() > 0 && time.Now().Before(end); {
+				for end := time.Now().Add(time.Second); target.Open.Load() > 0 && time.Now().Before(end); {
 					time.Sleep(time.Millisecond)
 				}
-				if n := target.open.Load(); n > 0 {
+				if n := target.Open.Load(); n > 0 {
 					t.Errorf("%d connections still open", n)
 				}
 				if n := e.crashes.failures.Load(); n > 0 {
 					t.Errorf("%d attempts taken for crashes", n)
 				}
-				if got := e.log.has(trail.ActionReadCutOff, string(f.bound)+": "); got != (f.bound != "") {
-					t.Errorf("logged as cut off at %q: %t", f.bound, got)
+				if got := e.log.has(trail.ActionReadCutOff, string(f.Bound)+": "); got != (f.Bound != "") {
+					t.Errorf("logged as cut off at %q: %t", f.Bound, got)
 				}
 			})
 		}
@@ -416,7 +372,7 @@
 		t.Run(fmt.Sprint(6-sound, " of 6 faulty"), func(t *testing.T) {
 			var faulty []*floodTarget
 			for range 6 - sound {
-				faulty = append(faulty, newFloodTarget(t, floods...))
+				faulty = append(faulty, newFloodTarget(t, responses...))
 			}
 			e := newFloodEntry(t, heldShare, faulty, sound, slowStream)
 			ctx, cancel := context.WithTimeout(t.Context(), loadTime)
@@ -456,7 +412,7 @@
 				t.Errorf("memory grew by %d bytes more than without faulty targets, want at most %d", got, heldShare)
 			}
 			for _, f := range faulty {
-				if f.requests.Load() == 0 {
+				if f.Requests.Load() == 0 {
 					t.Error("a faulty target got no request")
 				}
 			}
@@ -485,7 +441,7 @@
 				return
 			}
 			defer conn.Close()
-			go flood{begin: tc.begin, repeat: tc.repeat}.write(conn)
+			go func() { _, _ = flood.Response{Begin: tc.begin, Repeat: tc.repeat}.Write(conn, floodBytes) }()
 			_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout + 2*time.Second))
 			b, err := io.ReadAll(conn)
 			if errors.Is(err, os.ErrDeadlineExceeded) || !strings.HasPrefix(string(b), tc.want) {
@@ -499,7 +455,7 @@
 // end, or gets none after that.
 func TestFaultyTargetIsPausedAndUsedAgain(t *testing.T) {
 	const requests = 100
-	target := newFloodTarget(t, floods[0])
+	target := newFloodTarget(t, responses[0])
 	e := newFloodEntry(t, 16<<20, []*floodTarget{target}, 1, answerSound)
 	send := func(n int) {
 		for range n {
@@ -509,15 +465,15 @@
 		}
 	}
 	send(requests)
-	if n := target.requests.Load(); n == 0 || n > requests/4 {
+	if n := target.Requests.Load(); n == 0 || n > requests/4 {
 		t.Errorf("the faulty target got %d of %d requests", n, requests)
 	}
 	target.recovered.Store(true)
-	before := target.requests.Load()
-	for end := time.Now().Add(5 * time.Second); target.requests.Load() < before+requests/4 && time.Now().Before(end); {
+	before := target.Requests.Load()
+	for end := time.Now().Add(5 * time.Second); target.Requests.Load() < before+requests/4 && time.Now().Before(end); {
 		send(10)
 	}
-	if n := target.requests.Load() - before; n < requests/4 {
+	if n := target.Requests.Load() - before; n < requests/4 {
 		t.Errorf("the target got %d requests after it had recovered", n)
 	}
 }
