--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -40,7 +40,7 @@
 
 // Limits of the heads of HTTP requests and responses.
 const (
-	// MaxHeadBytes is twice the header_bytes that deployments allow callers and targets.
+	// MaxHeadBytes is twice the max_header_bytes that configurations allow callers.
 	MaxHeadBytes = 32 << 10
 	// MaxHeadLines bounds the lines of the heads of one response, with those of interim
 	// responses. Proxies reject requests and responses with more than 100 fields. Each line
