--- a/io/process/feed/relay.go
+++ b/io/process/feed/relay.go
@@ -193,6 +193,27 @@
 	}
 }
 
+// itemOverhead is what one part, item, key or announcement counts for besides its text, in bytes.
+const itemOverhead = 64
+
+// sizeOf returns what items count for towards the bound on the state.
+func sizeOf(items []Item) int {
+	n := 0
+	for _, it := range items {
+		n += itemOverhead + len(it.Key) + len(it.Value)
+	}
+	return n
+}
+
+// size returns what a part that has been unpacked counts for towards the bound on the state.
+func (t *factsReply) size() int {
+	n := sizeOf(t.Items) + itemOverhead*(1+len(t.Keys)+len(t.Announced)) + len(t.PackedAhead)
+	for _, k := range t.Keys {
+		n += len(k)
+	}
+	return n
+}
+
 // buildReply returns the parts of the reply with all changes after the
 // requested revision.
 func (f *Feed) buildReply(req *factsRequest) []*factsReply {
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -17,6 +17,8 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/operr"
+	"hawthornferry/core/request/space"
+	"hawthornferry/io/conn/bound"
 )
 
 // readBuffer is the size in bytes of the buffers for requests and responses.
@@ -87,13 +89,15 @@
 }
 
 // readEvents reads the events of the response in the background and sends them on the
-// returned channel, until the response ends or the exchange is closed.
-func (x *exchange) readEvents() <-chan streamItem {
+// returned channel, until the response ends or the exchange is closed. Memory for large events
+// is taken from the given budget.
+func (x *exchange) readEvents(memory *space.Budget) <-chan streamItem {
 	out := make(chan streamItem)
-	in := bufio.NewReaderSize(x.resp.Body, readBuffer)
+	in := eventReader{in: bufio.NewReaderSize(x.resp.Body, readBuffer), hold: space.Hold{Budget: memory}}
 	go func() {
+		defer in.hold.Release()
 		for {
-			e, err := readEvent(in)
+			e, err := in.next()
 			select {
 			case out <- streamItem{e, err}:
 			case <-x.closed:
@@ -158,13 +162,14 @@
 	if writeErr == nil {
 		writeErr = w.Flush()
 	}
-	r := bufio.NewReaderSize(x.conn, readBuffer)
+	r := bufio.NewReaderSize(bound.NewHeadReader(x.conn), readBuffer)
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
-			return errors.CombineErrors(err, writeErr)
+			return errors.CombineErrors(bound.Classify(err), writeErr)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			resp.Body = bound.NewBody(resp)
 			x.resp = resp
 			return nil
 		}
--- a/io/request/direct/handover_test.go
+++ b/io/request/direct/handover_test.go
@@ -71,6 +71,8 @@
 	next      chan struct{}
 	cancelled chan struct{}
 	crash     chan struct{}
+	// padding is a comment in each event.
+	padding string
 }
 
 func (e *steppedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -84,6 +86,9 @@
 			close(e.cancelled)
 			return
 		}
+		if e.padding != "" {
+			_, _ = io.WriteString(w, ": "+e.padding+"\n")
+		}
 		writeEvent(w, n)
 	}
 }
@@ -157,7 +162,7 @@
 	}
 	m.t.Cleanup(func() { resp.Body.Close() })
 	in := bufio.NewReader(resp.Body)
-	if e, err := readEvent(in); err != nil || e.id != 1 {
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 1 {
 		m.t.Fatalf("first event %d: %v", e.id, err)
 	}
 	return resp, in
@@ -192,7 +197,7 @@
 	t.Helper()
 	var got []uint64
 	for {
-		e, err := readEvent(in)
+		e, err := (&eventReader{in: in}).next()
 		if err == io.EOF {
 			return got
 		}
@@ -270,7 +275,7 @@
 	m.requestLoad()
 	began := time.Now()
 	m.engine.next <- struct{}{}
-	if e, err := readEvent(in); err != nil || e.id != 2 {
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 2 {
 		t.Fatalf("event %d: %v", e.id, err)
 	}
 	if took := time.Since(began); took > 2*maxBuffering {
@@ -284,6 +289,27 @@
 	}
 }
 
+// Guards against a target that fills the memory while its stream is being handed over.
+func TestLittleIsBufferedDuringHandover(t *testing.T) {
+	begun := make(chan struct{})
+	m := newHandoverTest(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	})
+	m.engine.padding = strings.Repeat("x", maxBufferedBytes)
+	_, in := m.startStream()
+	m.requestLoad()
+	<-begun
+	began := time.Now()
+	m.engine.next <- struct{}{}
+	if e, err := (&eventReader{in: in}).next(); err != nil || e.id != 2 {
+		t.Fatalf("event %d: %v", e.id, err)
+	}
+	if took := time.Since(began); took > maxBuffering/2 {
+		t.Errorf("event received after %s, as if it had been buffered until the end of the handover", took)
+	}
+}
+
 // A target that has rejected the handover of a request must not be asked to take over
 // the same request again.
 func TestTargetThatRejectedHandoverIsNotRetried(t *testing.T) {
