frame: share buffers for writing between connections

Each connection kept a buffer as large as the longest frame that it had sent, which on a side's connections for weights is a block of a chunk. Buffers are now taken from a pool for one frame, and those over 64 KiB are dropped.

--- a/io/conn/frame/frame.go
+++ b/io/conn/frame/frame.go
@@ -25,6 +25,14 @@
 // frame is read directly into the frame's own buffer.
 const readBuffer = 8 << 10
 
+// maxKeptBuffer is the capacity in bytes up to which a buffer is kept for further frames.
+// Longer frames are rare, and each kept buffer would stay as large as its longest frame.
+const maxKeptBuffer = 64 << 10
+
+// writeBuffers holds buffers to encode frames in. They are shared by all writers, since
+// most connections are idle at any time.
+var writeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // lengthSize is the size in bytes of the length prefix of each frame.
 const lengthSize = 4
 
@@ -61,9 +69,8 @@
 // Writer writes frames; it is safe for concurrent use. Each frame is written
 // with a single call of Write on the underlying writer.
 type Writer struct {
-	mu  sync.Mutex
-	w   io.Writer
-	buf bytes.Buffer
+	mu sync.Mutex
+	w  io.Writer
 }
 
 // NewWriter returns a Writer that writes to w.
@@ -73,24 +80,41 @@
 func (w *Writer) Write(m Message, revision uint64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.buf.Reset()
-	w.buf.Write(make([]byte, lengthSize))
+	buf := writeBuffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buf)
+	if err := encode(buf, m, revision); err != nil {
+		return err
+	}
+	_, err := w.w.Write(buf.Bytes())
+	return err
+}
+
+func releaseBuffer(b *bytes.Buffer) {
+	if b.Cap() > maxKeptBuffer {
+		return
+	}
+	b.Reset()
+	writeBuffers.Put(b)
+}
+
+// encode appends m as one frame to buf, which is empty.
+func encode(buf *bytes.Buffer, m Message, revision uint64) error {
+	buf.Write(make([]byte, lengthSize))
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
-	enc.Reset(&w.buf)
+	enc.Reset(buf)
 	if err := enc.Encode(Header{Kind: m.Kind(), Revision: revision}); err != nil {
 		return errors.Wrapf(err, "encode header of %s", m.Kind())
 	}
 	if err := enc.Encode(m); err != nil {
 		return errors.Wrapf(err, "encode %s", m.Kind())
 	}
-	n := w.buf.Len() - lengthSize
+	n := buf.Len() - lengthSize
 	if n > MaxFrame {
 		return errors.Wrapf(ErrTooLong, "%s of %d bytes", m.Kind(), n)
 	}
-	binary.BigEndian.PutUint32(w.buf.Bytes(), uint32(n))
-	_, err := w.w.Write(w.buf.Bytes())
-	return err
+	binary.BigEndian.PutUint32(buf.Bytes(), uint32(n))
+	return nil
 }
 
 // Reader reads frames; it is not safe for concurrent use.
