frame: decode short frames in place, share buffers for long ones

Each connection kept a read buffer of 8 KiB and one as large as the longest frame that it had received. The read buffer now has 2 KiB, which load reports and requests fit in; these are decoded where they lie. Longer frames are read into buffers from the pool that writers use.

--- a/io/conn/frame/frame.go
+++ b/io/conn/frame/frame.go
@@ -21,17 +21,17 @@
 const MaxFrame = 1 << 20
 
 // readBuffer is the size in bytes of a reader's buffer. It is small because an
-// entry has a connection to each of a hundred targets; the remainder of a longer
-// frame is read directly into the frame's own buffer.
-const readBuffer = 8 << 10
+// entry has a connection to each of a hundred targets. Load reports and requests
+// fit in; the remainder of a longer frame is read directly into a shared buffer.
+const readBuffer = 2 << 10
 
 // maxKeptBuffer is the capacity in bytes up to which a buffer is kept for further frames.
 // Longer frames are rare, and each kept buffer would stay as large as its longest frame.
 const maxKeptBuffer = 64 << 10
 
-// writeBuffers holds buffers to encode frames in. They are shared by all writers, since
-// most connections are idle at any time.
-var writeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+// buffers holds buffers for the frames that are being encoded or decoded. They are shared
+// by all connections, since most of these are idle at any time.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // lengthSize is the size in bytes of the length prefix of each frame.
 const lengthSize = 4
@@ -80,7 +80,7 @@
 func (w *Writer) Write(m Message, revision uint64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	buf := writeBuffers.Get().(*bytes.Buffer)
+	buf := buffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(buf)
 	if err := encode(buf, m, revision); err != nil {
 		return err
@@ -94,7 +94,7 @@
 		return
 	}
 	b.Reset()
-	writeBuffers.Put(b)
+	buffers.Put(b)
 }
 
 // encode appends m as one frame to buf, which is empty.
@@ -121,7 +121,6 @@
 type Reader struct {
 	r     *bufio.Reader
 	kinds Kinds
-	buf   []byte
 }
 
 // NewReader returns a Reader that reads from r and accepts the given kinds.
@@ -141,16 +140,35 @@
 	if n > MaxFrame {
 		return nil, Header{}, errors.Wrapf(ErrTooLong, "%d bytes", n)
 	}
-	if cap(r.buf) < n {
-		r.buf = make([]byte, n)
+	if n <= r.r.Size() {
+		return r.readInPlace(n)
 	}
-	b := r.buf[:n]
+	buf := buffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buf)
+	buf.Grow(n)
+	b := buf.AvailableBuffer()[:n]
 	if _, err := io.ReadFull(r.r, b); err != nil {
 		return nil, Header{}, errors.Wrap(err, "read frame")
 	}
 	return r.decode(b)
 }
 
+// readInPlace decodes a frame of n bytes, which fits into the reader's buffer, from there.
+func (r *Reader) readInPlace(n int) (Message, Header, error) {
+	b, err := r.r.Peek(n)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, Header{}, errors.Wrap(err, "read frame")
+	}
+	m, h, err := r.decode(b)
+	if _, discardErr := r.r.Discard(n); discardErr != nil {
+		return nil, h, errors.Wrap(discardErr, "read frame")
+	}
+	return m, h, err
+}
+
 func (r *Reader) decode(b []byte) (Message, Header, error) {
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
