hosted: collect garbage when the heap has grown by a quarter

The heap of a side with two versions of weights in memory grew to 1.6 times its live part before a collection. The bound is now 1.25 times, and a process whose live heap is small also keeps less than the collector's minimum of 2.4 MB.

--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -54,8 +54,9 @@
 	routineLinesPerSecond = 120
 	// gcPercent makes the garbage collector run when the heap has grown by this many
 	// percent. Memory is charged by its peak, and the live heap is only a few megabytes,
-	// so that frequent collections cost little.
-	gcPercent = 60
+	// half of it weights without pointers on a side, so that frequent collections cost
+	// little.
+	gcPercent = 25
 	// memoryLimitShare is the part of the memory limit above which the garbage
 	// collector works harder.
 	memoryLimitShare = 0.8
