swarm: decode received blocks into used ones

The blocks of a version left its size as garbage, and the collections for it cost processor time. Blocks whose bytes are in their chunk are decoded into again.

--- a/io/version/swarm/download.go
+++ b/io/version/swarm/download.go
@@ -158,6 +158,7 @@
 			received += int64(copy(buf[received:], b.Data))
 			out.releaseOldest(int64(len(b.Data)))
 			n.countReceived(in.fetch.Via, int64(len(b.Data)))
+			b.recycle()
 			n.bytesReceived(in)
 		}
 	}
--- a/io/version/swarm/messages.go
+++ b/io/version/swarm/messages.go
@@ -1,6 +1,8 @@
 package swarm
 
 import (
+	"sync"
+
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/version/chunk"
@@ -77,6 +79,17 @@
 	Data   []byte `msgpack:"data"`
 }
 
+// receivedBlocks holds blocks whose bytes have been copied into their chunk. Blocks are
+// decoded into them, since those of one version would otherwise leave its size as garbage.
+var receivedBlocks = sync.Pool{New: func() any { return new(block) }}
+
+// recycle makes a received block available to be decoded into. It must not be used
+// afterwards.
+func (m *block) recycle() {
+	*m = block{Data: m.Data[:0]}
+	receivedBlocks.Put(m)
+}
+
 // refuseRequest answers a blockRequest for a chunk that the sender will not
 // send.
 type refuseRequest struct {
@@ -192,7 +205,7 @@
 	k.Register(func() frame.Message { return &acceptOffers{} })
 	k.Register(func() frame.Message { return &ping{} })
 	k.Register(func() frame.Message { return &blockRequest{} })
-	k.Register(func() frame.Message { return &block{} })
+	k.Register(func() frame.Message { return receivedBlocks.Get().(*block) })
 	k.Register(func() frame.Message { return &refuseRequest{} })
 	k.Register(func() frame.Message { return &deferRequest{} })
 	k.Register(func() frame.Message { return &cancelTransfer{} })
