--- a/io/conn/bound/bound.go
+++ b/io/conn/bound/bound.go
@@ -8,6 +8,7 @@
 package bound
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -121,17 +122,29 @@
 	return &CutOffError{Bound: n, Reason: fmt.Sprintf("more than %d bytes", limit)}
 }
 
-// ReadAll reads a body to its end. It fails if that is longer than the limit, or if what is read
-// is not valid HTTP.
-func ReadAll(r io.Reader, l Limit) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, l.Bytes+1))
-	if err != nil {
+// firstRead is the most memory in bytes that the declared length of a body makes a reader
+// allocate before any of the body has arrived. Chunks of weights fit in.
+const firstRead = 64 << 10
+
+// ReadAll reads a body of the declared length, below 0 for none, to its end. It fails if the body
+// is longer than the limit, or if what is read is not valid HTTP. A short body of declared length
+// is read into memory of that size, since a buffer that grows to it leaves several times as much
+// garbage.
+func ReadAll(r io.Reader, declared int64, l Limit) ([]byte, error) {
+	if declared > l.Bytes {
+		return nil, Exceeded(l.Name, l.Bytes)
+	}
+	var buf bytes.Buffer
+	if declared > 0 {
+		buf.Grow(int(min(declared, firstRead)) + bytes.MinRead)
+	}
+	if _, err := buf.ReadFrom(io.LimitReader(r, l.Bytes+1)); err != nil {
 		return nil, Classify(err)
 	}
-	if int64(len(b)) > l.Bytes {
+	if int64(buf.Len()) > l.Bytes {
 		return nil, Exceeded(l.Name, l.Bytes)
 	}
-	return b, nil
+	return buf.Bytes(), nil
 }
 
 // Invalid returns the error for data that is not valid.
--- a/io/conn/frame/frame.go
+++ b/io/conn/frame/frame.go
@@ -23,18 +23,22 @@
 const MaxFrame = bound.MaxFrameBytes
 
 // readBuffer is the size in bytes of a reader's buffer. It is small because an
-// entry has a connection to each of a hundred targets; the remainder of a longer
-// frame is read directly into the frame's own buffer.
-const readBuffer = 8 << 10
-
-const (
-	// firstBuffer is the size in bytes of the buffer for a longer frame before any of it has
-	// arrived. It grows with what arrives, so that a peer that announces much and sends little
-	// takes no memory.
-	firstBuffer = 64 << 10
-	// maxKeptBuffer is the most bytes of a frame's buffer that are kept for the next one.
-	maxKeptBuffer = 256 << 10
-)
+// entry has a connection to each of a hundred targets. Load reports and requests
+// fit in; the remainder of a longer frame is read directly into a shared buffer.
+const readBuffer = 2 << 10
+
+// maxKeptBuffer is the capacity in bytes up to which a buffer is kept for further frames.
+// Longer frames are rare, and each kept buffer would stay as large as its longest frame.
+const maxKeptBuffer = 64 << 10
+
+// buffers holds buffers for the frames that are being encoded or decoded. They are shared
+// by all connections, since most of these are idle at any time.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// firstBuffer is the size in bytes of the buffer for a longer frame before any of it has
+// arrived. It grows with what arrives, so that a peer that announces much and sends little
+// takes no memory.
+const firstBuffer = 64 << 10
 
 // lengthSize is the size in bytes of the length prefix of each frame.
 const lengthSize = 4
@@ -72,9 +76,8 @@
 // Writer writes frames; it is safe for concurrent use. Each frame is written
 // with a single call of Write on the underlying writer.
 type Writer struct {
-	mu  sync.Mutex
-	w   io.Writer
-	buf bytes.Buffer
+	mu sync.Mutex
+	w  io.Writer
 }
 
 // NewWriter returns a Writer that writes to w.
@@ -84,24 +87,41 @@
 func (w *Writer) Write(m Message, revision uint64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.buf.Reset()
-	w.buf.Write(make([]byte, lengthSize))
+	buf := buffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buf)
+	if err := encode(buf, m, revision); err != nil {
+		return err
+	}
+	_, err := w.w.Write(buf.Bytes())
+	return err
+}
+
+func releaseBuffer(b *bytes.Buffer) {
+	if b.Cap() > maxKeptBuffer {
+		return
+	}
+	b.Reset()
+	buffers.Put(b)
+}
+
+// encode appends m as one frame to buf, which is empty.
+func encode(buf *bytes.Buffer, m Message, revision uint64) error {
+	buf.Write(make([]byte, lengthSize))
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
-	enc.Reset(&w.buf)
+	enc.Reset(buf)
 	if err := enc.Encode(Header{Kind: m.Kind(), Revision: revision}); err != nil {
 		return errors.Wrapf(err, "encode header of %s", m.Kind())
 	}
 	if err := enc.Encode(m); err != nil {
 		return errors.Wrapf(err, "encode %s", m.Kind())
 	}
-	n := w.buf.Len() - lengthSize
+	n := buf.Len() - lengthSize
 	if n > MaxFrame {
 		return errors.Wrapf(ErrTooLong, "%s of %d bytes", m.Kind(), n)
 	}
-	binary.BigEndian.PutUint32(w.buf.Bytes(), uint32(n))
-	_, err := w.w.Write(w.buf.Bytes())
-	return err
+	binary.BigEndian.PutUint32(buf.Bytes(), uint32(n))
+	return nil
 }
 
 // Reader reads frames; it is not safe for concurrent use.
@@ -115,7 +135,6 @@
 
 	r     *bufio.Reader
 	kinds Kinds
-	buf   []byte
 }
 
 // NewReader returns a Reader that reads from r and accepts the given kinds, in frames of at
@@ -135,18 +154,27 @@
 	if awaited {
 		r.OnPartial(true)
 	}
-	b, err := r.readFrame()
+	buf := buffers.Get().(*bytes.Buffer)
+	defer releaseBuffer(buf)
+	b, err := r.readFrame(buf)
 	if err != nil {
 		return nil, Header{}, err
 	}
 	if awaited {
 		r.OnPartial(false)
 	}
-	return r.decode(b)
+	m, h, err := r.decode(b)
+	if len(b) <= r.r.Size() {
+		if _, discardErr := r.r.Discard(len(b)); discardErr != nil {
+			return nil, h, errors.Wrap(discardErr, "read frame")
+		}
+	}
+	return m, h, err
 }
 
-// readFrame reads the length prefix and what follows it.
-func (r *Reader) readFrame() ([]byte, error) {
+// readFrame reads the length prefix and what follows it. A frame that fits into the reader's
+// buffer stays there until the caller discards it; a longer one is read into buf.
+func (r *Reader) readFrame(buf *bytes.Buffer) ([]byte, error) {
 	var length [lengthSize]byte
 	if _, err := io.ReadFull(r.r, length[:]); err != nil {
 		return nil, err
@@ -155,7 +183,14 @@
 	if n > r.MaxBytes {
 		return nil, errors.Mark(bound.Exceeded(r.Bound, int64(r.MaxBytes)), ErrTooLong)
 	}
-	b, err := r.readBody(n)
+	if n > r.r.Size() {
+		err := r.readLong(buf, n)
+		return buf.Bytes(), errors.Wrap(err, "read frame")
+	}
+	b, err := r.r.Peek(n)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	return b, errors.Wrap(err, "read frame")
 }
 
@@ -170,24 +205,19 @@
 	return n-lengthSize >= int(binary.BigEndian.Uint32(length))
 }
 
-// readBody reads the n bytes that follow the length prefix. They are valid until the next call.
-func (r *Reader) readBody(n int) ([]byte, error) {
-	if cap(r.buf) > maxKeptBuffer {
-		r.buf = nil
-	}
-	b := r.buf[:0]
-	for len(b) < n {
-		if len(b) == cap(b) {
-			b = append(make([]byte, 0, min(n, max(firstBuffer, 2*cap(b)))), b...)
-		}
-		part := b[len(b):min(n, cap(b))]
-		if _, err := io.ReadFull(r.r, part); err != nil {
-			return nil, err
+// readLong reads the n bytes that follow the length prefix into buf, which grows with what
+// arrives.
+func (r *Reader) readLong(buf *bytes.Buffer, n int) error {
+	for buf.Len() < n {
+		part := min(n-buf.Len(), max(firstBuffer, buf.Len()))
+		buf.Grow(part)
+		b := buf.AvailableBuffer()[:part]
+		if _, err := io.ReadFull(r.r, b); err != nil {
+			return err
 		}
-		b = b[:len(b)+len(part)]
+		buf.Write(b)
 	}
-	r.buf = b
-	return b, nil
+	return nil
 }
 
 // valuesPerFrame is how many values a frame holds: the header and the message.
