--- a/io/version/swarm/fuzz_test.go
+++ b/io/version/swarm/fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/core/version/spread"
 	"hawthornferry/io/conn/frame"
@@ -56,3 +58,12 @@
 		}
 	})
 }
+
+// Guards against a message that lacks fields and takes those of the block decoded before it.
+func TestRecycledBlockKeepsNoFields(t *testing.T) {
+	b := &block{transferID: transferID{Chunk: chunk.DigestOf(nil), Number: 3}, Offset: 5, Data: []byte("bytes")}
+	b.recycle()
+	if diff := cmp.Diff(&block{Data: []byte{}}, b, cmp.AllowUnexported(block{})); diff != "" {
+		t.Errorf("recycled block (-want +got):\n%s", diff)
+	}
+}
