plan: choose which version the origin's link carries first

Cause: two versions that are announced within seconds shared the origin's link, since a chunk that failed during an outage used only a slot of its own version, and the older version was dropped by its age when it was nearly complete. Neither was complete in time. After an outage the first chunk was requested up to half a second late.

Change: core/version/plan compares fetching only the newest version with fetching the older one first, by the time without service and another load of each engine. With priorities, one version uses a link at a time, chunks that wait for another attempt are requested as soon as the upstream sends one, and attempts during an outage are spread over time.

--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -57,6 +57,25 @@
 	AgeMS int64 `json:"ageMs"`
 }
 
+// FetchPlan is the order in which the origin's link carries the wanted versions of a model.
+type FetchPlan struct {
+	Versions []PlannedVersion `json:"versions"`
+	// LoadOlder is set if the older version is loaded when it is complete while the newest is
+	// not, and WithoutServiceMS is for how long no engine is expected to serve a version on
+	// which requests may begin.
+	LoadOlder        bool  `json:"loadOlder,omitempty"`
+	WithoutServiceMS int64 `json:"withoutServiceMs,omitempty"`
+}
+
+// PlannedVersion is a version with its place in the order, the bytes of it that the region
+// lacks, and in how long the origin's link is expected to have carried them.
+type PlannedVersion struct {
+	Version      uint64 `json:"version"`
+	Priority     string `json:"priority"`
+	MissingBytes int64  `json:"missingBytes"`
+	ExpectedMS   int64  `json:"expectedMs,omitempty"`
+}
+
 // State is a snapshot of what a process knows. Processes log it periodically, so
 // that an excerpt of a log is enough to explain a request.
 type State struct {
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -120,6 +120,8 @@
 	// RetryBudget is set for a request that the retry budget of its service did not allow
 	// to be sent again.
 	RetryBudget *RetryBudget `json:"retryBudget,omitempty"`
+	// Fetches is set when the order changes in which versions are fetched.
+	Fetches *FetchPlan `json:"fetches,omitempty"`
 	// State is set for the periodic snapshots of what a process knows.
 	State *State `json:"state,omitempty"`
 }
--- a/core/version/spread/acquire.go
+++ b/core/version/spread/acquire.go
@@ -68,6 +68,9 @@
 // region lacks at most half as much goes before it. If they shared the link, neither
 // might be complete when the origin becomes unavailable.
 func (s *State) fetchOrder() []*version {
+	if s.ordered {
+		return s.orderedVersions()
+	}
 	var out []*version
 	for _, v := range s.versions {
 		if !v.keepOnly {
@@ -79,7 +82,7 @@
 	}
 	newest := out[0].missingInRegion()
 	slices.SortStableFunc(out, func(a, b *version) int {
-		return cmp.Compare(b.priority(newest), a.priority(newest))
+		return cmp.Compare(b.nearlyDone(newest), a.nearlyDone(newest))
 	})
 	return out
 }
@@ -87,9 +90,9 @@
 // missingInRegion is how many chunks the region is not known to hold.
 func (v *version) missingInRegion() int { return len(v.chunks) - v.heldInRegion.Count() }
 
-// priority is 1 for a version that is nearly complete compared with the newest, and 0
+// nearlyDone is 1 for a version that is nearly complete compared with the newest, and 0
 // otherwise. newest is how many chunks the newest lacks.
-func (v *version) priority(newest int) int {
+func (v *version) nearlyDone(newest int) int {
 	if n := v.missingInRegion(); n > 0 && n*nearlyDoneFactor <= newest {
 		return 1
 	}
@@ -117,7 +120,8 @@
 			continue
 		}
 		up := v.upstream[i]
-		if max(taken[up], shared[up]) >= s.fetchSlots(up) {
+		if max(taken[up], shared[up]) >= s.slotsFor(now, v, up, taken[up], shared[up]) {
+			s.postpone(c)
 			continue
 		}
 		if c.dueAt.IsZero() {
@@ -126,7 +130,7 @@
 		late := now.Sub(c.dueAt)
 		if late < s.rankDelay(up, 1) {
 			taken[up]++
-			if !c.retrying(now) {
+			if s.usesSharedSlot(now, up, c) {
 				shared[up]++
 			}
 		} else {
--- a/core/version/spread/network_test.go
+++ b/core/version/spread/network_test.go
@@ -38,6 +38,8 @@
 	// sharedLinks, when set, are the links that transfers share; otherwise each
 	// transfer takes transferTime.
 	sharedLinks *sharedLinks
+	// originDown, when set, reports that the origin refuses connections at present.
+	originDown func() bool
 	// onArrival, when set, is called for each chunk that a side receives.
 	onArrival func(s *fakeSide, d chunk.Digest)
 	// trace, when set, is called for each action.
@@ -221,6 +223,10 @@
 // startTransfer starts a transfer, in one piece or, over links that are shared by blocks,
 // block by block.
 func (n *network) startTransfer(s *fakeSide, f Fetch, id int) {
+	if f.Peer == "" && n.originDown != nil && n.originDown() {
+		n.after(messageTime, func() { n.finishTransfer(s, f, id) })
+		return
+	}
 	if n.sharedLinks != nil && n.sharedLinks.byBlocks && (f.Peer == "" || n.sides[f.Peer].state.Held(f.Chunk.Digest)) {
 		n.transferBlock(s, f, id, 1)
 		return
--- a/core/version/spread/state.go
+++ b/core/version/spread/state.go
@@ -70,6 +70,9 @@
 	// KeepOnly marks a version that is no longer wanted but whose chunks must not be
 	// discarded yet. Nothing of it is fetched.
 	KeepOnly bool
+	// Priority is the version's place in the order of fetches. Either all wanted versions
+	// have one or none.
+	Priority Priority
 	// Staged are the verified chunks that were found in the staging area.
 	Staged []chunk.Digest
 }
@@ -128,6 +131,11 @@
 	supply map[string]*supplyTime
 	// lastReceived is when a chunk last came from an upstream.
 	lastReceived map[string]time.Time
+	// returnedAt is when a chunk last came from an upstream after it had sent none for
+	// some time.
+	returnedAt map[string]time.Time
+	// ordered is set while the wanted versions have priorities.
+	ordered bool
 	// originUpSince is since when the origin has answered this side, zero if its
 	// last request failed; originFailedAt is when a request last failed.
 	originUpSince  time.Time
@@ -145,6 +153,7 @@
 type version struct {
 	id              chunk.Digest
 	keepOnly        bool
+	priority        Priority
 	manifest        chunk.Manifest
 	chunks          []*chunkState
 	members         map[string][]string // by region
@@ -185,6 +194,7 @@
 	dueAt            time.Time
 	unreachableSince time.Time
 	retryAt          time.Time
+	failedAt         time.Time // when an attempt of this side last failed
 	// receiving is set once bytes of the transfer came in.
 	receiving bool
 	// fullyRequested is set once every byte of an import has been requested, and
@@ -263,6 +273,7 @@
 		down:         map[string]time.Time{},
 		unavailable:  map[string]bool{},
 		lastReceived: map[string]time.Time{},
+		returnedAt:   map[string]time.Time{},
 		supply:       map[string]*supplyTime{},
 	}
 }
--- a/core/version/spread/timeout.go
+++ b/core/version/spread/timeout.go
@@ -179,6 +179,7 @@
 	case why == FailQueueTimeout:
 	case c.via != ViaTrade:
 		c.attempts++
+		c.failedAt = now
 		c.retryAt = now.Add(max(after, s.retryDelay(c, why)))
 		c.failures++
 	}
@@ -203,7 +204,11 @@
 	if c.via == ViaImport && why == FailDisconnected && c.attempts < len(at.version.members[at.upstream()]) {
 		return 0
 	}
-	return backoff(minRetryDelay, c.failures, s.cfg.MaxBackoff)
+	d := backoff(minRetryDelay, c.failures, s.cfg.MaxBackoff)
+	if c.via == ViaOrigin {
+		return s.probeDelay(d)
+	}
+	return d
 }
 
 // recordFault makes this side avoid a peer for a while after a fault. Otherwise the
--- a/core/version/spread/trade.go
+++ b/core/version/spread/trade.go
@@ -1,6 +1,9 @@
 package spread
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits of offers and refusals.
 const (
@@ -74,6 +77,9 @@
 		return false
 	}
 	for _, v := range s.versions {
+		if s.ordered && v.keepOnly {
+			continue
+		}
 		m, ok := p.heldChunks[v.id]
 		if ok && v.heldHere.countNotIn(m) > 0 {
 			return true
@@ -126,9 +132,9 @@
 	var best *chunkState
 	var copies uint16
 	ties := 0
-	for _, v := range s.versions {
-		if v.keepOnly {
-			continue
+	for _, v := range s.tradeOrder() {
+		if best != nil && s.ordered {
+			break
 		}
 		m := p.heldChunks[v.id]
 		for i, c := range v.chunks {
@@ -152,6 +158,14 @@
 	return best
 }
 
+// tradeOrder lists the versions of which chunks are requested from neighbours.
+func (s *State) tradeOrder() []*version {
+	if s.ordered {
+		return s.orderedVersions()
+	}
+	return slices.DeleteFunc(slices.Clone(s.versions), func(v *version) bool { return v.keepOnly })
+}
+
 // anyNeighbourUsable reports whether some neighbour is not avoided now.
 func (s *State) anyNeighbourUsable(now time.Time) bool {
 	for _, p := range s.sortedPeers {
--- a/core/version/spread/update.go
+++ b/core/version/spread/update.go
@@ -16,6 +16,7 @@
 func (s *State) Update(now time.Time, wanted []WantedVersion) []Action {
 	old := s.versions
 	s.versions = nil
+	s.setPriorities(wanted)
 	for _, c := range s.chunks {
 		c.positions = nil
 	}
@@ -34,7 +35,8 @@
 	n := len(w.Manifest.Chunks)
 	v := &version{
 		id:              w.ID,
-		keepOnly:        w.KeepOnly,
+		keepOnly:        w.KeepOnly || w.Priority == PriorityPaused,
+		priority:        w.Priority,
 		extraRank:       rankUnknown,
 		manifest:        w.Manifest,
 		members:         map[string][]string{},
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -94,6 +94,9 @@
 	if d.Candidates != nil {
 		parts = append(parts, "candidates="+compactJSON(d.Candidates))
 	}
+	if d.Fetches != nil {
+		parts = append(parts, "fetches="+compactJSON(d.Fetches))
+	}
 	if d.State != nil {
 		parts = append(parts, compactJSON(d.State))
 	}
--- a/io/process/hosted/rollout.go
+++ b/io/process/hosted/rollout.go
@@ -77,12 +77,31 @@
 	r.changed = make(chan struct{})
 }
 
-// wantedVersions returns the model of a service and the versions of it that are wanted
-// at now, newest first. bound is the time limit of a version. An older version is useful
+// wantedRules says until when and since when the version before the newest is wanted. Bound is
+// the time limit of a version.
+type wantedRules struct {
+	Bound       time.Duration
+	OlderCutoff time.Duration
+	MinGap      time.Duration
+}
+
+// unplannedRules apply where the fetches of versions are not planned.
+func unplannedRules(bound time.Duration) wantedRules {
+	return wantedRules{Bound: bound, OlderCutoff: olderCutoff, MinGap: minAnnounceGap}
+}
+
+// wantedVersions is versionsWanted where the fetches of versions are not planned. bound is the
+// time limit of a version.
+func wantedVersions(f *facts.Facts, service string, now time.Time, bound time.Duration) (string, []uint64, bool) {
+	return versionsWanted(f, service, now, unplannedRules(bound))
+}
+
+// versionsWanted returns the model of a service and the versions of it that are wanted
+// at now, newest first. An older version is useful
 // while the newest is not available and the newest's own time limit leaves room for a
 // load. After that it would only share the links with the newest, and loading it would
 // delay the newest.
-func wantedVersions(f *facts.Facts, service string, now time.Time, bound time.Duration) (string, []uint64, bool) {
+func versionsWanted(f *facts.Facts, service string, now time.Time, rules wantedRules) (string, []uint64, bool) {
 	if f.Table == nil {
 		return "", nil, false
 	}
@@ -97,11 +116,11 @@
 		return s.Engine.Model, []uint64{firstVersion}, true
 	}
 	out := []uint64{announced[0].Version}
-	if bound > 0 && now.Sub(announced[0].Since) >= bound-olderCutoff {
+	if rules.Bound > 0 && now.Sub(announced[0].Since) >= rules.Bound-rules.OlderCutoff {
 		return s.Engine.Model, out, true
 	}
 	for _, v := range announced[1:min(len(announced), maxWantedVersions)] {
-		if announced[0].Since.Sub(v.Since) >= minAnnounceGap {
+		if announced[0].Since.Sub(v.Since) >= rules.MinGap {
 			out = append(out, v.Version)
 		}
 	}
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -14,6 +14,7 @@
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/table"
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/plan"
 	"hawthornferry/core/version/roll"
 	"hawthornferry/core/version/spread"
 	"hawthornferry/io/conn/link"
@@ -86,6 +87,7 @@
 	rollout       *rolloutView
 	loadPublisher *loads.Publisher
 	vms           vmCache
+	fetchPlan     fetchPlanner
 
 	mu     sync.Mutex
 	update update
@@ -97,10 +99,12 @@
 	facts     *facts.Facts
 	selected  chunk.Digest
 	manifests []chunk.Digest
+	// priorities are those of the manifests.
+	priorities []spread.Priority
 }
 
 func (u *update) equal(o *update) bool {
-	return u.facts == o.facts && u.selected == o.selected && slices.Equal(u.manifests, o.manifests)
+	return u.facts == o.facts && u.selected == o.selected && slices.Equal(u.manifests, o.manifests) && slices.Equal(u.priorities, o.priorities)
 }
 
 // Run runs the side until ctx ends.
@@ -210,10 +214,15 @@
 // apply passes a new view to the components unless it equals the last one. Most calls are
 // caused by the passage of time, which rarely changes it.
 func (s *Side) apply(f *facts.Facts, known []*adapt.KnownVersion, wanted []swarm.WantedVersion) {
-	selected := s.selectVersion(f, known)
+	p, planned := s.planFetches(f, known)
+	selected := s.selectVersion(f, known, p, planned)
 	next := update{facts: f, selected: selected.Digest}
-	for _, e := range known {
+	for i, e := range known {
 		next.manifests = append(next.manifests, e.Digest)
+		if planned {
+			wanted[i].Priority = priorityIn(p, e.Version)
+		}
+		next.priorities = append(next.priorities, wanted[i].Priority)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,7 +237,7 @@
 }
 
 func (s *Side) wanted(f *facts.Facts) (string, []uint64, bool) {
-	return wantedVersions(f, s.Settings.VM.Service, s.process.clock.Now(), s.Settings.Bounds.OldVersionPeriod)
+	return versionsWanted(f, s.Settings.VM.Service, s.process.clock.Now(), s.wantedRules(f))
 }
 
 // warmup returns how the side's engine behaves after its start; zero before the
@@ -252,13 +261,19 @@
 // selectVersion returns the version to load: the newest, unless its weights are
 // incomplete while those of the version before it are complete and that one's time limit
 // is about to expire. Loading the older one then keeps requests served from that limit
-// until the newest version is available.
-func (s *Side) selectVersion(f *facts.Facts, known []*adapt.KnownVersion) *adapt.KnownVersion {
+// until the newest version is available. A plan of the fetches says whether to load it.
+func (s *Side) selectVersion(f *facts.Facts, known []*adapt.KnownVersion, p plan.Plan, planned bool) *adapt.KnownVersion {
 	newest := known[0]
 	if _, complete := s.verified(newest.Digest); complete || len(known) == 1 {
 		return newest
 	}
 	older := known[1]
+	if planned {
+		if _, complete := s.verified(older.Digest); complete && p.LoadOlder {
+			return older
+		}
+		return newest
+	}
 	due, ok := f.Due(older.Model, s.process.clock.Now().Add(olderReserve-s.Settings.Bounds.OldVersionPeriod))
 	if _, complete := s.verified(older.Digest); complete && ok && due.Version >= older.Version {
 		return older
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -58,6 +58,7 @@
 	Model    string
 	Version  string
 	Manifest chunk.Digest
+	Priority spread.Priority
 }
 
 // Progress reports how much of a wanted version this side holds, in chunks and
@@ -70,6 +71,8 @@
 	Bytes    int64
 	Verified bool
 	Manifest chunk.Manifest
+	// MissingInRegion is how many bytes no side of the region is known to hold.
+	MissingInRegion int64
 }
 
 // Shaper delays each block as a link outside this machine would. The load tool
@@ -270,6 +273,14 @@
 	return out
 }
 
+// OriginUnavailable reports whether this side's last request to the origin failed.
+func (n *Node) OriginUnavailable() bool {
+	n.init()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.distribution.OriginUnavailable()
+}
+
 // progressOf returns the progress of one version. The caller holds n.mu.
 func (n *Node) progressOf(w WantedVersion) Progress {
 	p := Progress{Wanted: w}
@@ -284,5 +295,6 @@
 	}
 	p.Held, p.Total, p.Bytes = t.Held, t.Total, t.Bytes
 	p.Verified = t.Total > 0 && t.Held == t.Total
+	p.MissingInRegion = n.state.distribution.MissingInRegion(w.Manifest)
 	return p
 }
--- a/io/version/swarm/update.go
+++ b/io/version/swarm/update.go
@@ -164,6 +164,7 @@
 		sets = append(sets, spread.WantedVersion{
 			ID:       d,
 			KeepOnly: !s.isWanted(d),
+			Priority: s.priorityOf(d),
 			Manifest: k.manifest,
 			Members:  n.members(s, d),
 			Staged:   k.staged,
@@ -211,6 +212,17 @@
 	return n.OriginRegion
 }
 
+// priorityOf returns the priority of the version with the given manifest. One that is no longer
+// wanted has none.
+func (s *state) priorityOf(d chunk.Digest) spread.Priority {
+	for _, w := range s.wanted {
+		if w.Manifest == d {
+			return w.Priority
+		}
+	}
+	return spread.PriorityNone
+}
+
 // isWanted reports whether a wanted version has the manifest.
 func (s *state) isWanted(d chunk.Digest) bool {
 	return slices.ContainsFunc(s.wanted, func(w WantedVersion) bool { return w.Manifest == d })
