--- a/core/version/spread/network_test.go
+++ b/core/version/spread/network_test.go
@@ -38,8 +38,8 @@
 	// sharedLinks, when set, are the links that transfers share; otherwise each
 	// transfer takes transferTime.
 	sharedLinks *sharedLinks
-	// originDown, when set, reports that the origin refuses connections at present.
-	originDown func() bool
+	// originDown, when set, reports that the origin refuses a side's connections at present.
+	originDown func(side string) bool
 	// onArrival, when set, is called for each chunk that a side receives.
 	onArrival func(s *fakeSide, d chunk.Digest)
 	// trace, when set, is called for each action.
@@ -223,7 +223,7 @@
 // startTransfer starts a transfer, in one piece or, over links that are shared by blocks,
 // block by block.
 func (n *network) startTransfer(s *fakeSide, f Fetch, id int) {
-	if f.Peer == "" && n.originDown != nil && n.originDown() {
+	if f.Peer == "" && n.originDown != nil && n.originDown(s.Name) {
 		n.after(messageTime, func() { n.finishTransfer(s, f, id) })
 		return
 	}
--- a/core/version/spread/priority.go
+++ b/core/version/spread/priority.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/core/version/plan"
 )
 
 // Priority says in which order the chunks of the wanted versions are fetched.
@@ -23,6 +24,18 @@
 	PriorityPaused Priority = "paused"
 )
 
+// PriorityOf returns the priority that a plan gives a version.
+func PriorityOf(p plan.Plan, version uint64) Priority {
+	switch version {
+	case p.First():
+		return PriorityFirst
+	case p.Newest:
+		return PriorityNext
+	default:
+		return PriorityPaused
+	}
+}
+
 // probeSlots is how many chunks of a version that is not the first are requested from an
 // upstream that sends nothing: an upstream that lacks only the first version must not hold
 // up the others.
--- a/io/process/hosted/fetchplan.go
+++ b/io/process/hosted/fetchplan.go
@@ -109,23 +109,11 @@
 	return olderUntil, servedUntil
 }
 
-// priorityIn returns the priority that a plan gives a version.
-func priorityIn(p plan.Plan, version uint64) spread.Priority {
-	switch {
-	case version == p.First():
-		return spread.PriorityFirst
-	case version == p.Newest:
-		return spread.PriorityNext
-	default:
-		return spread.PriorityPaused
-	}
-}
-
 func planDecision(model string, in plan.Input, p plan.Plan) trail.Decision {
 	fetches := &trail.FetchPlan{LoadOlder: p.LoadOlder, WithoutServiceMS: p.WithoutService.Milliseconds()}
 	add := func(v plan.Version, expected time.Duration) {
 		fetches.Versions = append(fetches.Versions, trail.PlannedVersion{
-			Version: v.Number, Priority: string(priorityIn(p, v.Number)), MissingBytes: v.Missing, ExpectedMS: expected.Milliseconds(),
+			Version: v.Number, Priority: string(spread.PriorityOf(p, v.Number)), MissingBytes: v.Missing, ExpectedMS: expected.Milliseconds(),
 		})
 	}
 	add(in.Newest, p.NewestIn)
--- a/io/process/hosted/side.go
+++ b/io/process/hosted/side.go
@@ -220,7 +220,7 @@
 	for i, e := range known {
 		next.manifests = append(next.manifests, e.Digest)
 		if planned {
-			wanted[i].Priority = priorityIn(p, e.Version)
+			wanted[i].Priority = spread.PriorityOf(p, e.Version)
 		}
 		next.priorities = append(next.priorities, wanted[i].Priority)
 	}
