plan: load the older version in time while the origin is unavailable

While nothing comes from the origin, no time can be expected for the newest version, so that engines would begin to load a complete older one when there is time for half of them only.

--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -17,6 +17,8 @@
 	// and LoadTime how long an engine takes to load it.
 	SpreadTime = time.Second
 	LoadTime   = 2 * time.Second
+	// allLoadsTime is how long all engines take to load: half of them at a time.
+	allLoadsTime = 2 * LoadTime
 	// secondLoadCost is how much time without service another load of each engine is worth.
 	// Half of the engines serve while the others load.
 	secondLoadCost = LoadTime / 2
@@ -82,8 +84,8 @@
 	Older       *Version
 	OlderUntil  time.Time
 	ServedUntil time.Time
-	// OriginUnavailable is set while the origin does not answer. Nothing is fetched then, so
-	// that another plan costs nothing.
+	// OriginUnavailable is set while nothing comes from the origin, so that another plan costs
+	// nothing.
 	OriginUnavailable bool
 }
 
@@ -179,6 +181,8 @@
 
 // loadOlder reports whether the older version is loaded when it is complete while the newest
 // is not. Once engines have begun to, the others do so too: they load one after the other.
+// While the origin does not answer, no time can be expected for the newest, and the loads begin
+// when there is only just time for them.
 func (in Input) loadOlder(p, previous Plan) bool {
 	if p.Order != OrderOlderFirst {
 		return false
@@ -186,6 +190,9 @@
 	if previous.LoadOlder && previous.continues(in) {
 		return true
 	}
+	if in.OriginUnavailable && in.Newest.Missing > 0 && in.serviceEnd().Sub(in.Now) <= SpreadTime+allLoadsTime {
+		return true
+	}
 	return in.bridged(p.OlderIn, p.NewestIn) > secondLoadCost
 }
 
--- a/core/version/plan/plan_test.go
+++ b/core/version/plan/plan_test.go
@@ -32,6 +32,8 @@
 	single.Older = nil
 	unavailable := testInput(9*time.Second, 4000, 1600)
 	unavailable.OriginUnavailable = true
+	noHope := testInput(8*time.Second, 1000, 0)
+	noHope.OriginUnavailable = true
 	older := Plan{Newest: 3, Older: 2, Order: OrderOlderFirst}
 	newest := Plan{Newest: 3, Older: 2, Order: OrderNewestOnly}
 	other := Plan{Newest: 2, Older: 1, Order: OrderOlderFirst}
@@ -53,6 +55,7 @@
 		{"nothing is fetched, so that a change costs nothing", unavailable, older, Plan{3, 2, OrderNewestOnly, ReasonLeastGap, false, 4000 * ms, 0, 3000 * ms}},
 		{"the older one is too late", testInput(11500*ms, 4000, 600), older, Plan{3, 2, OrderNewestOnly, ReasonOlderTooLate, false, 4000 * ms, 0, 5500 * ms}},
 		{"engines load the older one already", testInput(8*time.Second, 1000, 0), loading, Plan{3, 2, OrderOlderFirst, ReasonNearlyComplete, true, 1000 * ms, 0, 0}},
+		{"complete, and the origin is unavailable", noHope, older, Plan{3, 2, OrderOlderFirst, ReasonNearlyComplete, true, 1000 * ms, 0, 0}},
 		{"complete, but the newest is in time", testInput(8*time.Second, 1000, 0), older, Plan{3, 2, OrderOlderFirst, ReasonNearlyComplete, false, 1000 * ms, 0, 0}},
 	}
 	for _, tc := range tests {
--- a/core/version/spread/order_test.go
+++ b/core/version/spread/order_test.go
@@ -145,7 +145,7 @@
 	begin := r.time().Add(-r.since())
 	in := plan.Input{
 		Now: r.time(), LinkRate: int64(float64(r.site.size) / r.site.links.origin.Seconds()),
-		Newest: planned(s, versions, 0), OriginUnavailable: s.state.OriginUnavailable(),
+		Newest: planned(s, versions, 0), OriginUnavailable: s.state.OriginUnavailable(r.time()),
 	}
 	if len(versions) > 1 {
 		older := planned(s, versions, 1)
--- a/core/version/spread/priority.go
+++ b/core/version/spread/priority.go
@@ -155,7 +155,16 @@
 	return missing
 }
 
-// OriginUnavailable reports whether this side's last request to the origin failed.
-func (s *State) OriginUnavailable() bool {
-	return s.originUpSince.IsZero() && !s.originFailedAt.IsZero()
+// OriginUnavailable reports whether this side's last request to the origin failed, or the
+// region has got no chunk from outside for some time.
+func (s *State) OriginUnavailable(now time.Time) bool {
+	if s.originUpSince.IsZero() && !s.originFailedAt.IsZero() {
+		return true
+	}
+	for up := range s.lastReceived {
+		if !s.silent(now, up) {
+			return false
+		}
+	}
+	return len(s.lastReceived) > 0
 }
