--- a/core/version/spread/network_test.go
+++ b/core/version/spread/network_test.go
@@ -40,6 +40,8 @@
 	sharedLinks *sharedLinks
 	// originDown, when set, reports that the origin refuses a side's connections at present.
 	originDown func(side string) bool
+	// originHangs makes these connections hang instead.
+	originHangs bool
 	// onArrival, when set, is called for each chunk that a side receives.
 	onArrival func(s *fakeSide, d chunk.Digest)
 	// trace, when set, is called for each action.
@@ -224,7 +226,9 @@
 // block by block.
 func (n *network) startTransfer(s *fakeSide, f Fetch, id int) {
 	if f.Peer == "" && n.originDown != nil && n.originDown(s.Name) {
-		n.after(messageTime, func() { n.finishTransfer(s, f, id) })
+		if !n.originHangs {
+			n.after(messageTime, func() { n.finishTransfer(s, f, id) })
+		}
 		return
 	}
 	if n.sharedLinks != nil && n.sharedLinks.byBlocks && (f.Peer == "" || n.sides[f.Peer].state.Held(f.Chunk.Digest)) {
--- a/core/version/spread/order_test.go
+++ b/core/version/spread/order_test.go
@@ -250,6 +250,10 @@
 		{"one version", long, (*plannedRun).announce, 0, 800 * time.Millisecond, 1500 * time.Millisecond, false},
 		{"two versions", long, both, secondAt, time.Second, 1500 * time.Millisecond, false},
 		{"the origin fails again", again, both, secondAt, 1200 * time.Millisecond, 1500 * time.Millisecond, true},
+		{"requests hang during the outage", long, func(r *plannedRun) {
+			both(r)
+			r.originHangs = true
+		}, secondAt, 1200 * time.Millisecond, 1500 * time.Millisecond, true},
 		{"all start with nothing and learn of both at once", nil, func(r *plannedRun) {
 			r.announce()
 			r.announce()
