spread: fetch the older version while the newest makes no progress

Cause: with a plan of the newest version only, nothing of the older one was transferred. A version behind the first also kept to three fetch slots after that was complete.

Change: neighbours exchange what they hold of a paused version, after all else. While nothing comes from outside, the plan has chunks of the older version requested until the newest makes progress, and failed chunks of the newest use slots of their own. Whether an upstream has returned is kept for each version.

--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -97,6 +97,12 @@
 	// LoadOlder is set if engines load the older version once it is complete while the newest
 	// is not.
 	LoadOlder bool
+	// ProbeOlder is set if chunks of the older version are requested as far as the newest leaves
+	// the link idle, although it is not to be fetched: nothing has come from the origin, which
+	// may lack the newest version only.
+	ProbeOlder bool
+	// NewestMissing is how many bytes the newest version lacked.
+	NewestMissing int64
 	// NewestIn and OlderIn are in how long the versions have left the origin's link, OlderIn
 	// zero if the older one is not fetched. WithoutService is for how long no engine serves a
 	// version on which requests may begin.
@@ -106,7 +112,7 @@
 
 // Same reports whether two plans differ in nothing that anybody acts on.
 func (p Plan) Same(o Plan) bool {
-	return p.Newest == o.Newest && p.Older == o.Older && p.Order == o.Order && p.LoadOlder == o.LoadOlder
+	return p.Newest == o.Newest && p.Older == o.Older && p.Order == o.Order && p.LoadOlder == o.LoadOlder && p.ProbeOlder == o.ProbeOlder
 }
 
 // continues reports whether p was made for the versions of in.
@@ -124,6 +130,8 @@
 	olderFirst := in.olderFirst()
 	out := in.choose(newestOnly, olderFirst, previous)
 	out.LoadOlder = in.loadOlder(out, previous)
+	out.ProbeOlder = in.probeOlder(out, previous)
+	out.NewestMissing = in.Newest.Missing
 	return out
 }
 
@@ -196,6 +204,17 @@
 	return in.bridged(p.OlderIn, p.NewestIn) > secondLoadCost
 }
 
+// probeOlder reports whether chunks of the older version are requested beside the newest. It
+// stays so until the newest makes progress: what comes of the older one shows only that the
+// origin answers.
+func (in Input) probeOlder(p, previous Plan) bool {
+	if p.Order != OrderNewestOnly || p.Reason == ReasonOlderTooLate {
+		return false
+	}
+	stuck := previous.ProbeOlder && previous.continues(in) && previous.NewestMissing == in.Newest.Missing
+	return in.OriginUnavailable || stuck
+}
+
 // bridged is for how long the older version serves requests that none else could, if it and
 // the newest have left the origin's link after the given times.
 func (in Input) bridged(olderIn, newestIn time.Duration) time.Duration {
--- a/core/version/spread/acquire.go
+++ b/core/version/spread/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -69,7 +70,7 @@
 // might be complete when the origin becomes unavailable.
 func (s *State) fetchOrder() []*version {
 	if s.ordered {
-		return s.orderedVersions()
+		return slices.DeleteFunc(s.orderedVersions(), (*version).paused)
 	}
 	var out []*version
 	for _, v := range s.versions {
@@ -104,7 +105,7 @@
 // of its own version only, so that a version that cannot be fetched does not block
 // another.
 func (s *State) startDue(now time.Time, v *version, shared map[string]int) {
-	taken := map[string]int{}
+	taken, earlier := map[string]int{}, maps.Clone(shared)
 	for i, c := range v.chunks {
 		if c.held {
 			continue
@@ -120,7 +121,7 @@
 			continue
 		}
 		up := v.upstream[i]
-		if max(taken[up], shared[up]) >= s.slotsFor(now, v, up, taken[up], shared[up]) {
+		if max(taken[up], shared[up]) >= s.slotsFor(now, v, up, earlier[up]) {
 			s.postpone(c)
 			continue
 		}
@@ -130,7 +131,7 @@
 		late := now.Sub(c.dueAt)
 		if late < s.rankDelay(up, 1) {
 			taken[up]++
-			if s.usesSharedSlot(now, up, c) {
+			if s.usesSharedSlot(now, v, up, c) {
 				shared[up]++
 			}
 		} else {
--- a/core/version/spread/events.go
+++ b/core/version/spread/events.go
@@ -157,6 +157,7 @@
 		}
 		v.heldInRegion.Set(i)
 		s.recordSupply(now, v.chunks[i], v.upstream[i])
+		s.noteReceived(now, v, v.upstream[i])
 		s.markAvailable(now, v.upstream[i])
 		news = append(news, i)
 	}
@@ -199,6 +200,7 @@
 		}
 		pl.version.heldHere.Set(pl.index)
 		pl.version.heldInRegion.Set(pl.index)
+		s.noteReceived(now, pl.version, pl.upstream())
 		s.markAvailable(now, pl.upstream())
 		s.announceHeld(pl)
 	}
--- a/core/version/spread/priority.go
+++ b/core/version/spread/priority.go
@@ -20,16 +20,17 @@
 	// fetched as far as the first leaves fetch slots unused.
 	PriorityFirst Priority = "first"
 	PriorityNext  Priority = "next"
-	// PriorityPaused marks a version of which nothing is fetched; its chunks are kept.
+	// PriorityPaused marks a version that is not fetched for the region. Its chunks are kept,
+	// and requested from neighbours that hold nothing else that this side lacks.
 	PriorityPaused Priority = "paused"
 )
 
 // PriorityOf returns the priority that a plan gives a version.
 func PriorityOf(p plan.Plan, version uint64) Priority {
-	switch version {
-	case p.First():
+	switch {
+	case version == p.First():
 		return PriorityFirst
-	case p.Newest:
+	case version == p.Newest || p.ProbeOlder:
 		return PriorityNext
 	default:
 		return PriorityPaused
@@ -50,34 +51,32 @@
 	s.ordered = slices.ContainsFunc(wanted, func(w WantedVersion) bool { return w.Priority != PriorityNone })
 }
 
-// orderedVersions lists the versions to fetch by their priorities.
+// priorityOrder holds the priorities in the order in which chunks are fetched.
+var priorityOrder = []Priority{PriorityFirst, PriorityNext, PriorityPaused}
+
+// orderedVersions lists the wanted versions by their priorities.
 func (s *State) orderedVersions() []*version {
 	out := slices.DeleteFunc(slices.Clone(s.versions), func(v *version) bool { return v.keepOnly })
 	slices.SortStableFunc(out, func(a, b *version) int {
-		return cmp.Compare(a.fetchPosition(), b.fetchPosition())
+		return cmp.Compare(slices.Index(priorityOrder, a.priority), slices.Index(priorityOrder, b.priority))
 	})
 	return out
 }
 
-func (v *version) fetchPosition() int {
-	if v.priority == PriorityFirst {
-		return 0
-	}
-	return 1
-}
+func (v *version) paused() bool { return v.priority == PriorityPaused }
 
 // usesSharedSlot reports whether a due chunk uses one of the fetch slots that all versions
 // share. A chunk that fails although the upstream sends others uses only a slot of its own
-// version. If the upstream sends nothing, that is no fault of the chunk, and when it returns
-// its link must not be shared with another version.
-func (s *State) usesSharedSlot(now time.Time, up string, c *chunkState) bool {
+// version. If the upstream sends nothing, that is no fault of the chunk, and once chunks of its
+// version come again, the link must not be shared with another version.
+func (s *State) usesSharedSlot(now time.Time, v *version, up string, c *chunkState) bool {
 	if !c.retrying(now) {
 		return true
 	}
 	if !s.ordered {
 		return false
 	}
-	return s.silent(now, up) || !c.failedSince(s.returnedAt[up])
+	return s.silent(now, up) || !c.failedSince(v.returned[up])
 }
 
 // failedSince reports whether an attempt at the chunk is known to have failed after a time.
@@ -91,13 +90,14 @@
 	return now.Sub(s.lastReceived[up]) >= retryNoticeInterval
 }
 
-// slotsFor is how many chunks of a version may be in transfer from an upstream at a time.
-func (s *State) slotsFor(now time.Time, v *version, up string, taken, shared int) int {
+// slotsFor is how many chunks of a version and those before it may be in transfer from an
+// upstream at a time. earlier is how many slots those before it use.
+func (s *State) slotsFor(now time.Time, v *version, up string, earlier int) int {
 	switch {
-	case !s.ordered || v.priority == PriorityFirst || shared == 0:
+	case !s.ordered || v.priority == PriorityFirst || earlier == 0:
 		return s.fetchSlots(up)
-	case s.silent(now, up) && taken < probeSlots:
-		return shared + probeSlots
+	case s.silent(now, up):
+		return earlier + probeSlots
 	default:
 		return handoverSlots
 	}
@@ -111,14 +111,23 @@
 	}
 }
 
-// noteReturn is called when a chunk has come from an upstream. If that upstream had sent
-// nothing for some time, all chunks that wait for another attempt are requested at once, so
-// that its link is fully used.
-func (s *State) noteReturn(now time.Time, up string) {
-	if !s.ordered || !s.silent(now, up) {
+// noteReceived is called when a chunk of a version has come from an upstream. If that upstream
+// had sent nothing for some time, all chunks that wait for another attempt are requested at
+// once, so that its link is fully used.
+func (s *State) noteReceived(now time.Time, v *version, up string) {
+	if !s.ordered {
 		return
 	}
-	s.returnedAt[up] = now
+	if now.Sub(v.received[up]) >= retryNoticeInterval {
+		v.returned[up] = now
+	}
+	v.received[up] = now
+	if s.silent(now, up) {
+		s.retryAtOnce(now, up)
+	}
+}
+
+func (s *State) retryAtOnce(now time.Time, up string) {
 	for _, v := range s.versions {
 		for i, c := range v.chunks {
 			if v.upstream[i] == up && c.retryAt.After(now) {
@@ -155,12 +164,8 @@
 	return missing
 }
 
-// OriginUnavailable reports whether this side's last request to the origin failed, or the
-// region has got no chunk from outside for some time.
-func (s *State) OriginUnavailable(now time.Time) bool {
-	if s.originUpSince.IsZero() && !s.originFailedAt.IsZero() {
-		return true
-	}
+// UpstreamsSilent reports whether the region has got no chunk from outside for some time.
+func (s *State) UpstreamsSilent(now time.Time) bool {
 	for up := range s.lastReceived {
 		if !s.silent(now, up) {
 			return false
--- a/core/version/spread/retry.go
+++ b/core/version/spread/retry.go
@@ -35,7 +35,7 @@
 // shouldAnnounceRetry reports whether this side's attempts at a chunk that the region lacks
 // have failed.
 func (s *State) shouldAnnounceRetry(v *version, i int, c *chunkState) bool {
-	if v.keepOnly || c.held || v.heldInRegion.Has(i) {
+	if v.keepOnly || v.paused() || c.held || v.heldInRegion.Has(i) {
 		return false
 	}
 	return c.failures > 0 || c.deferrals > 0 && c.pending()
--- a/core/version/spread/state.go
+++ b/core/version/spread/state.go
@@ -131,9 +131,6 @@
 	supply map[string]*supplyTime
 	// lastReceived is when a chunk last came from an upstream.
 	lastReceived map[string]time.Time
-	// returnedAt is when a chunk last came from an upstream after it had sent none for
-	// some time.
-	returnedAt map[string]time.Time
 	// ordered is set while the wanted versions have priorities.
 	ordered bool
 	// originUpSince is since when the origin has answered this side, zero if its
@@ -163,7 +160,10 @@
 	heldInRegion    Bits     // held by some side of the region
 	neighbourCopies []uint16 // number of neighbours that hold each chunk
 	upstream        []string // the region each chunk comes from, empty for the origin
-	ranks           []int    // this side's rank for each chunk, rankUnknown until needed
+	// received is when a chunk of the version last came from each upstream, and returned when
+	// one last did after none had come for some time.
+	received, returned map[string]time.Time
+	ranks              []int // this side's rank for each chunk, rankUnknown until needed
 	// extraBytes is how much this side fetched from the origin beyond the region's
 	// first copy; extraRank is its rank among the sides that may do so.
 	extraBytes int64
@@ -273,7 +273,6 @@
 		down:         map[string]time.Time{},
 		unavailable:  map[string]bool{},
 		lastReceived: map[string]time.Time{},
-		returnedAt:   map[string]time.Time{},
 		supply:       map[string]*supplyTime{},
 	}
 }
--- a/core/version/spread/suspect.go
+++ b/core/version/spread/suspect.go
@@ -104,7 +104,6 @@
 // markAvailable records that a chunk has come from an upstream. If the upstream was
 // unavailable, due times restart, so that time lost in the outage does not count.
 func (s *State) markAvailable(now time.Time, up string) {
-	s.noteReturn(now, up)
 	s.lastReceived[up] = now
 	if !s.unavailable[up] {
 		return
--- a/core/version/spread/update.go
+++ b/core/version/spread/update.go
@@ -35,11 +35,13 @@
 	n := len(w.Manifest.Chunks)
 	v := &version{
 		id:              w.ID,
-		keepOnly:        w.KeepOnly || w.Priority == PriorityPaused,
+		keepOnly:        w.KeepOnly,
 		priority:        w.Priority,
 		extraRank:       rankUnknown,
 		manifest:        w.Manifest,
 		members:         map[string][]string{},
+		received:        map[string]time.Time{},
+		returned:        map[string]time.Time{},
 		heldHere:        NewBits(n),
 		pending:         NewBits(n),
 		heldInRegion:    NewBits(n),
@@ -127,6 +129,7 @@
 				known = true
 				v.heldInRegion = o.heldInRegion.clone()
 				v.extraBytes = o.extraBytes
+				v.received, v.returned = o.received, o.returned
 			}
 		}
 		if !known {
--- a/io/process/hosted/fetchplan.go
+++ b/io/process/hosted/fetchplan.go
@@ -54,7 +54,7 @@
 	}
 	missing := s.missingInRegion()
 	in := plan.Input{
-		Now: s.process.clock.Now(), LinkRate: f.Origin.LinkRate, OriginUnavailable: s.node.OriginUnavailable(),
+		Now: s.process.clock.Now(), LinkRate: f.Origin.LinkRate, OriginUnavailable: s.node.UpstreamsSilent(),
 		Newest: plannedVersion(newest, missing),
 	}
 	if len(known) > 1 {
--- a/io/version/swarm/node.go
+++ b/io/version/swarm/node.go
@@ -273,13 +273,12 @@
 	return out
 }
 
-// OriginUnavailable reports whether this side's last request to the origin failed, or the
-// region has got no chunk from outside for some time.
-func (n *Node) OriginUnavailable() bool {
+// UpstreamsSilent reports whether the region has got no chunk from outside for some time.
+func (n *Node) UpstreamsSilent() bool {
 	n.init()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.distribution.OriginUnavailable(n.Clock.Now())
+	return n.state.distribution.UpstreamsSilent(n.Clock.Now())
 }
 
 // progressOf returns the progress of one version. The caller holds n.mu.
