plan: transfer nothing of an older version that is of no use

Cause: once the region held the newest version, nothing came from outside, which the plan took for an unavailable origin: it had the rest of the older version requested. Neighbours also went on to exchange it.

Change: where the region holds the newest version, or the older one could not be loaded before its limit, its chunks are kept and nothing of it is transferred. The log has a line for that change of plan.

--- a/core/version/plan/plan.go
+++ b/core/version/plan/plan.go
@@ -58,6 +58,7 @@
 // The reasons.
 const (
 	ReasonSingle         Reason = "singleVersion"
+	ReasonNewestHeld     Reason = "newestHeld"
 	ReasonNewestInTime   Reason = "newestInTime"
 	ReasonOlderTooLate   Reason = "olderTooLate"
 	ReasonNearlyComplete Reason = "olderNearlyComplete"
@@ -110,9 +111,14 @@
 	WithoutService    time.Duration
 }
 
+// OlderUseless reports whether nothing is gained from the older version any more.
+func (p Plan) OlderUseless() bool {
+	return p.Reason == ReasonOlderTooLate || p.Reason == ReasonNewestHeld
+}
+
 // Same reports whether two plans differ in nothing that anybody acts on.
 func (p Plan) Same(o Plan) bool {
-	return p.Newest == o.Newest && p.Older == o.Older && p.Order == o.Order && p.LoadOlder == o.LoadOlder && p.ProbeOlder == o.ProbeOlder
+	return p.Newest == o.Newest && p.Older == o.Older && p.Order == o.Order && p.LoadOlder == o.LoadOlder && p.ProbeOlder == o.ProbeOlder && p.OlderUseless() == o.OlderUseless()
 }
 
 // continues reports whether p was made for the versions of in.
@@ -137,6 +143,9 @@
 
 // choose returns the better plan, or the one in force if the other is not much better.
 func (in Input) choose(newestOnly, olderFirst, previous Plan) Plan {
+	if in.Newest.Missing == 0 {
+		return newestOnly.because(ReasonNewestHeld)
+	}
 	if !in.usable(olderFirst.OlderIn) {
 		return newestOnly.because(ReasonOlderTooLate)
 	}
@@ -198,7 +207,7 @@
 	if previous.LoadOlder && previous.continues(in) {
 		return true
 	}
-	if in.OriginUnavailable && in.Newest.Missing > 0 && in.serviceEnd().Sub(in.Now) <= SpreadTime+allLoadsTime {
+	if in.OriginUnavailable && in.serviceEnd().Sub(in.Now) <= SpreadTime+allLoadsTime {
 		return true
 	}
 	return in.bridged(p.OlderIn, p.NewestIn) > secondLoadCost
@@ -208,7 +217,7 @@
 // stays so until the newest makes progress: what comes of the older one shows only that the
 // origin answers.
 func (in Input) probeOlder(p, previous Plan) bool {
-	if p.Order != OrderNewestOnly || p.Reason == ReasonOlderTooLate {
+	if p.Order != OrderNewestOnly || p.OlderUseless() {
 		return false
 	}
 	stuck := previous.ProbeOlder && previous.continues(in) && previous.NewestMissing == in.Newest.Missing
--- a/core/version/plan/plan_test.go
+++ b/core/version/plan/plan_test.go
@@ -35,6 +35,8 @@
 	unavailable.OriginUnavailable = true
 	noHope := testInput(8*time.Second, 1000, 0)
 	noHope.OriginUnavailable = true
+	idle := testInput(9*time.Second, 0, 400)
+	idle.OriginUnavailable = true
 	older := Plan{Newest: 3, Older: 2, Order: OrderOlderFirst}
 	newest := Plan{Newest: 3, Older: 2, Order: OrderNewestOnly}
 	other := Plan{Newest: 2, Older: 1, Order: OrderOlderFirst}
@@ -55,6 +57,7 @@
 		{"not much better", testInput(9*time.Second, 4000, 1100), newest, Plan{3, 2, OrderNewestOnly, ReasonKept, false, false, 0, 4000 * ms, 0, 3000 * ms}},
 		{"not much worse", testInput(9*time.Second, 4000, 1100), older, Plan{3, 2, OrderOlderFirst, ReasonKept, true, false, 0, 5100 * ms, 1100 * ms, 2200 * ms}},
 		{"nothing is fetched, so that a change costs nothing", unavailable, older, Plan{3, 2, OrderNewestOnly, ReasonLeastGap, false, true, 0, 4000 * ms, 0, 3000 * ms}},
+		{"the region holds the newest", idle, probing, Plan{3, 2, OrderNewestOnly, ReasonNewestHeld, false, false, 0, 0, 0, 0}},
 		{"the newest makes no progress", testInput(9*time.Second, 4000, 1600), probing, Plan{3, 2, OrderNewestOnly, ReasonLeastGap, false, true, 0, 4000 * ms, 0, 3000 * ms}},
 		{"the newest makes progress", testInput(9*time.Second, 3900, 1600), probing, Plan{3, 2, OrderNewestOnly, ReasonLeastGap, false, false, 0, 3900 * ms, 0, 2900 * ms}},
 		{"the older one is too late", testInput(11500*ms, 4000, 600), older, Plan{3, 2, OrderNewestOnly, ReasonOlderTooLate, false, false, 0, 4000 * ms, 0, 5500 * ms}},
--- a/core/version/spread/priority.go
+++ b/core/version/spread/priority.go
@@ -23,6 +23,8 @@
 	// PriorityPaused marks a version that is not fetched for the region. Its chunks are kept,
 	// and requested from neighbours that hold nothing else that this side lacks.
 	PriorityPaused Priority = "paused"
+	// PriorityKept marks a version of which nothing is transferred, though its chunks are kept.
+	PriorityKept Priority = "kept"
 )
 
 // PriorityOf returns the priority that a plan gives a version.
@@ -32,6 +34,8 @@
 		return PriorityFirst
 	case version == p.Newest || p.ProbeOlder:
 		return PriorityNext
+	case p.OlderUseless():
+		return PriorityKept
 	default:
 		return PriorityPaused
 	}
--- a/core/version/spread/update.go
+++ b/core/version/spread/update.go
@@ -35,7 +35,7 @@
 	n := len(w.Manifest.Chunks)
 	v := &version{
 		id:              w.ID,
-		keepOnly:        w.KeepOnly,
+		keepOnly:        w.KeepOnly || w.Priority == PriorityKept,
 		priority:        w.Priority,
 		extraRank:       rankUnknown,
 		manifest:        w.Manifest,
--- a/io/process/hosted/fetchplan_test.go
+++ b/io/process/hosted/fetchplan_test.go
@@ -60,13 +60,15 @@
 	if diff := cmp.Diff(want, got, cmpopts.IgnoreFields(plan.Plan{}, "NewestMissing")); diff != "" {
 		t.Errorf("plan (-want +got):\n%s", diff)
 	}
-	line := trail.Decision{
-		Area: trail.AreaTransfer, Action: "plan", Subject: "m", Choice: "3", Outcome: "newestOnly", Reason: "newestInTime",
-		Fetches: &trail.FetchPlan{Versions: []trail.PlannedVersion{
-			{Version: 3, Priority: "first", MissingBytes: 4000, ExpectedMS: 4000}, {Version: 2, Priority: "paused", MissingBytes: 4000},
-		}},
+	line := func(reason, olderPriority string, withoutServiceMS int64) trail.Decision {
+		return trail.Decision{
+			Area: trail.AreaTransfer, Action: "plan", Subject: "m", Choice: "3", Outcome: "newestOnly", Reason: reason,
+			Fetches: &trail.FetchPlan{WithoutServiceMS: withoutServiceMS, Versions: []trail.PlannedVersion{
+				{Version: 3, Priority: "first", MissingBytes: 4000, ExpectedMS: 4000}, {Version: 2, Priority: olderPriority, MissingBytes: 4000},
+			}},
+		}
 	}
-	if diff := cmp.Diff(decisions{line}, *log); diff != "" {
+	if diff := cmp.Diff(decisions{line("newestInTime", "paused", 0), line("olderTooLate", "kept", 4300)}, *log); diff != "" {
 		t.Errorf("log lines (-want +got):\n%s", diff)
 	}
 }
