--- a/core/version/spread/update.go
+++ b/core/version/spread/update.go
@@ -16,6 +16,7 @@
 func (s *State) Update(now time.Time, wanted []WantedVersion) []Action {
 	old := s.versions
 	s.versions = nil
+	s.setPriorities(wanted)
 	for _, c := range s.chunks {
 		c.positions = nil
 	}
@@ -34,10 +35,13 @@
 	n := len(w.Manifest.Chunks)
 	v := &version{
 		id:              w.ID,
-		keepOnly:        w.KeepOnly,
+		keepOnly:        w.KeepOnly || w.Priority == PriorityKept,
+		priority:        w.Priority,
 		extraRank:       rankUnknown,
 		manifest:        w.Manifest,
 		members:         map[string][]string{},
+		received:        map[string]time.Time{},
+		returned:        map[string]time.Time{},
 		heldHere:        NewBits(n),
 		pending:         NewBits(n),
 		heldInRegion:    NewBits(n),
@@ -125,6 +129,7 @@
 				known = true
 				v.heldInRegion = o.heldInRegion.clone()
 				v.extraBytes = o.extraBytes
+				v.received, v.returned = o.received, o.returned
 			}
 		}
 		if !known {
