demand, loads: exchange demand with collectors

An entry knows only its own requests, so that it cannot tell which share of a service's engines is left for less urgent ones. Up to three sides of a service now add up the demand of all entries: an entry tells them its rates on the connection for load reports (demand) and gets the sum in reply (demandTotals). Package demand decides which sides these are, when they are told and which reply counts.

An entry that needs no load reports of a collector says so: the collector does not count it among its listeners, from which entries estimate their number, and sends it only what shows that the connection is alive.

--- a/io/process/loads/listen.go
+++ b/io/process/loads/listen.go
@@ -32,6 +32,9 @@
 	OnLoad func(addr netip.AddrPort, l Load)
 	// OnGrant is called with permits that the side at addr has granted. It must not block.
 	OnGrant func(addr netip.AddrPort, g lease.Grant)
+	// OnTotals is called with the demand of all entries for a service, as the collector at
+	// addr knows it. It must not block.
+	OnTotals func(addr netip.AddrPort, t Totals)
 	// Uptime is a clock that keeps counting while the machine is suspended.
 	Uptime func() time.Duration
 
@@ -115,6 +118,8 @@
 			l.OnLoad(addr, *m)
 		case *leaseGrant:
 			l.receiveGrant(addr, m)
+		case *demandTotals:
+			l.receiveTotals(addr, m)
 		}
 	}
 }
--- a/io/process/loads/publisher.go
+++ b/io/process/loads/publisher.go
@@ -8,12 +8,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/demand"
 	"hawthornferry/core/request/lease"
 	"hawthornferry/io/conn/frame"
 	"hawthornferry/io/conn/link"
@@ -89,6 +91,8 @@
 	k.Register(func() frame.Message { return &Load{} })
 	k.Register(func() frame.Message { return &leaseRequest{} })
 	k.Register(func() frame.Message { return &leaseGrant{} })
+	k.Register(func() frame.Message { return &demandReport{} })
+	k.Register(func() frame.Message { return &demandTotals{} })
 	return k
 }
 
@@ -122,6 +126,9 @@
 	ownZone     int
 	otherZones  int
 	changed     chan struct{}
+	demands     demand.Ledger
+	// connections is the number of connections so far.
+	connections uint64
 }
 
 // Announce reports that the engine is about to load, or, with false, that the order to load
@@ -255,25 +262,45 @@
 	p.otherZones += n
 }
 
+// subscriber is an entry that is connected. It is a listener, which gets load reports and is
+// counted in them, unless it has said that it needs only what the collector of a service
+// knows.
+type subscriber struct {
+	publisher  *Publisher
+	conn       *link.Conn
+	source     demand.Source
+	demandOnly atomic.Bool
+}
+
+// setDemandOnly records whether the entry needs no load reports. If other entries counted it
+// among the listeners, they would overestimate how many entries there are.
+func (s *subscriber) setDemandOnly(only bool) {
+	if s.demandOnly.Swap(only) == only {
+		return
+	}
+	n := 1
+	if only {
+		n = -1
+	}
+	s.publisher.countEntries(s.conn.Peer.VM.Zone, n)
+}
+
 // serve sends reports to one entry until its connection ends.
 func (p *Publisher) serve(ctx context.Context, c *link.Conn) {
+	s := &subscriber{publisher: p, conn: c, source: p.addSource(c)}
+	defer p.removeSource(s.source)
 	p.countEntries(c.Peer.VM.Zone, 1)
-	defer p.countEntries(c.Peer.VM.Zone, -1)
+	defer s.setDemandOnly(true)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		// Receive returns an error when the connection ends.
+	var receiving sync.WaitGroup
+	// A message that is handled after this would count the entry once more.
+	defer receiving.Wait()
+	defer c.Close()
+	receiving.Go(func() {
 		defer cancel()
-		for {
-			m, err := c.Receive()
-			if err != nil {
-				return
-			}
-			if r, ok := m.(*leaseRequest); ok && p.grant(c, r) != nil {
-				return
-			}
-		}
-	}()
+		p.logInvalid(s.source, s.receive())
+	})
 	for ctx.Err() == nil {
 		l, published, changed := p.current()
 		if published {
@@ -284,14 +311,44 @@
 				return
 			}
 		}
-		p.awaitReport(ctx, &l, changed)
+		p.awaitReport(ctx, &l, changed, s.demandOnly.Load())
 	}
 }
 
+// receive answers an entry's messages until the connection ends, and returns why it did.
+func (s *subscriber) receive() error {
+	for {
+		m, err := s.conn.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *leaseRequest:
+			err = s.publisher.grant(s.conn, m)
+		case *demandReport:
+			s.setDemandOnly(m.DemandOnly)
+			err = s.send(s.publisher.recordDemand(s.source, m))
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *subscriber) send(m frame.Message) error {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return err
+	}
+	return s.conn.Send(m)
+}
+
 // awaitReport returns once the next report to an entry is due, after l was sent to it: at
 // once for an urgent change, after reportInterval for another one, and after
-// heartbeatInterval without a change.
-func (p *Publisher) awaitReport(ctx context.Context, l *Load, changed <-chan struct{}) {
+// heartbeatInterval without a change. An entry that needs only demand gets no changes.
+func (p *Publisher) awaitReport(ctx context.Context, l *Load, changed <-chan struct{}, demandOnly bool) {
+	if demandOnly {
+		changed = nil
+	}
 	heartbeat := p.Clock.After(heartbeatInterval)
 	p.mu.Lock()
 	reportInterval := p.reportInterval()
