direct, hosted, platform: put demand, levels and priorities to use

Entries tell the collectors of a service their demand and hand the totals to the placer, only where an engine service has requests of different priorities. Engines of these services get the request's priority for their own queue (Hawthornferry-Request-Priority); a caller's value was removed before and still is.

A refusal by the level is counted (requests_held_back_total) and logged with the share and the age of what it is based on.

--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -18,14 +18,16 @@
 // time: the decisions on it by all processes, and what each of these processes
 // knew of the configuration, the store, the versions and the targets that the
 // request went to. Of the latter, the last record on each matter from before the
-// request is included, and every change while the request was in progress. It
-// sorts records in place.
+// request is included, and every change while the request was in progress. The
+// admission level is included for a request that it has refused. It sorts records
+// in place.
 func Explain(records []trail.Decision, request string) []Line {
 	slices.SortStableFunc(records, func(a, b trail.Decision) int { return a.Time.Compare(b.Time) })
 	var out []Line
 	processes := map[string]bool{}
 	targets := map[string]bool{}
 	fingerprints := map[string]bool{}
+	levels := map[string]bool{}
 	var last trail.Decision
 	for _, d := range records {
 		if d.Request != request {
@@ -38,6 +40,9 @@
 		if d.Fingerprint != "" {
 			fingerprints[d.Fingerprint] = true
 		}
+		if d.Level != nil {
+			levels[d.Service] = true
+		}
 		last = d
 		out = append(out, Line{Decision: d})
 	}
@@ -47,7 +52,7 @@
 	start := requestStart(out)
 	latest := map[string]trail.Decision{}
 	for _, d := range records {
-		if !processes[d.Process] || d.Request != "" || !isRelevantState(d, targets, fingerprints) {
+		if !processes[d.Process] || d.Request != "" || !isRelevantState(d, targets, fingerprints, levels) {
 			continue
 		}
 		switch {
@@ -79,8 +84,9 @@
 }
 
 // isRelevantState reports whether a record says what a process knows of anything
-// that affects a request that was sent to targets and has one of fingerprints.
-func isRelevantState(d trail.Decision, targets, fingerprints map[string]bool) bool {
+// that affects a request that was sent to targets, has one of fingerprints and was
+// refused by the admission levels of services.
+func isRelevantState(d trail.Decision, targets, fingerprints, levels map[string]bool) bool {
 	switch d.Area {
 	case trail.AreaConfig:
 		return true
@@ -90,6 +96,8 @@
 		return d.Subject == "" && d.Choice == "" || targets[d.Subject]
 	case trail.AreaRouting:
 		return d.Action == "versionDemanded" || fingerprints[d.Fingerprint]
+	case trail.AreaAdmission:
+		return d.Action == trail.ActionLevelChanged && levels[d.Service]
 	default:
 		return false
 	}
--- a/core/process/audit/explain_test.go
+++ b/core/process/audit/explain_test.go
@@ -113,3 +113,32 @@
 		t.Errorf("explanation (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an explanation of a request that the admission level has refused without the
+// last change of that level, and against one of another service.
+func TestExplainIncludesTheAdmissionLevel(t *testing.T) {
+	at := func(s int) time.Time { return time.Date(2026, 12, 3, 6, 0, s, 0, time.UTC) }
+	change := func(s int, service string) trail.Decision {
+		return trail.Decision{Time: at(s), Process: "e1", Area: trail.AreaAdmission, Action: trail.ActionLevelChanged, Service: service}
+	}
+	answer := trail.Decision{Time: at(6), Process: "e1", Area: trail.AreaCall, Action: "answer", Request: "r1", Service: "a"}
+	refusal := answer
+	refusal.Level = &trail.AdmissionLevel{Shares: []trail.PriorityShare{{Priority: 2, Share: .3}}, Entries: 12}
+	tests := []struct {
+		name   string
+		answer trail.Decision
+		want   []string
+	}{
+		{"refused by the level", refusal, []string{"levelChanged a 3", "answer a 6"}},
+		{"not refused by it", answer, []string{"answer a 6"}},
+	}
+	for _, tc := range tests {
+		var got []string
+		for _, l := range Explain([]trail.Decision{change(1, "a"), change(3, "a"), change(4, "b"), tc.answer}, "r1") {
+			got = append(got, l.Decision.Action+" "+l.Decision.Service+" "+l.Decision.Time.Format("5"))
+		}
+		if diff := cmp.Diff(tc.want, got); diff != "" {
+			t.Errorf("%s: explanation (-want +got):\n%s", tc.name, diff)
+		}
+	}
+}
--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -106,3 +106,18 @@
 	Version uint64 `json:"version"`
 	Targets int    `json:"targets"`
 }
+
+// AdmissionLevel is the share of a service's requests that may begin, with what it is based on.
+type AdmissionLevel struct {
+	Shares []PriorityShare `json:"shares"`
+	// Entries is the number of entries whose demand was added up, 1 if an entry uses only its
+	// own. AgeMS is how old the sum is.
+	Entries int   `json:"entries"`
+	AgeMS   int64 `json:"ageMs"`
+}
+
+// PriorityShare is the share of the requests of a priority that may begin.
+type PriorityShare struct {
+	Priority int     `json:"priority"`
+	Share    float64 `json:"share"`
+}
--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -33,6 +33,10 @@
 	ActionTargetBackoff   = "targetBackoff"
 )
 
+// ActionLevelChanged is the action of the record that another priority is now the least
+// urgent one of a service whose requests are all admitted.
+const ActionLevelChanged = "levelChanged"
+
 // Exclusion is a candidate that was not chosen, and the reason.
 type Exclusion struct {
 	Name   string `json:"name"`
@@ -120,6 +124,9 @@
 	// RetryBudget is set for a request that the retry budget of its service did not allow
 	// to be sent again.
 	RetryBudget *RetryBudget `json:"retryBudget,omitempty"`
+	// Level is set for a change of a service's admission level, and for a request that it
+	// has refused.
+	Level *AdmissionLevel `json:"admission,omitempty"`
 	// State is set for the periodic snapshots of what a process knows.
 	State *State `json:"state,omitempty"`
 }
--- a/core/request/demand/change.go
+++ b/core/request/demand/change.go
@@ -41,13 +41,18 @@
 // admittedInFull returns how many of the priorities are admitted in full, from the most urgent
 // one on.
 func admittedInFull(s level.State, priorities []int) int {
-	if !s.InForce {
-		return len(priorities)
-	}
 	for i, p := range priorities {
-		if s.Shares[p] < 1 {
+		if Share(s, p) < 1 {
 			return i
 		}
 	}
 	return len(priorities)
 }
+
+// Share returns the share of the requests of a priority that may begin.
+func Share(s level.State, priority int) float64 {
+	if !s.InForce || priority < 0 || priority >= level.Priorities {
+		return 1
+	}
+	return s.Shares[priority]
+}
--- a/io/process/cmds/explain.go
+++ b/io/process/cmds/explain.go
@@ -91,6 +91,9 @@
 	if d.RetryBudget != nil {
 		parts = append(parts, "retryBudget="+compactJSON(d.RetryBudget))
 	}
+	if d.Level != nil {
+		parts = append(parts, "admission="+compactJSON(d.Level))
+	}
 	if d.Candidates != nil {
 		parts = append(parts, "candidates="+compactJSON(d.Candidates))
 	}
--- a/io/process/hosted/entry.go
+++ b/io/process/hosted/entry.go
@@ -79,7 +79,11 @@
 		entry: e.Settings.VM, sidePort: e.Settings.SidePort, setSides: loadListener.SetSides, report: server.Report,
 		requestLease: loadListener.RequestLease, addPermits: server.AddPermits,
 	}
-	loadListener.OnLoad, loadListener.OnGrant = reports.receive, reports.receivePermits
+	demands := &demandReports{
+		clock: p.clock, uptime: uptime.Now, log: p.log, metrics: p.metrics, sidePort: e.Settings.SidePort, source: server, sender: loadListener,
+	}
+	reports.addCollectors = demands.setTargets
+	loadListener.OnLoad, loadListener.OnGrant, loadListener.OnTotals = reports.receive, reports.receivePermits, demands.receive
 	server.Placer.RequestLease = reports.askForPermits
 	p.components = append(
 		p.components,
@@ -88,6 +92,7 @@
 		component{"alerts", hubClient.Run},
 		component{"target list", listChecker.Run},
 		component{"alert hubs", func(ctx context.Context) error { return p.updateHubs(ctx, hubClient.SetHubs) }},
+		component{"demand", demands.run},
 		component{"sides to listen to", func(ctx context.Context) error { return reports.watchTargets(ctx, p.feed) }},
 	)
 	p.ready, p.drain, p.served, p.ends = server.Ready, server.Drain, server.Served, server.AttemptEnds
--- a/io/process/hosted/reports.go
+++ b/io/process/hosted/reports.go
@@ -22,6 +22,9 @@
 	// report of one target.
 	setSides func(sides []netip.AddrPort)
 	report   func(target string, r place.LoadReport)
+	// addCollectors returns the sides to which to keep connections, given those whose load
+	// reports this entry needs: the same and the collectors of demand.
+	addCollectors func(f *facts.Facts, sides []netip.AddrPort) []netip.AddrPort
 	// requestLease asks a side for permits, and addPermits passes on those for one target.
 	requestLease func(side netip.AddrPort, want int, limit lease.RateLimit)
 	addPermits   func(target string, g lease.Grant)
@@ -81,7 +84,7 @@
 		}
 	}
 	r.setVMs(vms)
-	r.setSides(sides)
+	r.setSides(r.addCollectors(f, sides))
 }
 
 func (r *loadReports) setVMs(vms map[netip.Addr]sideVM) {
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/lease"
+	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/await"
@@ -173,6 +174,24 @@
 	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, g) })
 }
 
+// demand returns this entry's demand for each service whose requests have different
+// priorities, and the level of each.
+func (d *dispatcher) demand() (rates map[string]level.Rates, levels map[string]level.State) {
+	d.Do(func() []place.Verdict {
+		rates, levels = d.placer.Rates(d.clock.Now()), d.placer.Levels()
+		return nil
+	})
+	return rates, levels
+}
+
+// setDemandTotals tells the placer the demand of all entries for a service.
+func (d *dispatcher) setDemandTotals(service string, t DemandTotals) {
+	d.Do(func() []place.Verdict {
+		d.placer.SetTotals(d.clock.Now(), service, t.Totals, t.Until)
+		return nil
+	})
+}
+
 // minFirstShare is the fraction of a route's longest deadline from which on a deadline
 // is taken for that of a first request. It allows for callers that wait for different
 // times. A caller that was told to retry after a second has less left: of a deadline of
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -362,6 +362,7 @@
 	s.HeaderCodec.WriteForward(h, ForwardHeaders{
 		Target: v.Target.ID, Remaining: q.deadline.Sub(s.Clock.Now()), Customer: q.customer,
 		LastEventID: q.lastEventID, RequiredVersion: s.expectedVersion(q, v.ServedVersion),
+		Priority: s.engineQueuePriority(q),
 	})
 	out := (&http.Request{Method: q.incoming.Method, Host: q.incoming.Host, Header: h, Close: true}).WithContext(ctx)
 	u := *q.incoming.URL
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -48,6 +48,9 @@
 	LastEventID string
 	// RequiredVersion is the model version that the target must serve, zero for any.
 	RequiredVersion uint64
+	// Priority is that of the request in the target's own queue, from 0, the most urgent. It
+	// is nil if all requests of the service have the same.
+	Priority *int
 }
 
 // ReplyHeaders holds what the headers of a target's response say.
--- /dev/null
+++ b/io/request/direct/level.go
@@ -0,0 +1,130 @@
+package direct
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"hawthornferry/core/process/trail"
+	"hawthornferry/core/request/demand"
+	"hawthornferry/core/request/level"
+	"hawthornferry/core/request/place"
+	"hawthornferry/core/request/table"
+)
+
+// reasonLessUrgent is the reason of a request that the admission level has refused.
+const reasonLessUrgent place.Reason = "lessUrgent"
+
+// sharePrecision is the precision of shares in log lines.
+const sharePrecision = 1000
+
+// DemandTotals is the demand of all entries for a service as of a time. It is used until
+// Until.
+type DemandTotals struct {
+	Totals level.Totals
+	AsOf   time.Time
+	Until  time.Time
+}
+
+// demandTotals holds the latest totals of each service.
+type demandTotals struct {
+	mu     sync.Mutex
+	latest map[string]DemandTotals
+}
+
+func (d *demandTotals) set(service string, t DemandTotals) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.latest == nil {
+		d.latest = map[string]DemandTotals{}
+	}
+	d.latest[service] = t
+}
+
+// at returns the totals of a service that are used at the given time, false if the entry uses
+// its own demand instead.
+func (d *demandTotals) at(now time.Time, service string) (DemandTotals, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, known := d.latest[service]
+	return t, known && now.Before(t.Until)
+}
+
+// Demand returns this entry's demand for each service whose requests have different
+// priorities, and the level of each.
+func (s *Server) Demand() (map[string]level.Rates, map[string]level.State) {
+	s.init()
+	return s.dispatcher.demand()
+}
+
+// SetDemandTotals sets the demand of all entries for a service.
+func (s *Server) SetDemandTotals(service string, t DemandTotals) {
+	s.init()
+	s.demandTotals.set(service, t)
+	s.dispatcher.setDemandTotals(service, t)
+}
+
+// DemandEntries returns the number of entries whose demand for a service is added up, 1 if
+// this entry uses only its own.
+func (s *Server) DemandEntries(service string) int {
+	if t, known := s.demandTotals.at(s.Clock.Now(), service); known {
+		return t.Totals.Entries
+	}
+	return 1
+}
+
+// DescribeLevel describes the level of a service for the log, with the shares of the given
+// priorities.
+func (s *Server) DescribeLevel(service string, state level.State, priorities ...int) *trail.AdmissionLevel {
+	out := &trail.AdmissionLevel{Entries: s.DemandEntries(service)}
+	for _, p := range priorities {
+		out.Shares = append(out.Shares, trail.PriorityShare{Priority: p, Share: math.Round(demand.Share(state, p)*sharePrecision) / sharePrecision})
+	}
+	now := s.Clock.Now()
+	if t, known := s.demandTotals.at(now, service); known {
+		out.AgeMS = now.Sub(t.AsOf).Milliseconds()
+	}
+	return out
+}
+
+// recordHeldBack counts a request that the admission level has refused, and returns the level
+// for its log line; nil for any other request.
+func (s *Server) recordHeldBack(q *request) *trail.AdmissionLevel {
+	v := q.progress.verdict
+	if v.Decision != place.Refused || v.Reason != reasonLessUrgent {
+		return nil
+	}
+	s.metrics.countHeldBack(q.service.Name, q.route.Priority)
+	_, levels := s.dispatcher.demand()
+	return s.DescribeLevel(q.service.Name, levels[q.service.Name], q.route.Priority)
+}
+
+// byPriority tells which services a table has whose requests may have different priorities.
+// Requests are placed by them more often than the table changes.
+type byPriority struct {
+	table    *table.Table
+	services map[string]bool
+}
+
+// engineQueuePriority returns the priority that the target's own queue is to be told, nil if
+// all requests of the service have the same.
+func (s *Server) engineQueuePriority(q *request) *int {
+	t := q.facts.Table
+	known := s.byPriority.Load()
+	if known == nil || known.table != t {
+		known = &byPriority{t, servicesByPriority(t)}
+		s.byPriority.Store(known)
+	}
+	if !known.services[q.service.Name] {
+		return nil
+	}
+	return &q.route.Priority
+}
+
+func servicesByPriority(t *table.Table) map[string]bool {
+	out := map[string]bool{}
+	for _, v := range t.Services {
+		out[v.Name] = v.Engine != nil && len(t.Priorities(v.Name)) > 1
+	}
+	return out
+}
--- a/io/request/direct/metrics.go
+++ b/io/request/direct/metrics.go
@@ -39,7 +39,9 @@
 	service string
 	outcome string
 	reason  string
-	status  int
+	// priority is that of the request in decimal digits.
+	priority string
+	status   int
 }
 
 func (k counterKey) tags() map[string]string {
@@ -53,6 +55,7 @@
 	add("service", k.service)
 	add("outcome", k.outcome)
 	add("reason", k.reason)
+	add("priority", k.priority)
 	if k.status >= 0 {
 		tags["status"] = strconv.Itoa(k.status)
 	}
@@ -109,6 +112,11 @@
 	m.count(counterKey{name: "blocked_total", service: service, status: noStatus})
 }
 
+// countHeldBack counts a request that the admission level has refused.
+func (m requestMetrics) countHeldBack(service string, priority int) {
+	m.count(counterKey{name: "held_back_total", service: service, priority: strconv.Itoa(priority), status: noStatus})
+}
+
 // countAborted counts an attempt that the entry itself aborted.
 func (m requestMetrics) countAborted(c endCause) {
 	m.count(counterKey{name: "abandoned_total", reason: string(c), status: noStatus})
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -196,6 +196,7 @@
 	}
 	d.FirstEventMS = q.progress.timeToFirstEvent.Milliseconds()
 	d.RetryBudget = s.deniedRetry(q)
+	d.Level = s.recordHeldBack(q)
 	if q.progress.attempts > 1 {
 		d.Attempts = q.progress.attempts
 	}
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -96,6 +96,8 @@
 	callerDeadlines callerDeadlines
 	watchdogs       watchdogSet
 	endCounts       endCounts
+	demandTotals    demandTotals
+	byPriority      atomic.Pointer[byPriority]
 	// loggedVersions holds, by model, the minimum version that was last logged.
 	loggedVersions sync.Map
 }
