--- a/io/process/hosted/demand_test.go
+++ b/io/process/hosted/demand_test.go
@@ -45,10 +45,13 @@
 func (t *demandTest) Demand() (map[string]level.Rates, map[string]level.State) {
 	return t.rates, t.levels
 }
+
 func (t *demandTest) SetDemandTotals(service string, d direct.DemandTotals) { t.totals[service] = d }
-func (t *demandTest) DemandEntries(service string) int                      { return t.totals[service].Totals.Entries }
-func (t *demandTest) Record(d trail.Decision)                               { t.lines = append(t.lines, d) }
-func (t *demandTest) Connected(netip.AddrPort) bool                         { return true }
+
+func (t *demandTest) DemandEntries(service string) int { return t.totals[service].Totals.Entries }
+
+func (t *demandTest) Record(d trail.Decision)       { t.lines = append(t.lines, d) }
+func (t *demandTest) Connected(netip.AddrPort) bool { return true }
 
 func (t *demandTest) DescribeLevel(string, level.State, ...int) *trail.AdmissionLevel {
 	return &trail.AdmissionLevel{}
--- a/io/process/loads/demand_test.go
+++ b/io/process/loads/demand_test.go
@@ -194,3 +194,20 @@
 		t.Errorf("lines (-want +got):\n%s", diff)
 	}
 }
+
+// BenchmarkDemandMessage measures encoding and decoding a message of three priorities.
+func BenchmarkDemandMessage(b *testing.B) {
+	rates := twoPriorities()
+	rates.Offered[1] = 1
+	m := &demandReport{Service: "svc", Rates: newRateList(&rates), Seq: 1 << 20, IntervalMS: 250}
+	var buf bytes.Buffer
+	w, r := frame.NewWriter(&buf), frame.NewReader(&buf, kinds())
+	for b.Loop() {
+		if err := w.Write(m, 1<<40); err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := r.Read(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
