direct: tell an engine's queue priorities only where the level is active

A service whose engines have an implausible speed has no admission level, and its engines are told no priorities either. The services with a level are noted before the verdicts of an update are delivered, so that no request is sent without its priority.

--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 type dispatcher struct {
 	clock  clockwork.Clock
 	placer *place.Placer
+	// levels holds the services with an admission level.
+	levels atomic.Pointer[map[string]level.State]
 	await.Dispatcher[place.Verdict]
 }
 
@@ -133,7 +136,22 @@
 
 // update hands new facts to the placer.
 func (d *dispatcher) update(f *facts.Facts) {
-	d.Do(func() []place.Verdict { return d.placer.Update(d.clock.Now(), f) })
+	d.Do(func() []place.Verdict {
+		verdicts := d.placer.Update(d.clock.Now(), f)
+		levels := d.placer.Levels()
+		d.levels.Store(&levels)
+		return verdicts
+	})
+}
+
+// hasLevel reports whether a service has an admission level, by the latest facts.
+func (d *dispatcher) hasLevel(service string) bool {
+	levels := d.levels.Load()
+	if levels == nil {
+		return false
+	}
+	_, ok := (*levels)[service]
+	return ok
 }
 
 // setRoundTrip tells the placer the shortest measured round trip to the targets of a
--- a/io/request/direct/headers.go
+++ b/io/request/direct/headers.go
@@ -49,7 +49,7 @@
 	// RequiredVersion is the model version that the target must serve, zero for any.
 	RequiredVersion uint64
 	// Priority is that of the request in the target's own queue, from 0, the most urgent. It
-	// is nil if all requests of the service have the same.
+	// is nil if the service has no admission level.
 	Priority *int
 }
 
--- a/io/request/direct/level.go
+++ b/io/request/direct/level.go
@@ -9,7 +9,6 @@
 	"hawthornferry/core/request/demand"
 	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/place"
-	"hawthornferry/core/request/table"
 )
 
 // reasonLessUrgent is the reason of a request that the admission level has refused.
@@ -99,32 +98,11 @@
 	return s.DescribeLevel(q.service.Name, levels[q.service.Name], q.route.Priority)
 }
 
-// byPriority tells which services a table has whose requests may have different priorities.
-// Requests are placed by them more often than the table changes.
-type byPriority struct {
-	table    *table.Table
-	services map[string]bool
-}
-
 // engineQueuePriority returns the priority that the target's own queue is to be told, nil if
-// all requests of the service have the same.
+// the service has no admission level.
 func (s *Server) engineQueuePriority(q *request) *int {
-	t := q.facts.Table
-	known := s.byPriority.Load()
-	if known == nil || known.table != t {
-		known = &byPriority{t, servicesByPriority(t)}
-		s.byPriority.Store(known)
-	}
-	if !known.services[q.service.Name] {
+	if !s.dispatcher.hasLevel(q.service.Name) {
 		return nil
 	}
 	return &q.route.Priority
 }
-
-func servicesByPriority(t *table.Table) map[string]bool {
-	out := map[string]bool{}
-	for _, v := range t.Services {
-		out[v.Name] = v.Engine != nil && len(t.Priorities(v.Name)) > 1
-	}
-	return out
-}
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -97,7 +97,6 @@
 	watchdogs       watchdogSet
 	endCounts       endCounts
 	demandTotals    demandTotals
-	byPriority      atomic.Pointer[byPriority]
 	// loggedVersions holds, by model, the minimum version that was last logged.
 	loggedVersions sync.Map
 }
