level, place: admit the more urgent requests first

Cause: under overload the least urgent class is served best. Priority orders only what waits in one entry, and the least urgent requests, which have the longest objective and the smallest prompts, fit where the others do not.

Change: level.Controller decides from the demand of all entries which share of each priority may begin; the placer refuses the others at once (lessUrgent). A new request does not overtake more urgent ones that wait at the same entry. It is active for services with a declared engine and at least two priorities.

--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/table"
 )
 
@@ -90,6 +91,7 @@
 	}
 	p.active[q.request.ID] = r
 	s.recordPlacement(&q.request, true)
+	s.count(now, level.Placed, q)
 	t.ownRequests++
 	t.unreadPrompt += q.request.PromptTokens
 	t.unreported = append(t.unreported, sentRequest{at: now, prompt: q.request.PromptTokens})
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -1,19 +1,188 @@
 package place
 
 import (
+	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hawthornferry/core/request/level"
+	"hawthornferry/core/request/table"
+)
+
+const (
+	// levelInterval is how often the admission level is decided from the same totals.
+	levelInterval = 100 * time.Millisecond
+	// maxPassTime and maxPrefill bound what counts as a plausible speed of an engine: a
+	// pass of a minute, and more prompt tokens a second than any engine reads.
+	maxPassTime = time.Minute
+	maxPrefill  = 1e9
+	// maxWork bounds the engine seconds counted for one request, since callers name the
+	// length of their answers.
+	maxWork = 60.0
 )
 
+// levelState is the admission level of a service whose requests differ in priority.
+type levelState struct {
+	meter      level.Meter
+	controller level.Controller
+	updatedAt  time.Time
+	totals     level.Totals
+	until      time.Time
+	// slotPass is the part of a pass that one of its sequences takes, in seconds.
+	slotPass float64
+}
+
 // Rates returns this entry's demand for each service that has requests of different
 // priorities.
-func (p *Placer) Rates(time.Time) map[string]level.Rates { return nil }
+func (p *Placer) Rates(now time.Time) map[string]level.Rates {
+	out := map[string]level.Rates{}
+	for name, s := range p.services {
+		if s.level != nil {
+			out[name] = s.level.meter.Rates(now)
+		}
+	}
+	return out
+}
 
 // SetTotals sets the demand of all entries for a service. It is used until the given time;
 // after that the entry's own demand takes its place.
-func (p *Placer) SetTotals(_ time.Time, _ string, _ level.Totals, _ time.Time) {}
+func (p *Placer) SetTotals(now time.Time, name string, t level.Totals, until time.Time) {
+	s := p.services[name]
+	if s == nil || s.level == nil {
+		return
+	}
+	s.level.totals, s.level.until = t, until
+	s.level.update(now)
+}
 
 // Levels returns the admission level of each service that has requests of different
 // priorities.
-func (p *Placer) Levels() map[string]level.State { return nil }
+func (p *Placer) Levels() map[string]level.State {
+	out := map[string]level.State{}
+	for name, s := range p.services {
+		if s.level != nil {
+			out[name] = s.level.controller.State()
+		}
+	}
+	return out
+}
+
+// ImplausibleEngines returns the services whose requests differ in priority, but whose
+// declared engine speed does not allow their work to be counted.
+func (p *Placer) ImplausibleEngines() map[string]error {
+	out := map[string]error{}
+	for name, s := range p.services {
+		if s.levelProblem != nil {
+			out[name] = s.levelProblem
+		}
+	}
+	return out
+}
+
+// setLevel turns admission by priority on or off after a change of the configuration.
+func (s *service) setLevel(t *table.Table) {
+	s.levelProblem = nil
+	if s.engine == nil || len(t.Priorities(s.name)) < 2 {
+		s.level = nil
+		return
+	}
+	slotPass, err := slotPassOf(s.engine)
+	if err != nil {
+		s.level, s.levelProblem = nil, err
+		return
+	}
+	if s.level == nil {
+		s.level = &levelState{}
+	}
+	s.level.slotPass = slotPass
+}
+
+// slotPassOf returns the part of a pass of a full engine that one of its sequences takes,
+// in seconds, or an error if the declared speed is not plausible.
+func slotPassOf(e *table.Engine) (float64, error) {
+	if e.Slots <= 0 || e.TokensPerPass <= 0 || e.StepTime <= 0 {
+		return 0, errors.Newf("slots %d, tokens per pass %d, step time %v: want all above 0", e.Slots, e.TokensPerPass, e.StepTime)
+	}
+	if !(e.PrefillTokensPerSecond > 0 && e.PrefillTokensPerSecond <= maxPrefill) {
+		return 0, errors.Newf("%g prompt tokens per second: want above 0 and up to %g", e.PrefillTokensPerSecond, maxPrefill)
+	}
+	pass := passTime(e, e.Slots)
+	if pass <= 0 || pass > maxPassTime {
+		return 0, errors.Newf("a pass of %v: want above 0 and up to %v", pass, maxPassTime)
+	}
+	return pass.Seconds() / float64(e.Slots), nil
+}
+
+// work returns the engine seconds that a request takes.
+func (s *service) work(w *Request) float64 {
+	answer := w.AnswerTokens
+	if answer <= 0 {
+		answer = s.engine.MeanAnswerTokens
+	}
+	v := float64(w.PromptTokens)/s.engine.PrefillTokensPerSecond +
+		float64(answer)/float64(s.engine.TokensPerPass)*s.level.slotPass
+	return math.Min(math.Max(v, 0), maxWork)
+}
+
+// update decides the level anew.
+func (l *levelState) update(now time.Time) {
+	if !now.Before(l.until) {
+		l.totals = level.Totals{}
+	}
+	l.updatedAt = now
+	l.controller.Update(now, l.meter.Rates(now), l.totals)
+}
+
+// updateLevel decides the level of a service anew if that is due.
+func (s *service) updateLevel(now time.Time) {
+	if s.level != nil && now.Sub(s.level.updatedAt) >= levelInterval {
+		s.level.update(now)
+	}
+}
+
+// admit reports whether the level lets a new request begin, and counts the request. It
+// does not apply to requests that may have begun before, and to those that cannot be on
+// time any more.
+func (p *Placer) admit(now time.Time, s *service, q *waitingRequest) bool {
+	w := &q.request
+	if s.level == nil || w.Resumed || w.isTrial() || len(w.FailedTargets) > 0 {
+		return true
+	}
+	if _, ok := p.worthWaiting(now, s, q); !ok {
+		return true
+	}
+	q.work = s.work(w)
+	s.count(now, level.Offered, q)
+	return s.level.controller.Admit(w.Priority)
+}
+
+// count adds the work of a request to which the level applies.
+func (s *service) count(now time.Time, k level.Kind, q *waitingRequest) {
+	if s.level != nil && q.work > 0 {
+		s.level.meter.Add(now, k, q.request.Priority, q.work)
+	}
+}
+
+// countRefusal counts a request that was refused for lack of capacity.
+func (s *service) countRefusal(now time.Time, q *waitingRequest, reason Reason) {
+	switch reason {
+	case ReasonLate, ReasonFull, ReasonNoRoomForLate:
+		s.count(now, level.Crowded, q)
+	case ReasonNoTarget, ReasonNoAllowedTarget, ReasonEvacuated, ReasonRateLimited, ReasonBackoff, ReasonLessUrgent:
+	}
+}
+
+// moreUrgentWaits reports whether a request waits that is more urgent than a new one and
+// can still be on time.
+func (s *service) moreUrgentWaits(now time.Time, w *Request) bool {
+	if s.level == nil || w.Resumed || w.isTrial() {
+		return false
+	}
+	for _, q := range s.waiting {
+		if q.request.Priority < w.Priority && !q.request.objectivePassed(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -113,6 +113,9 @@
 	// ReasonNoRoomForLate is for a caller that came back after its objective had
 	// passed. Such requests may use only part of the slots.
 	ReasonNoRoomForLate Reason = "noRoomForLate"
+	// ReasonLessUrgent is for a request that the admission level holds back in favour of
+	// more urgent ones.
+	ReasonLessUrgent Reason = "lessUrgent"
 )
 
 // Verdict is the decision on one request. Target is set for a placed one, RetryAfter
@@ -205,6 +208,10 @@
 	waiting    []*waitingRequest
 	passFactor passFactor
 	kinds      map[string]*kind
+	// level is nil for a service whose requests all have the same priority, or whose
+	// engine's speed is not plausible; levelProblem says why it is not.
+	level        *levelState
+	levelProblem error
 }
 
 // Update sets the current services and targets.
@@ -238,6 +245,7 @@
 	p.notices.prune(now, p.targets)
 	for _, s := range p.services {
 		p.selectSubset(s)
+		s.setLevel(f.Table)
 	}
 	return p.decideAll(now)
 }
@@ -272,7 +280,10 @@
 	if !w.Resumed {
 		s.kindOf(&w).addPrompt(w.PromptTokens)
 	}
-	if !s.isHeldBack(&w) {
+	if !p.admit(now, s, q) {
+		return []Verdict{p.holdBack(now, s, q)}
+	}
+	if !s.isHeldBack(&w) && !s.moreUrgentWaits(now, &w) {
 		if v, ok := p.tryPlace(now, s, q); ok {
 			return []Verdict{v}
 		}
@@ -352,6 +363,9 @@
 // become pointless.
 func (p *Placer) Tick(now time.Time) []Verdict {
 	p.initMaps()
+	for _, s := range p.services {
+		s.updateLevel(now)
+	}
 	return p.decideAll(now)
 }
 
--- a/core/request/place/queue.go
+++ b/core/request/place/queue.go
@@ -9,6 +9,9 @@
 type waitingRequest struct {
 	request Request
 	since   time.Time
+	// work is what the request counts for in the service's level, 0 if that does not
+	// apply to it.
+	work float64
 }
 
 func (p *Placer) decideAll(now time.Time) []Verdict {
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -62,6 +62,7 @@
 func (p *Placer) refuse(now time.Time, s *service, q *waitingRequest, reason Reason) Verdict {
 	w := &q.request
 	s.recordPlacement(w, false)
+	s.countRefusal(now, q, reason)
 	v := Verdict{
 		ID: w.ID, Decision: Refused, Reason: reason,
 		RetryAfter: w.retryAfter(), Waited: now.Sub(q.since), Candidates: p.candidates(now, s, w),
@@ -75,6 +76,16 @@
 	return v
 }
 
+// holdBack refuses a request that the admission level does not let begin. It says nothing
+// about how well prompts of its size are served.
+func (p *Placer) holdBack(now time.Time, s *service, q *waitingRequest) Verdict {
+	w := &q.request
+	return Verdict{
+		ID: w.ID, Decision: Refused, Reason: ReasonLessUrgent,
+		RetryAfter: w.retryAfter(), Candidates: p.candidates(now, s, w),
+	}
+}
+
 // worthWaiting reports whether waiting may still get the request served. If not, the
 // reason says why.
 func (p *Placer) worthWaiting(now time.Time, s *service, q *waitingRequest) (Reason, bool) {
--- a/core/request/place/simulation_test.go
+++ b/core/request/place/simulation_test.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -58,10 +57,13 @@
 	answer    int
 	objective time.Duration
 	asked     time.Duration
-	returned  bool
-	first     time.Duration // 0 until the first event
-	unread    int
-	written   int
+	// class is the index of its class, 0 in a scenario without classes.
+	class    int
+	size     sizeClass
+	returned bool
+	first    time.Duration // 0 until the first event
+	unread   int
+	written  int
 }
 
 // engineSim simulates one engine. It reads prompts between the passes in which it
@@ -103,7 +105,7 @@
 			continue
 		}
 		writers++
-		j.written += simStride
+		j.written += e.TokensPerPass
 		if j.first == 0 {
 			j.first = now
 			begun(j)
@@ -115,7 +117,7 @@
 	}
 	read := 0
 	for _, j := range e.active {
-		n := min(j.unread, simStride*simReadChunk-read)
+		n := min(j.unread, e.TokensPerPass*simReadChunk-read)
 		j.unread -= n
 		read += n
 	}
@@ -139,6 +141,7 @@
 	// windows counts, by time window, the requests asked in it and how many of them
 	// were on time.
 	windows []window
+	classes []classOutcomes
 }
 
 type window struct{ asked, onTime int }
@@ -190,6 +193,8 @@
 	perSecond float64
 	length    time.Duration
 	loadTimes []time.Duration
+	// competition is nil where all requests are alike.
+	*competition
 }
 
 // usualScenario returns a scenario with usualEngine and simObjective.
@@ -203,7 +208,7 @@
 // simulate runs the scenario with a separate policy at each entry.
 func (l scenario) simulate(make func(entry int, f *facts.Facts) policy) outcomes {
 	rng := rand.New(rand.NewPCG(1, 2))
-	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: l.engine}}}
+	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: l.engine}}, Routes: l.routes()}
 	t.BuildIndex()
 	f := &facts.Facts{Table: t}
 	var sims []*engineSim
@@ -224,7 +229,7 @@
 	for i := range l.entries {
 		policies = append(policies, make(i, f))
 	}
-	var o outcomes
+	o := outcomes{classes: slices.Repeat([]classOutcomes{{}}, l.classCount())}
 	jobs := map[string]*job{}
 	type later struct {
 		at time.Duration
@@ -232,12 +237,17 @@
 	}
 	var timers []later
 	after := func(at time.Duration, do func(now time.Duration)) { timers = append(timers, later{at, do}) }
-	weight := func(j *job) float64 { return 0.3 + 0.7*float64(j.prompt+10*j.answer)/1900 }
+	weight := func(j *job) float64 {
+		if l.competition != nil {
+			return l.classes[j.class].credit
+		}
+		return 0.3 + 0.7*float64(j.prompt+10*j.answer)/1900
+	}
 	var deliver func(now time.Duration, vs []Verdict)
 	offer := func(now time.Duration, j *job) {
 		deliver(now, policies[j.entry].Offer(simStart.Add(now), Request{
 			ID: j.id, Service: "svc", PromptTokens: j.prompt, AnswerTokens: j.answer, FirstRequestedAt: simStart.Add(j.asked),
-			Objective: j.objective, Deadline: simStart.Add(j.asked + simDeadline),
+			Objective: j.objective, Deadline: simStart.Add(j.asked + simDeadline), Kind: strconv.Itoa(j.class), Priority: j.class,
 		}))
 	}
 	deliver = func(now time.Duration, vs []Verdict) {
@@ -249,9 +259,12 @@
 			}
 			if j.returned || now+v.RetryAfter > j.asked+simDeadline/2 {
 				o.refused++
+				earned := 0.0
 				if j.returned {
-					o.credit -= secondRefusalCost * weight(j)
+					earned = -secondRefusalCost * weight(j)
 				}
+				o.credit += earned
+				o.classes[j.class].refuse(earned)
 				continue
 			}
 			j.returned = true
@@ -262,19 +275,19 @@
 	for now := time.Duration(0); now < l.length+simDeadline; now += simStep {
 		for next <= now && next < l.length {
 			j := &job{id: strconv.Itoa(n), entry: n % l.entries, asked: next, objective: l.objective}
-			j.prompt = min(int(979*math.Exp(rng.NormFloat64()*0.8-0.32)), 3880)
-			j.answer = max(5, min(int(92*math.Exp(rng.NormFloat64()*0.8-0.32)), 250))
+			l.draw(rng, j)
 			j.unread = j.prompt
 			jobs[j.id] = j
 			n++
 			o.asked++
 			o.window(next).asked++
 			o.maxCredit += weight(j)
+			o.classes[j.class].ask(j, weight(j))
 			if j.prompt > largePrompt {
 				o.largeAsked++
 			}
 			offer(now, j)
-			next += time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second))
+			next += time.Duration(rng.ExpFloat64() / (l.perSecond * l.demand(next)) * float64(time.Second))
 		}
 		due := timers
 		timers = nil
@@ -289,6 +302,7 @@
 			e.step(now, func(j *job) {
 				after(now+networkLatency, func(now time.Duration) { deliver(now, policies[j.entry].AnswerBegan(simStart.Add(now), j.id)) })
 			}, func(j *job) {
+				earned := weight(j) / 4
 				on := j.first+networkLatency-j.asked <= j.objective
 				if on {
 					o.onTime++
@@ -296,11 +310,12 @@
 					if j.prompt > largePrompt {
 						o.largeOnTime++
 					}
-					o.credit += weight(j)
+					earned = weight(j)
 				} else {
 					o.late++
-					o.credit += weight(j) / 4
 				}
+				o.credit += earned
+				o.classes[j.class].serve(j, on, earned)
 				if j.prompt > largePrompt {
 					o.largeServed++
 				}
@@ -309,6 +324,9 @@
 				})
 			})
 		}
+		if l.competition != nil && now%totalsEvery == 0 {
+			l.exchange(now, policies, after)
+		}
 		if now%reportEvery == 0 {
 			for _, e := range sims {
 				r := LoadReport{Alive: true, Active: len(e.active), Queued: len(e.queue), Slowness: 1, ServedVersion: 1, Loading: e.busy(now), Listeners: len(policies)}
