level: lower the admitted work stepwise, and count late answers

Cause: lowering by what was refused in the last second went far below the capacity, as the rates show the time before the change. The room it left was filled by callers who came back late, which made urgent requests be refused: the level stayed low. In mild overload answers are late seconds before requests are refused.

Change: the amount is set a little below what was placed, at most every 1.5 s, and rises the faster the longer nothing lacks capacity. It does not fall below half of what was placed when the shortage began. Placed counts all requests, Crowded also the admitted ones whose first answer was late.

--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -8,21 +8,27 @@
 	// the share of all work. Operators regard callers that get less than a quarter as
 	// starved; the rest is for those who are admitted and refused nevertheless.
 	floorRatio = 0.3
-	// shortageShare is the share of the work with capacity or in need of it that is
-	// refused for lack of capacity from which there is a shortage. Bursts of some tenths
-	// of a second have less than this at nine tenths of the capacity.
-	shortageShare = 0.05
-	// crowdedTarget is the share of the admitted work that is still refused for lack of
-	// capacity where the level neither rises nor falls. At zero, capacity would be left
-	// unused whenever demand varies.
-	crowdedTarget = 0.02
-	// fallRate is how much of the work that is refused beyond crowdedTarget is taken off
-	// the admitted work in a second. The rates are a second's mean and up to half a
-	// second old; a higher rate would oscillate.
-	fallRate = 0.8
-	// riseRate is the share by which the admitted work grows in a second while nothing
-	// is refused.
-	riseRate = 0.05
+	// shortageShare is the share of the work with or without capacity that lacks it from
+	// which there is a shortage. Short bursts lack less at nine tenths of the capacity.
+	shortageShare = 0.2
+	// crowdedTarget is the share of the admitted work that may lack capacity. At zero, a
+	// single large prompt that found no room would lower the level.
+	crowdedTarget = 0.06
+	// margin is how far the admitted work is lowered below what was placed while requests
+	// lacked capacity. Engines that are full at every moment answer late, since entries
+	// that do not know of each other fill the same gap.
+	margin = 0.06
+	// leastAmount bounds how far the admitted work falls, as a share of what was placed
+	// when the shortage began. Without it, requests that are late for another reason than
+	// the load would lower the level without end.
+	leastAmount = 0.5
+	// settleTime is how long after a change of the amount the rates still show the time
+	// before it: their second, and the age of the totals.
+	settleTime = 1500 * time.Millisecond
+	// riseRate is the share by which the amount grows in a second, for each second since
+	// it was last lowered. It begins slowly, for a capacity that has not changed, and
+	// soon finds one that has.
+	riseRate = 0.02
 	// maxStep bounds the time for which one update changes the amount, as when a process
 	// was stopped.
 	maxStep = 500 * time.Millisecond
@@ -34,7 +40,10 @@
 	state State
 	// amount is the work that may begin, in engine seconds per second, while the level is
 	// in force.
-	amount    float64
+	amount float64
+	// least is how far the amount may fall, loweredAt when it last fell.
+	least     float64
+	loweredAt time.Time
 	updatedAt time.Time
 	// due holds for each priority which part of its next request has been earned.
 	due [Priorities]float64
@@ -53,9 +62,9 @@
 	case !c.state.InForce && !shortage(r):
 		return c.state
 	case !c.state.InForce:
-		c.amount = sum(&r.Placed)
+		c.lower(now, r)
 	default:
-		c.adjust(r, elapsed)
+		c.adjust(now, r, elapsed)
 	}
 	offered := sum(&r.Offered)
 	if c.amount >= offered {
@@ -85,16 +94,25 @@
 	return true
 }
 
-// adjust changes the admitted work by what was refused lately.
-func (c *Controller) adjust(r *Rates, elapsed time.Duration) {
+// adjust lowers the amount if admitted work was refused lately, and raises it if not.
+func (c *Controller) adjust(now time.Time, r *Rates, elapsed time.Duration) {
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
-	over := crowded - crowdedTarget*(placed+crowded)
-	if over > 0 {
-		c.amount -= fallRate * over * elapsed.Seconds()
-		return
+	sinceLowered := now.Sub(c.loweredAt)
+	switch {
+	case crowded <= crowdedTarget*(placed+crowded):
+		c.amount += riseRate * sinceLowered.Seconds() * c.amount * elapsed.Seconds()
+	case sinceLowered >= settleTime:
+		c.lower(now, r)
+	}
+}
+
+func (c *Controller) lower(now time.Time, r *Rates) {
+	placed := sum(&r.Placed)
+	if !c.state.InForce || placed < c.least/2 {
+		c.least = leastAmount * placed
 	}
-	spare := 1 - crowded/(crowdedTarget*(placed+crowded)+minWork)
-	c.amount += riseRate * c.amount * spare * elapsed.Seconds()
+	c.amount = max(c.least, (1-margin)*placed)
+	c.loweredAt = now
 }
 
 // minWork is a rate too low to matter, which keeps quotients defined.
--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -90,6 +90,9 @@
 		r.readTime, r.passDelay = t.extraRoundTrip+s.readTime(now, t, &q.request), s.passDelay(now, t)
 	}
 	p.active[q.request.ID] = r
+	if q.levelled {
+		r.levelledWork = q.work
+	}
 	s.recordPlacement(&q.request, true)
 	s.count(now, level.Placed, q)
 	t.ownRequests++
--- a/core/request/place/competition_test.go
+++ b/core/request/place/competition_test.go
@@ -63,7 +63,7 @@
 	{prompt: 607, answer: 70, objective: 800 * time.Millisecond, credit: .51, perSecond: .293},
 }
 
-const rushEngines = 15
+const rushEngines = 36
 
 // rush returns a scenario of competing classes whose demand is the given multiple of the
 // engines' capacity.
@@ -166,7 +166,7 @@
 	}
 	var own []level.Rates
 	for _, p := range policies {
-		own = append(own, p.(*Placer).Rates(simStart.Add(now))["svc"])
+		own = append(own, p.(leveled).Rates(simStart.Add(now))["svc"])
 	}
 	for to, p := range policies {
 		var t level.Totals
@@ -180,7 +180,7 @@
 			continue
 		}
 		after(now+totalsDelay, func(now time.Duration) {
-			p.(*Placer).SetTotals(simStart.Add(now), "svc", t, simStart.Add(now+totalsUseable))
+			p.(leveled).SetTotals(simStart.Add(now), "svc", t, simStart.Add(now+totalsUseable))
 		})
 	}
 }
@@ -251,3 +251,47 @@
 		}
 	}
 }
+
+// leveled is a policy with an admission level.
+type leveled interface {
+	Rates(now time.Time) map[string]level.Rates
+	SetTotals(now time.Time, service string, t level.Totals, until time.Time)
+}
+
+// knowing is a policy that admits by the demand and the capacity of the scenario, which no
+// entry knows, and places as the Placer does.
+type knowing struct {
+	*Placer
+	l     scenario
+	share float64
+	due   []float64
+}
+
+func (k *knowing) Offer(now time.Time, w Request) []Verdict {
+	if now.Sub(w.FirstRequestedAt) < w.Objective {
+		k.due[w.Priority] += k.shares(now.Sub(simStart))[w.Priority]
+		if k.due[w.Priority] < 1 {
+			return []Verdict{{ID: w.ID, Decision: Refused, Reason: ReasonLessUrgent, RetryAfter: w.retryAfter()}}
+		}
+		k.due[w.Priority]--
+	}
+	return k.Placer.Offer(now, w)
+}
+
+func (k *knowing) shares(now time.Duration) []float64 {
+	total := 0.0
+	for i, c := range k.l.classes {
+		total += k.l.perSecond * k.l.classDemand(now, i) * c.work(k.l.engine)
+	}
+	amount := min(total, k.share*float64(k.l.engines))
+	floor := .3 * amount / total
+	rest := amount - floor*total
+	var out []float64
+	for i, c := range k.l.classes {
+		offered := k.l.perSecond * k.l.classDemand(now, i) * c.work(k.l.engine)
+		give := min(rest, (1-floor)*offered)
+		rest -= give
+		out = append(out, floor+give/offered)
+	}
+	return out
+}
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -146,18 +146,22 @@
 // time any more.
 func (p *Placer) admit(now time.Time, s *service, q *waitingRequest) bool {
 	w := &q.request
-	if s.level == nil || w.Resumed || w.isTrial() || len(w.FailedTargets) > 0 {
+	if s.level == nil {
+		return true
+	}
+	q.work = s.work(w)
+	if w.Resumed || w.isTrial() || len(w.FailedTargets) > 0 {
 		return true
 	}
 	if _, ok := p.worthWaiting(now, s, q); !ok {
 		return true
 	}
-	q.work = s.work(w)
+	q.levelled = true
 	s.count(now, level.Offered, q)
 	return s.level.controller.Admit(w.Priority)
 }
 
-// count adds the work of a request to which the level applies.
+// count adds the work of a request.
 func (s *service) count(now time.Time, k level.Kind, q *waitingRequest) {
 	if s.level != nil && q.work > 0 {
 		s.level.meter.Add(now, k, q.request.Priority, q.work)
@@ -166,6 +170,9 @@
 
 // countRefusal counts a request that was refused for lack of capacity.
 func (s *service) countRefusal(now time.Time, q *waitingRequest, reason Reason) {
+	if !q.levelled {
+		return
+	}
 	switch reason {
 	case ReasonLate, ReasonFull, ReasonNoRoomForLate:
 		s.count(now, level.Crowded, q)
@@ -173,6 +180,15 @@
 	}
 }
 
+// countLate counts a request whose first answer came too late as one without capacity.
+// Entries that fill the same engines at the same moment make answers late before they
+// refuse requests.
+func (s *service) countLate(now time.Time, r *activeRequest) {
+	if s.level != nil && r.levelledWork > 0 && r.request.objectivePassed(now) {
+		s.level.meter.Add(now, level.Crowded, r.request.Priority, r.levelledWork)
+	}
+}
+
 // moreUrgentWaits reports whether a request waits that is more urgent than a new one and
 // can still be on time.
 func (s *service) moreUrgentWaits(now time.Time, w *Request) bool {
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -191,6 +191,9 @@
 	// readTime and passDelay are the estimated parts of the time to its first answer.
 	readTime  time.Duration
 	passDelay time.Duration
+	// levelledWork is what the request counted for in the service's level when it was
+	// placed, 0 if that does not apply to it.
+	levelledWork float64
 }
 
 // service is the state of one service.
@@ -321,6 +324,7 @@
 	r.target.unreadPrompt -= r.request.PromptTokens
 	r.target.resetFailures(now)
 	s := p.service(r.request.Service)
+	s.countLate(now, r)
 	if s.engine != nil && r.passDelay > 0 {
 		s.passFactor.observe(float64(now.Sub(r.since)-r.readTime) / float64(r.passDelay))
 	}
--- a/core/request/place/queue.go
+++ b/core/request/place/queue.go
@@ -9,9 +9,10 @@
 type waitingRequest struct {
 	request Request
 	since   time.Time
-	// work is what the request counts for in the service's level, 0 if that does not
-	// apply to it.
-	work float64
+	// work is the engine seconds that the request counts for in the service's level, and
+	// levelled is set if the level applies to it.
+	work     float64
+	levelled bool
 }
 
 func (p *Placer) decideAll(now time.Time) []Verdict {
