level: let a backlog drain, and compare the ways of admission

Cause: after the level was lowered, the backlog of engines and entries kept answers late, and the amount was lowered again for it, far below the capacity.

Change: for a second after the amount was lowered, up to .3 less begins; the next change comes 2.5 s later. A shortage is work of which .15 lacks capacity.

--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -10,7 +10,7 @@
 	floorRatio = 0.3
 	// shortageShare is the share of the work with or without capacity that lacks it from
 	// which there is a shortage. Short bursts lack less at nine tenths of the capacity.
-	shortageShare = 0.2
+	shortageShare = 0.15
 	// crowdedTarget is the share of the admitted work that may lack capacity. At zero, a
 	// single large prompt that found no room would lower the level.
 	crowdedTarget = 0.06
@@ -22,9 +22,14 @@
 	// when the shortage began. Without it, requests that are late for another reason than
 	// the load would lower the level without end.
 	leastAmount = 0.5
-	// settleTime is how long after a change of the amount the rates still show the time
-	// before it: their second, and the age of the totals.
-	settleTime = 1500 * time.Millisecond
+	// maxDrain bounds by which share less than the amount begins for drainTime after the
+	// amount was lowered. Engines and entries have a backlog by then; while it lasts,
+	// answers are late although no more begins than fits.
+	maxDrain  = 0.3
+	drainTime = time.Second
+	// settleTime is how long after a change of the amount the rates show the time before
+	// it or the drain: drainTime, their own second, and the age of the totals.
+	settleTime = 2500 * time.Millisecond
 	// riseRate is the share by which the amount grows in a second, for each second since
 	// it was last lowered. It begins slowly, for a capacity that has not changed, and
 	// soon finds one that has.
@@ -41,8 +46,10 @@
 	// amount is the work that may begin, in engine seconds per second, while the level is
 	// in force.
 	amount float64
-	// least is how far the amount may fall, loweredAt when it last fell.
+	// least is how far the amount may fall, loweredAt when it last fell, and drain the
+	// share by which less begins for a while after that.
 	least     float64
+	drain     float64
 	loweredAt time.Time
 	updatedAt time.Time
 	// due holds for each priority which part of its next request has been earned.
@@ -71,7 +78,7 @@
 		c.state = State{}
 		return c.state
 	}
-	c.state = State{InForce: true, Shares: allocate(c.amount, offered, &r.Offered)}
+	c.state = State{InForce: true, Shares: allocate(c.beginning(now), offered, &r.Offered)}
 	return c.state
 }
 
@@ -106,15 +113,25 @@
 	}
 }
 
+// lower sets the amount a little below what was placed.
 func (c *Controller) lower(now time.Time, r *Rates) {
-	placed := sum(&r.Placed)
+	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
 	if !c.state.InForce || placed < c.least/2 {
 		c.least = leastAmount * placed
 	}
 	c.amount = max(c.least, (1-margin)*placed)
+	c.drain = min(maxDrain, crowded/max(placed+crowded, minWork))
 	c.loweredAt = now
 }
 
+// beginning returns the work that may begin now, in engine seconds per second.
+func (c *Controller) beginning(now time.Time) float64 {
+	if now.Sub(c.loweredAt) < drainTime {
+		return max(c.least, (1-c.drain)*c.amount)
+	}
+	return c.amount
+}
+
 // minWork is a rate too low to matter, which keeps quotients defined.
 const minWork = 1e-9
 
--- a/core/request/place/competition_test.go
+++ b/core/request/place/competition_test.go
@@ -4,9 +4,9 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
+	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/table"
 )
@@ -27,6 +27,8 @@
 	wayOrder  way = "order only"
 	wayOwn    way = "own rates"
 	wayTotals way = "totals"
+	// wayKnown admits by the demand and the capacity of the whole run.
+	wayKnown way = "known"
 )
 
 // simClass is a class of requests. Its index is its priority.
@@ -43,8 +45,8 @@
 	classes []simClass
 	// factor multiplies the demand of a class at a time, nil for 1.
 	factor func(now time.Duration, class int) float64
-	// entryWeight weighs the demand at an entry, nil for 1.
-	entryWeight func(now time.Duration, entry int) float64
+	// entryWeight weighs the demand of a class at an entry, nil for 1.
+	entryWeight func(now time.Duration, class, entry int) float64
 	// reaches reports whether the totals that an entry gets include another's demand, nil
 	// for all. An entry that is not even reached by its own gets none.
 	reaches func(now time.Duration, from, to int) bool
@@ -63,7 +65,7 @@
 	{prompt: 607, answer: 70, objective: 800 * time.Millisecond, credit: .51, perSecond: .293},
 }
 
-const rushEngines = 36
+const rushEngines = 24
 
 // rush returns a scenario of competing classes whose demand is the given multiple of the
 // engines' capacity.
@@ -93,7 +95,7 @@
 
 // routes returns a route of each priority, which turns the admission level on.
 func (c *competition) routes() []table.Route {
-	if c == nil || c.way == wayOrder {
+	if c == nil || c.way == wayOrder || c.way == wayKnown {
 		return nil
 	}
 	var out []table.Route
@@ -128,7 +130,7 @@
 	if l.competition != nil {
 		j.class = pick(rng, len(l.classes), func(i int) float64 { return l.classDemand(j.asked, i) })
 		if l.entryWeight != nil {
-			j.entry = pick(rng, l.entries, func(i int) float64 { return l.entryWeight(j.asked, i) })
+			j.entry = pick(rng, l.entries, func(i int) float64 { return l.entryWeight(j.asked, j.class, i) })
 		}
 		c = l.classes[j.class]
 		j.objective = c.objective
@@ -166,7 +168,7 @@
 	}
 	var own []level.Rates
 	for _, p := range policies {
-		own = append(own, p.(leveled).Rates(simStart.Add(now))["svc"])
+		own = append(own, p.(*Placer).Rates(simStart.Add(now))["svc"])
 	}
 	for to, p := range policies {
 		var t level.Totals
@@ -180,7 +182,7 @@
 			continue
 		}
 		after(now+totalsDelay, func(now time.Duration) {
-			p.(leveled).SetTotals(simStart.Add(now), "svc", t, simStart.Add(now+totalsUseable))
+			p.(*Placer).SetTotals(simStart.Add(now), "svc", t, simStart.Add(now+totalsUseable))
 		})
 	}
 }
@@ -188,8 +190,10 @@
 // classOutcomes is what the callers of one class got.
 type classOutcomes struct {
 	onTime, late, refused int
-	owed, earned          float64
-	asked, served         [sizeClasses]int
+	// heldBack counts those that the admission level refused when they were new.
+	heldBack      int
+	owed, earned  float64
+	asked, served [sizeClasses]int
 }
 
 func (o *classOutcomes) ask(j *job, credit float64) {
@@ -237,39 +241,48 @@
 	return earned / owed
 }
 
-func TestCompareWays(t *testing.T) {
-	for _, load := range []float64{.9, 1.1, 1.5, 2, 3} {
-		for _, w := range []way{wayOrder, wayOwn, wayTotals} {
-			l := rush(w, load, 12, 15*time.Second)
-			o := l.simulate(newSimPlacer)
-			t.Logf("%.1f %-10s credit %.3f bound %.3f", load, w, o.creditShare(), l.bound())
-			for i, c := range o.classes {
-				n := float64(c.onTime + c.late + c.refused)
-				t.Logf("   class %d: share %.3f in time %.3f late %.3f refused %.3f; large %.3f %.3f", i, c.share(), float64(c.onTime)/n, float64(c.late)/n, float64(c.refused)/n,
-					float64(c.served[sizeLargest])/float64(c.asked[sizeLargest]), float64(c.served[sizeLarge])/float64(c.asked[sizeLarge]))
-			}
-		}
-	}
+// count is the number of requests of the class.
+func (o *classOutcomes) count() int { return o.onTime + o.late + o.refused }
+
+// admitted is the share of the requests that the level let begin.
+func (o *classOutcomes) admitted() float64 {
+	return 1 - float64(o.heldBack)/float64(max(1, o.count()))
 }
 
-// leveled is a policy with an admission level.
-type leveled interface {
-	Rates(now time.Time) map[string]level.Rates
-	SetTotals(now time.Time, service string, t level.Totals, until time.Time)
+// servedShare is the share of the requests of the given sizes that were served.
+func (o *classOutcomes) servedShare(sizes ...sizeClass) float64 {
+	asked, served := 0, 0
+	for _, s := range sizes {
+		asked += o.asked[s]
+		served += o.served[s]
+	}
+	return float64(served) / float64(max(1, asked))
 }
 
 // knowing is a policy that admits by the demand and the capacity of the scenario, which no
 // entry knows, and places as the Placer does.
 type knowing struct {
 	*Placer
-	l     scenario
-	share float64
-	due   []float64
+	load scenario
+	due  [level.Priorities]float64
+}
+
+// knownShare is the share of the capacity that knowing admits: the one with the highest
+// credit among .8 to 1.05.
+const knownShare = .95
+
+// placerOf returns the policy of an entry by the scenario's way.
+func (l scenario) placerOf(entry int, f *facts.Facts) policy {
+	p := newSimPlacer(entry, f)
+	if l.way == wayKnown {
+		return &knowing{Placer: p.(*Placer), load: l}
+	}
+	return p
 }
 
 func (k *knowing) Offer(now time.Time, w Request) []Verdict {
-	if now.Sub(w.FirstRequestedAt) < w.Objective {
-		k.due[w.Priority] += k.shares(now.Sub(simStart))[w.Priority]
+	if !w.objectivePassed(now) {
+		k.due[w.Priority] += k.share(now.Sub(simStart), w.Priority)
 		if k.due[w.Priority] < 1 {
 			return []Verdict{{ID: w.ID, Decision: Refused, Reason: ReasonLessUrgent, RetryAfter: w.retryAfter()}}
 		}
@@ -278,20 +291,19 @@
 	return k.Placer.Offer(now, w)
 }
 
-func (k *knowing) shares(now time.Duration) []float64 {
+// share allocates the capacity with the same floor and order as package level.
+func (k *knowing) share(now time.Duration, priority int) float64 {
+	var offered []float64
 	total := 0.0
-	for i, c := range k.l.classes {
-		total += k.l.perSecond * k.l.classDemand(now, i) * c.work(k.l.engine)
+	for i, c := range k.load.classes {
+		offered = append(offered, k.load.perSecond*k.load.classDemand(now, i)*c.work(k.load.engine))
+		total += offered[i]
 	}
-	amount := min(total, k.share*float64(k.l.engines))
+	amount := min(total, knownShare*float64(k.load.engines))
 	floor := .3 * amount / total
 	rest := amount - floor*total
-	var out []float64
-	for i, c := range k.l.classes {
-		offered := k.l.perSecond * k.l.classDemand(now, i) * c.work(k.l.engine)
-		give := min(rest, (1-floor)*offered)
-		rest -= give
-		out = append(out, floor+give/offered)
+	for _, o := range offered[:priority] {
+		rest -= min(rest, (1-floor)*o)
 	}
-	return out
+	return floor + min(rest/offered[priority], 1-floor)
 }
--- a/core/request/place/simulation_test.go
+++ b/core/request/place/simulation_test.go
@@ -193,6 +193,7 @@
 	perSecond float64
 	length    time.Duration
 	loadTimes []time.Duration
+	seed      uint64
 	// competition is nil where all requests are alike.
 	*competition
 }
@@ -207,7 +208,7 @@
 
 // simulate runs the scenario with a separate policy at each entry.
 func (l scenario) simulate(make func(entry int, f *facts.Facts) policy) outcomes {
-	rng := rand.New(rand.NewPCG(1, 2))
+	rng := rand.New(rand.NewPCG(1+l.seed, 2))
 	t := &table.Table{Services: []table.Service{{Name: "svc", Engine: l.engine}}, Routes: l.routes()}
 	t.BuildIndex()
 	f := &facts.Facts{Table: t}
@@ -253,6 +254,9 @@
 	deliver = func(now time.Duration, vs []Verdict) {
 		for _, v := range vs {
 			j := jobs[v.ID]
+			if v.Reason == ReasonLessUrgent {
+				o.classes[j.class].heldBack++
+			}
 			if v.Decision == Placed {
 				after(now+networkLatency, func(time.Duration) { e := byID[v.Target.ID]; e.queue = append(e.queue, j) })
 				continue
