--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -31,9 +31,9 @@
 	// it or the drain: drainTime, their own second, and the age of the totals.
 	settleTime = 2500 * time.Millisecond
 	// riseRate is the share by which the amount grows in a second, for each second since
-	// it was last lowered. It begins slowly, for a capacity that has not changed, and
-	// soon finds one that has.
-	riseRate = 0.02
+	// it was last lowered, squared: a few hundredths in the first five seconds, while the
+	// capacity is most likely the same, and twofold in ten to fifteen.
+	riseRate = 0.001
 	// maxStep bounds the time for which one update changes the amount, as when a process
 	// was stopped.
 	maxStep = 500 * time.Millisecond
@@ -101,13 +101,13 @@
 	return true
 }
 
-// adjust lowers the amount if admitted work was refused lately, and raises it if not.
+// adjust lowers the amount if admitted work lacked capacity lately, and raises it if not.
 func (c *Controller) adjust(now time.Time, r *Rates, elapsed time.Duration) {
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
 	sinceLowered := now.Sub(c.loweredAt)
 	switch {
 	case crowded <= crowdedTarget*(placed+crowded):
-		c.amount += riseRate * sinceLowered.Seconds() * c.amount * elapsed.Seconds()
+		c.amount += riseRate * sinceLowered.Seconds() * sinceLowered.Seconds() * c.amount * elapsed.Seconds()
 	case sinceLowered >= settleTime:
 		c.lower(now, r)
 	}
--- a/core/request/level/level.go
+++ b/core/request/level/level.go
@@ -22,9 +22,9 @@
 
 // Rates is the demand of one entry for one service over the last second, in engine
 // seconds per second, by priority. Offered counts new requests that can still be on
-// time, Placed those that were placed, and Crowded those that were refused for lack of
-// capacity although the level admitted them. What the level holds back counts in Offered
-// only.
+// time, Placed all that were placed, and Crowded new ones that the level admitted and that
+// were refused for lack of capacity or answered late. What the level holds back counts in
+// Offered only.
 type Rates struct {
 	Offered [Priorities]float64 `msgpack:"offered"`
 	Placed  [Priorities]float64 `msgpack:"placed"`
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,7 +81,10 @@
 
 // setLevel turns admission by priority on or off after a change of the configuration.
 func (s *service) setLevel(t *table.Table) {
-	s.levelProblem = nil
+	if s.levelTable == t && s.levelEngine == s.engine {
+		return
+	}
+	s.levelTable, s.levelEngine, s.levelProblem = t, s.engine, nil
 	if s.engine == nil || len(t.Priorities(s.name)) < 2 {
 		s.level = nil
 		return
@@ -122,7 +124,7 @@
 	}
 	v := float64(w.PromptTokens)/s.engine.PrefillTokensPerSecond +
 		float64(answer)/float64(s.engine.TokensPerPass)*s.level.slotPass
-	return math.Min(math.Max(v, 0), maxWork)
+	return min(max(v, 0), maxWork)
 }
 
 // update decides the level anew.
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -215,6 +215,9 @@
 	// engine's speed is not plausible; levelProblem says why it is not.
 	level        *levelState
 	levelProblem error
+	// levelTable and levelEngine are the configuration from which these were derived.
+	levelTable  *table.Table
+	levelEngine *table.Engine
 }
 
 // Update sets the current services and targets.
--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -195,9 +195,14 @@
 // order: those of its routes, and those of customers, which take precedence.
 func (t *Table) Priorities(service string) []int {
 	var out []int
+	add := func(priority int) {
+		if !slices.Contains(out, priority) {
+			out = append(out, priority)
+		}
+	}
 	for _, r := range t.Routes {
 		if slices.ContainsFunc(r.TrafficSplit, func(s WeightedService) bool { return s.Service == service }) {
-			out = append(out, r.Priority)
+			add(r.Priority)
 		}
 	}
 	if len(out) == 0 {
@@ -205,11 +210,11 @@
 	}
 	for _, c := range t.Customers {
 		if c.Priority != nil {
-			out = append(out, *c.Priority)
+			add(*c.Priority)
 		}
 	}
 	slices.Sort(out)
-	return slices.Compact(out)
+	return out
 }
 
 // Kind returns the kind of the service as environment documents name it.
