level: keep work beginning through a pause of all engines

Cause: while no engine took requests, nothing was placed, and the amount could fall to nothing, from which it does not rise. With its own rates an entry took three late answers among twenty for a shortage, at nine tenths of the capacity. Prompts too long for any engine counted as lacking capacity at any load.

Change: an amount falls by a quarter at a time at most, and so does the bound below it. An entry's own rates show a shortage from .3 of the work on. An answer counts as late only if a nearly full engine could have given it on time.

--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -11,6 +11,9 @@
 	// shortageShare is the share of the work with or without capacity that lacks it from
 	// which there is a shortage. Short bursts lack less at nine tenths of the capacity.
 	shortageShare = 0.15
+	// ownShortageShare applies while an entry knows only its own demand, of which a second
+	// holds few requests: at nine tenths of the capacity, three of twenty may lack it.
+	ownShortageShare = 0.3
 	// crowdedTarget is the share of the admitted work that may lack capacity. At zero, a
 	// single large prompt that found no room would lower the level.
 	crowdedTarget = 0.06
@@ -22,6 +25,10 @@
 	// when the shortage began. Without it, requests that are late for another reason than
 	// the load would lower the level without end.
 	leastAmount = 0.5
+	// maxFall is the share that is left of the amount at least when it is lowered, and of
+	// the least amount, which follows a capacity that fell below it. After a pause of all
+	// engines, as for a new version, they must not be left idle.
+	maxFall = 0.75
 	// maxDrain bounds by which share less than the amount begins for drainTime after the
 	// amount was lowered. Engines and entries have a backlog by then; while it lasts,
 	// answers are late although no more begins than fits.
@@ -59,14 +66,14 @@
 // Update decides the level from the demand of all entries, or from the entry's own if
 // no totals are known.
 func (c *Controller) Update(now time.Time, own Rates, t Totals) State {
-	r := &own
+	r, limit := &own, ownShortageShare
 	if t.Entries > 0 {
-		r = &t.Rates
+		r, limit = &t.Rates, shortageShare
 	}
 	elapsed := min(max(now.Sub(c.updatedAt), 0), maxStep)
 	c.updatedAt = now
 	switch {
-	case !c.state.InForce && !shortage(r):
+	case !c.state.InForce && !shortage(r, limit):
 		return c.state
 	case !c.state.InForce:
 		c.lower(now, r)
@@ -116,10 +123,13 @@
 // lower sets the amount a little below what was placed.
 func (c *Controller) lower(now time.Time, r *Rates) {
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
-	if !c.state.InForce || placed < c.least/2 {
-		c.least = leastAmount * placed
+	switch {
+	case !c.state.InForce:
+		c.least, c.amount = leastAmount*placed, 0
+	case placed < maxFall*c.least:
+		c.least *= maxFall
 	}
-	c.amount = max(c.least, (1-margin)*placed)
+	c.amount = max(c.least, maxFall*c.amount, (1-margin)*placed)
 	c.drain = min(maxDrain, crowded/max(placed+crowded, minWork))
 	c.loweredAt = now
 }
@@ -136,10 +146,10 @@
 const minWork = 1e-9
 
 // shortage reports whether requests are refused for lack of capacity while less urgent
-// ones, beyond their floor, are placed.
-func shortage(r *Rates) bool {
+// ones, beyond their floor, are placed. limit is the share that may lack capacity.
+func shortage(r *Rates, limit float64) bool {
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
-	if crowded <= shortageShare*(placed+crowded) {
+	if crowded <= limit*(placed+crowded) {
 		return false
 	}
 	floor := floorRatio * placed / max(sum(&r.Offered), minWork)
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -184,11 +184,13 @@
 
 // countLate counts a request whose first answer came too late as one without capacity.
 // Entries that fill the same engines at the same moment make answers late before they
-// refuse requests.
+// refuse requests. A prompt too long to be answered on time at any load does not count.
 func (s *service) countLate(now time.Time, r *activeRequest) {
-	if s.level != nil && r.levelledWork > 0 && r.request.objectivePassed(now) {
-		s.level.meter.Add(now, level.Crowded, r.request.Priority, r.levelledWork)
+	w := &r.request
+	if s.level == nil || r.levelledWork == 0 || !w.objectivePassed(now) || s.minFirstAnswer(now, w) > w.Objective {
+		return
 	}
+	s.level.meter.Add(now, level.Crowded, w.Priority, r.levelledWork)
 }
 
 // moreUrgentWaits reports whether a request waits that is more urgent than a new one and
