--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornferry/core/process/facts"
+	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/table"
 )
 
@@ -89,7 +90,11 @@
 		r.readTime, r.passDelay = t.extraRoundTrip+s.readTime(now, t, &q.request), s.passDelay(now, t)
 	}
 	p.active[q.request.ID] = r
+	if q.levelled {
+		r.levelledWork = q.work
+	}
 	s.recordPlacement(&q.request, true)
+	s.count(now, level.Placed, q)
 	t.ownRequests++
 	t.unreadPrompt += q.request.PromptTokens
 	t.unreported = append(t.unreported, sentRequest{at: now, prompt: q.request.PromptTokens})
