--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -79,6 +79,17 @@
 	return out
 }
 
+// HasLevel reports whether a service has an admission level by the configuration: its engines'
+// declared speed is plausible, and its requests differ in priority.
+func HasLevel(t *table.Table, name string) bool {
+	s, ok := t.ServiceByName(name)
+	if !ok || s.Engine == nil || len(t.Priorities(name)) < 2 {
+		return false
+	}
+	_, err := slotPassOf(s.Engine)
+	return err == nil
+}
+
 // setLevel turns admission by priority on or off after a change of the configuration.
 func (s *service) setLevel(t *table.Table) {
 	if s.levelTable == t && s.levelEngine == s.engine {
--- a/io/process/hosted/demand.go
+++ b/io/process/hosted/demand.go
@@ -15,6 +15,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/demand"
 	"hawthornferry/core/request/level"
+	"hawthornferry/core/request/place"
 	"hawthornferry/io/process/loads"
 	"hawthornferry/io/request/direct"
 )
@@ -75,11 +76,10 @@
 	collectors := map[string][]netip.AddrPort{}
 	all := slices.Clone(sides)
 	for service, targets := range engineTargets(f) {
-		p := f.Table.Priorities(service)
-		if len(p) < 2 {
+		if !place.HasLevel(f.Table, service) {
 			continue
 		}
-		priorities[service] = p
+		priorities[service] = f.Table.Priorities(service)
 		for _, a := range demand.Collectors(service, targets) {
 			side := netip.AddrPortFrom(a, r.sidePort)
 			collectors[service] = append(collectors[service], side)
@@ -130,11 +130,7 @@
 	defer r.mu.Unlock()
 	now := r.uptime()
 	for service, priorities := range r.priorities {
-		own, known := rates[service]
-		if !known {
-			// The service's declared speed is implausible, so that it has no level.
-			continue
-		}
+		own := rates[service]
 		for _, m := range r.exchange.Due(now, service, &own, levels[service].InForce, r.sender.Connected) {
 			r.sender.SendDemand(m.Side, loads.Demand{
 				Service: service, Rates: own, Seq: m.Seq, Interval: m.Interval, DemandOnly: !r.listensTo[m.Side],
--- a/io/process/hosted/demand_test.go
+++ b/io/process/hosted/demand_test.go
@@ -37,7 +37,7 @@
 // Guards against connections, messages and metrics in deployments that do not need them, and
 // against entries that are counted by sides whose load reports they do not use.
 func TestDemandIsToldOnlyWhereThereArePriorities(t *testing.T) {
-	engine := &table.Engine{Slots: 4, PrefillTokensPerSecond: 1000}
+	engine := &table.Engine{Slots: 4, TokensPerPass: 5, StepTime: 20 * time.Millisecond, PrefillTokensPerSecond: 1000}
 	own := netip.MustParseAddrPort("10.0.0.1:7")
 	tests := []struct {
 		name       string
@@ -48,6 +48,7 @@
 		{"two priorities", engine, []int{0, 2}, 3},
 		{"one priority", engine, []int{1, 1}, 0},
 		{"no engine", nil, []int{0, 2}, 0},
+		{"an engine without a speed", &table.Engine{Slots: 4}, []int{0, 2}, 0},
 	}
 	for _, tc := range tests {
 		f := &facts.Facts{Table: &table.Table{Services: []table.Service{{Name: "svc", Engine: tc.engine}}}}
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -134,14 +134,17 @@
 	return news
 }
 
-// update hands new facts to the placer.
-func (d *dispatcher) update(f *facts.Facts) {
+// update hands new facts to the placer. It returns why services have no admission level,
+// although their requests differ in priority.
+func (d *dispatcher) update(f *facts.Facts) (implausible map[string]error) {
 	d.Do(func() []place.Verdict {
 		verdicts := d.placer.Update(d.clock.Now(), f)
+		implausible = d.placer.ImplausibleEngines()
 		levels := d.placer.Levels()
 		d.levels.Store(&levels)
 		return verdicts
 	})
+	return implausible
 }
 
 // hasLevel reports whether a service has an admission level, by the latest facts.
--- a/io/request/direct/level.go
+++ b/io/request/direct/level.go
@@ -11,9 +11,6 @@
 	"hawthornferry/core/request/place"
 )
 
-// reasonLessUrgent is the reason of a request that the admission level has refused.
-const reasonLessUrgent place.Reason = "lessUrgent"
-
 // sharePrecision is the precision of shares in log lines.
 const sharePrecision = 1000
 
@@ -90,7 +87,7 @@
 // for its log line; nil for any other request.
 func (s *Server) recordHeldBack(q *request) *trail.AdmissionLevel {
 	v := q.progress.verdict
-	if v.Decision != place.Refused || v.Reason != reasonLessUrgent {
+	if v.Decision != place.Refused || v.Reason != place.ReasonLessUrgent {
 		return nil
 	}
 	s.metrics.countHeldBack(q.service.Name, q.route.Priority)
@@ -106,3 +103,16 @@
 	}
 	return &q.route.Priority
 }
+
+// logImplausible logs once for each service why it has no admission level, although its
+// requests differ in priority.
+func (s *Server) logImplausible(services map[string]error) {
+	logged := map[string]string{}
+	for name, err := range services {
+		logged[name] = err.Error()
+		if s.loggedImplausible[name] != logged[name] {
+			s.Log.Record(trail.Decision{Area: trail.AreaAdmission, Action: "levelUnavailable", Service: name, Reason: logged[name]})
+		}
+	}
+	s.loggedImplausible = logged
+}
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -97,6 +97,9 @@
 	watchdogs       watchdogSet
 	endCounts       endCounts
 	demandTotals    demandTotals
+	// loggedImplausible holds the services without a level that were last logged, and why
+	// they have none. Only followFacts uses it.
+	loggedImplausible map[string]string
 	// loggedVersions holds, by model, the minimum version that was last logged.
 	loggedVersions sync.Map
 }
@@ -149,7 +152,7 @@
 	for {
 		changed := s.Source.Changed()
 		if f := s.Source.Current(); f.Table != nil {
-			s.dispatcher.update(f)
+			s.logImplausible(s.dispatcher.update(f))
 		}
 		select {
 		case <-ctx.Done():
