--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -35,7 +35,12 @@
 
 // ActionReadCutOff is the action of the records about machines that have sent more than they
 // may, or what is not valid. Subject is the machine, Choice its address, and Reason the bound.
-const ActionReadCutOff = "readCutOff"
+const (
+	ActionReadCutOff = "readCutOff"
+	// ActionLevelChanged is the action of the record that another priority is now the least
+	// urgent one of a service whose requests are all admitted.
+	ActionLevelChanged = "levelChanged"
+)
 
 // Exclusion is a candidate that was not chosen, and the reason.
 type Exclusion struct {
@@ -127,6 +132,9 @@
 	RetryBudget *RetryBudget `json:"retryBudget,omitempty"`
 	// Fetches is set when the order changes in which versions are fetched.
 	Fetches *FetchPlan `json:"fetches,omitempty"`
+	// Level is set for a change of a service's admission level, and for a request that it
+	// has refused.
+	Level *AdmissionLevel `json:"admission,omitempty"`
 	// State is set for the periodic snapshots of what a process knows.
 	State *State `json:"state,omitempty"`
 }
--- a/core/request/place/queue.go
+++ b/core/request/place/queue.go
@@ -9,6 +9,10 @@
 type waitingRequest struct {
 	request Request
 	since   time.Time
+	// work is the engine seconds that the request counts for in the service's level, and
+	// levelled is set if the level applies to it.
+	work     float64
+	levelled bool
 }
 
 func (p *Placer) decideAll(now time.Time) []Verdict {
--- a/core/request/table/priority.go
+++ b/core/request/table/priority.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// maxRank is the highest rank. Engines distinguish ten priorities.
+const maxRank = 9
+
 // priorityPair orders the requests of a service: by the priority of the customer, and
 // among customers with the same one by that of the route.
 type priorityPair struct{ customer, route int }
@@ -64,7 +67,7 @@
 
 // Ranks returns the different ranks that requests to a service may have, in order.
 func (t *Table) Ranks(service string) []int {
-	out := make([]int, len(t.ranksByService[service]))
+	out := make([]int, min(len(t.ranksByService[service]), maxRank+1))
 	for i := range out {
 		out[i] = i
 	}
@@ -73,8 +76,9 @@
 
 // Rank returns the rank of a request among those of its service, 0 for the most urgent.
 // The customer's priority goes before the route's, which orders the requests of customers
-// with the same priority. customer is nil for a customer without one.
+// with the same priority. customer is nil for a customer without one. Ranks above 9 count as
+// 9.
 func (t *Table) Rank(service string, customer *int, route int) int {
 	at, _ := slices.BinarySearchFunc(t.ranksByService[service], pairOf(customer, route), comparePriorities)
-	return at
+	return min(at, maxRank)
 }
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/lease"
+	"hawthornferry/core/request/level"
 	"hawthornferry/core/request/place"
 	"hawthornferry/core/request/table"
 	"hawthornferry/io/request/await"
@@ -20,6 +22,8 @@
 type dispatcher struct {
 	clock  clockwork.Clock
 	placer *place.Placer
+	// levels holds the services with an admission level.
+	levels atomic.Pointer[map[string]level.State]
 	await.Dispatcher[place.Verdict]
 }
 
@@ -130,9 +134,27 @@
 	return news
 }
 
-// update hands new facts to the placer.
-func (d *dispatcher) update(f *facts.Facts) {
-	d.Do(func() []place.Verdict { return d.placer.Update(d.clock.Now(), f) })
+// update hands new facts to the placer. It returns why services have no admission level,
+// although their requests differ in priority.
+func (d *dispatcher) update(f *facts.Facts) (implausible map[string]error) {
+	d.Do(func() []place.Verdict {
+		verdicts := d.placer.Update(d.clock.Now(), f)
+		implausible = d.placer.ImplausibleEngines()
+		levels := d.placer.Levels()
+		d.levels.Store(&levels)
+		return verdicts
+	})
+	return implausible
+}
+
+// hasLevel reports whether a service has an admission level, by the latest facts.
+func (d *dispatcher) hasLevel(service string) bool {
+	levels := d.levels.Load()
+	if levels == nil {
+		return false
+	}
+	_, ok := (*levels)[service]
+	return ok
 }
 
 // setRoundTrip tells the placer the shortest measured round trip to the targets of a
@@ -173,6 +195,24 @@
 	d.Do(func() []place.Verdict { return d.placer.AddPermits(d.clock.Now(), target, g) })
 }
 
+// demand returns this entry's demand for each service whose requests have different
+// priorities, and the level of each.
+func (d *dispatcher) demand() (rates map[string]level.Rates, levels map[string]level.State) {
+	d.Do(func() []place.Verdict {
+		rates, levels = d.placer.Rates(d.clock.Now()), d.placer.Levels()
+		return nil
+	})
+	return rates, levels
+}
+
+// setDemandTotals tells the placer the demand of all entries for a service.
+func (d *dispatcher) setDemandTotals(service string, t DemandTotals) {
+	d.Do(func() []place.Verdict {
+		d.placer.SetTotals(d.clock.Now(), service, t.Totals, t.Until)
+		return nil
+	})
+}
+
 // minFirstShare is the fraction of a route's longest deadline from which on a deadline
 // is taken for that of a first request. It allows for callers that wait for different
 // times. A caller that was told to retry after a second has less left: of a deadline of
