--- a/core/request/level/level.go
+++ b/core/request/level/level.go
@@ -13,7 +13,7 @@
 )
 
 // Priorities is the number of priorities. They run from 0, the most urgent, to
-// Priorities-1.
+// Priorities-1, and are the ranks of requests among those of their service (table.Rank).
 const Priorities = 10
 
 // maxRate bounds each rate, in engine seconds per second: more than any service has
--- a/core/request/place/place.go
+++ b/core/request/place/place.go
@@ -46,7 +46,8 @@
 	// Objective is zero for a request without one.
 	Objective time.Duration
 	Deadline  time.Time
-	Priority  int
+	// Priority is the rank of the request among those of its service, 0 for the most urgent.
+	Priority int
 	// Limits bound until when older versions of the model may begin the request.
 	Limits []VersionLimit
 	// NewestVersion is the newest version announced for the service's model, 0 without
