place, level, hosted: faults that a review of admission by rank found

Rates of former ranks were kept after a change of the configuration. A side that an entry had told to send no load reports was not told when the entry came to need them. One entry's faulty rates made the sum over all invalid. The meter used the time of day. Each refusal computed the rates of all services. Services without a level were ordered by rank too.

Change: the level is decided anew when a request arrives and when rates are read; it starts anew when the ranks of a service change; the side is asked for reports at once; sums are limited; the meter counts from its first use; refusals read the level only; services without a level keep the order that they had.

--- a/core/request/level/level.go
+++ b/core/request/level/level.go
@@ -43,12 +43,13 @@
 	return nil
 }
 
-// Add adds the rates of another entry.
+// Add adds the rates of another entry. A sum never exceeds what Check accepts: one faulty
+// entry must not make the sum over all invalid.
 func (r *Rates) Add(o *Rates) {
 	for i := range Priorities {
-		r.Offered[i] += o.Offered[i]
-		r.Placed[i] += o.Placed[i]
-		r.Crowded[i] += o.Crowded[i]
+		r.Offered[i] = min(r.Offered[i]+o.Offered[i], maxRate)
+		r.Placed[i] = min(r.Placed[i]+o.Placed[i], maxRate)
+		r.Crowded[i] = min(r.Crowded[i]+o.Crowded[i], maxRate)
 	}
 }
 
--- a/core/request/level/meter.go
+++ b/core/request/level/meter.go
@@ -22,10 +22,13 @@
 // Meter measures the Rates of one entry and service. The zero value is ready. It is not
 // safe for concurrent use.
 type Meter struct {
+	// begin is the time of the first slice. Indexes are counted from there, since the time
+	// of day may be set back.
+	begin  time.Time
 	slices [slices]slice
 }
 
-// slice is the work counted in the index-th sliceLength since the Unix epoch.
+// slice is the work counted in the index-th sliceLength, counted from 1.
 type slice struct {
 	index int64
 	work  Rates
@@ -33,7 +36,10 @@
 
 // Add counts work of a priority, in engine seconds.
 func (m *Meter) Add(now time.Time, k Kind, priority int, work float64) {
-	i := now.UnixNano() / int64(sliceLength)
+	if m.begin.IsZero() {
+		m.begin = now
+	}
+	i := m.index(now)
 	s := &m.slices[i%slices]
 	if s.index != i {
 		*s = slice{index: i}
@@ -48,12 +54,16 @@
 	}
 }
 
+func (m *Meter) index(now time.Time) int64 {
+	return max(int64(now.Sub(m.begin)/sliceLength), 0) + 1
+}
+
 // Rates returns the work of the last second.
 func (m *Meter) Rates(now time.Time) Rates {
-	i := now.UnixNano() / int64(sliceLength)
+	i := m.index(now)
 	var sum Rates
 	for k := range m.slices {
-		if s := &m.slices[k]; s.index > i-slices && s.index <= i {
+		if s := &m.slices[k]; s.index > max(i-slices, 0) && s.index <= i {
 			sum.Add(&s.work)
 		}
 	}
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -38,6 +38,7 @@
 	out := map[string]level.Rates{}
 	for name, s := range p.services {
 		if s.level != nil {
+			s.updateLevel(now)
 			out[name] = s.level.meter.Rates(now)
 		}
 	}
@@ -95,6 +96,10 @@
 	if s.levelTable == t && s.levelEngine == s.engine {
 		return
 	}
+	if s.levelTable != nil && !t.SameRanks(s.levelTable, s.name) {
+		// What was counted belongs to other ranks.
+		s.level = nil
+	}
 	s.levelTable, s.levelEngine, s.levelProblem = t, s.engine, nil
 	if s.engine == nil || len(t.Ranks(s.name)) < 2 {
 		s.level = nil
@@ -162,6 +167,7 @@
 	if s.level == nil {
 		return true
 	}
+	s.updateLevel(now)
 	q.work = s.work(w)
 	if w.Resumed || w.isTrial() || len(w.FailedTargets) > 0 {
 		return true
--- a/core/request/place/level_test.go
+++ b/core/request/place/level_test.go
@@ -57,7 +57,6 @@
 			p := levelPlacer(tc.engine, tc.priorities...)
 			p.SetTotals(start, "svc", scarce(), start.Add(time.Second))
 			now := start.Add(tc.after)
-			p.Tick(now)
 			w := testRequest("1")
 			w.Priority, w.FirstRequestedAt = 5, now
 			tc.change(&w)
--- a/core/request/table/priority.go
+++ b/core/request/table/priority.go
@@ -74,6 +74,11 @@
 	return out
 }
 
+// SameRanks reports whether the requests to a service have the same ranks by both tables.
+func (t *Table) SameRanks(o *Table, service string) bool {
+	return slices.Equal(t.ranksByService[service], o.ranksByService[service])
+}
+
 // Rank returns the rank of a request among those of its service, 0 for the most urgent.
 // The customer's priority goes before the route's, which orders the requests of customers
 // with the same priority. customer is nil for a customer without one. Ranks above 9 count as
--- a/io/process/hosted/demand.go
+++ b/io/process/hosted/demand.go
@@ -56,8 +56,11 @@
 	priorities map[string][]int
 	// listensTo holds the sides whose load reports this entry needs.
 	listensTo map[netip.AddrPort]bool
-	gauges    map[demandGauge]tally.Gauge
-	gaugesAt  time.Duration
+	// demandOnly holds the sides that were told to send this entry no load reports, and the
+	// service of the last message to each.
+	demandOnly map[netip.AddrPort]string
+	gauges     map[demandGauge]tally.Gauge
+	gaugesAt   time.Duration
 }
 
 // demandGauge identifies a gauge by its service and, for a share, its priority; noPriority
@@ -121,7 +124,7 @@
 func (r *demandReports) active() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.priorities) > 0 || len(r.gauges) > 0
+	return len(r.priorities) > 0 || len(r.gauges) > 0 || len(r.demandOnly) > 0
 }
 
 func (r *demandReports) tick() {
@@ -135,17 +138,44 @@
 			r.sender.SendDemand(m.Side, loads.Demand{
 				Service: service, Rates: own, Seq: m.Seq, Interval: m.Interval, DemandOnly: !r.listensTo[m.Side],
 			})
+			r.recordDemandOnly(m.Side, service)
 		}
 		if r.changes.Observe(now, service, levels[service], priorities) {
 			r.logChange(service, levels[service], priorities)
 		}
 	}
+	r.resumeReports(rates)
 	if now >= r.gaugesAt+gaugeInterval {
 		r.gaugesAt = now
 		r.updateGauges(levels)
 	}
 }
 
+// recordDemandOnly records whether a side sends no load reports to this entry, which has sent it
+// its demand for a service. r.mu must be held.
+func (r *demandReports) recordDemandOnly(side netip.AddrPort, service string) {
+	if r.listensTo[side] {
+		delete(r.demandOnly, side)
+		return
+	}
+	if r.demandOnly == nil {
+		r.demandOnly = map[netip.AddrPort]string{}
+	}
+	r.demandOnly[side] = service
+}
+
+// resumeReports asks the sides for load reports that this entry has come to need since it sent
+// them its demand only. They may no longer be collectors. r.mu must be held.
+func (r *demandReports) resumeReports(rates map[string]level.Rates) {
+	for side, service := range r.demandOnly {
+		if !r.listensTo[side] {
+			continue
+		}
+		delete(r.demandOnly, side)
+		r.sender.SendDemand(side, loads.Demand{Service: service, Rates: rates[service], Interval: demand.MinInterval})
+	}
+}
+
 // receive passes on the totals of a collector.
 func (r *demandReports) receive(side netip.AddrPort, t loads.Totals) {
 	r.mu.Lock()
--- a/io/process/hosted/demand_test.go
+++ b/io/process/hosted/demand_test.go
@@ -74,3 +74,21 @@
 		}
 	}
 }
+
+// Guards against a side that sends only heartbeats for good, since it was a collector when this
+// entry did not need its load reports yet.
+func TestFormerCollectorIsAskedForLoadReports(t *testing.T) {
+	side := netip.MustParseAddrPort("10.0.0.1:7")
+	r := &demandRecorder{sent: map[netip.AddrPort]loads.Demand{}}
+	d := &demandReports{
+		uptime: func() time.Duration { return time.Hour }, metrics: tally.NoopScope, source: r, sender: r,
+		demandOnly: map[netip.AddrPort]string{side: "svc"},
+	}
+	d.setTargets(&facts.Facts{Table: &table.Table{}}, []netip.AddrPort{side})
+	for range 2 {
+		d.tick()
+	}
+	if m, told := r.sent[side]; !told || m.DemandOnly || m.Service != "svc" || d.active() {
+		t.Errorf("told %t: %+v, active %t", told, m, d.active())
+	}
+}
--- a/io/request/direct/dispatcher.go
+++ b/io/request/direct/dispatcher.go
@@ -205,6 +205,15 @@
 	return rates, levels
 }
 
+// admissionLevels returns the admission level of each service that has one.
+func (d *dispatcher) admissionLevels() (levels map[string]level.State) {
+	d.Do(func() []place.Verdict {
+		levels = d.placer.Levels()
+		return nil
+	})
+	return levels
+}
+
 // setDemandTotals tells the placer the demand of all entries for a service.
 func (d *dispatcher) setDemandTotals(service string, t DemandTotals) {
 	d.Do(func() []place.Verdict {
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -225,7 +225,7 @@
 // MaxKeyAge, no key is accepted and the caller has to try another entry.
 func (s *Server) identifyCustomer(q *request) (errorResponse, bool) {
 	if !q.facts.Table.RequiresKey() || q.route.AllowAnonymous {
-		q.rank = q.facts.Table.Rank(q.service.Name, nil, q.route.Priority)
+		q.rank = rankOf(q, nil)
 		return errorResponse{}, true
 	}
 	if s.Rules.MaxKeyAge > 0 && q.factsAge.OlderThan(s.Rules.MaxKeyAge) {
@@ -236,10 +236,23 @@
 		return s.notFoundError(q, http.StatusUnauthorized, "unknownKey"), false
 	}
 	q.customer, q.customerRegions = c.Name, c.Regions
-	q.rank = q.facts.Table.Rank(q.service.Name, c.Priority, q.route.Priority)
+	q.rank = rankOf(q, c.Priority)
 	return errorResponse{}, true
 }
 
+// rankOf returns the rank of a request of a customer with the given priority, nil for none. At
+// a service without an admission level, the customer's priority replaces the route's.
+func rankOf(q *request, customer *int) int {
+	switch {
+	case place.HasLevel(q.facts.Table, q.service.Name):
+		return q.facts.Table.Rank(q.service.Name, customer, q.route.Priority)
+	case customer != nil:
+		return *customer
+	default:
+		return q.route.Priority
+	}
+}
+
 // readBody reads the whole body within bodyTimeout of the request's arrival and the configured
 // size limit.
 func (s *Server) readBody(w http.ResponseWriter, q *request) (errorResponse, bool) {
@@ -248,7 +261,7 @@
 		limit = bound.MaxBodyBytes
 	}
 	body := http.MaxBytesReader(w, q.incoming.Body, limit)
-	b, err := readHeld(body, q.incoming.ContentLength, &q.hold, 0)
+	b, err := readHeld(body, q.incoming.ContentLength, &q.hold, q.hold.Grow, 0)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/io/request/direct/level.go
+++ b/io/request/direct/level.go
@@ -91,8 +91,7 @@
 		return nil
 	}
 	s.metrics.countHeldBack(q.service.Name, q.rank)
-	_, levels := s.dispatcher.demand()
-	return s.DescribeLevel(q.service.Name, levels[q.service.Name], q.rank)
+	return s.DescribeLevel(q.service.Name, s.dispatcher.admissionLevels()[q.service.Name], q.rank)
 }
 
 // engineQueuePriority returns the priority that the target's own queue is to be told, nil if
