direct, bound, spread: faults that a review of the bounds and the plan found

A target was paused when this process had no memory for its event. What has no declared length got only what other bodies left of a quarter of the budget, and callers' bodies too (a chunked one of 40 KiB was refused with 9 of 32 MiB used). A dropped connection was logged as invalid data. A successor that was cut off just before a handover was cancelled went unnoticed. Sides that had never received a chunk did not count the origin as silent, so that no version was fetched if it lacked the newest one; chunks that neighbours exchange counted as its return.

--- a/core/request/space/budget.go
+++ b/core/request/space/budget.go
@@ -14,6 +14,8 @@
 
 	used atomic.Int64
 	peak atomic.Int64
+	// spare is the part of used that was taken by GrowSpare.
+	spare atomic.Int64
 }
 
 // take reserves n bytes, if that many are left.
@@ -42,6 +44,8 @@
 	Budget *Budget
 
 	held int64
+	// spare is the part of held that was taken by GrowSpare.
+	spare int64
 }
 
 // Grow makes the hold at least n bytes large. It returns false if the budget doesn't allow
@@ -62,19 +66,26 @@
 // end would take all of it, and leave nothing to others.
 const spareShare = 0.25
 
-// GrowSpare grows like Grow for contents whose length is not known beforehand, but does so only
-// while no more than spareShare of the budget is held.
+// GrowSpare grows like Grow for contents whose length is not known beforehand. All of them
+// together get no more than spareShare of the budget.
 func (h *Hold) GrowSpare(n int64) bool {
-	if b := h.Budget; b != nil && n > h.held && float64(b.Used()+n-h.held) > spareShare*float64(b.Limit) {
+	b, more := h.Budget, n-h.held
+	if b == nil || more <= 0 {
+		return true
+	}
+	if float64(b.spare.Add(more)) > spareShare*float64(b.Limit) || !h.Grow(n) {
+		b.spare.Add(-more)
 		return false
 	}
-	return h.Grow(n)
+	h.spare += more
+	return true
 }
 
 // Release gives everything back.
 func (h *Hold) Release() {
 	if h.Budget != nil {
 		h.Budget.used.Add(-h.held)
+		h.Budget.spare.Add(-h.spare)
 	}
-	h.held = 0
+	h.held, h.spare = 0, 0
 }
--- a/core/version/spread/events.go
+++ b/core/version/spread/events.go
@@ -197,10 +197,11 @@
 	for _, pl := range c.positions {
 		if !pl.version.heldInRegion.Has(pl.index) {
 			s.recordSupply(now, c, pl.upstream())
+			// A chunk that the region held already has come from a neighbour.
+			s.noteReceived(now, pl.version, pl.upstream())
 		}
 		pl.version.heldHere.Set(pl.index)
 		pl.version.heldInRegion.Set(pl.index)
-		s.noteReceived(now, pl.version, pl.upstream())
 		s.markAvailable(now, pl.upstream())
 		s.announceHeld(pl)
 	}
--- a/core/version/spread/order_test.go
+++ b/core/version/spread/order_test.go
@@ -288,8 +288,14 @@
 }
 
 // Guards against an older version that nobody fetches, while the origin cannot send any chunk of
-// the newest one.
+// the newest one, also at sides that start with nothing and learn of both at once.
 func TestUnavailableNewestVersionDoesNotHoldUpOlder(t *testing.T) {
+	for _, second := range []time.Duration{secondAt, 0} {
+		t.Run(second.String()+" between", func(t *testing.T) { fetchOlderOfTwo(t, second) })
+	}
+}
+
+func fetchOlderOfTwo(t *testing.T, second time.Duration) {
 	r := newPlannedRun(t, sites[0], nil)
 	answer := r.origin
 	r.origin = func(side string, d chunk.Digest, k int) (bool, time.Duration) {
@@ -299,8 +305,8 @@
 		return answer(side, d, k)
 	}
 	r.announce()
-	r.after(secondAt, r.announce)
-	r.runUntil(func() bool { return r.since() > secondAt && r.allComplete(r.versions[1].ID)() })
+	r.after(second, r.announce)
+	r.runUntil(func() bool { return r.since() > second && r.allComplete(r.versions[1].ID)() })
 	if most := r.site.bound - plan.SpreadTime - plan.LoadTime; r.since() > most {
 		t.Errorf("the older version is complete after %v, want %v at most", r.since(), most)
 	}
--- a/core/version/spread/priority.go
+++ b/core/version/spread/priority.go
@@ -103,7 +103,7 @@
 	case s.silent(now, up):
 		return earlier + probeSlots
 	default:
-		return handoverSlots
+		return min(handoverSlots, s.fetchSlots(up))
 	}
 }
 
@@ -168,12 +168,19 @@
 	return missing
 }
 
+// firstChunkTime is how long the first chunk may take to arrive in a region after this side
+// has begun to want versions: a few requests share the origin's link.
+const firstChunkTime = 3 * retryNoticeInterval
+
 // UpstreamsSilent reports whether the region has got no chunk from outside for some time.
 func (s *State) UpstreamsSilent(now time.Time) bool {
+	if len(s.lastReceived) == 0 {
+		return !s.wantedSince.IsZero() && now.Sub(s.wantedSince) >= firstChunkTime
+	}
 	for up := range s.lastReceived {
 		if !s.silent(now, up) {
 			return false
 		}
 	}
-	return len(s.lastReceived) > 0
+	return true
 }
--- a/core/version/spread/state.go
+++ b/core/version/spread/state.go
@@ -129,6 +129,8 @@
 	unavailable map[string]bool
 	// supply is how long chunks from each upstream usually take.
 	supply map[string]*supplyTime
+	// wantedSince is when this side was first told of a version to fetch.
+	wantedSince time.Time
 	// lastReceived is when a chunk last came from an upstream.
 	lastReceived map[string]time.Time
 	// ordered is set while the wanted versions have priorities.
--- a/core/version/spread/update.go
+++ b/core/version/spread/update.go
@@ -16,6 +16,9 @@
 func (s *State) Update(now time.Time, wanted []WantedVersion) []Action {
 	old := s.versions
 	s.versions = nil
+	if s.wantedSince.IsZero() && len(wanted) > 0 {
+		s.wantedSince = now
+	}
 	s.setPriorities(wanted)
 	for _, c := range s.chunks {
 		c.positions = nil
--- a/io/conn/bound/head.go
+++ b/io/conn/bound/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The beginning of a status line: the protocol, the minor version, a space and the first digit
@@ -30,6 +32,8 @@
 	status  bool
 	interim bool
 	ended   bool
+	// err is the first error of the connection.
+	err error
 }
 
 // NewHeadReader returns a reader of the response that r begins with.
@@ -38,12 +42,31 @@
 // Read implements io.Reader.
 func (h *HeadReader) Read(p []byte) (int, error) {
 	n, err := h.r.Read(p)
+	if h.err == nil {
+		h.err = err
+	}
 	if cut := h.check(p[:n]); cut != nil {
 		return 0, cut
 	}
 	return n, err
 }
 
+// Classify classifies the error of a parser that has read from h, as the function Classify does.
+// If the connection has ended or failed, a parser may take what had arrived for invalid; the
+// error is then that of the connection.
+func (h *HeadReader) Classify(err error) error {
+	if _, cut := Of(err); cut || h.err == nil {
+		return Classify(err)
+	}
+	if _, invalid := Of(Classify(err)); !invalid {
+		return err
+	}
+	if errors.Is(h.err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return h.err
+}
+
 // check checks the part of b that belongs to heads.
 func (h *HeadReader) check(b []byte) error {
 	for len(b) > 0 && !h.ended {
--- a/io/conn/bound/head_test.go
+++ b/io/conn/bound/head_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -29,11 +30,12 @@
 
 // readHead reads a response up to the end of its last head, as package direct does.
 func readHead(r io.Reader) (*http.Response, *bufio.Reader, error) {
-	in := bufio.NewReader(NewHeadReader(r))
+	head := NewHeadReader(r)
+	in := bufio.NewReader(head)
 	for {
 		resp, err := http.ReadResponse(in, nil)
 		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, in, Classify(err)
+			return resp, in, head.Classify(err)
 		}
 	}
 }
@@ -63,6 +65,21 @@
 	}
 }
 
+// Guards against a target that drops its connection, or crashes, being taken for one that sends
+// what is not valid.
+func TestDroppedConnectionIsNotInvalid(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 20", "HTTP/1.1 200 OK\r\nConte", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"} {
+		head := NewHeadReader(strings.NewReader(text))
+		resp, err := http.ReadResponse(bufio.NewReader(head), nil)
+		if err == nil {
+			_, err = io.ReadAll(NewBody(resp, head))
+		}
+		if err = head.Classify(err); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q: %v, want %v", text, err, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
 // FuzzHead guards against responses whose head is read beyond the bound, or takes more memory
 // than it may. What is sent is a text, and then its second part again and again.
 func FuzzHead(f *testing.F) {
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -42,10 +42,10 @@
 }
 
 // placeResultOf returns what the end of an attempt says about its target. An attempt
-// that was moved because its target waits to load, or was not sent because of what the
-// target says of itself, does not count as a failure.
+// that was moved because its target waits to load, was not sent because of what the target
+// says of itself, or ended for lack of memory in this process does not count as a failure.
 func placeResultOf(o resend.Outcome, err error) place.Result {
-	if errors.IsAny(err, errLoading, errTakesNone) {
+	if errors.IsAny(err, errLoading, errTakesNone, errNoMemory) {
 		return place.ResultCallerGone
 	}
 	return placeResults[o]
--- a/io/request/direct/buffered.go
+++ b/io/request/direct/buffered.go
@@ -74,7 +74,7 @@
 	r.q.progress.status = x.resp.StatusCode
 	// A target sends the head of such a response only after it has run the request.
 	g.stopVersionCheck()
-	b, err := readHeld(x.resp.Body, x.resp.ContentLength, &r.q.hold, int64(len(r.q.body)+len(r.heldBody)))
+	b, err := readHeld(x.resp.Body, x.resp.ContentLength, &r.q.hold, r.q.hold.GrowSpare, int64(len(r.q.body)+len(r.heldBody)))
 	if errors.Is(err, errNoMemory) {
 		return r.passOn(x.resp, b)
 	}
--- a/io/request/direct/events.go
+++ b/io/request/direct/events.go
@@ -23,8 +23,10 @@
 // eventReader reads the events of a stream. It is not safe for concurrent use.
 type eventReader struct {
 	in *bufio.Reader
-	// hold reserves the memory of events over smallEvent.
-	hold space.Hold
+	// hold reserves the memory of an event over smallEvent, and delivered that of the event
+	// before it, which is being sent to the caller.
+	hold      space.Hold
+	delivered space.Hold
 	// filler counts the bytes of blank lines and of blocks without an ID or data since the last
 	// event that has one.
 	filler int
@@ -38,7 +40,6 @@
 // that keeps the connection open, counts as one. next returns io.EOF at the end of the stream,
 // and io.ErrUnexpectedEOF if the stream ended within an event.
 func (r *eventReader) next() (event, error) {
-	r.hold.Release()
 	var e event
 	for isFiller := true; ; {
 		line, err := r.appendLine(&e)
@@ -62,6 +63,19 @@
 	}
 }
 
+// deliver is called when the last event has been taken over, so that the one before it has been
+// sent.
+func (r *eventReader) deliver() {
+	r.delivered.Release()
+	r.delivered, r.hold = r.hold, space.Hold{Budget: r.hold.Budget}
+}
+
+// release gives all memory back.
+func (r *eventReader) release() {
+	r.hold.Release()
+	r.delivered.Release()
+}
+
 // readField reads a line of an event. It reports whether the line has neither an ID nor data.
 func (e *event) readField(line []byte) (isFiller bool) {
 	v, ok := bytes.CutPrefix(line, []byte("id:"))
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -95,11 +95,12 @@
 	out := make(chan streamItem)
 	in := eventReader{in: bufio.NewReaderSize(x.resp.Body, readBuffer), hold: space.Hold{Budget: memory}}
 	go func() {
-		defer in.hold.Release()
+		defer in.release()
 		for {
 			e, err := in.next()
 			select {
 			case out <- streamItem{e, err}:
+				in.deliver()
 			case <-x.closed:
 				return
 			}
@@ -162,14 +163,15 @@
 	if writeErr == nil {
 		writeErr = w.Flush()
 	}
-	r := bufio.NewReaderSize(bound.NewHeadReader(x.conn), readBuffer)
+	head := bound.NewHeadReader(x.conn)
+	r := bufio.NewReaderSize(head, readBuffer)
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
-			return errors.CombineErrors(bound.Classify(err), writeErr)
+			return errors.CombineErrors(head.Classify(err), writeErr)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			resp.Body = bound.NewBody(resp)
+			resp.Body = bound.NewBody(resp, head)
 			x.resp = resp
 			return nil
 		}
--- a/io/request/direct/forwarder.go
+++ b/io/request/direct/forwarder.go
@@ -179,7 +179,7 @@
 	}
 	f.pending.cancel()
 	succ := <-f.pending.result
-	if succ.ready() || succ.outcome == resend.Broken && !lostConnection(succ.err) {
+	if succ.ready() || succ.outcome == resend.Broken && !lostConnection(succ.err) && !isCutOff(succ.err) {
 		succ.fail(resend.Dropped, nil)
 	}
 	return f.dropSuccessor(succ)
--- a/io/request/direct/memory.go
+++ b/io/request/direct/memory.go
@@ -19,13 +19,14 @@
 	writeChunk = 64 << 10
 )
 
-// errNoMemory is returned if the memory budget doesn't allow a body to be buffered.
-var errNoMemory = errors.New("no memory left to buffer the body")
+// errNoMemory is returned if the memory budget doesn't allow a body or an event to be buffered.
+var errNoMemory = errors.New("no memory left to buffer it")
 
 // readHeld reads a whole body into memory that it reserves in hold, on top of the given
-// number of bytes. length is that of the body, or negative if unknown. After errNoMemory,
-// the part that was read is returned, and r continues after it.
-func readHeld(r io.Reader, length int64, hold *space.Hold, onTop int64) ([]byte, error) {
+// number of bytes. length is that of the body, or negative if unknown; grow, a method of hold,
+// then reserves more. After errNoMemory, the part that was read is returned, and r continues
+// after it.
+func readHeld(r io.Reader, length int64, hold *space.Hold, grow func(int64) bool, onTop int64) ([]byte, error) {
 	size := max(length, 0)
 	if length < 0 {
 		size = readChunk
@@ -41,7 +42,7 @@
 				return b, expectEnd(r)
 			}
 			size = 2*int64(cap(b)) + readChunk
-			if !hold.GrowSpare(onTop + size) {
+			if !grow(onTop + size) {
 				return b, errNoMemory
 			}
 			b = append(make([]byte, 0, size), b...)
--- a/io/request/direct/memory_test.go
+++ b/io/request/direct/memory_test.go
@@ -49,7 +49,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			hold := space.Hold{Budget: &space.Budget{Limit: tc.limit}}
 			r := iotest.OneByteReader(bytes.NewReader(body))
-			got, err := readHeld(r, tc.length, &hold, tc.onTop)
+			got, err := readHeld(r, tc.length, &hold, hold.GrowSpare, tc.onTop)
 			if !errors.Is(err, tc.err) || len(got) != tc.want {
 				t.Errorf("%d bytes, error %v, want %d, %v", len(got), err, tc.want, tc.err)
 			}
@@ -59,7 +59,8 @@
 			}
 		})
 	}
-	if _, err := readHeld(strings.NewReader("longer"), 3, &space.Hold{}, 0); err == nil {
+	var hold space.Hold
+	if _, err := readHeld(strings.NewReader("longer"), 3, &hold, hold.Grow, 0); err == nil {
 		t.Error("a body longer than declared was accepted")
 	}
 }
--- a/io/request/direct/stream_test.go
+++ b/io/request/direct/stream_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// Guards against large events that are not counted as held while slow callers read them.
+func TestEventIsHeldUntilItIsSent(t *testing.T) {
+	large := "data: " + strings.Repeat("x", 4*smallEvent) + "\n\n"
+	budget := &space.Budget{Limit: 1 << 30}
+	r := &eventReader{in: bufio.NewReader(&repeatReader{text: large + "data: y\n\n"}), hold: space.Hold{Budget: budget}}
+	for range 3 {
+		if e, err := r.next(); err != nil || len(e.raw) != len(large) {
+			t.Fatalf("event of %d bytes, error %v, want %d", len(e.raw), err, len(large))
+		}
+		r.deliver()
+		// The caller still reads the large event while the next one arrives.
+		if _, err := r.next(); err != nil || budget.Used() < int64(len(large)) {
+			t.Errorf("%d bytes held, error %v, want at least %d", budget.Used(), err, len(large))
+		}
+		r.deliver()
+	}
+	if r.release(); budget.Used() != 0 {
+		t.Errorf("%d bytes held at the end", budget.Used())
+	}
+}
+
 // repeatReader returns a text again and again.
 type repeatReader struct {
 	text string
--- a/io/request/direct/suspects.go
+++ b/io/request/direct/suspects.go
@@ -12,6 +12,7 @@
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/request/poison"
 	"hawthornferry/core/request/resend"
+	"hawthornferry/io/conn/bound"
 )
 
 // Suspects keeps track of requests that may crash the targets that run them. Package
@@ -127,6 +128,12 @@
 	}
 }
 
+// isCutOff reports whether err shows that a read was cut off at a bound.
+func isCutOff(err error) bool {
+	_, cut := bound.Of(err)
+	return cut
+}
+
 // lostConnection reports whether err shows that the target ended the connection, as a
 // crash does. A connection that the entry closed gives other errors.
 func lostConnection(err error) bool {
