level, place: end the level when slots are free, and only for routes

Change: the amount grows twofold in a second while nothing lacks capacity and a fifth of the slots is free. Less than a tenth of more urgent work makes no shortage. The level is active where routes to a service have different priorities; customers that differ are ordered as before.

--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -14,6 +14,10 @@
 	// ownShortageShare applies while an entry knows only its own demand, of which a second
 	// holds few requests: at nine tenths of the capacity, three of twenty may lack it.
 	ownShortageShare = 0.3
+	// urgentShare is the share of the offered work that more urgent requests must have for a
+	// shortage. Fewer than that find capacity by their order in entries and engines; to hold
+	// back all others for them would leave more capacity unused than they need.
+	urgentShare = 0.1
 	// crowdedTarget is the share of the admitted work that may lack capacity. At zero, a
 	// single large prompt that found no room would lower the level.
 	crowdedTarget = 0.06
@@ -41,6 +45,11 @@
 	// it was last lowered, squared: a few hundredths in the first five seconds, while the
 	// capacity is most likely the same, and twofold in ten to fifteen.
 	riseRate = 0.001
+	// freeShare is the share of the engines' slots that are free from which capacity counts as
+	// left over. While nothing lacks capacity, the amount then grows by freeRate in a second:
+	// engines that were added, or that have paused, are not left idle.
+	freeShare = 0.2
+	freeRate  = 2.0
 	// maxStep bounds the time for which one update changes the amount, as when a process
 	// was stopped.
 	maxStep = 500 * time.Millisecond
@@ -53,6 +62,8 @@
 	// amount is the work that may begin, in engine seconds per second, while the level is
 	// in force.
 	amount float64
+	// free is the share of the engines' slots that are free, as far as known.
+	free float64
 	// least is how far the amount may fall, loweredAt when it last fell, and drain the
 	// share by which less begins for a while after that.
 	least     float64
@@ -89,6 +100,9 @@
 	return c.state
 }
 
+// SetFree sets the share of the engines' slots that are free, for the next Update.
+func (c *Controller) SetFree(share float64) { c.free = share }
+
 // State returns the level as last updated.
 func (c *Controller) State() State { return c.state }
 
@@ -113,6 +127,8 @@
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
 	sinceLowered := now.Sub(c.loweredAt)
 	switch {
+	case crowded <= crowdedTarget*(placed+crowded) && c.free >= freeShare:
+		c.amount += freeRate * c.amount * elapsed.Seconds()
 	case crowded <= crowdedTarget*(placed+crowded):
 		c.amount += riseRate * sinceLowered.Seconds() * sinceLowered.Seconds() * c.amount * elapsed.Seconds()
 	case sinceLowered >= settleTime:
@@ -146,19 +162,21 @@
 const minWork = 1e-9
 
 // shortage reports whether requests are refused for lack of capacity while less urgent
-// ones, beyond their floor, are placed. limit is the share that may lack capacity.
+// ones, beyond their floor, are placed. limit is the share that may lack capacity. A few more
+// urgent requests are no reason to hold back all others.
 func shortage(r *Rates, limit float64) bool {
 	placed, crowded := sum(&r.Placed), sum(&r.Crowded)
 	if crowded <= limit*(placed+crowded) {
 		return false
 	}
 	floor := floorRatio * placed / max(sum(&r.Offered), minWork)
-	refused := 0.0
+	refused, urgent := 0.0, 0.0
 	for p := range Priorities {
-		if refused > minWork && r.Placed[p] > floor*r.Offered[p] {
+		if refused > minWork && urgent >= urgentShare*sum(&r.Offered) && r.Placed[p] > floor*r.Offered[p] {
 			return true
 		}
 		refused += r.Crowded[p]
+		urgent += r.Offered[p]
 	}
 	return false
 }
--- a/core/request/level/controller_test.go
+++ b/core/request/level/controller_test.go
@@ -242,3 +242,37 @@
 		}
 	}
 }
+
+// Guards against callers who are held back, and engines that are left with free slots, because a
+// few more urgent requests lack capacity as the others do.
+func TestFewUrgentRequestsHoldNobodyBack(t *testing.T) {
+	var r Rates
+	r.Offered[0], r.Placed[0], r.Crowded[0] = 4, 3, 1
+	r.Offered[1], r.Placed[1], r.Crowded[1] = 96, 72, 24
+	var c Controller
+	if s := c.Update(start, r, Totals{Entries: 16, Rates: r}); s.InForce {
+		t.Errorf("shares %v for 4 in 100 that are more urgent", s.Shares[:2])
+	}
+	r.Offered[0], r.Placed[0], r.Crowded[0] = 40, 30, 10
+	if s := c.Update(start, r, Totals{Entries: 16, Rates: r}); !s.InForce || s.Shares[0] != 1 || s.Shares[1] >= 1 {
+		t.Errorf("in force %t, shares %v for 29 in 100 that are more urgent", s.InForce, s.Shares[:2])
+	}
+}
+
+// Guards against engines that were added, and stay idle since the level grows slowly.
+func TestLevelEndsSoonWithFreeSlots(t *testing.T) {
+	var r Rates
+	r.Offered[0], r.Placed[0], r.Crowded[0] = 40, 30, 10
+	r.Offered[1], r.Placed[1], r.Crowded[1] = 60, 45, 15
+	var c Controller
+	c.Update(start, r, Totals{Entries: 16, Rates: r})
+	r.Placed, r.Crowded = r.Offered, [Priorities]float64{}
+	c.SetFree(.4)
+	const step = 100 * time.Millisecond
+	for at := step; at <= 2*time.Second; at += step {
+		if s := c.Update(start.Add(at), r, Totals{Entries: 16, Rates: r}); !s.InForce {
+			return
+		}
+	}
+	t.Error("the level is in force 2 s after engines with free slots were added")
+}
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -53,7 +53,7 @@
 		return
 	}
 	s.level.totals, s.level.until = t, until
-	s.level.update(now)
+	s.level.update(now, s.freeShare(now))
 }
 
 // Levels returns the admission level of each service that has requests of different
@@ -81,10 +81,11 @@
 }
 
 // HasLevel reports whether a service has an admission level by the configuration: its engines'
-// declared speed is plausible, and its requests differ in priority.
+// declared speed is plausible, and its routes differ in priority. Customers that differ are
+// ordered, but do not make an operator's routes compete.
 func HasLevel(t *table.Table, name string) bool {
 	s, ok := t.ServiceByName(name)
-	if !ok || s.Engine == nil || len(t.Ranks(name)) < 2 {
+	if !ok || s.Engine == nil || !t.RoutesDiffer(name) {
 		return false
 	}
 	_, err := slotPassOf(s.Engine)
@@ -101,7 +102,7 @@
 		s.level = nil
 	}
 	s.levelTable, s.levelEngine, s.levelProblem = t, s.engine, nil
-	if s.engine == nil || len(t.Ranks(s.name)) < 2 {
+	if s.engine == nil || !t.RoutesDiffer(s.name) {
 		s.level = nil
 		return
 	}
@@ -143,8 +144,23 @@
 	return min(max(v, 0), maxWork)
 }
 
-// update decides the level anew.
-func (l *levelState) update(now time.Time) {
+// freeShare returns the share of the slots that are free at the engines that this entry may use.
+func (s *service) freeShare(now time.Time) float64 {
+	free, slots := 0, 0
+	for _, t := range s.subset {
+		if t.Evacuated || t.isLeaving() || !t.reportFresh(now) || !t.alive || t.loading || t.reportedVersion == 0 {
+			continue
+		}
+		n := slotsOf(t.Target)
+		slots += n
+		free += max(0, n-t.load(now))
+	}
+	return float64(free) / float64(max(slots, 1))
+}
+
+// update decides the level anew. free is the share of the engines' slots that are free.
+func (l *levelState) update(now time.Time, free float64) {
+	l.controller.SetFree(free)
 	if !now.Before(l.until) {
 		l.totals = level.Totals{}
 	}
@@ -155,7 +171,7 @@
 // updateLevel decides the level of a service anew if that is due.
 func (s *service) updateLevel(now time.Time) {
 	if s.level != nil && now.Sub(s.level.updatedAt) >= levelInterval {
-		s.level.update(now)
+		s.level.update(now, s.freeShare(now))
 	}
 }
 
--- a/core/request/table/priority.go
+++ b/core/request/table/priority.go
@@ -74,6 +74,12 @@
 	return out
 }
 
+// RoutesDiffer reports whether routes to a service have different priorities.
+func (t *Table) RoutesDiffer(service string) bool {
+	pairs := t.ranksByService[service]
+	return slices.ContainsFunc(pairs, func(p priorityPair) bool { return p.route != pairs[0].route })
+}
+
 // SameRanks reports whether the requests to a service have the same ranks by both tables.
 func (t *Table) SameRanks(o *Table, service string) bool {
 	return slices.Equal(t.ranksByService[service], o.ranksByService[service])
