audit: keep the order of records of the same time

Cause: Explain takes the latest state records from a map, so that those of the same time came in random order.

Change: their order in the log is kept.

--- a/core/process/audit/explain.go
+++ b/core/process/audit/explain.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -50,20 +51,21 @@
 		return nil
 	}
 	start := requestStart(out)
-	latest := map[string]trail.Decision{}
-	for _, d := range records {
+	// latest holds the indexes of the records, so that those of the same time keep their order.
+	latest := map[string]int{}
+	for i, d := range records {
 		if !processes[d.Process] || d.Request != "" || !isRelevantState(d, targets, fingerprints, levels) {
 			continue
 		}
 		switch {
 		case d.Time.Before(start):
-			latest[d.Process+stateKey(d)] = d
+			latest[d.Process+stateKey(d)] = i
 		case !d.Time.After(last.Time):
 			out = append(out, Line{Decision: d, Background: true})
 		}
 	}
-	for _, d := range latest {
-		out = append(out, Line{Decision: d, Background: true})
+	for _, i := range slices.Sorted(maps.Values(latest)) {
+		out = append(out, Line{Decision: records[i], Background: true})
 	}
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Decision.Time.Compare(b.Decision.Time) })
 	return out
