level, place: let the level follow the number of engine slots

Change: the amount follows the number of slots of the usable engines.

Tests of level and place pass.

--- a/core/request/level/controller.go
+++ b/core/request/level/controller.go
@@ -62,6 +62,8 @@
 	// amount is the work that may begin, in engine seconds per second, while the level is
 	// in force.
 	amount float64
+	// slots is the number of slots of the usable engines, 0 if unknown.
+	slots int
 	// free is the share of the engines' slots that are free, as far as known.
 	free float64
 	// least is how far the amount may fall, loweredAt when it last fell, and drain the
@@ -100,8 +102,21 @@
 	return c.state
 }
 
-// SetFree sets the share of the engines' slots that are free, for the next Update.
-func (c *Controller) SetFree(share float64) { c.free = share }
+// SetSlots sets how many slots the usable engines have, and how many of them are free, for the
+// next Update. What may begin follows the number of slots: engines that return or are added
+// would otherwise stay idle until the amount has grown.
+func (c *Controller) SetSlots(slots, free int) {
+	c.free = float64(free) / float64(max(slots, 1))
+	if slots == 0 {
+		return
+	}
+	if c.slots > 0 && slots != c.slots {
+		ratio := float64(slots) / float64(c.slots)
+		c.amount *= ratio
+		c.least *= ratio
+	}
+	c.slots = slots
+}
 
 // State returns the level as last updated.
 func (c *Controller) State() State { return c.state }
--- a/core/request/level/controller_test.go
+++ b/core/request/level/controller_test.go
@@ -267,7 +267,7 @@
 	var c Controller
 	c.Update(start, r, Totals{Entries: 16, Rates: r})
 	r.Placed, r.Crowded = r.Offered, [Priorities]float64{}
-	c.SetFree(.4)
+	c.SetSlots(10, 4)
 	const step = 100 * time.Millisecond
 	for at := step; at <= 2*time.Second; at += step {
 		if s := c.Update(start.Add(at), r, Totals{Entries: 16, Rates: r}); !s.InForce {
--- a/core/request/place/level.go
+++ b/core/request/place/level.go
@@ -53,7 +53,8 @@
 		return
 	}
 	s.level.totals, s.level.until = t, until
-	s.level.update(now, s.freeShare(now))
+	slots, free := s.countSlots(now)
+	s.level.update(now, slots, free)
 }
 
 // Levels returns the admission level of each service that has requests of different
@@ -144,9 +145,9 @@
 	return min(max(v, 0), maxWork)
 }
 
-// freeShare returns the share of the slots that are free at the engines that this entry may use.
-func (s *service) freeShare(now time.Time) float64 {
-	free, slots := 0, 0
+// countSlots returns the number of slots, and of the free ones, at the engines that this entry
+// may use.
+func (s *service) countSlots(now time.Time) (slots, free int) {
 	for _, t := range s.subset {
 		if t.Evacuated || t.isLeaving() || !t.reportFresh(now) || !t.alive || t.loading || t.reportedVersion == 0 {
 			continue
@@ -155,12 +156,12 @@
 		slots += n
 		free += max(0, n-t.load(now))
 	}
-	return float64(free) / float64(max(slots, 1))
+	return slots, free
 }
 
-// update decides the level anew. free is the share of the engines' slots that are free.
-func (l *levelState) update(now time.Time, free float64) {
-	l.controller.SetFree(free)
+// update decides the level anew. slots and free count the engines' slots.
+func (l *levelState) update(now time.Time, slots, free int) {
+	l.controller.SetSlots(slots, free)
 	if !now.Before(l.until) {
 		l.totals = level.Totals{}
 	}
@@ -171,7 +172,8 @@
 // updateLevel decides the level of a service anew if that is due.
 func (s *service) updateLevel(now time.Time) {
 	if s.level != nil && now.Sub(s.level.updatedAt) >= levelInterval {
-		s.level.update(now, s.freeShare(now))
+		slots, free := s.countSlots(now)
+		s.level.update(now, slots, free)
 	}
 }
 
