--- a/review/testdata/standin/slashes.go
+++ b/review/testdata/standin/slashes.go
@@ -37,15 +37,17 @@
 	return resp.StatusCode, nil
 }
 
-// runSlashes sends requests on a route with the prefix "/". The trouble is that the paths of some
-// begin with an empty segment.
+// runSlashes sends requests, some with a path that begins with an empty segment. No route is theirs
+// at first. The trouble is a configuration that adds a route for all paths of the host.
 func runSlashes(e *env) error {
 	s := newStore()
 	storeAddr := fmt.Sprintf("%s:%d", e.ip(4, 0), portStore)
 	if err := e.listen(storeAddr, s); err != nil {
 		return err
 	}
-	s.put("op/config", deskConfig(3, map[string]string{"key-a": "tenant-a"}, deskRoute("desk", "/", "non_idempotent", 1)))
+	keys := map[string]string{"key-a": "tenant-a"}
+	pitches := deskRoute("pitches", "/pitches/", "non_idempotent", 1)
+	s.put("op/config", deskConfig(3, keys, pitches))
 	var mu sync.Mutex
 	sent := map[string]string{}
 	ran := 0
@@ -65,9 +67,13 @@
 		return err
 	}
 	time.Sleep(2 * time.Second)
-	for i := range 60 {
+	for i := range 120 {
+		if i == 30 && e.trouble {
+			s.put("op/config", deskConfig(9, keys, pitches, deskRoute("desk", "/", "non_idempotent", 2)))
+			e.logf("operator: configuration 9 is acknowledged; it adds a route with the prefix /")
+		}
 		target := fmt.Sprintf("/pitches/%d?day=%d", i, i%7)
-		if e.trouble && i%3 == 2 {
+		if i%3 == 2 {
 			target = "/" + target
 		}
 		id := fmt.Sprintf("r%d", i)
