review: case 1 keeps the rule's excuse and lets orders hang

The first form needed replicas that take 1.4 s to accept an order, and counted pieces that the side had replaced within the last 3 s. Now a part of the requests of two replicas hangs for 7 s, as srv_grey allows, and a piece counts only if it was wrong for over 3 s.

--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -23,13 +23,14 @@
 	slots      = 16
 )
 
-// The times of an engine that is not slow. An order is accepted between two passes.
+// The times of an engine.
 const (
 	stagingTime = time.Millisecond
-	acceptTime  = 180 * time.Millisecond
 	eventTime   = 15 * time.Millisecond
 	warmTime    = 300 * time.Millisecond
 	eventCount  = 8
+	// excusedTime is how long a piece may have been wrong when its layer is taken.
+	excusedTime = 3 * time.Second
 )
 
 func pieceContent(version uint64, num int) []byte {
@@ -39,7 +40,7 @@
 
 // versionOf names the version to which a staged piece belongs, for the record.
 func versionOf(b []byte, num int) string {
-	for v := uint64(1); v < 8; v++ {
+	for v := uint64(1); v < 16; v++ {
 		if string(b) == string(pieceContent(v, num)) {
 			return strconv.FormatUint(v, 10)
 		}
@@ -47,6 +48,12 @@
 	return "none"
 }
 
+// piece is a staged piece, and when it was staged as it is.
+type piece struct {
+	content []byte
+	at      time.Time
+}
+
 // engine stands in for a model replica.
 type engine struct {
 	env   *env
@@ -56,9 +63,13 @@
 	zone  string
 	born  time.Time
 
-	mu      sync.Mutex
-	factor  int
-	staged  map[int][]byte
+	mu sync.Mutex
+	// hangs is open while the orders that come hang; it is closed when the hang ends. Nil at other
+	// times. hung and answered count the requests that came meanwhile.
+	hangs    chan struct{}
+	hung     int
+	answered int
+	staged   map[int]piece
 	version uint64
 	// taken says which pieces were wrong when the layers that are in use were taken.
 	taken   []string
@@ -69,18 +80,21 @@
 	queued  int
 }
 
-func (g *engine) setFactor(f int) {
+// startHang begins a time in which orders hang: a part of the replica's requests, while its reports,
+// streams and staging go on. endHang lets the orders go on, in the order in which they came.
+func (g *engine) startHang() {
 	g.mu.Lock()
-	g.factor = f
-	g.mu.Unlock()
-	g.env.logf("%s works %d times as long as usual", g.id, f)
+	defer g.mu.Unlock()
+	g.hangs, g.hung, g.answered = make(chan struct{}), 0, 0
+	g.env.logf("%s: orders hang from now on", g.id)
 }
 
-func (g *engine) sleep(d time.Duration) {
+func (g *engine) endHang() {
 	g.mu.Lock()
-	f := g.factor
-	g.mu.Unlock()
-	time.Sleep(time.Duration(f) * d)
+	defer g.mu.Unlock()
+	close(g.hangs)
+	g.hangs = nil
+	g.env.logf("%s: orders hang no longer; %d orders hung, %d streams ran meanwhile", g.id, g.hung, g.answered)
 }
 
 func (g *engine) address() string { return fmt.Sprintf("%s:%d", g.ip, portApp) }
@@ -133,7 +147,7 @@
 	g.mu.Lock()
 	out := map[string]any{
 		"phase": "colocated", "busy": g.loading, "seq_no": g.seqNo, "queued": g.queued, "active": g.active,
-		"kv_used": 1000 * g.active, "kv_total": 317000, "prefix_handles": 0, "pace": float64(g.factor), "born": g.born.UnixMilli(),
+		"kv_used": 1000 * g.active, "kv_total": 317000, "prefix_handles": 0, "pace": 1.0, "born": g.born.UnixMilli(),
 	}
 	g.weights(out)
 	g.mu.Unlock()
@@ -147,15 +161,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	g.sleep(stagingTime)
+	time.Sleep(stagingTime)
 	g.mu.Lock()
-	g.staged[num] = b
+	g.staged[num] = piece{b, time.Now()}
 	g.mu.Unlock()
 	g.env.logf("%s: piece %d is staged, of version %s", g.id, num, versionOf(b, num))
 }
 
 func (g *engine) get(w http.ResponseWriter, r *http.Request) {
-	g.sleep(stagingTime)
+	time.Sleep(stagingTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if text := r.URL.Query().Get("num"); text != "" {
@@ -165,7 +179,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		_, _ = w.Write(b)
+		_, _ = w.Write(b.content)
 		return
 	}
 	held := []int{}
@@ -183,8 +197,8 @@
 	Expect    *uint64 `json:"expect"`
 }
 
-// order handles a load order. An engine accepts it when the pass that runs has ended; that
-// the caller has given up meanwhile does not take the order back.
+// order handles a load order. One that hangs goes on when the hang ends; that its caller has given it
+// up meanwhile does not take it back.
 func (g *engine) order(w http.ResponseWriter, r *http.Request) {
 	var o orderBody
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Operation != "start" || o.Model != modelName {
@@ -197,7 +211,16 @@
 		expect = strconv.FormatUint(*o.Expect, 10)
 	}
 	g.env.logf("%s: order for version %d arrives, expecting seq_no %s", g.id, o.Version, expect)
-	g.sleep(acceptTime)
+	g.mu.Lock()
+	hangs, place := g.hangs, g.hung
+	if hangs != nil {
+		g.hung++
+	}
+	g.mu.Unlock()
+	if hangs != nil {
+		<-hangs
+		time.Sleep(time.Duration(place) * 5 * time.Millisecond)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	took := time.Since(came).Milliseconds()
@@ -211,14 +234,15 @@
 		g.seqNo++
 		g.loading = true
 		wrong := g.wrongPieces(o.Version)
-		g.env.logf("%s: order for version %d is accepted after %d ms; staged pieces that are missing or not of that version: %d %v; answered 202 (caller gone: %t)",
-			g.id, o.Version, took, len(wrong), wrong, r.Context().Err() != nil)
+		g.env.logf("%s: order for version %d is accepted after %d ms; staged pieces that are missing or not of that version, for over %s: %d %v; answered 202 (caller gone: %t)",
+			g.id, o.Version, took, excusedTime, len(wrong), wrong, r.Context().Err() != nil)
 		go g.load(o.Version, wrong)
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
-// wrongPieces lists the staged pieces that are not of a version.
+// wrongPieces lists the staged pieces that are missing, or not of a version for longer than is
+// excused.
 func (g *engine) wrongPieces(version uint64) []string {
 	var out []string
 	for num := range pieceCount {
@@ -226,8 +250,8 @@
 		switch {
 		case !ok:
 			out = append(out, fmt.Sprintf("%d:missing", num))
-		case string(b) != string(pieceContent(version, num)):
-			out = append(out, fmt.Sprintf("%d:v%s", num, versionOf(b, num)))
+		case time.Since(b.at) > excusedTime && string(b.content) != string(pieceContent(version, num)):
+			out = append(out, fmt.Sprintf("%d:v%s", num, versionOf(b.content, num)))
 		}
 	}
 	return out
@@ -244,7 +268,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	g.sleep(warmTime)
+	time.Sleep(warmTime)
 	g.mu.Lock()
 	g.version, g.taken, g.loading = version, wrong, false
 	g.mu.Unlock()
@@ -287,6 +311,7 @@
 		return
 	}
 	g.active++
+	g.answered++
 	version, taken := g.version, g.taken
 	g.mu.Unlock()
 	defer func() {
@@ -309,7 +334,7 @@
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s v%d\n\n", i, id, version)
 		_ = http.NewResponseController(w).Flush()
-		g.sleep(eventTime)
+		time.Sleep(eventTime)
 	}
 }
 
--- a/review/testdata/standin/whole.go
+++ b/review/testdata/standin/whole.go
@@ -12,17 +12,19 @@
 const (
 	engineCount = 12
 	entryCount  = 3
-	callerCount = 48
-	// slowFactor and slowTime are those of a replica that is slow while its health is good.
-	slowFactor = 8
-	slowTime   = 5 * time.Second
+	callerCount = 80
+	// hangTime is how long the orders at some replicas hang, from hangDelay after a version is named;
+	// the next one is named after versionGap.
+	hangDelay  = 2 * time.Second
+	versionGap = 3 * time.Second
+	hangTime   = 7 * time.Second
 	// settleTime is how long the replicas have afterwards to serve the newer version.
-	settleTime = 8 * time.Second
+	settleTime = 5 * time.Second
 )
 
-// slowEngines are the replicas that are slow in each round: two of twelve, among those that are
-// ordered first to load.
-var slowEngines = [][]int{{1, 6}, {1, 9}}
+// hangingEngines are the replicas at which orders hang in each round: two of twelve, among those
+// that are ordered first to load.
+var hangingEngines = [][]int{{1, 6}, {1, 9}, {1, 6}, {1, 9}, {1, 6}, {1, 9}}
 
 func zoneOf(n int) string { return fmt.Sprintf("z%d", n%3+1) }
 
@@ -53,7 +55,7 @@
 	e.logf("operator: version %d of %s is named and acknowledged", version, modelName)
 }
 
-// runWhole names two versions in succession, and again two.
+// runWhole names two versions in succession, up to six times.
 func runWhole(e *env) error {
 	s := newStore()
 	storeAddr := fmt.Sprintf("%s:%d", e.ip(4, 0), portStore)
@@ -70,10 +72,10 @@
 	for n := range engineCount {
 		g := &engine{
 			env: e, store: s, id: fmt.Sprintf("i-engine%d", n), ip: e.ip(2, n), zone: zoneOf(n), born: time.Now(),
-			factor: 1, staged: map[int][]byte{}, version: 1,
+			staged: map[int]piece{}, version: 1,
 		}
 		for num := range pieceCount {
-			g.staged[num] = pieceContent(1, num)
+			g.staged[num] = piece{content: pieceContent(1, num)}
 		}
 		engines = append(engines, g)
 		if err := e.listen(g.address(), g); err != nil {
@@ -109,12 +111,12 @@
 		go e.streamCaller(n, stop, &served, &failed)
 	}
 	time.Sleep(3 * time.Second)
-	for round, chosen := range slowEngines {
-		var slow []*engine
+	for round, chosen := range hangingEngines {
+		var hanging []*engine
 		for _, n := range chosen {
-			slow = append(slow, engines[n])
+			hanging = append(hanging, engines[n])
 		}
-		e.nameTwoVersions(s, slow, 2+2*round)
+		e.nameTwoVersions(s, hanging, 2+2*round)
 		if e.violated() {
 			break
 		}
@@ -127,29 +129,27 @@
 	return nil
 }
 
-// nameTwoVersions names a version and, three seconds later, the next one. The trouble is that some
-// replicas are slow meanwhile.
-func (e *env) nameTwoVersions(s *store, slow []*engine, version int) {
+// nameTwoVersions names a version and, three seconds later, the next one. The trouble is that orders
+// hang at some replicas meanwhile.
+func (e *env) nameTwoVersions(s *store, hanging []*engine, version int) {
 	e.nameVersion(s, version)
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(hangDelay)
 	if e.trouble {
-		setFactors(slow, slowFactor)
+		for _, g := range hanging {
+			g.startHang()
+		}
 	}
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(versionGap - hangDelay)
 	e.nameVersion(s, version+1)
-	time.Sleep(slowTime - 1500*time.Millisecond)
+	time.Sleep(hangTime + hangDelay - versionGap)
 	if e.trouble {
-		setFactors(slow, 1)
+		for _, g := range hanging {
+			g.endHang()
+		}
 	}
 	time.Sleep(settleTime)
 }
 
-func setFactors(engines []*engine, factor int) {
-	for _, g := range engines {
-		g.setFactor(factor)
-	}
-}
-
 // streamCaller asks for one stream after the other.
 func (e *env) streamCaller(n int, stop chan struct{}, served, failed *atomic.Int64) {
 	client := &http.Client{Timeout: 6500 * time.Millisecond}
