--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -26,9 +26,9 @@
 // The times of an engine.
 const (
 	stagingTime = time.Millisecond
-	eventTime   = 15 * time.Millisecond
+	eventTime   = 46 * time.Millisecond
 	warmTime    = 300 * time.Millisecond
-	eventCount  = 8
+	eventCount  = 20
 	// excusedTime is how long a piece may have been wrong when its layer is taken.
 	excusedTime = 3 * time.Second
 )
--- a/review/testdata/standin/whole.go
+++ b/review/testdata/standin/whole.go
@@ -12,7 +12,7 @@
 const (
 	engineCount = 12
 	entryCount  = 3
-	callerCount = 80
+	callerCount = 220
 	// hangTime is how long the orders at some replicas hang, from hangDelay after a version is named;
 	// the next one is named after versionGap.
 	hangDelay  = 2 * time.Second
@@ -41,7 +41,7 @@
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 		"backends": []any{
 			map[string]any{"name": "svc-llm", "max_conns": 354, "health_path": "/healthz", "engine": map[string]any{
-				"slots": slots, "stride": 5, "kv_capacity_tokens": 317000, "step_ms": 3, "per_seq_ms": 0.02, "context_per_k": 0.03, "read_per_s": 20700,
+				"slots": slots, "stride": 5, "kv_capacity_tokens": 317000, "step_ms": 9.27, "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700,
 				"usual":  map[string]any{"prompt": 800, "answer": 100},
 				"models": []any{map[string]any{"name": modelName, "layers": layerCount, "chunks": pieceCount, "chunk_bytes": pieceBytes}},
 			}},
@@ -191,6 +191,6 @@
 		} else {
 			failed.Add(1)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
 }
