--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -70,7 +70,7 @@
 	hung     int
 	answered int
 	staged   map[int]piece
-	version uint64
+	version  uint64
 	// taken says which pieces were wrong when the layers that are in use were taken.
 	taken   []string
 	seqNo   uint64
