--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -91,6 +91,21 @@
 	// to stop, and BackingOff those that have asked this process to back off.
 	SaidLeaving int `json:"saidLeaving,omitempty"`
 	BackingOff  int `json:"backingOff,omitempty"`
+	// FaultCount is the number of things in the store that the process does not understand,
+	// and Faults the first of them.
+	FaultCount int         `json:"faultCount,omitempty"`
+	Faults     []ItemFault `json:"faults,omitempty"`
+}
+
+// ItemFault is what a process does not understand of an item of the platform's store. If
+// Rejected is set, that is the whole item, and a former value of it may be in force;
+// otherwise the rest of the item is in force.
+type ItemFault struct {
+	Key      string `json:"key"`
+	Kind     string `json:"kind"`
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
+	Rejected bool   `json:"rejected,omitempty"`
 }
 
 // AttemptEndCount counts, for one cause and since the process started, the
--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/version/chunk"
 )
 
@@ -42,7 +43,9 @@
 // document with the same revision was seen, else 0. ReadRevision is the highest revision
 // that this process has read from the platform itself. Reader says whether it currently
 // reads the platform for its zone. Peers is the number of connected peers. VMListVersion
-// and VMs are the version and the length of the VM list.
+// and VMs are the version and the length of the VM list. FaultCount is the number of things
+// in the platform's store that the process does not understand, and Faults the first of
+// them.
 type Config struct {
 	Environment      string `json:"environment"`
 	Stage            string `json:"stage"`
@@ -55,6 +58,9 @@
 	Peers            int    `json:"peers"`
 	VMListVersion    uint64 `json:"listVersion"`
 	VMs              int    `json:"vms"`
+
+	FaultCount int               `json:"faultCount,omitempty"`
+	Faults     []trail.ItemFault `json:"faults,omitempty"`
 }
 
 // Rollout is the progress of loading a version of a model at the replicas that are to
--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hawthornferry/core/process/operr"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/io/process/admin"
 )
 
@@ -82,10 +83,24 @@
 		return fmt.Sprintf("revision %d stands for two documents: promote again", c.ConflictRevision)
 	case c.RefusedRevision > c.Revision:
 		return fmt.Sprintf("revision %d refused: %.120s", c.RefusedRevision, c.RefusalReason)
+	case c.FaultCount > 0:
+		return faultNote(c.Faults, c.FaultCount)
 	}
 	return s.Process.NotReadyReason
 }
 
+// faultNote describes the first of the faults of the platform's state.
+func faultNote(faults []trail.ItemFault, total int) string {
+	if len(faults) == 0 {
+		return fmt.Sprintf("%d faults in the store", total)
+	}
+	first, effect := faults[0], "in part"
+	if first.Rejected {
+		effect = "whole"
+	}
+	return fmt.Sprintf("%s not understood %s (fault 1 of %d): %.120s", first.Key, effect, total, first.Reason)
+}
+
 // rolloutRow is the progress of a version in a zone, as seen by the process that has
 // seen the most progress.
 type rolloutRow struct {
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -75,6 +75,9 @@
 		return
 	}
 	f.items[it.Key] = it
+	if err == nil && !src.restored {
+		delete(f.rejected, it.Key)
+	}
 	f.use(it, fact, err, src.live)
 }
 
@@ -93,6 +96,7 @@
 	}
 	delete(f.items, it.Key)
 	delete(f.withheld, it.Key)
+	delete(f.rejected, it.Key)
 	if !ok {
 		return
 	}
@@ -134,8 +138,7 @@
 func (f *Feed) use(it Item, fact DecodedItem, err error, live verlog.OptionalTime) {
 	old, had := f.decoded[it.Key]
 	if err != nil {
-		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
-		f.Metrics.Counter("items_rejected_total").Inc(1)
+		f.reject(it, err)
 		if had && old.Target != nil {
 			delete(f.decoded, it.Key)
 			f.logTarget("lost", old, it.Revision)
--- a/io/process/feed/fakes_test.go
+++ b/io/process/feed/fakes_test.go
@@ -26,6 +26,12 @@
 // and a configuration with a number as value. The value "bad" is an error.
 type fakeDecoder struct{}
 
+func (fakeDecoder) Kind(key string) ItemKind {
+	kinds := map[string]ItemKind{"target": KindTarget, "evacuate": KindEvacuation, "version": KindVersion, "config": KindConfig}
+	kind, _, _ := strings.Cut(key, "/")
+	return kinds[kind]
+}
+
 func (fakeDecoder) Decode(it Item) (DecodedItem, error) {
 	v := string(it.Value)
 	if v == "bad" {
--- a/io/process/feed/feed.go
+++ b/io/process/feed/feed.go
@@ -128,6 +128,8 @@
 	removed   removals
 	decoded   map[string]DecodedItem
 	graceEnds map[string]time.Time
+	// rejected holds the items whose newest value could not be decoded.
+	rejected map[string]rejection
 	// withheld holds until when items are not used that a restored store lists again.
 	withheld      map[string]time.Time
 	announcements verlog.Log
@@ -196,6 +198,7 @@
 		f.items = map[string]Item{}
 		f.decoded = map[string]DecodedItem{}
 		f.graceEnds = map[string]time.Time{}
+		f.rejected = map[string]rejection{}
 		f.withheld = map[string]time.Time{}
 		f.changed = make(chan struct{})
 		f.current.Store(&facts.Facts{})
@@ -219,10 +222,19 @@
 	return f.changed
 }
 
-// Age returns how long ago the state was last confirmed by the store, to this
-// process or to the peer that sent it. It returns false while there is no
-// state.
+// Age returns how long ago the state was last known to be current. It returns false while
+// there is no state. While the newest configuration could not be decoded, the state doesn't
+// count as current, however recently the store has confirmed it.
 func (f *Feed) Age() (time.Duration, bool) {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Uptime() - f.currentUntil(), f.known
+}
+
+// syncAge returns how long ago the state was last confirmed by the store, to this process or
+// to the peer that sent it. It returns false while there is no state.
+func (f *Feed) syncAge() (time.Duration, bool) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -272,7 +284,7 @@
 // starts at the same time as its upstreams and will get the state from them
 // shortly.
 func (f *Feed) skipsStore(starting bool, started time.Time) bool {
-	if _, known := f.Age(); !known && starting && f.Clock.Since(started) < startupUpstreamWait {
+	if _, known := f.syncAge(); !known && starting && f.Clock.Since(started) < startupUpstreamWait {
 		return true
 	}
 	return f.StoreBackoff > 0 && f.Clock.Now().Before(f.nextStoreCall)
@@ -305,7 +317,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if _, known := f.Age(); known {
+	if _, known := f.syncAge(); known {
 		f.nextUpstreamTry = f.Clock.Now().Add(f.upstreamPause())
 	}
 	return starting
--- a/io/process/feed/query.go
+++ b/io/process/feed/query.go
@@ -25,7 +25,7 @@
 			return
 		case <-f.Clock.After(peerPollInterval):
 		}
-		age, known := f.Age()
+		age, known := f.syncAge()
 		if known && age <= f.staleAfter() {
 			continue
 		}
@@ -156,7 +156,7 @@
 // replyTimeout is how long a peer's reply may take. It is long only for a
 // process without any state, which gets all of it.
 func (f *Feed) replyTimeout() time.Duration {
-	if _, known := f.Age(); known {
+	if _, known := f.syncAge(); known {
 		return PeerTimeout
 	}
 	return fullReplyTimeout
--- a/io/process/feed/restored.go
+++ b/io/process/feed/restored.go
@@ -77,7 +77,8 @@
 	}
 	var ahead []Item
 	for key, fact := range f.decoded {
-		if it := f.items[key]; fact.Config != nil && it.Revision <= req.After {
+		_, rejected := f.rejected[key]
+		if it := f.items[key]; fact.Config != nil && !rejected && it.Revision <= req.After {
 			ahead = append(ahead, it)
 		}
 	}
@@ -103,7 +104,9 @@
 			continue
 		}
 		it.Revision = former.Revision
-		f.items[it.Key] = it
+		if _, rejected := f.rejected[it.Key]; !rejected {
+			f.items[it.Key] = it
+		}
 		f.use(it, fact, nil, verlog.OptionalTime{})
 		f.publish()
 	}
--- a/io/process/feed/store.go
+++ b/io/process/feed/store.go
@@ -51,6 +51,17 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
 }
 
+// ItemKind is what an item describes. Its key alone determines it.
+type ItemKind string
+
+// The kinds of items that the system uses, as in DecodedItem.
+const (
+	KindConfig     ItemKind = "configuration"
+	KindTarget     ItemKind = "target"
+	KindVersion    ItemKind = "version"
+	KindEvacuation ItemKind = "evacuation"
+)
+
 // DecodedItem is the decoded value of one item. At most one field is set; none is for
 // an item that this system doesn't use. EvacuatedZone is a zone to which nothing may be
 // sent while the item exists.
@@ -69,7 +80,9 @@
 	Problems []error
 }
 
-// Decoder decodes items. An error means that the item is not usable.
+// Decoder decodes items. An error means that the item is not usable. Kind returns the empty
+// kind for keys that the system doesn't use.
 type Decoder interface {
+	Kind(key string) ItemKind
 	Decode(it Item) (DecodedItem, error)
 }
--- a/io/process/hosted/gauges.go
+++ b/io/process/hosted/gauges.go
@@ -8,7 +8,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"hawthornferry/core/process/epoch"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
+	"hawthornferry/io/process/feed"
 )
 
 // gaugeInterval is how often the gauges are updated.
@@ -45,6 +47,7 @@
 	if known.Table != nil {
 		scope.Gauge("configuration_version").Update(float64(known.Table.Version))
 	}
+	updateFaultGauges(scope, p.feed.Faults())
 	for _, c := range targetCounts(known) {
 		for state, n := range map[string]int{"ready": c.Ready, "leaving": c.Leaving} {
 			scope.Tagged(map[string]string{"service": c.Service, "state": state}).Gauge("targets").Update(float64(n))
@@ -57,6 +60,23 @@
 	}
 }
 
+// updateFaultGauges publishes how many items of the store are rejected whole, by kind, and
+// how many faults the configuration in force has.
+func updateFaultGauges(scope tally.Scope, faults []trail.ItemFault) {
+	rejected, inForce := map[feed.ItemKind]int{}, 0
+	for _, fault := range faults {
+		if fault.Rejected {
+			rejected[feed.ItemKind(fault.Kind)]++
+		} else {
+			inForce++
+		}
+	}
+	for _, kind := range []feed.ItemKind{feed.KindConfig, feed.KindTarget, feed.KindVersion, feed.KindEvacuation} {
+		scope.Tagged(map[string]string{"kind": string(kind)}).Gauge("rejected_items").Update(float64(rejected[kind]))
+	}
+	scope.Gauge("configuration_faults").Update(float64(inForce))
+}
+
 // servedGauges publishes the version that each target serves, labelled by the target's
 // address. The ID of a target changes at each start, and since tally can't remove a
 // gauge, gauges labelled by ID would pile up with each release.
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -321,6 +321,7 @@
 	if err := p.ready(); err != nil {
 		s.Process.Ready, s.Process.NotReadyReason = false, err.Error()
 	}
-	s.Config = admin.Config{Revision: epoch.Count(p.self.Revision.Load()), VMs: len(p.feed.Current().Targets)}
+	faults, total := p.firstFaults()
+	s.Config = admin.Config{Faults: faults, FaultCount: total, Revision: epoch.Count(p.self.Revision.Load()), VMs: len(p.feed.Current().Targets)}
 	return s
 }
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hawthornferry/core/process/epoch"
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/place"
@@ -35,6 +36,7 @@
 		Targets: targetCounts(known), Serving: servedCounts(p.served()), AttemptEnds: p.ends(),
 		RateLimited: notices.RateLimited, SaidLeaving: notices.Leaving, BackingOff: notices.BackingOff,
 	}
+	s.Faults, s.FaultCount = p.firstFaults()
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
 	}
@@ -50,6 +52,18 @@
 	return d
 }
 
+// maxListedFaults is how many faults of the platform's state are listed one by one.
+const maxListedFaults = 5
+
+// firstFaults returns the first faults of the platform's state, and how many there are.
+func (p *process) firstFaults() (first []trail.ItemFault, total int) {
+	all := p.feed.Faults()
+	for i := range all {
+		all[i].Revision = epoch.Count(all[i].Revision)
+	}
+	return all[:min(len(all), maxListedFaults)], len(all)
+}
+
 // targetCounts counts the listed targets of each service, including services without any.
 func targetCounts(f *facts.Facts) []trail.TargetCount {
 	counts := map[string]*trail.TargetCount{}
