--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -31,7 +31,8 @@
 // to the first event of a stream, and MaxEventGap the longest promised pause between
 // two events of a stream. MaxAttempts is the most targets to which a request is sent.
 // AllowAnonymous routes need no API key. Regions are those in which requests may be
-// served.
+// served. A route whose TrafficSplit is empty can't be served, because its services couldn't be
+// read.
 type Route struct {
 	Name           string
 	Host           string
@@ -63,12 +64,14 @@
 func (r Route) Repeatable() bool { return r.Kind == KindIdempotent || r.Resumable() }
 
 // Service is a group of targets. MaxConnsPerTarget is the most connections that each
-// target accepts from all callers together. Engine is nil for a plain service.
+// target accepts from all callers together. Engine is nil for a plain service. Unread is set
+// if it couldn't be read which engines the service has, so that it must get no requests.
 type Service struct {
 	Name              string
 	MaxConnsPerTarget int
 	Engine            *Engine
 	Warmup            Warmup
+	Unread            bool
 }
 
 // Warmup describes targets that have just started. They are cold for Duration, and
@@ -121,6 +124,14 @@
 	IdleTimeout  time.Duration
 }
 
+// Unread says of which lists of the configuration a part couldn't be read, so that what a
+// Table lacks may exist nevertheless.
+type Unread struct {
+	Routes    bool
+	Services  bool
+	Customers bool
+}
+
 // Table is the routing configuration at one version.
 type Table struct {
 	Version   uint64
@@ -128,6 +139,7 @@
 	Services  []Service
 	Customers []Customer
 	Limits    Limits
+	Unread    Unread
 
 	routesByHost   map[string][]int
 	customersByKey map[string]int
@@ -172,7 +184,7 @@
 
 // RequiresKey reports whether requests must have an API key. They need none if no
 // customers are configured.
-func (t *Table) RequiresKey() bool { return len(t.Customers) > 0 }
+func (t *Table) RequiresKey() bool { return len(t.Customers) > 0 || t.Unread.Customers }
 
 // CustomerByKey returns the customer to which an API key belongs.
 func (t *Table) CustomerByKey(key string) (Customer, bool) {
--- a/io/process/feed/apply.go
+++ b/io/process/feed/apply.go
@@ -75,8 +75,11 @@
 		return
 	}
 	f.items[it.Key] = it
-	if err == nil && !src.restored {
-		delete(f.rejected, it.Key)
+	if err == nil {
+		f.inheritVersion(it.Key, fact)
+		if !src.restored {
+			delete(f.rejected, it.Key)
+		}
 	}
 	f.use(it, fact, err, src.live)
 }
--- a/io/process/feed/restored.go
+++ b/io/process/feed/restored.go
@@ -40,6 +40,9 @@
 	old := f.decoded[key]
 	switch {
 	case old.Config != nil && fact.Config != nil:
+		if fact.Config.Table.Version == 0 {
+			return src.restored
+		}
 		return fact.Config.Table.Version < old.Config.Table.Version
 	case old.Target != nil && fact.Target != nil:
 		sameRun := fact.Target.StartedAt.Equal(old.Target.StartedAt)
@@ -49,6 +52,15 @@
 	}
 }
 
+// inheritVersion gives a configuration without a readable version that of the former one. Its
+// place in the order of the store is known nevertheless. f.mu must be held.
+func (f *Feed) inheritVersion(key string, fact DecodedItem) {
+	old := f.decoded[key].Config
+	if c := fact.Config; c != nil && c.Table.Version == 0 && old != nil {
+		c.Table.Version = old.Table.Version
+	}
+}
+
 // keepItem keeps the value of an item at the revision of another one, so that peers get it as
 // well. f.mu must be held.
 func (f *Feed) keepItem(other Item) {
