--- a/io/request/direct/level.go
+++ b/io/request/direct/level.go
@@ -100,7 +100,9 @@
 	if !s.dispatcher.hasLevel(q.service.Name) {
 		return nil
 	}
-	return &q.rank
+	// The rank is that by the table of the request, in which the service may have had no level.
+	rank := level.Clamp(q.rank)
+	return &rank
 }
 
 // logImplausible logs once for each service why it has no admission level, although its
