--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -229,7 +229,7 @@
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	at := int(h.Sum32() % uint32(max(total, 1)))
+	at := int(uint64(h.Sum32()) % uint64(max(total, 1)))
 	for _, s := range shares {
 		if at -= s.Weight; at < 0 {
 			return s.Service
