--- a/core/request/place/choose.go
+++ b/core/request/place/choose.go
@@ -220,7 +220,15 @@
 		_, unseen := t.unseen()
 		unreadPrompt += t.otherQueued*e.MeanPromptTokens + unseen
 	}
-	return baseRoundTrip + time.Duration(float64(unreadPrompt)/e.PrefillTokensPerSecond*float64(time.Second)*t.slowness(now))
+	return baseRoundTrip + time.Duration(float64(prefillTime(e, unreadPrompt))*t.slowness(now))
+}
+
+// prefillTime is how long an engine takes to read prompt tokens, 0 if its speed is not known.
+func prefillTime(e *table.Engine, tokens int) time.Duration {
+	if e.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.PrefillTokensPerSecond * float64(time.Second))
 }
 
 // passDelay is the rest of the time to a first answer: on average half of the pass that
--- a/core/request/place/queue.go
+++ b/core/request/place/queue.go
@@ -104,7 +104,7 @@
 func (s *service) latestPlacement(w *Request) time.Time {
 	at := w.FirstRequestedAt.Add(w.Objective)
 	if s.engine != nil {
-		at = at.Add(-time.Duration(float64(w.PromptTokens) / s.engine.PrefillTokensPerSecond * float64(time.Second)))
+		at = at.Add(-prefillTime(s.engine, w.PromptTokens))
 	}
 	return at
 }
--- a/core/request/place/refuse.go
+++ b/core/request/place/refuse.go
@@ -157,9 +157,8 @@
 // minFirstAnswer is the estimated time to the first answer at an engine with a single
 // slot left.
 func (s *service) minFirstAnswer(now time.Time, w *Request) time.Duration {
-	read := time.Duration(float64(w.PromptTokens) / s.engine.PrefillTokensPerSecond * float64(time.Second))
 	pass := passTime(s.engine, s.engine.Slots)
-	return baseRoundTrip + s.minExtraRoundTrip(now, w) + pass + pass/2 + read
+	return baseRoundTrip + s.minExtraRoundTrip(now, w) + pass + pass/2 + prefillTime(s.engine, w.PromptTokens)
 }
 
 // noTargetReason returns why no target may run the request.
