--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -132,14 +132,16 @@
 	Customers bool
 }
 
-// Table is the routing configuration at one version.
+// Table is the routing configuration at one version. ListsCustomers is set if the
+// configuration has a list of customers, which may be empty.
 type Table struct {
-	Version   uint64
-	Routes    []Route
-	Services  []Service
-	Customers []Customer
-	Limits    Limits
-	Unread    Unread
+	Version        uint64
+	Routes         []Route
+	Services       []Service
+	Customers      []Customer
+	ListsCustomers bool
+	Limits         Limits
+	Unread         Unread
 
 	routesByHost   map[string][]int
 	customersByKey map[string]int
@@ -182,9 +184,9 @@
 	return t.Routes[best], true
 }
 
-// RequiresKey reports whether requests must have an API key. They need none if no
-// customers are configured.
-func (t *Table) RequiresKey() bool { return len(t.Customers) > 0 || t.Unread.Customers }
+// RequiresKey reports whether requests must have an API key. They need none if the
+// configuration has no list of customers.
+func (t *Table) RequiresKey() bool { return t.ListsCustomers || len(t.Customers) > 0 }
 
 // CustomerByKey returns the customer to which an API key belongs.
 func (t *Table) CustomerByKey(key string) (Customer, bool) {
