--- a/core/process/trail/state.go
+++ b/core/process/trail/state.go
@@ -95,6 +95,8 @@
 	// and Faults the first of them.
 	FaultCount int         `json:"faultCount,omitempty"`
 	Faults     []ItemFault `json:"faults,omitempty"`
+	// SettingsFault is why the process doesn't use its present settings file.
+	SettingsFault string `json:"settingsFault,omitempty"`
 }
 
 // ItemFault is what a process does not understand of an item of the platform's store. If
--- a/io/process/admin/status.go
+++ b/io/process/admin/status.go
@@ -45,7 +45,7 @@
 // reads the platform for its zone. Peers is the number of connected peers. VMListVersion
 // and VMs are the version and the length of the VM list. FaultCount is the number of things
 // in the platform's store that the process does not understand, and Faults the first of
-// them.
+// them. SettingsFault is why the process doesn't use its present settings file.
 type Config struct {
 	Environment      string `json:"environment"`
 	Stage            string `json:"stage"`
@@ -59,8 +59,9 @@
 	VMListVersion    uint64 `json:"listVersion"`
 	VMs              int    `json:"vms"`
 
-	FaultCount int               `json:"faultCount,omitempty"`
-	Faults     []trail.ItemFault `json:"faults,omitempty"`
+	FaultCount    int               `json:"faultCount,omitempty"`
+	Faults        []trail.ItemFault `json:"faults,omitempty"`
+	SettingsFault string            `json:"settingsFault,omitempty"`
 }
 
 // Rollout is the progress of loading a version of a model at the replicas that are to
--- a/io/process/cmds/status.go
+++ b/io/process/cmds/status.go
@@ -85,6 +85,8 @@
 		return fmt.Sprintf("revision %d refused: %.120s", c.RefusedRevision, c.RefusalReason)
 	case c.FaultCount > 0:
 		return faultNote(c.Faults, c.FaultCount)
+	case c.SettingsFault != "":
+		return fmt.Sprintf("settings file not used: %.120s", c.SettingsFault)
 	}
 	return s.Process.NotReadyReason
 }
@@ -94,11 +96,11 @@
 	if len(faults) == 0 {
 		return fmt.Sprintf("%d faults in the store", total)
 	}
-	first, effect := faults[0], "in part"
+	first, effect := faults[0], "unreadable in part"
 	if first.Rejected {
-		effect = "whole"
+		effect = "rejected"
 	}
-	return fmt.Sprintf("%s not understood %s (fault 1 of %d): %.120s", first.Key, effect, total, first.Reason)
+	return fmt.Sprintf("%s %s (fault 1 of %d): %.120s", first.Key, effect, total, first.Reason)
 }
 
 // rolloutRow is the progress of a version in a zone, as seen by the process that has
--- a/io/process/cmds/status_test.go
+++ b/io/process/cmds/status_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"hawthornferry/core/process/fleet"
+	"hawthornferry/core/process/trail"
 	"hawthornferry/core/version/chunk"
 	"hawthornferry/io/process/admin"
 )
@@ -93,3 +94,22 @@
 		t.Errorf("JSON (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an operator who isn't told that a process does not use what was written for it.
+func TestOperatorNoteNamesFaults(t *testing.T) {
+	fault := trail.ItemFault{Key: "op/config", Reason: "no JSON", Rejected: true}
+	tests := []struct {
+		config admin.Config
+		want   string
+	}{
+		{admin.Config{Faults: []trail.ItemFault{fault}, FaultCount: 2}, "op/config rejected (fault 1 of 2): no JSON"},
+		{admin.Config{Faults: []trail.ItemFault{{Key: "op/config", Reason: "limits"}}, FaultCount: 1}, "op/config unreadable in part (fault 1 of 1): limits"},
+		{admin.Config{SettingsFault: "port_range"}, "settings file not used: port_range"},
+		{admin.Config{}, ""},
+	}
+	for _, tc := range tests {
+		if diff := cmp.Diff(tc.want, operatorNote(admin.Status{Config: tc.config})); diff != "" {
+			t.Errorf("note (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/io/process/hosted/process.go
+++ b/io/process/hosted/process.go
@@ -93,11 +93,12 @@
 	handlers       map[link.Purpose]link.Handler
 	components     []component
 	started        time.Time
-	// readSettings rereads the settings; nil if they cannot change. latest are the
-	// settings that were read last; mu guards it.
-	readSettings func() (Settings, error)
-	mu           sync.Mutex
-	latest       Settings
+	// readSettings rereads the settings; nil if they cannot change. latest are the last
+	// settings that could be used, and settingsFault is why later ones cannot; mu guards both.
+	readSettings  func() (Settings, error)
+	mu            sync.Mutex
+	latest        Settings
+	settingsFault string
 	// ready returns why the process does not accept callers, nil if it does. drain
 	// stops new work and returns when requests in flight have finished; nil if there
 	// is nothing to drain.
@@ -322,6 +323,6 @@
 		s.Process.Ready, s.Process.NotReadyReason = false, err.Error()
 	}
 	faults, total := p.firstFaults()
-	s.Config = admin.Config{Faults: faults, FaultCount: total, Revision: epoch.Count(p.self.Revision.Load()), VMs: len(p.feed.Current().Targets)}
+	s.Config = admin.Config{Faults: faults, FaultCount: total, SettingsFault: p.currentSettingsFault(), Revision: epoch.Count(p.self.Revision.Load()), VMs: len(p.feed.Current().Targets)}
 	return s
 }
--- a/io/process/hosted/reload.go
+++ b/io/process/hosted/reload.go
@@ -43,8 +43,10 @@
 	if err != nil {
 		// The last valid settings stay in effect.
 		p.logger.WithField("error", err.Error()).Warn("settings rejected")
+		p.setSettingsFault(err.Error())
 		return
 	}
+	p.setSettingsFault("")
 	p.mu.Lock()
 	old := p.latest
 	p.latest = next
@@ -64,3 +66,24 @@
 	defer p.mu.Unlock()
 	return p.latest
 }
+
+// setSettingsFault records why the settings that were read last are not used, empty if they
+// are.
+func (p *process) setSettingsFault(reason string) {
+	rejected := 0.0
+	if reason != "" {
+		rejected = 1
+	}
+	p.metrics.Gauge("settings_rejected").Update(rejected)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settingsFault = reason
+}
+
+// currentSettingsFault returns why the settings that were read last are not used, empty if
+// they are.
+func (p *process) currentSettingsFault() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settingsFault
+}
--- a/io/process/hosted/state.go
+++ b/io/process/hosted/state.go
@@ -37,6 +37,7 @@
 		RateLimited: notices.RateLimited, SaidLeaving: notices.Leaving, BackingOff: notices.BackingOff,
 	}
 	s.Faults, s.FaultCount = p.firstFaults()
+	s.SettingsFault = p.currentSettingsFault()
 	if known.Table != nil {
 		s.Configuration = known.Table.Version
 	}
