--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -149,17 +149,17 @@
 	return c.dial(ctx, "tcp", t.Address.String())
 }
 
-// roundTrip writes the request and reads the head of the response. A target may respond
+// roundTrip writes the request with the given path and query and reads the head of the response. A target may respond
 // and reset the connection before it has read a long body; a write error is ignored if
 // there is a response.
-func (x *exchange) roundTrip(req *http.Request, body []byte) error {
+func (x *exchange) roundTrip(req *http.Request, target string, body []byte) error {
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
 	if len(body) == 0 {
 		req.Body = http.NoBody
 	}
 	w := bufio.NewWriterSize(x.conn, readBuffer)
-	writeErr := req.Write(w)
+	writeErr := writeRequest(w, req, target)
 	if writeErr == nil {
 		writeErr = w.Flush()
 	}
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -40,8 +41,10 @@
 // request is the state of one caller's request.
 type request struct {
 	incoming *http.Request
-	call     CallerHeaders
-	body     []byte
+	// target is the path and query that the caller sent.
+	target string
+	call   CallerHeaders
+	body   []byte
 	// hold is the memory reserved for the bodies of the request and its response.
 	hold     space.Hold
 	facts    *facts.Facts
@@ -90,7 +93,7 @@
 	if !q.hasKey {
 		q.hasKey = true
 		q.key = poison.Request{
-			Method: q.incoming.Method, Host: hostOf(q.incoming), URI: q.incoming.RequestURI, Caller: q.customer, Body: q.body,
+			Method: q.incoming.Method, Host: hostOf(q.incoming), URI: q.target, Caller: q.customer, Body: q.body,
 		}.Fingerprint()
 	}
 	return q.key
@@ -149,6 +152,9 @@
 	if q.call, err = s.HeaderCodec.ReadCaller(q.incoming); err != nil {
 		return errorResponse{status: http.StatusBadRequest, reason: err.Error()}, false
 	}
+	if q.target, err = requestTarget(q.incoming); err != nil {
+		return errorResponse{status: http.StatusBadRequest, reason: err.Error()}, false
+	}
 	s.snapshotFacts(q)
 	if q.facts.Table == nil {
 		return errorResponse{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: staleFactsRetryAfter}, false
@@ -388,7 +394,7 @@
 	return 0
 }
 
-// targetRequest returns the HTTP request to send to the target of v.
+// targetRequest returns the HTTP request to send to the target of v, but for its path and query.
 func (s *Server) targetRequest(ctx context.Context, q *request, v place.Verdict) *http.Request {
 	h := q.incoming.Header.Clone()
 	gate.RemoveHopByHopHeaders(h)
@@ -402,9 +408,6 @@
 		Priority: s.engineQueuePriority(q),
 	})
 	out := (&http.Request{Method: q.incoming.Method, Host: q.incoming.Host, Header: h, Close: true}).WithContext(ctx)
-	u := *q.incoming.URL
-	u.Scheme, u.Host, u.RawQuery, u.ForceQuery = "http", q.incoming.Host, "", false
-	u.Opaque = q.incoming.RequestURI
-	out.URL = &u
+	out.URL = &url.URL{Scheme: "http", Host: q.incoming.Host, Path: "/"}
 	return out
 }
--- a/io/request/direct/regions.go
+++ b/io/request/direct/regions.go
@@ -26,7 +26,7 @@
 
 // matchTable returns the route of a request in a table.
 func matchTable(t *table.Table, q *request) (table.Route, bool) {
-	path, _, _ := strings.Cut(q.incoming.RequestURI, "?")
+	path, _, _ := strings.Cut(q.target, "?")
 	return t.Match(hostOf(q.incoming), path)
 }
 
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -124,6 +124,8 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    bound.MaxHeadBytes,
+			// A 2xx status must come from a target.
+			DisableGeneralOptionsHandler: true,
 		}
 	})
 }
