--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -152,7 +152,7 @@
 	if q.call, err = s.HeaderCodec.ReadCaller(q.incoming); err != nil {
 		return errorResponse{status: http.StatusBadRequest, reason: err.Error()}, false
 	}
-	if q.target, err = requestTarget(q.incoming); err != nil {
+	if q.target, err = gate.RequestTarget(q.incoming); err != nil {
 		return errorResponse{status: http.StatusBadRequest, reason: err.Error()}, false
 	}
 	s.snapshotFacts(q)
--- a/io/request/direct/target_test.go
+++ b/io/request/direct/target_test.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"strings"
 	"testing"
+
+	"hawthornferry/io/request/gate"
 )
 
 // forward returns the request line and the Host header of the request that a target gets for
@@ -17,7 +19,7 @@
 	if err != nil {
 		return "", "", false
 	}
-	out, err := requestTarget(in)
+	out, err := gate.RequestTarget(in)
 	if err != nil {
 		return "", "", false
 	}
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 	"hawthornferry/core/process/trail"
 	"hawthornferry/core/request/admit"
 	"hawthornferry/core/request/calls"
+	"hawthornferry/io/request/gate"
 )
 
 const servicePrefix = "/v1/services/"
@@ -171,18 +173,28 @@
 	s.admitAndRun(w, r, rq, s.runOnce)
 }
 
-// servicePath returns the path and query to send to the target.
+// servicePath returns the path and query to send to the target, byte for byte as the caller
+// sent them.
 func servicePath(r *http.Request, service string) (string, error) {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+service)
+	target, err := gate.RequestTarget(r)
+	if err != nil {
+		return "", err
+	}
+	target, ok := strings.CutPrefix(target, servicePrefix+service)
+	if !ok {
+		return "", errors.Newf("the path does not begin with %s%s", servicePrefix, service)
+	}
+	path, _, _ := strings.Cut(target, "?")
 	for part := range strings.SplitSeq(path, "/") {
 		if part == ".." || part == "." {
 			return "", errors.New("the path has a dot segment")
 		}
 	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+	// The side sends what net/url makes of it.
+	if u, err := url.Parse("http://target" + target); err != nil || u.RequestURI() != target {
+		return "", errors.New("the path has characters that must be escaped")
 	}
-	return path, nil
+	return target, nil
 }
 
 // admitAndRun waits for admission and then calls run, both within the call's deadline.
