--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -263,7 +263,11 @@
 func (s *Server) newRelay(w http.ResponseWriter, q *request) responseRelay {
 	caller := callerWriter{w: w, rc: http.NewResponseController(w)}
 	if q.route.Kind == table.KindStream {
-		return &streamRelay{server: s, q: q, caller: caller}
+		r := &streamRelay{server: s, q: q, caller: caller}
+		if q.route.Resumable() {
+			r.lastID, r.hasLastID = parseEventID(q.call.LastEventID)
+		}
+		return r
 	}
 	return &bufferedRelay{q: q, caller: caller}
 }
--- a/io/request/direct/endcounts.go
+++ b/io/request/direct/endcounts.go
@@ -32,6 +32,7 @@
 	{errSilent, causeTargetSilent},
 	{errLoading, causeTargetLoading},
 	{errOrder, causeEventOrder},
+	{errEventID, causeEventOrder},
 }
 
 // causeOf returns why an attempt ended with err. byEntry is set if the entry aborted
--- a/io/request/direct/events.go
+++ b/io/request/direct/events.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,11 +12,12 @@
 )
 
 // event is one event of a stream. raw holds all its bytes, including the final blank
-// line.
+// line. invalidID is set if it has an ID that is not a number.
 type event struct {
-	raw   []byte
-	id    uint64
-	hasID bool
+	raw       []byte
+	id        uint64
+	hasID     bool
+	invalidID bool
 }
 
 // eventReader reads the events of a stream. It is not safe for concurrent use.
@@ -82,10 +82,8 @@
 	if !ok {
 		return !bytes.HasPrefix(line, []byte("data"))
 	}
-	id, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 64)
-	if err == nil {
-		e.id, e.hasID = id, true
-	}
+	e.id, e.hasID = parseEventID(string(bytes.TrimSpace(v)))
+	e.invalidID = !e.hasID
 	return false
 }
 
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -96,6 +96,7 @@
 	callerDeadlines callerDeadlines
 	watchdogs       watchdogSet
 	endCounts       endCounts
+	eventSteps      eventSteps
 	demandTotals    demandTotals
 	// loggedImplausible holds the services without a level that were last logged, and why
 	// they have none. Only followFacts uses it.
--- a/io/request/direct/stream.go
+++ b/io/request/direct/stream.go
@@ -16,9 +16,6 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// errOrder is returned for an event whose ID does not follow the last one.
-var errOrder = errors.New("event out of order")
-
 // streamRelay forwards the events of a stream as they arrive. It sends the response
 // head together with the first event, so that a target that fails before that can be
 // replaced without the caller noticing.
@@ -30,8 +27,9 @@
 	headSent bool
 	// awaitingFirst is set until the present target has sent its first event.
 	awaitingFirst bool
-	lastID        uint64
-	hasLastID     bool
+	// lastID is the ID of the last event that the caller has, if hasLastID is set.
+	lastID    uint64
+	hasLastID bool
 	// lastSentAt is when the caller was last sent an event.
 	lastSentAt time.Time
 	// nonStream handles a response that is not a stream; nil until there is one.
@@ -53,15 +51,6 @@
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
 }
 
-// isNext reports whether e is the next event after those that the caller has and the
-// given number of buffered ones. Events without an ID always are.
-func (r *streamRelay) isNext(e event, buffered int) bool {
-	if !e.hasID || !r.hasLastID {
-		return true
-	}
-	return e.id == r.lastID+uint64(buffered)+1
-}
-
 // sendEvent sends an event to the caller, preceded by the response head if need be.
 func (r *streamRelay) sendEvent(x *exchange, e event) error {
 	if r.awaitingFirst {
