--- a/io/request/direct/target.go
+++ b/io/request/direct/target.go
@@ -30,6 +30,12 @@
 	return i + 1 + n, err
 }
 
+// WriteByte keeps http.Request from putting a buffer before the writer.
+func (l *requestLineWriter) WriteByte(c byte) error {
+	_, err := l.Write([]byte{c})
+	return err
+}
+
 // writeRequest writes a request with exactly the given target.
 func writeRequest(w io.Writer, req *http.Request, target string) error {
 	return req.Write(&requestLineWriter{w: w, line: req.Method + " " + target + " HTTP/1.1\r\n"})
