--- a/core/request/table/table.go
+++ b/core/request/table/table.go
@@ -64,14 +64,14 @@
 func (r Route) Repeatable() bool { return r.Kind == KindIdempotent || r.Resumable() }
 
 // Service is a group of targets. MaxConnsPerTarget is the most connections that each
-// target accepts from all callers together. Engine is nil for a plain service. Unread is set
+// target accepts from all callers together. Engine is nil for a plain service. Unreadable is set
 // if it couldn't be read which engines the service has, so that it must get no requests.
 type Service struct {
 	Name              string
 	MaxConnsPerTarget int
 	Engine            *Engine
 	Warmup            Warmup
-	Unread            bool
+	Unreadable        bool
 }
 
 // Warmup describes targets that have just started. They are cold for Duration, and
@@ -124,9 +124,9 @@
 	IdleTimeout  time.Duration
 }
 
-// Unread says of which lists of the configuration a part couldn't be read, so that what a
+// Unreadable says of which lists of the configuration a part couldn't be read, so that what a
 // Table lacks may exist nevertheless.
-type Unread struct {
+type Unreadable struct {
 	Routes    bool
 	Services  bool
 	Customers bool
@@ -141,7 +141,7 @@
 	Customers      []Customer
 	ListsCustomers bool
 	Limits         Limits
-	Unread         Unread
+	Unreadable     Unreadable
 
 	routesByHost   map[string][]int
 	customersByKey map[string]int
--- a/io/request/direct/eventorder.go
+++ b/io/request/direct/eventorder.go
@@ -70,14 +70,17 @@
 		return nil
 	}
 	last, known := f.lastReceived()
+	switch {
+	case !known:
+	case f.sourceHasID:
+		if e.id <= last {
+			return errOrder
+		}
+		f.server.eventSteps.record(f.q.service.Name, e.id-last)
 	// A caller that resumes a stream itself can see what it lacks, but not one whose response
 	// goes on at another target.
-	switch continues := !f.sourceHasID; {
-	case !known:
-	case continues && !f.server.eventSteps.mayFollow(f.q.service.Name, last, e.id, f.headSent), e.id <= last:
+	case !f.server.eventSteps.mayFollow(f.q.service.Name, last, e.id, f.headSent):
 		return errOrder
-	case !continues:
-		f.server.eventSteps.record(f.q.service.Name, e.id-last)
 	}
 	f.sourceHasID = true
 	return nil
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -28,9 +28,9 @@
 	// staleFactsRetryAfter is for facts that are missing or too old: peers are polled
 	// three times a second, so newer ones arrive soon.
 	staleFactsRetryAfter = 400 * time.Millisecond
-	// unreadRetryAfter is for a part of the configuration that can't be read: only the next
+	// unreadableRetryAfter is for a part of the configuration that can't be read: only the next
 	// configuration can mend it.
-	unreadRetryAfter = 2 * time.Second
+	unreadableRetryAfter = 2 * time.Second
 	// failedTargetsRetryAfter is for a service whose targets all fail: they are tried
 	// again after pauses of this order.
 	failedTargetsRetryAfter = 800 * time.Millisecond
@@ -185,20 +185,20 @@
 // matchRoute finds the route of the request and picks its service.
 func (s *Server) matchRoute(q *request) (errorResponse, bool) {
 	route, ok := matchTable(q.facts.Table, q)
-	unread := q.facts.Table.Unread
+	unreadable := q.facts.Table.Unreadable
 	switch {
-	case !ok && unread.Routes:
-		return unreadError("unreadableRoute"), false
+	case !ok && unreadable.Routes:
+		return unreadableError("unreadableRoute"), false
 	case !ok:
 		return s.notFoundError(q, http.StatusNotFound, "noRoute"), false
 	case len(route.TrafficSplit) == 0:
-		return unreadError("unreadableRoute"), false
+		return unreadableError("unreadableRoute"), false
 	}
 	q.route = route
 	name := pickService(route.TrafficSplit, q.call.ID)
 	q.service, ok = q.facts.Table.ServiceByName(name)
-	if q.service.Unread || !ok && unread.Services {
-		return unreadError("unreadableService"), false
+	if q.service.Unreadable || !ok && unreadable.Services {
+		return unreadableError("unreadableService"), false
 	}
 	if !ok {
 		q.service = table.Service{Name: name}
@@ -206,10 +206,10 @@
 	return errorResponse{}, true
 }
 
-// unreadError returns the response to a request that depends on a part of the configuration
+// unreadableError returns the response to a request that depends on a part of the configuration
 // which couldn't be read.
-func unreadError(reason string) errorResponse {
-	return errorResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: unreadRetryAfter}
+func unreadableError(reason string) errorResponse {
+	return errorResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: unreadableRetryAfter}
 }
 
 // notFoundError returns the response for a route or key that does not exist according
@@ -256,8 +256,8 @@
 		return errorResponse{status: http.StatusServiceUnavailable, reason: "keysTooOld", retryAfter: staleFactsRetryAfter}, false
 	}
 	c, ok := q.facts.Table.CustomerByKey(q.call.APIKey)
-	if !ok && q.call.APIKey != "" && q.facts.Table.Unread.Customers {
-		return unreadError("unreadableKeys"), false
+	if !ok && q.call.APIKey != "" && q.facts.Table.Unreadable.Customers {
+		return unreadableError("unreadableKeys"), false
 	}
 	if !ok {
 		return s.notFoundError(q, http.StatusUnauthorized, "unknownKey"), false
