--- a/review/testdata/two/ingress.go
+++ b/review/testdata/two/ingress.go
@@ -91,7 +91,9 @@
 	complete bool
 	signed   bool
 	body     []byte
-	err      error
+	// service is that of the replica, as a header of its answer says.
+	service string
+	err     error
 }
 
 // conn is a client's connection.
@@ -129,7 +131,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	a := answer{status: resp.StatusCode, signed: resp.Header.Get(headerSignature) != ""}
+	a := answer{status: resp.StatusCode, signed: resp.Header.Get(headerSignature) != "", service: resp.Header.Get("X-Service")}
 	a.body, a.err = io.ReadAll(resp.Body)
 	a.complete = a.err == nil
 	if resp.Close {
--- a/review/testdata/two/main.go
+++ b/review/testdata/two/main.go
@@ -33,6 +33,7 @@
 
 var cases = map[string]func(*env) (broken bool, err error){
 	"descriptors": runDescriptors,
+	"seeds":       runSeeds,
 }
 
 func run(name, binary, record string) int {
--- a/review/testdata/two/replica.go
+++ b/review/testdata/two/replica.go
@@ -72,6 +72,7 @@
 	h := w.Header()
 	h.Set(headerAttempt, id)
 	h.Set(headerSignature, p.id+"."+id)
+	h.Set("X-Service", p.service)
 	select {
 	case <-time.After(p.work):
 	case <-r.Context().Done():
