--- a/review/testdata/two/main.go
+++ b/review/testdata/two/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(*env) (broken bool, err error){
 	"descriptors": runDescriptors,
 	"seeds":       runSeeds,
+	"leavers":     runLeavers,
 }
 
 func run(name, binary, record string) int {
