dial, direct, gate, platform: tell a reset from the end of an answer

Cause: the system reports a reset once, to the write or the read that comes first. Here the write of the request got it, and roundTrip ignores that error if there is a response. The reads after it saw what had arrived and then the end of the connection, which is how an answer without a length or chunks ends.

Connections on which responses are read now come from package dial: a read that reaches the end of a connection on which a write has failed returns the error of that write, and it waits for a write in progress, so that the order in which the two learn of the reset does not matter. An answer with a length or chunks says itself where it ends and is passed on as before, and so is one whose target ends the connection properly.

Calls without a long body (store, reports, origin, load orders of the platform) see the reset when they read.

A write that fails after the target has ended the connection properly makes the answer incomplete, too: that it is whole is not certain then.

--- a/io/process/side/side.go
+++ b/io/process/side/side.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -83,7 +84,7 @@
 		Log:     h.Log,
 		Logger:  h.Logger,
 		Metrics: h.Metrics,
-		Staging: &stage.Client{Address: h.Settings.Target.Address},
+		Staging: &stage.Client{Address: h.Settings.Target.Address, HTTP: http.Client{Transport: bound.NewTransport(net.Dialer{})}},
 		Origin:  h.Settings.Platform.Origin,
 		Store:   h.Settings.Platform.Store,
 		Spread:  spread.Config{UploadSlots: h.Settings.Limits.UploadSlots},
@@ -109,7 +110,7 @@
 		Uptime:           uptime.Now,
 		Log:              h.Log,
 		Source:           h.Watcher,
-		Engine:           &order.EngineClient{Address: h.Settings.Target.Address, Client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bound.MaxHeadBytes}}},
+		Engine:           &order.EngineClient{Address: h.Settings.Target.Address, Client: &http.Client{Transport: bound.NewTransport(net.Dialer{})}},
 		VerifiedManifest: s.verified,
 		Draining:         h.Draining,
 	}
--- a/io/process/watch/fetcher.go
+++ b/io/process/watch/fetcher.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -48,7 +49,7 @@
 }
 
 func newFetcher(addr netip.AddrPort) *fetcher {
-	return &fetcher{addr: addr, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: bound.MaxHeadBytes}}, slack: minSlack}
+	return &fetcher{addr: addr, client: &http.Client{Transport: bound.NewTransport(net.Dialer{})}, slack: minSlack}
 }
 
 func (s *fetcher) close() { s.client.CloseIdleConnections() }
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -19,6 +19,7 @@
 	"hawthornferry/core/process/operr"
 	"hawthornferry/core/request/space"
 	"hawthornferry/io/conn/bound"
+	"hawthornferry/io/conn/dial"
 )
 
 // readBuffer is the size in bytes of the buffers for requests and responses.
@@ -35,7 +36,7 @@
 }
 
 func newConnector(clock clockwork.Clock) *connector {
-	return &connector{clock: clock, dialTimes: dialTimes{clock: clock}, dial: (&net.Dialer{}).DialContext}
+	return &connector{clock: clock, dialTimes: dialTimes{clock: clock}, dial: dial.With(net.Dialer{})}
 }
 
 // exchange is one request to one target over its own connection, with the response.
@@ -149,9 +150,10 @@
 	return c.dial(ctx, "tcp", t.Address.String())
 }
 
-// roundTrip writes the request with the given path and query and reads the head of the response. A target may respond
-// and reset the connection before it has read a long body; a write error is ignored if
-// there is a response.
+// roundTrip writes the request with the given path and query and reads the head of the response. A
+// target may respond and reset the connection before it has read a long body. A write error is
+// therefore ignored if there is a response; if that has no other end than the connection's, reading
+// its body to the end fails.
 func (x *exchange) roundTrip(req *http.Request, target string, body []byte) error {
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
--- a/io/request/gate/transport.go
+++ b/io/request/gate/transport.go
@@ -23,13 +23,11 @@
 
 // newPooledTransport returns the transport for calls that may be repeated.
 func newPooledTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:            dialTarget,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: bound.MaxHeadBytes,
-	}
+	t := bound.NewTransport(net.Dialer{Timeout: dialTimeout})
+	t.DialContext = markNotReached(t.DialContext)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout = maxIdleConns, idleTimeout
+	t.DisableCompression = true
+	return t
 }
 
 // newOnceTransport returns the transport for once-calls, which opens a connection for
@@ -47,11 +45,15 @@
 	return t
 }
 
-func dialTarget(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, errors.Mark(err, errNotReached)
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// markNotReached marks the errors of dial with errNotReached.
+func markNotReached(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, errors.Mark(err, errNotReached)
+		}
+		return c, nil
 	}
-	return c, nil
 }
--- a/io/request/gate/transport_test.go
+++ b/io/request/gate/transport_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"hawthornferry/standin/flood"
 )
 
 // breakingTarget returns the address of a server that answers the first request of each
@@ -88,3 +92,36 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that is taken for all of it, because the target resets the
+// connection while the call is still being written and only the end of the connection ends the
+// answer.
+func TestAnswerResetDuringUploadIsNotComplete(t *testing.T) {
+	const tries, uploadBytes = 20, 8 << 20
+	target, err := flood.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Listener.Close()
+	target.Answer = func(conn net.Conn, _ *http.Request, n int) {
+		flood.AnswerAndReset(conn, flood.StatusLine+"\r\npart", time.Duration(n%3)*10*time.Millisecond)
+	}
+	go target.Run()
+	for name, transport := range map[string]http.RoundTripper{"repeatable": newPooledTransport(), "once": newOnceTransport()} {
+		for range tries {
+			req, err := http.NewRequest(http.MethodPost, "http://"+target.Addr().String()+"/x", bytes.NewReader(make([]byte, uploadBytes)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			res, err := transport.RoundTrip(req)
+			if err != nil {
+				continue
+			}
+			b, err := io.ReadAll(res.Body)
+			res.Body.Close()
+			if err == nil {
+				t.Errorf("%s: status %d, body %q, no error", name, res.StatusCode, b)
+			}
+		}
+	}
+}
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -20,12 +21,10 @@
 const headerTimeout = 10 * time.Second
 
 func newTransport() *http.Transport {
-	return &http.Transport{
-		ResponseHeaderTimeout:  headerTimeout,
-		MaxResponseHeaderBytes: bound.MaxHeadBytes,
-		MaxIdleConnsPerHost:    2,
-		IdleConnTimeout:        30 * time.Second,
-	}
+	t := bound.NewTransport(net.Dialer{})
+	t.ResponseHeaderTimeout = headerTimeout
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout = 2, 30*time.Second
+	return t
 }
 
 // counters holds the metrics of transfers. The counters are in bytes, by
--- a/standin/flood/flood.go
+++ b/standin/flood/flood.go
@@ -1,5 +1,5 @@
-// Package flood stands in for faulty machines whose responses never end. The tests of the
-// packages that read responses use it, and the soak.
+// Package flood stands in for faulty machines whose responses never end, or break
+// off. The tests of the packages that read responses use it, and the soak.
 package flood
 
 import (
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hawthornferry/io/conn/bound"
 )
@@ -57,6 +58,15 @@
 	return sent, err
 }
 
+// AnswerAndReset writes an answer and resets the connection after a pause, without having read the
+// body of the request.
+func AnswerAndReset(conn net.Conn, answer string, pause time.Duration) {
+	_, _ = io.WriteString(conn, answer)
+	time.Sleep(pause)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
 // Server answers each request on a connection of its own. Set Answer before Run.
 type Server struct {
 	Listener net.Listener
