bound: keep a response cut off once its head has exceeded a bound

FuzzHead found it in 8 s: of a status line without an end 49,134 bytes were read, at most 40,960 may be. Not seen by callers; with checks of single lines, a head that was cut off could have passed as valid.

Cause: bufio.Reader.ReadLine drops an error that comes within a line and returns the line as if it were whole. The parser then reads on, and HeadReader read from the connection again. It now returns the error of the cut from then on.

--- a/io/conn/bound/head.go
+++ b/io/conn/bound/head.go
@@ -32,8 +32,9 @@
 	status  bool
 	interim bool
 	ended   bool
-	// err is the first error of the connection.
+	// err is the first error of the connection, and cut the error with which a read was cut off.
 	err error
+	cut error
 }
 
 // NewHeadReader returns a reader of the response that r begins with.
@@ -41,12 +42,16 @@
 
 // Read implements io.Reader.
 func (h *HeadReader) Read(p []byte) (int, error) {
+	// A parser drops an error that comes within a line, and reads on.
+	if h.cut != nil {
+		return 0, h.cut
+	}
 	n, err := h.r.Read(p)
 	if h.err == nil {
 		h.err = err
 	}
-	if cut := h.check(p[:n]); cut != nil {
-		return 0, cut
+	if h.cut = h.check(p[:n]); h.cut != nil {
+		return 0, h.cut
 	}
 	return n, err
 }
