bound, direct, gate, platform: reject heads whose field names hold blanks

Cause: net/http accepts a name with a blank before the colon or within it, as a field of another name, and joins a line that begins with a blank to the field before it. After "Content-Length : 3" or "Transfer-Encoding : chunked" the body is then read to the end of the connection, and passed on with a length of its own.

bound.CheckHead rejects such a name and a status below 100; direct calls it for each response, interim ones too, and HeadReader cuts off a line that begins with a blank. All other HTTP clients (gate, store, engine, origin, staging, load orders, manifests, configuration) use bound.Transport, which calls it. The attempt ends as broken, with the bound "format" in the log, and is repeated where that is allowed.

--- a/io/conn/bound/head.go
+++ b/io/conn/bound/head.go
@@ -19,7 +19,8 @@
 
 // HeadReader reads an HTTP/1 response from a connection and passes it on. It fails as soon as
 // the heads of the response, those of interim ones included, exceed MaxHeadBytes or
-// MaxHeadLines, or do not begin as a head does. It does not limit what follows the last head.
+// MaxHeadLines, or do not begin as a head does, or a field begins with a blank, which a parser takes
+// for the rest of the field before. It does not limit what follows the last head.
 type HeadReader struct {
 	r io.Reader
 	// size and lines count what has been read of the heads.
@@ -98,6 +99,9 @@
 	if h.line == 0 {
 		h.first = b[0]
 	}
+	if !h.status && (h.first == ' ' || h.first == '\t') {
+		return Invalid("field that begins with a blank")
+	}
 	h.line += len(b)
 	if b[len(b)-1] != '\n' {
 		return nil
--- a/io/conn/bound/head_test.go
+++ b/io/conn/bound/head_test.go
@@ -34,6 +34,9 @@
 	in := bufio.NewReader(head)
 	for {
 		resp, err := http.ReadResponse(in, nil)
+		if err == nil {
+			err = CheckHead(resp)
+		}
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, in, head.Classify(err)
 		}
@@ -80,6 +83,19 @@
 	}
 }
 
+// Guards against a head with an invalid field that passes as valid if it arrives in parts.
+func TestInvalidHeadInParts(t *testing.T) {
+	for _, field := range []string{" X-Name: 1", "\tX-Name: 1", "X Name: 1", "X-Name : 1", "X\x01Name: 1", ": 1"} {
+		head := "HTTP/1.1 100 -\r\n\r\nHTTP/1.1 200 -\r\nA: b\r\n" + field + "\r\nContent-Length: 6\r\n\r\n"
+		for i := range head {
+			_, _, err := readHead(io.MultiReader(strings.NewReader(head[:i]), strings.NewReader(head[i:]), strings.NewReader(head+"faulty")))
+			if name, _ := Of(err); name != Format {
+				t.Errorf("%q after %q: error %v, want one of bound %q", head[i:], head[:i], err, Format)
+			}
+		}
+	}
+}
+
 // FuzzHead guards against responses whose head is read beyond the bound, or takes more memory
 // than it may. What is sent is a text, and then its second part again and again.
 func FuzzHead(f *testing.F) {
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -172,6 +172,9 @@
 		if err != nil {
 			return errors.CombineErrors(head.Classify(err), writeErr)
 		}
+		if err := bound.CheckHead(resp); err != nil {
+			return err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			resp.Body = bound.NewBody(resp, head)
 			x.resp = resp
--- a/io/request/gate/gate.go
+++ b/io/request/gate/gate.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -24,6 +23,7 @@
 	"hawthornferry/core/process/view"
 	"hawthornferry/core/request/calls"
 	"hawthornferry/core/version/chunk"
+	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/link"
 	"hawthornferry/io/conn/sessn"
 	"hawthornferry/io/process/trends"
@@ -56,8 +56,8 @@
 	server *sessn.Server
 	// pooledTransport reuses connections, for calls that may be repeated. onceTransport
 	// opens a connection for each call.
-	pooledTransport *http.Transport
-	onceTransport   *http.Transport
+	pooledTransport bound.Transport
+	onceTransport   bound.Transport
 	bootTime        time.Time
 
 	mu          sync.Mutex
--- a/io/request/gate/transport.go
+++ b/io/request/gate/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +21,7 @@
 var errNotReached = errors.New("target not reached")
 
 // newPooledTransport returns the transport for calls that may be repeated.
-func newPooledTransport() *http.Transport {
+func newPooledTransport() bound.Transport {
 	t := bound.NewTransport(net.Dialer{Timeout: dialTimeout})
 	t.DialContext = markNotReached(t.DialContext)
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = maxIdleConns, idleTimeout
@@ -39,7 +38,7 @@
 // transport does this only on reused connections, it never happens without reuse. This
 // also avoids unknown outcomes if a target closes an idle connection just as a call is
 // sent.
-func newOnceTransport() *http.Transport {
+func newOnceTransport() bound.Transport {
 	t := newPooledTransport()
 	t.DisableKeepAlives = true
 	return t
--- a/io/request/gate/transport_test.go
+++ b/io/request/gate/transport_test.go
@@ -63,7 +63,7 @@
 func TestTransportNeverResends(t *testing.T) {
 	tests := []struct {
 		name string
-		rt   *http.Transport
+		rt   http.RoundTripper
 		want int64
 	}{
 		{"default transport, which resends", &http.Transport{}, 2},
@@ -71,7 +71,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			defer tc.rt.CloseIdleConnections()
+			defer (&http.Client{Transport: tc.rt}).CloseIdleConnections()
 			addr, runs := breakingTarget(t)
 			for _, path := range []string{"/warm", "/payments"} {
 				req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, strings.NewReader("fee"))
--- a/io/version/swarm/report.go
+++ b/io/version/swarm/report.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +19,7 @@
 // origin.
 const headerTimeout = 10 * time.Second
 
-func newTransport() *http.Transport {
+func newTransport() bound.Transport {
 	t := bound.NewTransport(net.Dialer{})
 	t.ResponseHeaderTimeout = headerTimeout
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = 2, 30*time.Second
