front: bound the events that are held since they have no token

All readers were looked through and met by a stand-in; one had no bound: on the product's own path, events without a token are held until one with a token follows, so that a target that sends comments or empty events without end fills the memory of the entry, up to the deadline of the request.

Such events may now have 256 KiB in all, as one event may; beyond that the attempt has failed and is repeated where that is allowed. A comment every 100 ms reaches that after more than half an hour.

--- a/io/request/front/stream.go
+++ b/io/request/front/stream.go
@@ -22,11 +22,17 @@
 // eventTerminators are the byte sequences that end an event.
 var eventTerminators = []string{"\n\n", "\r\n\r\n"}
 
-// maxEventBytes limits the size of an event. The bytes of an incomplete event are
-// buffered.
-const maxEventBytes = 256 << 10
+// maxEventBytes limits the size of an event, and maxHeldBytes that of the events without a token that
+// follow each other. The bytes of an incomplete event are buffered, and so are events without a token.
+const (
+	maxEventBytes = 256 << 10
+	maxHeldBytes  = 256 << 10
+)
 
-var errEventTooLarge = errors.Newf("event is over %d bytes", maxEventBytes)
+var (
+	errEventTooLarge = errors.Newf("event is over %d bytes", maxEventBytes)
+	errHeldTooLarge  = errors.Newf("events without a token are over %d bytes", maxHeldBytes)
+)
 
 // eventRelay passes a stream of generated tokens to the caller, in whole events only.
 // It counts the tokens sent, so that another target that serves the same version can
@@ -119,6 +125,9 @@
 		return true, r.send(e)
 	}
 	if !hasToken(payload) {
+		if len(r.heldEvents)+len(e) > maxHeldBytes {
+			return false, errHeldTooLarge
+		}
 		r.heldEvents = append(r.heldEvents, e...)
 		return false, nil
 	}
