bound, direct: bound answers that only claim to be streams

Cause: NewBody lets off what is bounded by event, and went by the type of the answer alone; the relay goes by the kind of the route and the status as well. roundTrip now tells it whether the answer is read as a stream.

--- a/io/conn/bound/body.go
+++ b/io/conn/bound/body.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strings"
 )
 
 // body is the body of a response. Its errors say if it was cut off.
@@ -15,12 +14,12 @@
 	left, limit int64
 }
 
-// NewBody returns the body of a response of a target that was read through head. One that has no declared length and is no
-// stream of events is limited to MaxAnswerBytes. Streams are bounded by event and by the time
-// that the caller has.
-func NewBody(resp *http.Response, head *HeadReader) io.ReadCloser {
+// NewBody returns the body of a response of a target that was read through head. One that has no
+// declared length and is not read as a stream of events is limited to MaxAnswerBytes. Streams are
+// bounded by event and by the time that the caller has.
+func NewBody(resp *http.Response, head *HeadReader, stream bool) io.ReadCloser {
 	b := &body{ReadCloser: resp.Body, head: head}
-	if resp.ContentLength < 0 && !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if resp.ContentLength < 0 && !stream {
 		b.left, b.limit = MaxAnswerBytes, MaxAnswerBytes
 	}
 	return b
--- a/io/conn/bound/head_test.go
+++ b/io/conn/bound/head_test.go
@@ -75,7 +75,7 @@
 		head := NewHeadReader(strings.NewReader(text))
 		resp, err := http.ReadResponse(bufio.NewReader(head), nil)
 		if err == nil {
-			_, err = io.ReadAll(NewBody(resp, head))
+			_, err = io.ReadAll(NewBody(resp, head, false))
 		}
 		if err = head.Classify(err); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("%q: %v, want %v", text, err, io.ErrUnexpectedEOF)
--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -177,7 +177,7 @@
 // sendAndCheck sends the request and reads and checks the head of the response. It
 // returns the outcome of the attempt if the response cannot be used, otherwise "".
 func (s *Server) sendAndCheck(q *request, x *exchange, req *http.Request) (resend.Outcome, error) {
-	if err := x.roundTrip(req, q.target, q.body); err != nil {
+	if err := x.roundTrip(req, q); err != nil {
 		if x.abortReason() != nil || req.Context().Err() != nil {
 			s.attemptGivenUp(q)
 		}
--- a/io/request/direct/exchange.go
+++ b/io/request/direct/exchange.go
@@ -18,6 +18,7 @@
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/operr"
 	"hawthornferry/core/request/space"
+	"hawthornferry/core/request/table"
 	"hawthornferry/io/conn/bound"
 	"hawthornferry/io/conn/dial"
 )
@@ -150,18 +151,18 @@
 	return c.dial(ctx, "tcp", t.Address.String())
 }
 
-// roundTrip writes the request with the given path and query and reads the head of the response. A
+// roundTrip writes req, which is q as its target gets it, and reads the head of the response. A
 // target may respond and reset the connection before it has read a long body. A write error is
 // therefore ignored if there is a response; if that has no other end than the connection's, reading
 // its body to the end fails.
-func (x *exchange) roundTrip(req *http.Request, target string, body []byte) error {
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	req.ContentLength = int64(len(body))
-	if len(body) == 0 {
+func (x *exchange) roundTrip(req *http.Request, q *request) error {
+	req.Body = io.NopCloser(bytes.NewReader(q.body))
+	req.ContentLength = int64(len(q.body))
+	if len(q.body) == 0 {
 		req.Body = http.NoBody
 	}
 	w := bufio.NewWriterSize(x.conn, readBuffer)
-	writeErr := writeRequest(w, req, target)
+	writeErr := writeRequest(w, req, q.target)
 	if writeErr == nil {
 		writeErr = w.Flush()
 	}
@@ -176,7 +177,7 @@
 			return err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			resp.Body = bound.NewBody(resp, head)
+			resp.Body = bound.NewBody(resp, head, q.route.Kind == table.KindStream && isStream(resp))
 			x.resp = resp
 			return nil
 		}
--- a/io/request/direct/unbounded_test.go
+++ b/io/request/direct/unbounded_test.go
@@ -67,6 +67,8 @@
 	{flood.Response{Name: "a chunk extension", Begin: flood.StatusLine + flood.ChunkedLine + "\r\n1;", Repeat: "x", Bound: bound.Format}, anyKind, maxInvalidRead, false},
 	{flood.Response{Name: "a trailer", Begin: flood.StatusLine + flood.ChunkedLine + "\r\n0\r\n", Repeat: "A: b\r\n", Bound: bound.Format}, anyKind, maxInvalidRead, false},
 	{flood.Response{Name: "a body", Begin: flood.StatusLine + "\r\n", Repeat: "x", Bound: bound.Answer}, plain, bound.MaxAnswerBytes + maxInvalidRead, true},
+	{flood.Response{Name: "a body that claims to be a stream", Begin: streamHead, Repeat: "x", Bound: bound.Answer}, plain, bound.MaxAnswerBytes + maxInvalidRead, true},
+	{flood.Response{Name: "a failure that claims to be a stream", Begin: "HTTP/1.1 500 -\r\n" + flood.StreamLine + "\r\n", Repeat: "x", Bound: bound.Answer}, []table.RouteKind{table.KindIdempotent, table.KindStream}, bound.MaxAnswerBytes + maxInvalidRead, true},
 	{flood.Response{Name: "an event", Begin: streamHead, Repeat: "x", Bound: bound.Event}, streamed, bound.MaxEventBytes + maxInvalidRead, false},
 	{flood.Response{Name: "blank lines", Begin: streamHead, Repeat: "\n", Bound: bound.Filler}, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
 	{flood.Response{Name: "comments", Begin: streamHead, Repeat: ":\n\n", Bound: bound.Filler}, streamed, bound.MaxFillerBytes + maxInvalidRead, false},
