facts, feed: let no start in the future replace a listed target

Cause: DropReplaced keeps the latest start at an address, however late it is. A start more than an hour after the time of the process now replaces nothing; clocks differ, and jump, by seconds.

TestPresentKeepsTheLatestStart fails before with the new target in the future.

--- a/core/process/facts/replaced.go
+++ b/core/process/facts/replaced.go
@@ -12,16 +12,21 @@
 	address netip.AddrPort
 }
 
+// maxClockError is how far the clock of a target may be ahead of that of this process.
+const maxClockError = time.Hour
+
 // DropReplaced removes the targets whose address has been taken over by a later
 // start of the same service. It modifies the given slice. A target that lost
 // power stays in the list for some heartbeats next to its successor. Requests
 // sent to the old one are rejected, and while a whole service restarts such
-// requests would use up the retry budget.
-func DropReplaced(all []Target) []Target {
+// requests would use up the retry budget. A start later than now is an error of
+// whoever wrote it, and replaces no target.
+func DropReplaced(all []Target, now time.Time) []Target {
 	latest := map[endpoint]time.Time{}
+	newest := now.Add(maxClockError)
 	for _, t := range all {
 		e := endpoint{t.Service, t.Address}
-		if t.StartedAt.After(latest[e]) {
+		if t.StartedAt.After(latest[e]) && !t.StartedAt.After(newest) {
 			latest[e] = t.StartedAt
 		}
 	}
--- a/io/process/feed/publish.go
+++ b/io/process/feed/publish.go
@@ -52,7 +52,7 @@
 			now.Targets = append(now.Targets, *fact.Target)
 		}
 	}
-	now.Targets = facts.DropReplaced(now.Targets)
+	now.Targets = facts.DropReplaced(now.Targets, f.Clock.Now())
 	f.markEvacuated(now.Targets)
 	f.current.Store(now)
 	f.Self.Revision.Store(f.revision)
