feed: limit the reason of a fault to 256 bytes

The reason is also in the status and, with the first five faults, in the line on the process's state every 2 s.

Cause: errors of decoders quote what they could not decode. Reasons are cut where a fault is recorded.

--- a/io/process/feed/faults.go
+++ b/io/process/feed/faults.go
@@ -16,11 +16,23 @@
 	current  time.Duration
 }
 
+// maxReasonLen limits the reason of a fault, in bytes. Errors of decoders quote what they could not
+// decode, which may be all of an item.
+const maxReasonLen = 256
+
+func reasonOf(err error) string {
+	reason := err.Error()
+	if len(reason) <= maxReasonLen {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReasonLen], "") + "..."
+}
+
 // reject records that the newest value of an item could not be decoded. f.mu must be held.
 func (f *Feed) reject(it Item, err error) {
-	f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
+	r := rejection{revision: it.Revision, reason: reasonOf(err), current: f.confirmed}
+	f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "rejectItem", Subject: it.Key, Reason: r.reason, Revision: it.Revision})
 	f.Metrics.Counter("items_rejected_total").Inc(1)
-	r := rejection{revision: it.Revision, reason: err.Error(), current: f.confirmed}
 	if former, rejected := f.rejected[it.Key]; rejected {
 		r.current = former.current
 	}
@@ -54,7 +66,7 @@
 			continue
 		}
 		for _, err := range fact.Config.Problems {
-			out = append(out, trail.ItemFault{Key: key, Kind: string(KindConfig), Revision: f.items[key].Revision, Reason: err.Error()})
+			out = append(out, trail.ItemFault{Key: key, Kind: string(KindConfig), Revision: f.items[key].Revision, Reason: reasonOf(err)})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b trail.ItemFault) int { return strings.Compare(a.Key, b.Key) })
--- a/io/process/feed/log.go
+++ b/io/process/feed/log.go
@@ -59,7 +59,7 @@
 // logProblems logs the faults of a configuration that is used nevertheless.
 func (f *Feed) logProblems(it Item, problems []error) {
 	for _, err := range problems {
-		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "limitItem", Subject: it.Key, Reason: err.Error(), Revision: it.Revision})
+		f.Log.Record(trail.Decision{Area: trail.AreaConfig, Action: "limitItem", Subject: it.Key, Reason: reasonOf(err), Revision: it.Revision})
 		f.Metrics.Counter("items_limited_total").Inc(1)
 	}
 }
