direct: answer the requests that are under way at the end of a stop

Cause, by a stand-in whose replicas never answer: - whether a request came late was decided by when its head had arrived, not by when its body had been read and it could be sent. One whose upload ended 6.4 s into a grace of 7 s was passed on; - late began 2.9 s after the stop in any case, so that with a grace of 2 s nothing was late; - Shutdown ended with the grace, and Close cut what was under way. A request that waited for a target, and had not run, was cut as well.

Now the time at which the body has been read counts, late begins with the end of the notice at the latest, a request is not sent to a target that is not expected to answer before the end, and .1 s before the end (.3 s before the process is killed) the contexts of requests end with a cause: those that have not run get 503, the others 502, and streams that have begun are broken off as before.

--- a/io/request/direct/attempts.go
+++ b/io/request/direct/attempts.go
@@ -108,6 +108,10 @@
 			q.reason = string(v.Reason)
 			s.fail(w, q, out, v.RetryAfter)
 			return v, false
+		case s.stopsBeforeAnswer(v):
+			s.dispatcher.done(v.ID, place.ResultCallerGone)
+			s.failStopping(w, q, out)
+			return v, false
 		case s.maySend(q, v):
 			return v, true
 		}
@@ -216,13 +220,17 @@
 	return true
 }
 
-// endUnanswered ends a request whose deadline has passed, or whose caller has
-// disconnected or has stopped reading.
+// endUnanswered ends a request whose deadline has passed, whose caller has disconnected or has
+// stopped reading, or that is under way when the process is about to end.
 func (s *Server) endUnanswered(w http.ResponseWriter, q *request, out responseRelay) {
 	if q.incoming.Context().Err() != nil {
 		s.finishRequest(q, "callerGone", 0)
 		panic(http.ErrAbortHandler)
 	}
+	if s.stopping.Err() != nil && s.Clock.Now().Before(q.deadline) {
+		s.failStopping(w, q, out)
+		return
+	}
 	q.reason = "deadline"
 	if s.Clock.Now().Before(q.deadline) {
 		q.reason = "callerNotReading"
--- a/io/request/direct/handle.go
+++ b/io/request/direct/handle.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 
 	"hawthornferry/core/process/facts"
 	"hawthornferry/core/process/trail"
@@ -128,6 +127,8 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
 	q := &request{incoming: r, arrivedAt: s.Clock.Now()}
 	// http.Server reads the body of a request that is refused, before it answers and for as long
 	// as it is allowed to.
@@ -138,7 +139,7 @@
 		s.sendError(w, q, e)
 		return
 	}
-	ctx, cancel := clockwork.WithDeadline(r.Context(), s.Clock, q.deadline)
+	ctx, cancel := s.requestContext(q)
 	defer cancel()
 	s.countForRetries(q.service.Name)
 	defer s.endRetries(q)
@@ -170,7 +171,7 @@
 	}
 	s.setDeadline(q)
 	if s.mayStopBefore(q) {
-		return errorResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: drainRetryAfter}, false
+		return errorResponse{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: drainRetryAfter}, false
 	}
 	return errorResponse{}, true
 }
--- a/io/request/direct/progress.go
+++ b/io/request/direct/progress.go
@@ -121,6 +121,8 @@
 // error from that does not tell the cause.
 func contextEndReason(ctx context.Context) error {
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return errStopping
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errors.New("request deadline exceeded")
 	case ctx.Err() != nil:
--- a/io/request/direct/server.go
+++ b/io/request/direct/server.go
@@ -86,6 +86,12 @@
 	draining   atomic.Bool
 	// drainTimes is set once a drain with a deadline has begun.
 	drainTimes atomic.Pointer[drainTimes]
+	// stopping ends when the requests under way must be answered, because the process is about
+	// to end. endRequests ends it.
+	stopping    context.Context
+	endRequests context.CancelFunc
+	// underWay counts the requests under way.
+	underWay atomic.Int64
 
 	budgetMu     sync.Mutex
 	startedAt    time.Time
@@ -119,6 +125,7 @@
 		s.connector = newConnector(s.Clock)
 		s.connector.dialTimes.onChange = s.dispatcher.setRoundTrip
 		s.startedAt = s.Clock.Now()
+		s.stopping, s.endRequests = context.WithCancel(context.Background())
 		s.retryBudgets = map[string]*budget.Budget{}
 		s.server = &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
@@ -212,47 +219,3 @@
 	}
 	return nil
 }
-
-// Times of a drain.
-const (
-	// maxDrainNotice is the maximum time for which a draining entry still accepts new
-	// requests. The load balancer checks readiness once a second and takes an entry out
-	// after two failed checks, so callers keep coming for up to three seconds.
-	// drainNoticeShare limits the time to that fraction of the grace period, since
-	// requests in flight need the rest.
-	maxDrainNotice   = 3500 * time.Millisecond
-	drainNoticeShare = 0.45
-	// lateDrainStart is how long after the start of a drain the entry begins to refuse
-	// requests whose deadline is after the end of the process, however short they may
-	// turn out. By then two readiness checks have failed and callers have been sent to
-	// other entries, and a stream that begins now may be cut off.
-	lateDrainStart = 2900 * time.Millisecond
-)
-
-// drainTimes holds the start of a drain and the time by which the process ends.
-type drainTimes struct {
-	start time.Time
-	end   time.Time
-}
-
-// mayStopBefore reports whether a request came late in a drain and has a deadline after
-// the end of the process.
-func (s *Server) mayStopBefore(q *request) bool {
-	l := s.drainTimes.Load()
-	return l != nil && q.arrivedAt.Sub(l.start) > lateDrainStart && q.deadline.After(l.end)
-}
-
-// Drain makes the entry not ready, keeps serving until the load balancer has had time
-// to take it out, and then returns once the requests in flight have ended or ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.init()
-	if end, ok := ctx.Deadline(); ok {
-		s.drainTimes.Store(&drainTimes{start: s.Clock.Now(), end: end})
-	}
-	s.draining.Store(true)
-	select {
-	case <-s.Clock.After(min(maxDrainNotice, time.Duration(drainNoticeShare*float64(s.Rules.GracePeriod)))):
-	case <-ctx.Done():
-	}
-	return operr.Wrap("drain", "", s.server.Shutdown(ctx))
-}
