front: answer the calls that are under way at the end of a stop

From the end of the notice on, a call whose deadline is after the end of the process is refused; the side of a bound one is asked first, as after a refusal at admission.

TestCallsInTheGraceOfAStopAreAnswered fails on: both calls ended without an answer and the late one ran. It passes now, 5 runs; the package passes with -race.

--- a/io/request/front/drain_test.go
+++ b/io/request/front/drain_test.go
@@ -1,8 +1,13 @@
 package front
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -160,3 +165,57 @@
 	}
 	return r
 }
+
+// Guards against calls that are cut without an answer when the grace of a stop ends, and against
+// late ones that are passed on although they can go on beyond the end.
+func TestCallsInTheGraceOfAStopAreAnswered(t *testing.T) {
+	const grace = time.Second
+	fl := newTestFleet(t)
+	p := newPayments()
+	defer close(p.release)
+	fl.addSide("b1", "booking", p)
+	e := fl.addEntry("e1")
+	fl.waitReady(e, "booking", 1)
+	late := slowCaller(t, e, "hold late")
+	early := fl.callAsync(e, "hold early", nil)
+	<-p.started
+	ctx, cancel := context.WithTimeout(t.Context(), grace)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() {
+		err := e.front.Drain(ctx)
+		fl.cancel()
+		drained <- err
+	}()
+	time.Sleep(grace / 2)
+	got := late()
+	check(t, "late call", http.StatusServiceUnavailable, got.Status)
+	check(t, "late call", string(calls.OutcomeNotRun), got.Header.Get(headerOutcome))
+	got = <-early
+	check(t, "early call", http.StatusGatewayTimeout, got.Status)
+	check(t, "early call", string(calls.OutcomeUnknown), got.Header.Get(headerOutcome))
+	check(t, "drain", nil, <-drained)
+	check(t, "runs of the late call", 0, p.ran("hold late"))
+}
+
+// slowCaller sends a call but for its last byte. The returned function sends that and returns the
+// answer.
+func slowCaller(t *testing.T, e *entry, body string) func() reply {
+	t.Helper()
+	nc, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	last := len(body) - 1
+	fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", payPath, len(body), body[:last])
+	return func() reply {
+		_, _ = io.WriteString(nc, body[last:])
+		res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			return reply{Truncated: true}
+		}
+		b, err := io.ReadAll(res.Body)
+		return reply{Status: res.StatusCode, Header: res.Header, Body: string(b), Truncated: err != nil}
+	}
+}
--- a/io/request/front/front.go
+++ b/io/request/front/front.go
@@ -65,9 +65,15 @@
 	callSlots  chan struct{}
 	bodyBudget *semaphore.Weighted
 	draining   atomic.Bool
-	running    atomic.Bool
-	chooseMu   sync.Mutex
-	policy     *policy
+	// drainTimes is set once a drain with a deadline has begun.
+	drainTimes atomic.Pointer[drainTimes]
+	// stopping ends when the calls under way must be answered, because the process is about to
+	// end. endCalls ends it.
+	stopping context.Context
+	endCalls context.CancelFunc
+	running  atomic.Bool
+	chooseMu sync.Mutex
+	policy   *policy
 }
 
 func (s *Server) init() { s.setup.Do(s.initialize) }
@@ -75,6 +81,7 @@
 func (s *Server) initialize() {
 	s.Limits = s.Limits.withDefaults()
 	s.policy = newPolicy(s.Clock, s.Self.VM)
+	s.stopping, s.endCalls = context.WithCancel(context.Background())
 	if s.Chooser == nil {
 		s.Chooser = s.policy
 	}
@@ -127,25 +134,6 @@
 	return nl, operr.Wrap("listen for callers", s.ListenAddr.String(), err)
 }
 
-// Drain makes the entry report not ready, keeps serving for Limits.DrainNotice so that
-// the load balancer stops sending callers, and then stops accepting connections. It
-// returns when the calls in flight have finished or ctx ends.
-//
-// Shutting down at once would close idle connections on which a request is just
-// arriving, and its caller would get no response. During the notice such requests are
-// served with a Connection: close header.
-func (s *Server) Drain(ctx context.Context) error {
-	s.init()
-	s.draining.Store(true)
-	notice := s.Clock.NewTimer(s.Limits.DrainNotice)
-	defer notice.Stop()
-	select {
-	case <-notice.Chan():
-	case <-ctx.Done():
-	}
-	return operr.Wrap("drain", "", s.server.Shutdown(ctx))
-}
-
 // Ready reports whether the load balancer may send callers here: the entry is serving,
 // has a document and is not draining.
 func (s *Server) Ready() bool {
--- a/io/request/front/onceattempt.go
+++ b/io/request/front/onceattempt.go
@@ -44,7 +44,7 @@
 	ticket := newTicket(m, rq, startMessage)
 	rq.ticket = &ticket
 	startMessage.Ticket, startMessage.Members = &ticket, rq.keyMembers
-	if rq.refusedAtAdmission != nil {
+	if rq.refused != nil {
 		t.querySide(ctx, calls.EventConnectionLost)
 		return t.settledResult(ctx)
 	}
@@ -228,7 +228,7 @@
 		g.ticket = res.ticket
 		return onceResult{result: withoutUnsafeRetry(g)}
 	}
-	if r := t.request.refusedAtAdmission; r != nil && res.outcome == calls.OutcomeNotRun {
+	if r := t.request.refused; r != nil && res.outcome == calls.OutcomeNotRun {
 		return onceResult{result: *r}
 	}
 	res.status, res.retryAfter = http.StatusBadGateway, 0
--- a/io/request/front/request.go
+++ b/io/request/front/request.go
@@ -32,10 +32,10 @@
 	// target's load.
 	admittedAt      time.Time
 	timeToFirstByte time.Duration
-	// refusedAtAdmission is set if admission refused a bound call. Its side is then
+	// refused is set if a bound call was refused before it was sent. Its side is then
 	// queried, and marks the call as never to run if it has no record of it, but is not
 	// asked to run it.
-	refusedAtAdmission *result
+	refused *result
 	// The fields below are for once-calls. ticket is the one that the caller sent or
 	// the one of the latest attempt. keyMembers are the members from which the owner of
 	// idempotencyKey was computed.
--- a/io/request/front/routes.go
+++ b/io/request/front/routes.go
@@ -202,6 +202,12 @@
 	w.Header().Set(headerRequestID, rq.routing.ID)
 	ctx, cancel := clockwork.WithTimeout(r.Context(), s.Clock, rq.timeout)
 	defer cancel()
+	unlink := context.AfterFunc(s.stopping, cancel)
+	defer unlink()
+	if s.mayStopBefore(rq) {
+		s.refuse(ctx, w, rq, result{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfter})
+		return
+	}
 	v, ok := s.policy.admit(ctx, rq.routing)
 	if !ok {
 		s.writeFailure(w, rq, withoutUnsafeRetry(interruptedResult(ctx, rq.unsentOutcome())))
@@ -217,18 +223,25 @@
 	run(ctx, w, rq)
 }
 
-// refuseAdmission reports to a caller that admission refused its call. A bound call may
-// have run already, so its side is queried first.
+// reasonStopping is the reason of a call that is refused because the process is about to end.
+const reasonStopping = "stopping"
+
+// refuseAdmission reports to a caller that admission refused its call.
 func (s *Server) refuseAdmission(ctx context.Context, w http.ResponseWriter, rq *request, v admit.Verdict) {
-	res := result{
-		outcome: calls.OutcomeNotRun, reason: string(v.Reason),
-		status: http.StatusTooManyRequests, retryAfter: v.RetryAfter, refusedAtAdmission: true,
-	}
+	s.refuse(ctx, w, rq, result{
+		reason: string(v.Reason), status: http.StatusTooManyRequests, retryAfter: v.RetryAfter, refusedAtAdmission: true,
+	})
+}
+
+// refuse reports to a caller that its call was refused before it was sent. A bound call may
+// have run already, so its side is queried first.
+func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, rq *request, res result) {
+	res.outcome = calls.OutcomeNotRun
 	if rq.ticket == nil && rq.idempotencyKey == "" {
 		s.writeFailure(w, rq, res)
 		return
 	}
-	rq.refusedAtAdmission = &res
+	rq.refused = &res
 	s.runOnce(ctx, w, rq)
 }
 
