direct, trail: say that a stop has broken a response off

Found by reading: a stream that is cut at the end of the grace was logged and counted with the cause "target", although the entry ends it. Its cause is "stopping" now.

TestStreamBrokenOffByAStopIsLoggedAsSuch fails without the new line in the table of causes, and passes with -race.

--- a/core/process/trail/trail.go
+++ b/core/process/trail/trail.go
@@ -70,7 +70,7 @@
 	Reason  string `json:"reason,omitempty"`
 	// Cause is set for a response that was cut off after it had started. It says
 	// why the attempt that had started it ended: overdue, targetSilent,
-	// targetLoading, eventOutOfOrder or readCutOff when the entry ended the attempt.
+	// targetLoading, eventOutOfOrder, readCutOff or stopping when the entry ended the attempt.
 	// readCutOff is also set for the attempt itself.
 	Cause string `json:"cause,omitempty"`
 	// Revision is that of the configuration in force, or of the state that a
--- a/io/request/direct/endcounts.go
+++ b/io/request/direct/endcounts.go
@@ -20,6 +20,7 @@
 	causeTargetLoading endCause = "targetLoading"
 	causeEventOrder    endCause = "eventOutOfOrder"
 	causeReadCutOff    endCause = "readCutOff"
+	causeStopping      endCause = "stopping"
 	causeTarget        endCause = "target"
 )
 
@@ -33,6 +34,7 @@
 	{errLoading, causeTargetLoading},
 	{errOrder, causeEventOrder},
 	{errEventID, causeEventOrder},
+	{errStopping, causeStopping},
 }
 
 // causeOf returns why an attempt ended with err. byEntry is set if the entry aborted
