--- a/io/conn/dial/dial.go
+++ b/io/conn/dial/dial.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// conn is a connection whose end can be told from a reset. The system reports a reset once, to
+// conn is a connection whose end is distinguished from a reset. The system reports a reset once, to
 // whichever of a read and a write comes first. If a write gets the report, what had arrived before
 // can still be read, and then the end of the connection, as if the peer had closed it properly. A
 // response that only the end of its connection ends would look complete.
